--- /dev/null
+++ b/orioledoor/catalogue/parse_catalogue.h
@@ -0,0 +1,28 @@
+// Reads and checks catalogues and settings in YAML.
+//
+//   absl::StatusOr<Catalogue> Parsed = parseCatalogue(Text, "catalogue.yaml");
+//   if (!Parsed.ok()) std::cerr << Parsed.status().message();
+//
+// An error names file, line, what was found and what was expected, for example
+//   catalogue.yaml:12: unknown field "clas"; expected one of name, owner, ...
+#ifndef ORIOLEDOOR_CATALOGUE_PARSE_CATALOGUE_H
+#define ORIOLEDOOR_CATALOGUE_PARSE_CATALOGUE_H
+
+#include <string_view>
+
+#include "absl/status/statusor.h"
+
+namespace orioledoor {
+
+struct Catalogue;
+struct Settings;
+
+// Thread-safe. Errors are kInvalidArgument; nothing is partly applied.
+absl::StatusOr<Catalogue> parseCatalogue(std::string_view Text,
+                                         std::string_view FileName);
+absl::StatusOr<Settings> parseSettings(std::string_view Text,
+                                       std::string_view FileName);
+
+} // namespace orioledoor
+
+#endif // ORIOLEDOOR_CATALOGUE_PARSE_CATALOGUE_H
--- /dev/null
+++ b/orioledoor/requests/effect.h
@@ -0,0 +1,75 @@
+// Output of the request reducer: what the shell is to do.
+#ifndef ORIOLEDOOR_REQUESTS_EFFECT_H
+#define ORIOLEDOOR_REQUESTS_EFFECT_H
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "orioledoor/base/ids.h"
+#include "orioledoor/base/instant.h"
+#include "orioledoor/requests/http_types.h"
+#include "orioledoor/requests/message.h"
+#include "orioledoor/telemetry/log_record.h"
+
+namespace orioledoor::requests {
+
+// Ends the caller's request. Sent once per CallerRequest unless the caller is
+// gone.
+struct ReplyCaller {
+  std::uint64_t CallerId = 0;
+  HttpAnswer Answer;
+};
+
+struct SendPeer {
+  std::string To;
+  Message Body;
+};
+
+// Sends a message to every member (crash notices).
+struct Broadcast {
+  Message Body;
+};
+
+// Calls the target beside this node.
+struct CallTarget {
+  std::uint64_t CallId = 0;
+  HttpRequest Request;
+  std::string OperationId;
+  SliceRef Slice;
+  Fence Number;
+  // The call is cancelled when this much time has passed.
+  Duration Timeout{0};
+  // The call must not be written at or after this time.
+  Instant NotAfter;
+};
+
+// Ends a call early: closes its connection.
+struct CancelTarget {
+  std::uint64_t CallId = 0;
+};
+
+struct SliceDrained {
+  SliceRef Slice;
+  std::string Table;
+};
+
+// Asks the coordinator for a share of a service's spend.
+struct RequestSpend {
+  ServiceId Service;
+  std::uint64_t Amount = 0;
+  std::uint32_t Day = 0;
+};
+
+struct WriteLog {
+  LogRecord Record;
+};
+
+using Effect = std::variant<ReplyCaller, SendPeer, Broadcast, CallTarget,
+                            CancelTarget, SliceDrained, RequestSpend, WriteLog>;
+using Effects = std::vector<Effect>;
+
+} // namespace orioledoor::requests
+
+#endif // ORIOLEDOOR_REQUESTS_EFFECT_H
