Record the writing coordinator in the assignment

Cause: members that do not watch the store cannot know where to send load reports and spend requests. Change: Assignment.Coordinator names the member that wrote the version. Conclusion: no extra read or watch is needed.

--- a/orioledoor/ownership/assignment.h
+++ b/orioledoor/ownership/assignment.h
@@ -88,6 +88,8 @@
   // Grows by one with each write; 0 means "none yet".
   std::uint64_t Version = 0;
   std::uint32_t NextMemberId = 1;
+  // The member that wrote this version; members report their load to it.
+  MemberId Coordinator;
   // Sorted by Id. A member is removed once nothing refers to it.
   std::vector<Member> Members;
   std::vector<ServiceSlices> Services;
--- a/orioledoor/ownership/assignment_codec.cc
+++ b/orioledoor/ownership/assignment_codec.cc
@@ -99,10 +99,11 @@
 std::string encodeAssignment(const Assignment &Value) {
   msgpack::sbuffer Buffer;
   Packer Out(Buffer);
-  Out.pack_array(5);
+  Out.pack_array(6);
   Out.pack(FormatVersion);
   Out.pack(Value.Version);
   Out.pack(Value.NextMemberId);
+  Out.pack(Value.Coordinator.Value);
   Out.pack_array(static_cast<std::uint32_t>(Value.Members.size()));
   for (const Member &M : Value.Members)
     packMember(Out, M);
@@ -122,9 +123,10 @@
     Assignment Value;
     Value.Version = Fields.at(1).as<std::uint64_t>();
     Value.NextMemberId = Fields.at(2).as<std::uint32_t>();
-    for (const auto &M : Fields.at(3).as<std::vector<msgpack::object>>())
+    Value.Coordinator.Value = Fields.at(3).as<std::uint32_t>();
+    for (const auto &M : Fields.at(4).as<std::vector<msgpack::object>>())
       Value.Members.push_back(readMember(M));
-    for (const auto &S : Fields.at(4).as<std::vector<msgpack::object>>())
+    for (const auto &S : Fields.at(5).as<std::vector<msgpack::object>>())
       Value.Services.push_back(readService(S));
     return Value;
   } catch (const std::exception &Error) {
