--- /dev/null
+++ b/orioledoor/catalogue/published_catalogue.cc
@@ -0,0 +1,36 @@
+// JSON form of a published catalogue.
+#include "orioledoor/catalogue/published_catalogue.h"
+
+#include <nlohmann/json.hpp>
+
+#include "orioledoor/base/error.h"
+
+namespace orioledoor {
+
+using Json = nlohmann::json;
+
+std::string encodePublishedCatalogue(const PublishedCatalogue &Value) {
+  Json Out = {{"revision", Value.Revision}, {"apply_id", Value.ApplyId},
+              {"author", Value.Author},     {"time_us", Value.TimeMicros},
+              {"comment", Value.Comment},   {"text", Value.Text}};
+  return Out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+absl::StatusOr<PublishedCatalogue>
+decodePublishedCatalogue(std::string_view Text) {
+  try {
+    Json In = Json::parse(Text);
+    return PublishedCatalogue{
+        .Revision = In.at("revision").get<std::uint64_t>(),
+        .ApplyId = In.at("apply_id").get<std::string>(),
+        .Author = In.at("author").get<std::string>(),
+        .TimeMicros = In.at("time_us").get<std::int64_t>(),
+        .Comment = In.at("comment").get<std::string>(),
+        .Text = In.at("text").get<std::string>()};
+  } catch (const Json::exception &Error) {
+    return makeError(absl::StatusCode::kDataLoss, "decode catalogue", "",
+                     Error.what());
+  }
+}
+
+} // namespace orioledoor
