--- /dev/null
+++ b/orioledoor/ownership/assignment_planner.cc
@@ -0,0 +1,375 @@
+// The passes that lead from one assignment to the next.
+#include "orioledoor/ownership/assignment_planner.h"
+
+#include <algorithm>
+#include <map>
+
+#include "orioledoor/catalogue/audit_record.h"
+#include "orioledoor/catalogue/catalogue.h"
+#include "orioledoor/ownership/fact_set.h"
+#include "orioledoor/ownership/internal/candidates.h"
+#include "orioledoor/ownership/placement.h"
+
+namespace orioledoor::ownership {
+namespace {
+
+// Slices in planned motion at once for balance, and for members that leave.
+// Leaving members must be rid of new work within a few seconds.
+constexpr std::size_t MaxMovesInMotion = 32;
+constexpr std::size_t MaxLeavingInMotion = 2048;
+
+std::string nameOf(const Assignment &In, MemberId Id) {
+  const Member *M = In.find(Id);
+  return memberSubject(Id) + (M ? " " + M->Name : std::string());
+}
+
+class Passes {
+public:
+  explicit Passes(const AssignmentPlanInput &Input) : Input(Input) {
+    this->Plan.Next = Input.Current;
+    this->Plan.Next.Version = Input.Current.Version + 1;
+  }
+
+  AssignmentPlan run() {
+    this->recordDeposed();
+    this->recordLeaving();
+    this->recordYields();
+    this->replaceDeposedOwners();
+    this->admit();
+    this->createServices();
+    this->updateGuardians();
+    this->updateSuccessors();
+    this->removeUnreferenced();
+    this->startSlices();
+    this->planMoves();
+    return std::move(this->Plan);
+  }
+
+private:
+  void note(std::string Action, std::string Subject, std::string From,
+            std::string To, std::string Reason) {
+    this->Plan.Changes.push_back(
+        PlannedChange{std::move(Action), std::move(Subject), std::move(From),
+                      std::move(To), std::move(Reason)});
+  }
+
+  bool isGone(MemberId Id) const {
+    const Member *M = this->Plan.Next.find(Id);
+    return !M || M->Deposed;
+  }
+
+  // Collects the promises that a change behind Behind positions of the list
+  // needs. False, and nothing collected, if one cannot be had now.
+  bool collectPromises(const SuccessionList &Old, std::size_t Behind) {
+    auto Displaced = std::span(Old.Members).subspan(Behind);
+    auto Live = [&](MemberId Id) { return !this->isGone(Id); };
+    if (std::ranges::any_of(Displaced, [&](MemberId Id) {
+          return Live(Id) && this->Input.Unresponsive.contains(Id);
+        }))
+      return false;
+    std::ranges::copy_if(
+        Displaced,
+        std::inserter(this->Plan.Promises, this->Plan.Promises.end()), Live);
+    return true;
+  }
+
+  void recordDeposed() {
+    for (Member &M : this->Plan.Next.Members) {
+      if (M.Deposed)
+        continue;
+      bool Derived = this->Input.Known.isDeposed(M.Id) ||
+                     this->Input.Known.impliesDeposed(M.Id, this->Input.Current,
+                                                      this->Input.Now);
+      bool Declared = this->Input.DeclaredLost.contains(M.Id);
+      if (!Derived && !Declared)
+        continue;
+      M.Deposed = true;
+      this->note("depose", nameOf(this->Plan.Next, M.Id), "member", "deposed",
+                 Derived ? "permission ended" : "region declared lost");
+    }
+  }
+
+  void recordLeaving() {
+    for (Member &M : this->Plan.Next.Members) {
+      if (M.Leaving || M.Deposed || !this->Input.Leaving.contains(M.Id))
+        continue;
+      M.Leaving = true;
+      this->note("leave", nameOf(this->Plan.Next, M.Id), "member", "leaving",
+                 "planned stop");
+    }
+  }
+
+  // Records the new owner of slices that were handed over.
+  void recordYields() {
+    std::size_t Count = 0;
+    for (const YieldAck &Ack : this->Input.Yielded) {
+      SuccessionList Old = this->Input.Current.successionOf(Ack.Slice);
+      auto Position = Old.positionOf(Ack.From);
+      if (!Position || *Position == 0 ||
+          Old.Number.Value + *Position != Ack.Number.Value ||
+          !this->collectPromises(Old, *Position + 1))
+        continue;
+      this->setOwner(Ack.Slice, Ack.From, Ack.Number);
+      ++Count;
+    }
+    if (Count > 0)
+      this->note("move", std::to_string(Count) + " slices", "", "",
+                 "handover completed");
+  }
+
+  void setOwner(SliceRef Slice, MemberId Owner, Fence Number) {
+    this->Plan.Next.find(Slice.Service)->Slices[Slice.Slice] =
+        SliceOwner{Owner, Number, MemberId{}};
+  }
+
+  // Puts the first live member of each list at its head.
+  void replaceDeposedOwners() {
+    std::map<MemberId, std::size_t> Counts;
+    for (ServiceSlices &Service : this->Plan.Next.Services)
+      for (std::uint32_t I = 0; I < Service.Slices.size(); ++I)
+        if (Service.Slices[I].Owner && this->isGone(Service.Slices[I].Owner)) {
+          ++Counts[Service.Slices[I].Owner];
+          this->replaceOwner(SliceRef{Service.Service, I});
+        } else if (Service.Slices[I].MoveTarget &&
+                   this->isGone(Service.Slices[I].MoveTarget)) {
+          this->dropMoveTarget(SliceRef{Service.Service, I});
+        }
+    for (const auto &[Id, Count] : Counts)
+      this->note("succeed", std::to_string(Count) + " slices",
+                 nameOf(this->Plan.Next, Id), "recorded successors",
+                 "owner deposed");
+  }
+
+  void replaceOwner(SliceRef Slice) {
+    SuccessionList Old = this->Plan.Next.successionOf(Slice);
+    auto First = std::ranges::find_if_not(
+        Old.Members, [&](MemberId Id) { return this->isGone(Id); });
+    auto Position = static_cast<std::uint32_t>(First - Old.Members.begin());
+    if (First == Old.Members.end()) {
+      // Nobody is left in the list; startSlices picks an owner.
+      this->setOwner(Slice, MemberId{}, Fence{Old.Number.Value + Position});
+      return;
+    }
+    if (this->collectPromises(Old, Position + 1))
+      this->setOwner(Slice, *First, Fence{Old.Number.Value + Position});
+  }
+
+  void dropMoveTarget(SliceRef Slice) {
+    SuccessionList Old = this->Plan.Next.successionOf(Slice);
+    if (!this->collectPromises(Old, 1))
+      return;
+    this->Plan.Next.find(Slice.Service)->Slices[Slice.Slice].MoveTarget = {};
+    this->note("cancel move", std::to_string(Slice.Slice), "", "",
+               "move target deposed");
+  }
+
+  void admit() {
+    for (const JoinRequest &Join : this->Input.Joins) {
+      ServiceId Service = serviceIdOf(Join.Service);
+      if (this->Plan.Next.findByToken(Join.Token)) {
+        this->Plan.Admitted.push_back(Join.Name);
+        continue;
+      }
+      if (!this->Input.Entries.find(Service))
+        continue;
+      Member New;
+      New.Id = MemberId{this->Plan.Next.NextMemberId++};
+      New.Name = Join.Name;
+      New.Token = Join.Token;
+      New.PeerAddress = Join.PeerAddress;
+      New.HttpAddress = Join.HttpAddress;
+      New.Region = Join.Region;
+      New.FailureDomain = Join.FailureDomain;
+      New.Service = Service;
+      New.Slots = Join.Slots;
+      New.AdmittedAt = this->Plan.Next.Version;
+      // Ids grow, so the order by id holds.
+      this->Plan.Next.Members.push_back(New);
+      this->Plan.Admitted.push_back(Join.Name);
+      this->note("admit", nameOf(this->Plan.Next, New.Id), "", Join.Service,
+                 "join request");
+    }
+  }
+
+  void createServices() {
+    for (const ServiceEntry &Entry : this->Input.Entries.Services) {
+      if (this->Plan.Next.find(Entry.Id))
+        continue;
+      this->Plan.Next.Services.push_back(
+          ServiceSlices{Entry.Id, std::vector<SliceOwner>(Entry.Slices)});
+      this->note("create service", Entry.Name, "",
+                 std::to_string(Entry.Slices) + " slices", "catalogue");
+    }
+  }
+
+  void updateGuardians() {
+    for (Member &M : this->Plan.Next.Members) {
+      if (M.Deposed)
+        continue;
+      std::vector<Guardian> Before = M.Guardians;
+      std::erase_if(M.Guardians,
+                    [&](const Guardian &G) { return this->isGone(G.Member); });
+      for (Guardian &G : M.Guardians) {
+        ConsentNeeded Needed{G.Member, M.Id};
+        if (!this->Input.Renewable.contains(Needed))
+          continue;
+        G.Term = this->Plan.Next.Version;
+        this->Plan.Consents.insert(Needed);
+      }
+      internal::addGuardians(this->Plan.Next, M);
+      if (M.Guardians != Before)
+        this->note("guard", nameOf(this->Plan.Next, M.Id),
+                   std::to_string(Before.size()) + " guardians",
+                   std::to_string(M.Guardians.size()) + " guardians",
+                   "keep two guardians");
+    }
+  }
+
+  void updateSuccessors() {
+    for (Member &M : this->Plan.Next.Members)
+      if (!M.Deposed && this->updateSuccessorsOf(M))
+        this->note("successors", nameOf(this->Plan.Next, M.Id), "", "",
+                   "keep two successors a bucket");
+  }
+
+  bool updateSuccessorsOf(Member &M) {
+    bool Changed = false;
+    std::vector<std::vector<MemberId>> Wanted =
+        internal::chooseSuccessors(this->Plan.Next, M);
+    if (M.Successors.empty() &&
+        std::ranges::any_of(Wanted, [](auto &List) { return !List.empty(); })) {
+      // An empty list has nobody to displace.
+      M.Successors = std::move(Wanted);
+      return true;
+    }
+    for (std::size_t B = 0; B < M.Successors.size(); ++B)
+      Changed |= this->updateBucket(M.Successors[B], Wanted[B]);
+    return Changed;
+  }
+
+  bool updateBucket(std::vector<MemberId> &Old, std::vector<MemberId> &Wanted) {
+    if (Old == Wanted)
+      return false;
+    // A longer list with the same beginning displaces nobody.
+    bool Appends = Wanted.size() > Old.size() &&
+                   std::ranges::equal(Old, std::span(Wanted).first(Old.size()));
+    if (!Appends && !this->collectPromises(SuccessionList{Old, {}}, 0))
+      return false;
+    Old = Wanted;
+    return true;
+  }
+
+  void removeUnreferenced() {
+    std::set<MemberId> Used;
+    for (const Member &M : this->Plan.Next.Members) {
+      // A deposed member's successors still count while it owns slices.
+      for (const Guardian &G : M.Guardians)
+        if (!M.Deposed)
+          Used.insert(G.Member);
+      for (const std::vector<MemberId> &List : M.Successors)
+        Used.insert(List.begin(), List.end());
+    }
+    for (const ServiceSlices &Service : this->Plan.Next.Services)
+      for (const SliceOwner &Owner : Service.Slices) {
+        Used.insert(Owner.Owner);
+        Used.insert(Owner.MoveTarget);
+      }
+    std::size_t Removed =
+        std::erase_if(this->Plan.Next.Members, [&](const Member &M) {
+          return M.Deposed && !Used.contains(M.Id);
+        });
+    if (Removed > 0)
+      this->note("remove", std::to_string(Removed) + " members", "deposed", "",
+                 "no longer referred to");
+  }
+
+  // Gives slices without an owner to the members with the fewest slices.
+  void startSlices() {
+    for (ServiceSlices &Service : this->Plan.Next.Services) {
+      if (!this->Input.MayStart(Service.Service))
+        continue;
+      std::vector<MemberId> Owners =
+          eligibleOwners(this->Plan.Next, Service.Service);
+      if (Owners.empty())
+        continue;
+      std::map<MemberId, std::size_t> Counts;
+      for (const SliceOwner &Owner : Service.Slices)
+        ++Counts[Owner.Owner];
+      std::size_t Started = 0;
+      for (SliceOwner &Slice : Service.Slices) {
+        if (Slice.Owner)
+          continue;
+        MemberId Least = *std::ranges::min_element(
+            Owners, {}, [&](MemberId Id) { return Counts[Id]; });
+        ++Counts[Least];
+        ++Started;
+        Slice.Owner = Least;
+        Slice.Number.Value += 1;
+      }
+      if (Started > 0)
+        this->note("start", std::to_string(Started) + " slices", "", "",
+                   "no live owner");
+    }
+  }
+
+  void planMoves() {
+    for (const ServiceSlices &Service : this->Plan.Next.Services) {
+      auto Moving = static_cast<std::size_t>(
+          std::ranges::count_if(Service.Slices, [](const SliceOwner &S) {
+            return static_cast<bool>(S.MoveTarget);
+          }));
+      PlacementQuery Query{
+          .Current = this->Plan.Next,
+          .Service = Service.Service,
+          .Weights = this->Input.Entries.Weights,
+          .Loads = this->Input.Loads,
+          .MayMove = [this](SliceRef S) { return this->mayMove(S); },
+          .MaxMoves = MaxMovesInMotion - std::min(Moving, MaxMovesInMotion),
+          .MaxLeavingMoves =
+              MaxLeavingInMotion - std::min(Moving, MaxLeavingInMotion)};
+      std::vector<SliceMove> Moves = ownership::planMoves(Query);
+      std::ranges::for_each(Moves,
+                            [this](const SliceMove &M) { this->start(M); });
+      if (!Moves.empty())
+        this->note("start move", std::to_string(Moves.size()) + " slices", "",
+                   "", "placement cost");
+    }
+  }
+
+  bool mayMove(SliceRef Slice) const {
+    const SliceOwner *Owner = this->Plan.Next.find(Slice);
+    const Member *From = this->Plan.Next.find(Owner->Owner);
+    if (!From || From->Deposed)
+      return false;
+    if (!From->Leaving && !this->Input.Rested(Slice))
+      return false;
+    SuccessionList List = this->Plan.Next.successionOf(Slice);
+    return std::ranges::none_of(List.Members, [&](MemberId Id) {
+      return this->Input.Unresponsive.contains(Id) && !this->isGone(Id);
+    });
+  }
+
+  void start(const SliceMove &Move) {
+    SuccessionList Old = this->Input.Current.successionOf(Move.Slice);
+    // A slice that got its first owner in this version has no older list.
+    if (Old.Members.empty() ||
+        !this->collectPromises(this->Plan.Next.successionOf(Move.Slice), 1) ||
+        !this->collectPromises(Old, 1))
+      return;
+    this->Plan.Next.find(Move.Slice.Service)
+        ->Slices[Move.Slice.Slice]
+        .MoveTarget = Move.To;
+    this->Plan.Moved.push_back(Move.Slice);
+  }
+
+  const AssignmentPlanInput &Input;
+  AssignmentPlan Plan;
+};
+
+} // namespace
+
+AssignmentPlan planAssignment(const AssignmentPlanInput &Input) {
+  return Passes(Input).run();
+}
+
+} // namespace orioledoor::ownership
--- /dev/null
+++ b/orioledoor/ownership/assignment_planner.h
@@ -0,0 +1,92 @@
+// Works out the next version of the assignment from the current one and from
+// what the coordinator knows. Pure: the coordinator asks for the promises and
+// consents that the plan names and writes Next only once it has them all.
+// See docs/design.md, sections 4.3 and 4.4.
+//
+//   AssignmentPlan Plan = planAssignment(Input);
+//   if (Plan.isChange()) gather(Plan.Promises, Plan.Consents);
+#ifndef ORIOLEDOOR_OWNERSHIP_ASSIGNMENT_PLANNER_H
+#define ORIOLEDOOR_OWNERSHIP_ASSIGNMENT_PLANNER_H
+
+#include <functional>
+#include <set>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/ownership/assignment.h"
+#include "orioledoor/ownership/join_request.h"
+#include "orioledoor/ownership/message.h"
+
+namespace orioledoor {
+struct Catalogue;
+} // namespace orioledoor
+
+namespace orioledoor::ownership {
+
+class FactSet;
+class LoadModel;
+
+// One reason for a new version, for the audit trail.
+struct PlannedChange {
+  std::string Action;
+  std::string Subject;
+  std::string From;
+  std::string To;
+  std::string Reason;
+};
+
+// A guardian that is to give up its present term for a member.
+struct ConsentNeeded {
+  MemberId Guardian;
+  MemberId Member;
+
+  friend auto operator<=>(const ConsentNeeded &,
+                          const ConsentNeeded &) = default;
+};
+
+struct AssignmentPlanInput {
+  const Assignment &Current;
+  const Catalogue &Entries;
+  const FactSet &Known;
+  const LoadModel &Loads;
+  Instant Now;
+  std::span<const JoinRequest> Joins;
+  // Handovers that the new owner reported.
+  std::span<const YieldAck> Yielded;
+  // Members whose regions an operator declared lost, long enough ago.
+  std::set<MemberId> DeclaredLost;
+  // Members that announced that they are leaving.
+  std::set<MemberId> Leaving;
+  // Members that did not answer lately; changes that need their promise wait.
+  std::set<MemberId> Unresponsive;
+  // Guardians that released a live member and may be named again now.
+  std::set<ConsentNeeded> Renewable;
+  // Services whose slices may get their first owners.
+  std::function<bool(ServiceId)> MayStart;
+  // Whether the slice rested long enough since its last move.
+  std::function<bool(SliceRef)> Rested;
+};
+
+struct AssignmentPlan {
+  Assignment Next;
+  std::vector<PlannedChange> Changes;
+  // Each must promise to act as a successor only under Next or newer.
+  std::set<MemberId> Promises;
+  std::set<ConsentNeeded> Consents;
+  // Names whose join requests Next answers.
+  std::vector<std::string> Admitted;
+  std::vector<SliceRef> Moved;
+
+  bool isChange() const { return !this->Changes.empty(); }
+};
+
+// Complexity: linear in slices and members, times members for guardians and
+// successors that have to be chosen.
+AssignmentPlan planAssignment(const AssignmentPlanInput &Input);
+
+} // namespace orioledoor::ownership
+
+#endif // ORIOLEDOOR_OWNERSHIP_ASSIGNMENT_PLANNER_H
--- /dev/null
+++ b/orioledoor/ownership/assignment_planner_test.cc
@@ -0,0 +1,255 @@
+// Guards the rules under which versions of the assignment stay compatible: a
+// plan that displaces a live successor without its promise could let two
+// members serve one slice.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+
+#include "orioledoor/catalogue/catalogue.h"
+#include "orioledoor/ownership/assignment_planner.h"
+#include "orioledoor/ownership/fact_set.h"
+#include "orioledoor/ownership/load_model.h"
+
+namespace orioledoor::ownership {
+namespace {
+
+constexpr std::uint32_t SliceCount = 64;
+
+JoinRequest joinOf(std::uint64_t Token) {
+  std::uint64_t Domain = Token % 6;
+  return JoinRequest{.Name = "node-" + std::to_string(Token),
+                     .Token = Token,
+                     .PeerAddress = "tcp://127.0.0.1:1",
+                     .HttpAddress = "127.0.0.1:2",
+                     .Region = "region-" + std::to_string(Domain / 2),
+                     .FailureDomain = "domain-" + std::to_string(Domain),
+                     .Service = "consulta",
+                     .Slots = 20};
+}
+
+// Plans one version after another and checks each step.
+class Fixture {
+public:
+  Fixture() {
+    ServiceEntry Entry;
+    Entry.Name = "consulta";
+    Entry.Id = serviceIdOf(Entry.Name);
+    Entry.Slices = SliceCount;
+    this->Entries.Services.push_back(Entry);
+  }
+
+  AssignmentPlan step(std::span<const JoinRequest> Joins = {}) {
+    AssignmentPlanInput Input{.Current = this->Doc,
+                              .Entries = this->Entries,
+                              .Known = this->Known,
+                              .Loads = this->Loads,
+                              .Now = this->Now,
+                              .Joins = Joins,
+                              .Yielded = this->Yielded,
+                              .DeclaredLost = {},
+                              .Leaving = this->Leaving,
+                              .Unresponsive = this->Unresponsive,
+                              .Renewable = {},
+                              .MayStart = [](ServiceId) { return true; },
+                              .Rested = [](SliceRef) { return true; }};
+    AssignmentPlan Plan = planAssignment(Input);
+    this->checkDisplaced(Plan);
+    this->checkNumbers(Plan);
+    this->Doc = Plan.Next;
+    this->Now = this->Now + std::chrono::seconds(1);
+    return Plan;
+  }
+
+  void checkDisplaced(const AssignmentPlan &Plan) const {
+    for (std::uint32_t I = 0; I < SliceCount; ++I) {
+      SliceRef Slice{serviceIdOf("consulta"), I};
+      SuccessionList Old = this->Doc.successionOf(Slice);
+      SuccessionList New = Plan.Next.successionOf(Slice);
+      for (std::size_t P = 1; P < Old.Members.size(); ++P) {
+        MemberId Id = Old.Members[P];
+        if (Plan.Next.isDeposed(Id) || Plan.Promises.contains(Id))
+          continue;
+        auto Position = New.positionOf(Id);
+        CPPUNIT_ASSERT(Position);
+        CPPUNIT_ASSERT_EQUAL(Old.Number.Value + P,
+                             New.Number.Value + *Position);
+      }
+    }
+  }
+
+  // A member's number for a slice that it owns never falls.
+  void checkNumbers(const AssignmentPlan &Plan) const {
+    for (std::uint32_t I = 0; I < SliceCount; ++I) {
+      SliceRef Slice{serviceIdOf("consulta"), I};
+      const SliceOwner *Old = this->Doc.find(Slice);
+      const SliceOwner *New = Plan.Next.find(Slice);
+      CPPUNIT_ASSERT(New);
+      if (Old)
+        CPPUNIT_ASSERT(Old->Number <= New->Number);
+    }
+  }
+
+  std::size_t ownedBy(MemberId Id) const {
+    const ServiceSlices &Service = this->Doc.Services.front();
+    return static_cast<std::size_t>(
+        std::ranges::count(Service.Slices, Id, &SliceOwner::Owner));
+  }
+
+  Catalogue Entries;
+  Assignment Doc;
+  FactSet Known;
+  LoadModel Loads;
+  Instant Now{1'000'000};
+  std::vector<YieldAck> Yielded;
+  std::set<MemberId> Leaving;
+  std::set<MemberId> Unresponsive;
+};
+
+class AssignmentPlannerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AssignmentPlannerTest);
+  CPPUNIT_TEST(spreadsFirstOwners);
+  CPPUNIT_TEST(guardiansAreInOtherDomains);
+  CPPUNIT_TEST(successorsTakeOver);
+  CPPUNIT_TEST(unresponsiveSuccessorBlocksItsChange);
+  CPPUNIT_TEST(leavingMemberLosesItsSlices);
+  CPPUNIT_TEST(randomSequencesStayCompatible);
+  CPPUNIT_TEST(survivesEncoding);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  static std::vector<JoinRequest> joins(std::uint64_t From, std::uint64_t To) {
+    std::vector<JoinRequest> Result;
+    for (std::uint64_t T = From; T <= To; ++T)
+      Result.push_back(joinOf(T));
+    return Result;
+  }
+
+  void spreadsFirstOwners() {
+    Fixture F;
+    AssignmentPlan Plan = F.step(joins(1, 6));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, Plan.Admitted.size());
+    CPPUNIT_ASSERT(Plan.Promises.empty());
+    for (const Member &M : F.Doc.Members)
+      CPPUNIT_ASSERT(F.ownedBy(M.Id) >= 10 && F.ownedBy(M.Id) <= 11);
+  }
+
+  // A failure domain that takes a member and its guardians would leave nobody
+  // to depose the member.
+  void guardiansAreInOtherDomains() {
+    Fixture F;
+    F.step(joins(1, 18));
+    for (const Member &M : F.Doc.Members) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, M.Guardians.size());
+      const Member *First = F.Doc.find(M.Guardians[0].Member);
+      const Member *Second = F.Doc.find(M.Guardians[1].Member);
+      CPPUNIT_ASSERT(First->FailureDomain != M.FailureDomain);
+      CPPUNIT_ASSERT(Second->FailureDomain != M.FailureDomain);
+      CPPUNIT_ASSERT(First->Region == M.Region);
+      CPPUNIT_ASSERT(Second->Region != M.Region);
+    }
+  }
+
+  void successorsTakeOver() {
+    Fixture F;
+    F.step(joins(1, 6));
+    F.Known.addDeposed(MemberId{3}, F.Now);
+    F.step();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, F.ownedBy(MemberId{3}));
+    F.step();
+    CPPUNIT_ASSERT(!F.Doc.find(MemberId{3}));
+  }
+
+  // Writing without the promise of a member that cannot be reached could give
+  // a slice two owners after the next loss.
+  void unresponsiveSuccessorBlocksItsChange() {
+    Fixture F;
+    F.step(joins(1, 6));
+    SuccessionList Before = F.Doc.successionOf({serviceIdOf("consulta"), 0});
+    F.Known.addDeposed(Before.Members[0], F.Now);
+    F.Unresponsive.insert(Before.Members[2]);
+    F.step();
+    SuccessionList After = F.Doc.successionOf({serviceIdOf("consulta"), 0});
+    CPPUNIT_ASSERT(Before.Members == After.Members);
+  }
+
+  void leavingMemberLosesItsSlices() {
+    Fixture F;
+    F.step(joins(1, 6));
+    F.Leaving.insert(MemberId{2});
+    F.step();
+    const ServiceSlices &Service = F.Doc.Services.front();
+    for (std::uint32_t I = 0; I < SliceCount; ++I) {
+      const SliceOwner &Owner = Service.Slices[I];
+      if (Owner.Owner != MemberId{2})
+        continue;
+      CPPUNIT_ASSERT(Owner.MoveTarget);
+      F.Yielded.push_back(YieldAck{Owner.MoveTarget,
+                                   {Service.Service, I},
+                                   Fence{Owner.Number.Value + 1}});
+    }
+    F.step();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, F.ownedBy(MemberId{2}));
+  }
+
+  void randomSequencesStayCompatible() {
+    for (unsigned Seed = 0; Seed < 200; ++Seed)
+      this->randomSequence(Seed);
+  }
+
+  void randomSequence(unsigned Seed) {
+    std::mt19937 Random(Seed);
+    Fixture F;
+    std::uint64_t NextToken = 7;
+    F.step(joins(1, 6));
+    for (int Step = 0; Step < 30; ++Step) {
+      F.Unresponsive.clear();
+      F.Yielded.clear();
+      std::vector<JoinRequest> New;
+      std::vector<MemberId> Live;
+      for (const Member &M : F.Doc.Members)
+        if (!M.Deposed)
+          Live.push_back(M.Id);
+      auto Any = [&] { return Live[Random() % Live.size()]; };
+      switch (Random() % 5) {
+      case 0:
+        New.push_back(joinOf(NextToken++));
+        break;
+      case 1:
+        if (Live.size() > 3)
+          F.Known.addDeposed(Any(), F.Now);
+        break;
+      case 2:
+        F.Leaving.insert(Any());
+        break;
+      case 3:
+        F.Unresponsive.insert(Any());
+        break;
+      default:
+        for (std::uint32_t I = 0; I < SliceCount; ++I) {
+          const SliceOwner &Owner = F.Doc.Services.front().Slices[I];
+          if (Owner.MoveTarget && Random() % 2 == 0)
+            F.Yielded.push_back(YieldAck{Owner.MoveTarget,
+                                         {serviceIdOf("consulta"), I},
+                                         Fence{Owner.Number.Value + 1}});
+        }
+      }
+      F.step(New);
+    }
+  }
+
+  void survivesEncoding() {
+    Fixture F;
+    F.step(joins(1, 18));
+    std::string Bytes = encodeAssignment(F.Doc);
+    absl::StatusOr<Assignment> Read = decodeAssignment(Bytes);
+    CPPUNIT_ASSERT(Read.ok());
+    CPPUNIT_ASSERT(encodeAssignment(*Read) == Bytes);
+    CPPUNIT_ASSERT(!decodeAssignment(Bytes.substr(0, 50)).ok());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AssignmentPlannerTest);
+
+} // namespace
+} // namespace orioledoor::ownership
--- a/orioledoor/ownership/coordinator.h
+++ b/orioledoor/ownership/coordinator.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string_view>
 
 #include "orioledoor/base/instant.h"
 #include "orioledoor/ownership/effect.h"
@@ -34,6 +35,9 @@
 // reducer passes on replies by it.
 inline constexpr std::uint64_t CoordinatorRequestBit = 1ULL << 63;
 
+// Messages that it sends to this node's own address are delivered by the
+// reducer without the network.
+//
 // Not thread-safe. Deterministic.
 class Coordinator {
 public:
@@ -72,6 +76,9 @@
   // Messages addressed to the coordinator. From is the sender's address.
   void handle(Instant Now, const Promise &Received);
   void handle(Instant Now, const Consent &Received);
+  // Sent by the new owner of a slice that was handed over; members repeat it
+  // to the coordinator until the assignment lists them as the owner.
+  void handle(Instant Now, const YieldAck &Received);
   void handle(Instant Now, const LoadReport &Received);
   void handle(Instant Now, std::string_view From, const SpendRequest &Received);
 
--- /dev/null
+++ b/orioledoor/ownership/internal/spend_allocator.h
@@ -0,0 +1,71 @@
+// Grants shares of a service's daily spend. A share is recorded in the store
+// before it is granted; a share that is lost on the way counts as spent. Part
+// of Coordinator.
+#ifndef ORIOLEDOOR_OWNERSHIP_INTERNAL_SPEND_ALLOCATOR_H
+#define ORIOLEDOOR_OWNERSHIP_INTERNAL_SPEND_ALLOCATOR_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/ownership/effect.h"
+#include "orioledoor/ownership/message.h"
+
+namespace orioledoor {
+struct Catalogue;
+} // namespace orioledoor
+
+namespace orioledoor::ownership::internal {
+
+// The store key of a service's spend on a day (days since 1970, UTC).
+std::string spendKey(std::string_view Service, std::uint32_t Day);
+
+// Not thread-safe. Deterministic.
+class SpendAllocator {
+public:
+  void request(std::string_view From, const SpendRequest &Asked);
+
+  // Makes the store requests that are due. At most one a service and day is
+  // open; requests that arrive meanwhile share the next one.
+  void tick(Instant Now, const Catalogue &Entries,
+            const std::function<std::uint64_t()> &NextId, Effects &Output);
+
+  // Whether Reply answers a request of this object; if so, uses it.
+  bool handle(const StoreReply &Reply, Effects &Output);
+
+private:
+  struct Waiting {
+    std::string From;
+    std::uint64_t Amount = 0;
+  };
+  struct Account {
+    bool Loaded = false;
+    std::uint64_t Granted = 0;
+    // 0: the key is absent.
+    std::int64_t ModRevision = 0;
+    std::uint64_t OpenRequest = 0;
+    Instant NextStep;
+    std::vector<Waiting> Queue;
+    // In the transaction that is open.
+    std::vector<Waiting> Pending;
+    std::uint64_t PendingTotal = 0;
+  };
+  struct AccountKey {
+    ServiceId Service;
+    std::uint32_t Day = 0;
+    friend auto operator<=>(const AccountKey &, const AccountKey &) = default;
+  };
+
+  void write(Account &Target, std::string Key, std::uint64_t Limit,
+             std::uint64_t Id, Effects &Output);
+  static void grant(const AccountKey &Key, Account &Target, Effects &Output);
+
+  std::map<AccountKey, Account> Accounts;
+};
+
+} // namespace orioledoor::ownership::internal
+
+#endif // ORIOLEDOOR_OWNERSHIP_INTERNAL_SPEND_ALLOCATOR_H
