--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -168,9 +168,11 @@
   if (!this->Entries)
     return;
   std::vector<JoinRequest> Requests;
+  Requests.reserve(this->Joins.size());
   for (const auto &[Name, Join] : this->Joins)
     Requests.push_back(Join);
   std::vector<YieldAck> Handovers;
+  Handovers.reserve(this->Yielded.size());
   for (const auto &[Slice, Ack] : this->Yielded)
     Handovers.push_back(Ack);
   auto MayStart = [&](ServiceId Id) {
