--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -23,6 +23,12 @@
 
 // Facts that arrive within this time share one write.
 constexpr Duration PlanInterval = std::chrono::milliseconds(200);
+// After news the coordinator plans at PlanInterval for this long, since the
+// wait for ended grants and the start of slices depend on time alone.
+constexpr Duration BusyTime = std::chrono::seconds(3);
+// Without news it only looks for worthwhile moves. A plan reads every slice,
+// which at PlanInterval would exceed the control budget of its node.
+constexpr Duration IdlePlanInterval = std::chrono::seconds(5);
 // At most two writes a second, whatever is lost.
 constexpr Duration WriteInterval = std::chrono::milliseconds(500);
 constexpr Duration GatherTimeout = std::chrono::milliseconds(600);
@@ -59,6 +65,7 @@
         CallStore{StoreRequest{.Id = Open, .Body = std::move(Body)}});
   }
 
+  void noticeNews(Instant Now, const FactSet &Known);
   void load(Instant Now, Effects &Output);
   void plan(Instant Now, const FactSet &Known, Effects &Output);
   void gather(Instant Now, Effects &Output);
@@ -83,6 +90,10 @@
   Instant OpenedAt;
   Instant NextPlan;
   Instant NextWrite;
+  // News arrived since the last tick.
+  bool News = true;
+  Instant BusyUntil;
+  std::uint64_t SeenFacts = 0;
 
   // The store's document as last read or written; DocRevision is the store
   // revision of its last change, 0 while the key is absent.
@@ -111,6 +122,15 @@
   Instant NextRepeat;
 };
 
+void Coordinator::State::noticeNews(Instant Now, const FactSet &Known) {
+  if (!this->News && Known.changes() == this->SeenFacts)
+    return;
+  this->News = false;
+  this->SeenFacts = Known.changes();
+  this->BusyUntil = Now + BusyTime;
+  this->NextPlan = std::min(this->NextPlan, Now + PlanInterval);
+}
+
 void Coordinator::State::load(Instant Now, Effects &Output) {
   this->Current = Phase::Loading;
   this->call(StoreRange{.Key = keys::Assignment}, this->OpenAssignment, Now,
@@ -121,14 +141,17 @@
 
 void Coordinator::State::addJoin(std::string_view Value) {
   absl::StatusOr<JoinRequest> Join = decodeJoinRequest(Value);
-  if (Join.ok())
-    this->Joins[Join->Name] = *Join;
+  if (!Join.ok())
+    return;
+  this->Joins[Join->Name] = *Join;
+  this->News = true;
 }
 
 void Coordinator::State::adopt(const Assignment &Newer,
                                std::int64_t ModRevision) {
   this->Doc = Newer;
   this->DocRevision = ModRevision;
+  this->News = true;
   std::erase_if(this->Yielded, [&](const auto &Entry) {
     const SliceOwner *Owner = this->Doc.find(Entry.first);
     return !Owner || Owner->Number >= Entry.second.Number;
@@ -317,6 +340,7 @@
     S.Current = Phase::Passive;
     return;
   }
+  S.noticeNews(Now, Known);
   bool ReplyOverdue = Now - S.OpenedAt >= StoreReplyTimeout;
   if (S.Entries)
     S.Spend.tick(Now, *S.Entries, [&] { return S.nextId(); }, Output);
@@ -333,7 +357,7 @@
   case Phase::Ready:
     if (Now < S.NextPlan || Now < S.NextWrite)
       break;
-    S.NextPlan = Now + PlanInterval;
+    S.NextPlan = Now + (Now < S.BusyUntil ? PlanInterval : IdlePlanInterval);
     S.plan(Now, Known, Output);
     break;
   case Phase::Gathering:
@@ -365,6 +389,7 @@
 void Coordinator::observe(std::shared_ptr<const Catalogue> Current) {
   this->Own->Entries = std::move(Current);
   this->Own->EntriesSince.reset();
+  this->Own->News = true;
 }
 
 void Coordinator::handle(Instant Now, const StoreReply &Reply,
@@ -426,15 +451,17 @@
 void Coordinator::handle(Instant, const YieldAck &Received) {
   State &S = *this->Own;
   const SliceOwner *Owner = S.Doc.find(Received.Slice);
-  if (!Owner || Owner->Number < Received.Number)
+  if (!Owner || Owner->Number < Received.Number) {
     S.Yielded[Received.Slice] = Received;
+    S.News = true;
+  }
 }
 
 void Coordinator::handle(Instant Now, const LoadReport &Received) {
   State &S = *this->Own;
   S.Loads.add(Received, Now);
-  if (Received.Leaving)
-    S.Leaving.insert(Received.From);
+  if (Received.Leaving && !S.Doc.isDeposed(Received.From))
+    S.News |= S.Leaving.insert(Received.From).second;
 }
 
 void Coordinator::handle(Instant, std::string_view From,
--- a/orioledoor/ownership/fact_set.cc
+++ b/orioledoor/ownership/fact_set.cc
@@ -8,7 +8,10 @@
 namespace orioledoor::ownership {
 
 bool FactSet::addDeposed(MemberId Id, Instant Now) {
-  return Id && this->Deposed.try_emplace(Id, DeposedEntry{Now, false}).second;
+  bool New =
+      Id && this->Deposed.try_emplace(Id, DeposedEntry{Now, false}).second;
+  this->Changes += New ? 1 : 0;
+  return New;
 }
 
 bool FactSet::addLeft(MemberId Id, Instant Now) {
@@ -22,6 +25,7 @@
   if (this->findRelease(Fact.Member, Fact.By, Fact.Term))
     return false;
   this->Releases.push_back(Fact);
+  ++this->Changes;
   return true;
 }
 
--- a/orioledoor/ownership/fact_set.h
+++ b/orioledoor/ownership/fact_set.h
@@ -47,6 +47,9 @@
   // All facts, for gossip. Linear.
   Facts snapshot() const;
 
+  // Grows with each new fact.
+  std::uint64_t changes() const { return this->Changes; }
+
   // Forgets facts about members that Current no longer lists.
   void prune(const Assignment &Current);
 
@@ -58,6 +61,7 @@
   std::map<MemberId, DeposedEntry> Deposed;
   // Invariant: at most one release a member, guardian and term.
   std::vector<Release> Releases;
+  std::uint64_t Changes = 0;
 };
 
 } // namespace orioledoor::ownership
