--- /dev/null
+++ b/orioledoor/catalogue/internal/yaml_scalars.cc
@@ -0,0 +1,188 @@
+// Scalar values of YAML documents: names, numbers, quantities with units and
+// addresses.
+#include "orioledoor/catalogue/internal/yaml_reader.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <span>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "orioledoor/base/error.h"
+#include "orioledoor/catalogue/settings.h"
+
+namespace orioledoor::internal {
+namespace {
+
+// A unit and how many of the smallest unit it stands for.
+struct Unit {
+  std::string_view Name;
+  std::uint64_t Factor;
+};
+
+constexpr std::array<Unit, 3> DurationUnits{
+    {{"ms", 1}, {"s", 1'000}, {"m", 60'000}}};
+constexpr std::array<Unit, 4> SizeUnits{
+    {{"B", 1}, {"KiB", 1ULL << 10}, {"MiB", 1ULL << 20}, {"GiB", 1ULL << 30}}};
+
+// Text of a scalar; Plain refuses quoted text.
+std::string scalar(const YamlValue &Value, bool Plain,
+                   std::string_view Expected) {
+  if (Value.Node.IsNull() || !Value.Node.IsDefined())
+    Value.fail("has no value", Expected);
+  if (!Value.Node.IsScalar())
+    Value.fail(Value.Node.IsMap() ? "found a mapping" : "found a list",
+               Expected);
+  if (Plain && Value.Node.Tag() != "?")
+    Value.fail(absl::StrCat("found the text \"", Value.Node.Scalar(), "\""),
+               absl::StrCat(toAbsl(Expected), " without quotes"));
+  return Value.Node.Scalar();
+}
+
+[[noreturn]] void failFound(const YamlValue &Value, std::string_view Expected) {
+  Value.fail(absl::StrCat("found \"", Value.Node.Scalar(), "\""), Expected);
+}
+
+// Parses all of Text, or nothing.
+template <typename Number>
+std::optional<Number> parseAll(std::string_view Text) {
+  Number Result{};
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Result);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Result;
+}
+
+// A whole number with one of Units, 1 to High of the smallest unit.
+std::uint64_t readQuantity(const YamlValue &Value, std::span<const Unit> Units,
+                           std::uint64_t High, std::string_view Example) {
+  std::string Names =
+      absl::StrJoin(Units, ", ", [](std::string *Out, const Unit &U) {
+        Out->append(U.Name);
+      });
+  std::string Expected = absl::StrCat(
+      "a whole number with one of the units ", Names, " such as ",
+      toAbsl(Example), ", at most ", High, toAbsl(Units.front().Name));
+  std::string Text = scalar(Value, false, Expected);
+  std::size_t Digits =
+      std::min(Text.find_first_not_of("0123456789"), Text.size());
+  auto Number =
+      parseAll<std::uint64_t>(std::string_view(Text).substr(0, Digits));
+  auto Found = std::ranges::find(Units, std::string_view(Text).substr(Digits),
+                                 &Unit::Name);
+  if (!Number || *Number == 0 || Found == Units.end() ||
+      *Number > High / Found->Factor)
+    failFound(Value, Expected);
+  return *Number * Found->Factor;
+}
+
+bool isWildcard(std::string_view Host) {
+  return Host == "0.0.0.0" || Host == "::";
+}
+
+// The host as the C library prints it, or nothing if Text is no IP number.
+std::optional<std::string> parseHost(std::string_view Text) {
+  bool Bracketed = Text.size() > 2 && Text.front() == '[' && Text.back() == ']';
+  std::string Host(Bracketed ? Text.substr(1, Text.size() - 2) : Text);
+  int Family = Bracketed ? AF_INET6 : AF_INET;
+  std::array<unsigned char, sizeof(in6_addr)> Address{};
+  std::array<char, INET6_ADDRSTRLEN> Canonical{};
+  if (inet_pton(Family, Host.c_str(), Address.data()) != 1)
+    return std::nullopt;
+  return inet_ntop(Family, Address.data(), Canonical.data(), Canonical.size());
+}
+
+} // namespace
+
+std::string readText(const YamlValue &Value) {
+  std::string Text = scalar(Value, false, "text");
+  if (Text.empty() || Text.find_first_of("\n\r\t") != std::string::npos)
+    failFound(Value, "text in one line, not empty");
+  return Text;
+}
+
+std::string readName(const YamlValue &Value) {
+  constexpr std::string_view Expected =
+      "a name of lower-case letters, digits and '-', a letter first, at most "
+      "63 characters";
+  std::string Text = scalar(Value, false, Expected);
+  auto IsLetter = [](char C) { return C >= 'a' && C <= 'z'; };
+  bool Good = !Text.empty() && Text.size() <= 63 && IsLetter(Text.front()) &&
+              std::ranges::all_of(Text, [&](char C) {
+                return IsLetter(C) || (C >= '0' && C <= '9') || C == '-';
+              });
+  if (!Good)
+    failFound(Value, Expected);
+  return Text;
+}
+
+bool readBool(const YamlValue &Value) {
+  std::string Text = scalar(Value, true, "true or false");
+  if (Text != "true" && Text != "false")
+    failFound(Value, "true or false");
+  return Text == "true";
+}
+
+double readNumber(const YamlValue &Value, double Low, double High) {
+  std::string Expected =
+      absl::StrCat("a number without unit from ", Low, " to ", High);
+  auto Number = parseAll<double>(scalar(Value, true, Expected));
+  if (!Number || !std::isfinite(*Number) || *Number < Low || *Number > High)
+    failFound(Value, Expected);
+  return *Number;
+}
+
+std::uint64_t readInteger(const YamlValue &Value, std::uint64_t Low,
+                          std::uint64_t High) {
+  std::string Expected =
+      absl::StrCat("a whole number without unit from ", Low, " to ", High);
+  auto Number = parseAll<std::uint64_t>(scalar(Value, true, Expected));
+  if (!Number || *Number < Low || *Number > High)
+    failFound(Value, Expected);
+  return *Number;
+}
+
+std::chrono::milliseconds readDuration(const YamlValue &Value,
+                                       std::chrono::milliseconds High) {
+  return std::chrono::milliseconds(
+      readQuantity(Value, DurationUnits, High.count(), "500ms or 30s"));
+}
+
+std::uint64_t readSize(const YamlValue &Value, std::uint64_t High) {
+  return readQuantity(Value, SizeUnits, High, "1MiB");
+}
+
+std::size_t readChoice(const YamlValue &Value,
+                       std::initializer_list<std::string_view> Choices) {
+  std::string Expected = absl::StrCat(
+      "one of ",
+      absl::StrJoin(Choices, ", ", [](std::string *Out, std::string_view C) {
+        Out->append(C);
+      }));
+  std::string Text = scalar(Value, false, Expected);
+  const auto *Found = std::ranges::find(Choices, Text);
+  if (Found == Choices.end())
+    failFound(Value, Expected);
+  return static_cast<std::size_t>(Found - Choices.begin());
+}
+
+Endpoint readEndpoint(const YamlValue &Value) {
+  constexpr std::string_view Expected =
+      "IP:PORT with an IP number that others can connect to and a port from 1 "
+      "to 65535, such as 127.0.0.1:8001 or [::1]:8001";
+  std::string Text = scalar(Value, false, Expected);
+  std::size_t Colon = std::min(Text.rfind(':'), Text.size());
+  auto Host = parseHost(std::string_view(Text).substr(0, Colon));
+  auto Port = parseAll<std::uint16_t>(
+      std::string_view(Text).substr(std::min(Colon + 1, Text.size())));
+  if (!Host || isWildcard(*Host) || !Port || *Port == 0)
+    failFound(Value, Expected);
+  return {*Host, *Port};
+}
+
+} // namespace orioledoor::internal
