--- a/orioledoor/store/store_types.h
+++ b/orioledoor/store/store_types.h
@@ -21,14 +21,14 @@
 
 // One key with its value and the store revision of its last change.
 struct StoreEntry {
-  std::string Key;
-  std::string Value;
+  std::string Key{};
+  std::string Value{};
   std::int64_t ModRevision = 0;
 };
 
 // Reads Key, or all keys that start with Key if Prefix is set.
 struct StoreRange {
-  std::string Key;
+  std::string Key{};
   bool Prefix = false;
   // 0 means no limit. With a limit and Descending the last keys come first.
   std::int64_t Limit = 0;
@@ -37,22 +37,22 @@
 
 // Succeeds only if Key's last change has ModRevision; 0 means "absent".
 struct StoreCompare {
-  std::string Key;
+  std::string Key{};
   std::int64_t ModRevision = 0;
 };
 
 struct StorePut {
-  std::string Key;
-  std::string Value;
+  std::string Key{};
+  std::string Value{};
   // The key disappears with this lease; 0 means no lease.
   std::int64_t Lease = 0;
 };
 
 // Applies all Puts and Deletes if all Compares hold, else nothing.
 struct StoreTxn {
-  std::vector<StoreCompare> Compares;
-  std::vector<StorePut> Puts;
-  std::vector<std::string> Deletes;
+  std::vector<StoreCompare> Compares{};
+  std::vector<StorePut> Puts{};
+  std::vector<std::string> Deletes{};
 };
 
 struct StoreLeaseGrant {
@@ -74,19 +74,20 @@
 struct StoreRequest {
   // Chosen by the requester, unique among its open requests.
   std::uint64_t Id = 0;
-  StoreRequestBody Body;
+  StoreRequestBody Body{};
 };
 
 // The reply to the request of the same Id.
 //
 // kUnavailable: certainly not applied. kUnknown and kDeadlineExceeded: a
-// transaction may have been applied and must be read back.
+// transaction may have been applied and must be read back. Any other code: the
+// store refused the request as such; not applied.
 struct StoreReply {
   std::uint64_t Id = 0;
-  absl::Status Status;
+  absl::Status Status{};
   // For StoreRange; also the current entries of the compared keys after a
   // failed comparison of a StoreTxn.
-  std::vector<StoreEntry> Entries;
+  std::vector<StoreEntry> Entries{};
   // For StoreTxn: whether the comparisons held.
   bool Succeeded = false;
   // For lease requests: the lease and what is left of it (0: it has ended).
@@ -98,10 +99,22 @@
 
 // A change seen by a watch. Deleted entries have an empty Value.
 struct StoreChange {
-  StoreEntry Entry;
+  StoreEntry Entry{};
   bool Deleted = false;
 };
 
+// What a watch delivered. If Status is not OK the watch has ended and is to be
+// opened again; kOutOfRange: the revision asked for has been compacted away,
+// so the keys must be read first.
+struct StoreWatchUpdate {
+  absl::Status Status{};
+  // In the order of the store. Empty for a notice of progress.
+  std::vector<StoreChange> Changes{};
+  // All changes up to this revision have been delivered; a new watch continues
+  // at Revision + 1.
+  std::int64_t Revision = 0;
+};
+
 } // namespace orioledoor
 
 #endif // ORIOLEDOOR_STORE_STORE_TYPES_H
