--- /dev/null
+++ b/orioledoor/ownership/message_codec_test.cc
@@ -0,0 +1,73 @@
+// Guards against a field lost between nodes and against input that crashes the
+// process.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "orioledoor/ownership/message_codec.h"
+
+namespace orioledoor::ownership {
+namespace {
+
+class MessageCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MessageCodecTest);
+  CPPUNIT_TEST(everyFieldSurvives);
+  CPPUNIT_TEST(damagedBytesGiveAStatus);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::vector<Message> samples() {
+    SliceRef Slice{ServiceId{9}, 4095};
+    Versions Held{1ULL << 40, 7};
+    return {Renew{MemberId{1}, 2, Instant(-3), 4, true, Held},
+            Grant{MemberId{1}, 2, Instant(3), Duration(800'000), Held},
+            Refuse{MemberId{1}, true, Held},
+            Facts{{Release{MemberId{1}, MemberId{2}, 3, 4}},
+                  {MemberId{5}},
+                  {MemberId{6}, MemberId{7}},
+                  Held},
+            VersionNotice{Held},
+            AssignmentUpdate{8, std::string("\0\xff", 2)},
+            Consent{MemberId{1}, MemberId{2}, 3},
+            Yield{MemberId{1}, Slice, Fence{2}, "table"},
+            LoadReport{MemberId{1}, 2.5, {ReportedLoad{Slice, 0.25}}, true},
+            SpendGrant{ServiceId{1}, 2, 3}};
+  }
+
+public:
+  // A field dropped or swapped by the codec changes the second encoding.
+  void everyFieldSurvives() {
+    for (const Message &Sample : samples()) {
+      std::string Bytes = encodeMessage(Sample);
+      absl::StatusOr<Message> Back = decodeMessage(Bytes);
+      CPPUNIT_ASSERT(Back.ok());
+      CPPUNIT_ASSERT_EQUAL(Sample.index(), Back->index());
+      CPPUNIT_ASSERT(encodeMessage(*Back) == Bytes);
+    }
+    auto Back = decodeMessage(encodeMessage(samples()[0]));
+    const Renew &Read = std::get<Renew>(*Back);
+    CPPUNIT_ASSERT(Read.SentAt == Instant(-3) && Read.HoldsPermission);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Read.LastGrant);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, Read.Held.Catalogue);
+  }
+
+  // Truncation at every length, a flip of every byte, and an array header
+  // that promises 4 billion elements must not throw or exhaust memory.
+  void damagedBytesGiveAStatus() {
+    for (const Message &Sample : samples()) {
+      std::string Bytes = encodeMessage(Sample);
+      for (std::size_t I = 0; I < Bytes.size(); ++I) {
+        CPPUNIT_ASSERT(!decodeMessage(Bytes.substr(0, I)).ok());
+        std::string Flipped = Bytes;
+        Flipped[I] = static_cast<char>(~Flipped[I]);
+        (void)decodeMessage(Flipped);
+      }
+      CPPUNIT_ASSERT(!decodeMessage(Bytes + "x").ok());
+    }
+    CPPUNIT_ASSERT(!decodeMessage("\xdd\xff\xff\xff\xff").ok());
+    CPPUNIT_ASSERT(!decodeMessage(std::string(100'000, '\x91')).ok());
+    CPPUNIT_ASSERT(!decodeMessage("\x91\x63").ok());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MessageCodecTest);
+
+} // namespace
+} // namespace orioledoor::ownership
