Add the member side of ownership (first version, untested)

Joining, permissions, guard duty, slices and planned moves, gossip and distribution as small parts, composed by OwnershipReducer. Two events and effects were missing for spend, and ResumeSlice for a move that is given up. It compiles; nothing but the message codec has been run.

--- a/orioledoor/ownership/effect.h
+++ b/orioledoor/ownership/effect.h
@@ -45,6 +45,11 @@
   SliceRef Slice;
 };
 
+// Undoes DrainSlice: the move was given up and this node serves the slice on.
+struct ResumeSlice {
+  SliceRef Slice;
+};
+
 // This node now owns the slice. If HistoryLost, Table is empty and earlier
 // operations on the slice are unknown here.
 struct AdoptSlice {
@@ -59,6 +64,14 @@
   SliceRef Slice;
 };
 
+// The coordinator granted this node a share of a service's spend.
+struct SpendGranted {
+  ServiceId Service;
+  std::uint64_t Amount = 0;
+  // Days since 1970, UTC.
+  std::uint32_t Day = 0;
+};
+
 // All slices moved, duties handed over: the process may exit.
 struct StopCompleted {};
 
@@ -66,9 +79,10 @@
   LogRecord Record;
 };
 
-using Effect = std::variant<SendPeer, CallStore, WatchStore, StopWatching,
-                            CatalogueInForce, DrainSlice, AdoptSlice, DropSlice,
-                            StopCompleted, WriteLog>;
+using Effect =
+    std::variant<SendPeer, CallStore, WatchStore, StopWatching,
+                 CatalogueInForce, DrainSlice, ResumeSlice, AdoptSlice,
+                 DropSlice, SpendGranted, StopCompleted, WriteLog>;
 using Effects = std::vector<Effect>;
 
 } // namespace orioledoor::ownership
--- a/orioledoor/ownership/event.h
+++ b/orioledoor/ownership/event.h
@@ -77,9 +77,19 @@
   std::vector<SliceLoad> Slices;
 };
 
-using Event = std::variant<Tick, TargetReady, TargetLeaving, TargetLost,
-                           StopRequested, PeerMessage, StoreAnswered,
-                           StoreWatched, SliceDrained, LoadSampled>;
+// The request reducer needs a further share of a service's spend; repeated by
+// it until SpendGranted comes or the need ends.
+struct SpendWanted {
+  ServiceId Service;
+  std::uint64_t Amount = 0;
+  // Days since 1970, UTC.
+  std::uint32_t Day = 0;
+};
+
+using Event =
+    std::variant<Tick, TargetReady, TargetLeaving, TargetLost, StopRequested,
+                 PeerMessage, StoreAnswered, StoreWatched, SliceDrained,
+                 LoadSampled, SpendWanted>;
 
 } // namespace orioledoor::ownership
 
--- /dev/null
+++ b/orioledoor/ownership/gossip.cc
@@ -0,0 +1,131 @@
+// Learning and spreading of facts.
+#include "orioledoor/ownership/gossip.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "orioledoor/ownership/node_state.h"
+
+namespace orioledoor::ownership {
+namespace {
+
+constexpr Duration RoundInterval = std::chrono::seconds(1);
+constexpr Duration RepeatInterval = std::chrono::milliseconds(100);
+constexpr int RepeatCount = 4;
+constexpr std::size_t PushFanOut = 4;
+
+// A fact about a member that the record no longer lists changes nothing;
+// learning it again after it was pruned would gossip it for ever.
+bool isObsolete(const Assignment &Current, MemberId Member) {
+  return !Member ||
+         (Member.Value < Current.NextMemberId && !Current.find(Member));
+}
+
+bool isObsolete(const Assignment &Current, const Release &Fact) {
+  const Member *Subject = Current.find(Fact.Member);
+  return !Subject ? isObsolete(Current, Fact.Member)
+                  : Fact.Version < Current.Version &&
+                        std::ranges::find(Subject->Guardians,
+                                          Guardian{Fact.By, Fact.Term}) ==
+                            Subject->Guardians.end();
+}
+
+bool isEmpty(const Facts &Value) {
+  return Value.Releases.empty() && Value.Deposed.empty() && Value.Left.empty();
+}
+
+} // namespace
+
+Gossip::Gossip(NodeState &Node) : Node(Node) {}
+
+std::vector<std::string> Gossip::concerned(const Facts &Fresh) const {
+  const Assignment &Current = *this->Node.Current;
+  std::set<MemberId> Receivers{Current.Coordinator};
+  auto AddGuardians = [&](const Member &Subject) {
+    for (const Guardian &G : Subject.Guardians)
+      Receivers.insert(G.Member);
+  };
+  for (const Release &Fact : Fresh.Releases)
+    if (const Member *Subject = Current.find(Fact.Member))
+      AddGuardians(*Subject);
+  for (const std::vector<MemberId> *List : {&Fresh.Deposed, &Fresh.Left})
+    for (MemberId Id : *List) {
+      const Member *Subject = Current.find(Id);
+      if (!Subject)
+        continue;
+      AddGuardians(*Subject);
+      // The member itself may be alive and unaware.
+      Receivers.insert(Id);
+      for (const std::vector<MemberId> &Bucket : Subject->Successors)
+        Receivers.insert(Bucket.begin(), Bucket.end());
+    }
+  Receivers.erase(this->Node.Id);
+  std::vector<std::string> Addresses;
+  for (MemberId Id : Receivers)
+    if (const Member *Receiver = Current.find(Id))
+      Addresses.push_back(Receiver->PeerAddress);
+  std::erase(Addresses, this->Node.Self.PeerAddress);
+  return Addresses;
+}
+
+void Gossip::pushToRandomPeers(const Facts &Fresh, Effects &Output) {
+  for (std::string &Peer : this->Node.randomPeers(PushFanOut))
+    Output.push_back(SendPeer{std::move(Peer), Fresh});
+}
+
+void Gossip::announce(Instant Now, Facts Fresh, Effects &Output) {
+  if (isEmpty(Fresh))
+    return;
+  Fresh.Held = this->Node.versions();
+  std::vector<std::string> To = this->concerned(Fresh);
+  for (const std::string &Peer : To)
+    Output.push_back(SendPeer{Peer, Fresh});
+  this->pushToRandomPeers(Fresh, Output);
+  this->Repeats.push_back(
+      {std::move(To), std::move(Fresh), Now + RepeatInterval, RepeatCount});
+}
+
+void Gossip::handle(Instant Now, const Facts &Received, Effects &Output) {
+  Facts Fresh;
+  FactSet &Known = this->Node.Known;
+  const Assignment &Current = *this->Node.Current;
+  for (const Release &Fact : Received.Releases)
+    if (!isObsolete(Current, Fact) && Known.addRelease(Fact))
+      Fresh.Releases.push_back(Fact);
+  for (MemberId Id : Received.Deposed)
+    if (!isObsolete(Current, Id) && Known.addDeposed(Id, Now))
+      Fresh.Deposed.push_back(Id);
+  for (MemberId Id : Received.Left)
+    if (!isObsolete(Current, Id) && Known.addLeft(Id, Now))
+      Fresh.Left.push_back(Id);
+  if (isEmpty(Fresh))
+    return;
+  ++this->Node.FactsRevision;
+  Fresh.Held = this->Node.versions();
+  this->pushToRandomPeers(Fresh, Output);
+}
+
+void Gossip::tick(Instant Now, Effects &Output) {
+  for (Repeat &R : this->Repeats) {
+    if (Now < R.Next)
+      continue;
+    R.Next = Now + RepeatInterval;
+    --R.Left;
+    for (const std::string &Peer : R.To)
+      Output.push_back(SendPeer{Peer, R.Body});
+  }
+  std::erase_if(this->Repeats, [](const Repeat &R) { return R.Left <= 0; });
+  if (Now < this->NextRound)
+    return;
+  // Jitter keeps nodes that started together from sending together.
+  this->NextRound =
+      Now + RoundInterval + Duration(this->Node.Random() % 100'000);
+  for (std::string &Peer : this->Node.randomPeers(1)) {
+    Facts All = this->Node.Known.snapshot();
+    All.Held = this->Node.versions();
+    Output.push_back(SendPeer{std::move(Peer), std::move(All)});
+  }
+}
+
+} // namespace orioledoor::ownership
--- /dev/null
+++ b/orioledoor/ownership/load_reporter.cc
@@ -0,0 +1,46 @@
+// Load samples and reports.
+#include "orioledoor/ownership/load_reporter.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "orioledoor/ownership/node_state.h"
+
+namespace orioledoor::ownership {
+namespace {
+
+constexpr Duration ReportInterval = std::chrono::seconds(10);
+constexpr Duration LeavingInterval = std::chrono::seconds(1);
+// Keeps a report near 300 B; the coordinator moves only hot slices one by one.
+constexpr std::size_t ReportedSlices = 16;
+
+} // namespace
+
+void LoadReporter::handle(const LoadSampled &Sample) {
+  this->TotalRate = std::accumulate(
+      Sample.Slices.begin(), Sample.Slices.end(), 0.0,
+      [](double Sum, const SliceLoad &Load) { return Sum + Load.Rate; });
+  std::vector<SliceLoad> Top(std::min(ReportedSlices, Sample.Slices.size()));
+  std::ranges::partial_sort_copy(
+      Sample.Slices, Top, [](const SliceLoad &A, const SliceLoad &B) {
+        return A.Rate != B.Rate ? A.Rate > B.Rate : A.Slice < B.Slice;
+      });
+  this->Busiest.clear();
+  std::ranges::transform(Top, std::back_inserter(this->Busiest),
+                         [](const SliceLoad &Load) {
+                           return ReportedLoad{Load.Slice, Load.Rate};
+                         });
+}
+
+void LoadReporter::tick(Instant Now, bool Leaving, Effects &Output) {
+  if (!this->Node.Id || Now < this->Next)
+    return;
+  // Jitter spreads the reports of a fleet that started together.
+  this->Next = Now + (Leaving ? LeavingInterval : ReportInterval) +
+               Duration(this->Node.Random() % 500'000);
+  sendTo(this->Node, this->Node.Current->Coordinator,
+         LoadReport{this->Node.Id, this->TotalRate, this->Busiest, Leaving},
+         Output);
+}
+
+} // namespace orioledoor::ownership
--- /dev/null
+++ b/orioledoor/ownership/load_reporter.h
@@ -0,0 +1,36 @@
+// Tells the coordinator this member's load: every 10 s, or every second while
+// the member is leaving.
+#ifndef ORIOLEDOOR_OWNERSHIP_LOAD_REPORTER_H
+#define ORIOLEDOOR_OWNERSHIP_LOAD_REPORTER_H
+
+#include <vector>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/ownership/effect.h"
+#include "orioledoor/ownership/event.h"
+
+namespace orioledoor::ownership {
+
+struct NodeState;
+
+// Not thread-safe.
+class LoadReporter {
+public:
+  explicit LoadReporter(NodeState &Node) : Node(Node) {}
+
+  void handle(const LoadSampled &Sample);
+  void tick(Instant Now, bool Leaving, Effects &Output);
+  // Reports at the next tick.
+  void hurry() { this->Next = Instant(); }
+
+private:
+  NodeState &Node;
+  // Rates of the last sample, busiest first.
+  std::vector<ReportedLoad> Busiest;
+  double TotalRate = 0;
+  Instant Next;
+};
+
+} // namespace orioledoor::ownership
+
+#endif // ORIOLEDOOR_OWNERSHIP_LOAD_REPORTER_H
--- /dev/null
+++ b/orioledoor/ownership/node_state.cc
@@ -0,0 +1,40 @@
+// Choice of peers, sending and logging for the parts of the reducer.
+#include "orioledoor/ownership/node_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orioledoor::ownership {
+
+std::vector<std::string> NodeState::randomPeers(std::size_t Count) {
+  std::vector<std::string> Chosen;
+  auto Add = [&](const std::string &Address) {
+    if (Address != this->Self.PeerAddress &&
+        std::ranges::find(Chosen, Address) == Chosen.end())
+      Chosen.push_back(Address);
+  };
+  const std::vector<Member> &Members = this->Current->Members;
+  // A few draws miss on a small or mostly deposed fleet; gossip repeats.
+  for (std::size_t Draw = 0;
+       !Members.empty() && Draw < 4 * Count && Chosen.size() < Count; ++Draw) {
+    const Member &Candidate = Members[this->Random() % Members.size()];
+    if (!this->isDeposed(Candidate.Id))
+      Add(Candidate.PeerAddress);
+  }
+  const std::vector<std::string> &Seeds = this->Self.Seeds;
+  if (Chosen.empty() && !Seeds.empty())
+    Add(Seeds[this->Random() % Seeds.size()]);
+  return Chosen;
+}
+
+void sendTo(const NodeState &Node, MemberId To, Message Body, Effects &Output) {
+  if (const Member *Receiver = Node.Current->find(To))
+    Output.push_back(SendPeer{Receiver->PeerAddress, std::move(Body)});
+}
+
+void writeLog(const EventDefinition &Event,
+              std::initializer_list<LogField> Fields, Effects &Output) {
+  Output.push_back(WriteLog{LogRecord{&Event, Fields}});
+}
+
+} // namespace orioledoor::ownership
--- /dev/null
+++ b/orioledoor/ownership/ownership_reducer.h
@@ -0,0 +1,126 @@
+// The member side of ownership: a deterministic reducer that composes joining,
+// permissions, guard duty, slices, gossip, distribution and the coordinator.
+//
+//   OwnershipReducer Reducer(Self);
+//   for (Effect &E : Reducer.handle(Tick{WallMicros}, Now)) carryOut(E);
+//   if (auto Gate = Reducer.gate(Slice, Now)) serve(*Gate);
+#ifndef ORIOLEDOOR_OWNERSHIP_OWNERSHIP_REDUCER_H
+#define ORIOLEDOOR_OWNERSHIP_OWNERSHIP_REDUCER_H
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/ownership/coordinator.h"
+#include "orioledoor/ownership/distribution.h"
+#include "orioledoor/ownership/effect.h"
+#include "orioledoor/ownership/event.h"
+#include "orioledoor/ownership/gossip.h"
+#include "orioledoor/ownership/guard_duty.h"
+#include "orioledoor/ownership/joining.h"
+#include "orioledoor/ownership/load_reporter.h"
+#include "orioledoor/ownership/local_node.h"
+#include "orioledoor/ownership/node_state.h"
+#include "orioledoor/ownership/ownership_status.h"
+#include "orioledoor/ownership/permission_keeper.h"
+#include "orioledoor/ownership/routing_view.h"
+#include "orioledoor/ownership/slice_keeper.h"
+
+namespace orioledoor::ownership {
+
+// Satisfies RoutingView. Not thread-safe. The same events at the same times
+// give the same effects.
+class OwnershipReducer {
+public:
+  explicit OwnershipReducer(const LocalNode &Self);
+  // The parts refer to each other.
+  OwnershipReducer(const OwnershipReducer &) = delete;
+  OwnershipReducer &operator=(const OwnershipReducer &) = delete;
+
+  // Now never falls. A tick takes constant time unless the assignment or the
+  // facts changed; then it is linear in the number of slices.
+  Effects handle(const Event &Input, Instant Now);
+
+  // RoutingView. All take constant time but membersOf.
+  std::optional<Route> route(SliceRef Slice) const;
+  std::optional<Gate> gate(SliceRef Slice, Instant Now) const;
+  std::vector<Route> membersOf(ServiceId Service) const;
+  double ownedShare(ServiceId Service) const;
+  Instant permissionEnd() const;
+
+  // Linear in the facts known.
+  OwnershipStatus status(Instant Now) const;
+
+private:
+  enum class Stage {
+    // A member, or wants to be one if a target is ready.
+    Active,
+    // Slices and duties are being moved away.
+    Leaving,
+    // The time to leave is over; waits for the permission to end.
+    RunningOut,
+    // Said Left and stays out until a target is announced.
+    Stopped
+  };
+
+  void on(Instant Now, const Tick &Input, Effects &Output);
+  void on(Instant Now, const TargetReady &Input, Effects &Output);
+  void on(Instant Now, const TargetLeaving &Input, Effects &Output);
+  void on(Instant Now, const TargetLost &Input, Effects &Output);
+  void on(Instant Now, const StopRequested &Input, Effects &Output);
+  void on(Instant Now, const PeerMessage &Input, Effects &Output);
+  void on(Instant Now, const StoreAnswered &Input, Effects &Output);
+  void on(Instant Now, const StoreWatched &Input, Effects &Output);
+  void on(Instant Now, const SliceDrained &Input, Effects &Output);
+  void on(Instant Now, const LoadSampled &Input, Effects &Output);
+  void on(Instant Now, const SpendWanted &Input, Effects &Output);
+
+  void receive(Instant Now, const std::string &From, const Message &Body,
+               Effects &Output);
+  // Sends messages addressed to this node itself back into it.
+  void loopBack(Instant Now, Effects &Output);
+
+  // Brings all parts up to date after an event.
+  void settle(Instant Now, Effects &Output);
+  void applyNews(Instant Now, const DistributionNews &News, Effects &Output);
+  void becomeMember(Instant Now, MemberId Id, Effects &Output);
+  // Stops serving and granting, says Left, and joins again if Rejoin.
+  void depart(Instant Now, bool Rejoin, Effects &Output);
+  void startLeaving(Instant Now, Effects &Output);
+  void advanceLeaving(Instant Now, Effects &Output);
+  void watchPermission(Instant Now, Effects &Output);
+  void updateRoles(Instant Now, Effects &Output);
+  // The lowest live member of this failure domain that is not leaving.
+  bool isDomainWatcher() const;
+
+  NodeState Node;
+  Distribution Versions;
+  Joining Join;
+  PermissionKeeper Permission;
+  GuardDuty Duty;
+  SliceKeeper Slices;
+  Gossip Spread;
+  LoadReporter Load;
+  Coordinator Planner;
+
+  Stage Phase = Stage::Active;
+  // The process is to exit once the node left.
+  bool ExitWanted = false;
+  // Set once the node left; the time until then repeats Left.
+  std::optional<Instant> ExitAt;
+  Instant LeavingSince;
+  std::optional<TargetReady> Target;
+  Instant LastPermitted;
+  bool WasPermitted = false;
+  bool DomainWatcher = false;
+  // What the slices were last refreshed for.
+  std::uint64_t SeenVersion = 0;
+  std::uint64_t SeenFacts = 0;
+};
+
+static_assert(RoutingView<OwnershipReducer>);
+
+} // namespace orioledoor::ownership
+
+#endif // ORIOLEDOOR_OWNERSHIP_OWNERSHIP_REDUCER_H
--- /dev/null
+++ b/orioledoor/ownership/permission_keeper.h
@@ -0,0 +1,78 @@
+// The holder's side of permissions: renews this member's permission with its
+// recorded guardians. See docs/design.md, section 4.2.
+//
+//   PermissionKeeper Permission(Node);
+//   Permission.tick(Now, Output);            // sends renewals
+//   if (Permission.holds(Now)) serve();
+#ifndef ORIOLEDOOR_OWNERSHIP_PERMISSION_KEEPER_H
+#define ORIOLEDOOR_OWNERSHIP_PERMISSION_KEEPER_H
+
+#include <cstdint>
+#include <vector>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/ownership/assignment.h"
+#include "orioledoor/ownership/effect.h"
+
+namespace orioledoor::ownership {
+
+struct NodeState;
+
+// Time from the sending of a renewal for which its grant is valid.
+inline constexpr Duration PermissionLength = std::chrono::milliseconds(800);
+inline constexpr Duration RenewalInterval = std::chrono::milliseconds(200);
+
+// Not thread-safe. Every call is linear in the number of guardians (2).
+class PermissionKeeper {
+public:
+  // The state of the permission through one guardian.
+  struct Link {
+    Guardian Recorded;
+    // End of the permission through this guardian, counted or not.
+    Instant End;
+    Instant NextRenewal;
+    // The highest Grant.Sequence received.
+    std::uint64_t LastGrant = 0;
+    // The newest assignment under which it sent a grant.
+    std::uint64_t GrantedUnder = 0;
+  };
+
+  explicit PermissionKeeper(NodeState &Node);
+
+  // The assignment changed or this node became a member.
+  void assignmentChanged(Instant Now);
+  // Gives up the permission: this node is no longer a member.
+  void reset();
+  // Lets the permission run out.
+  void stopRenewing() { this->Renewing = false; }
+
+  void tick(Instant Now, Effects &Output);
+  void handle(Instant Now, const Grant &Received);
+
+  // The end of the permission that lasts longest.
+  Instant permissionEnd() const { return this->End; }
+  bool holds(Instant Now) const { return Now < this->End; }
+
+  const std::vector<Link> &links() const { return this->Links; }
+  // Whether grants of this guardian count: it was named at the admission, or
+  // every guardian of an older term granted under an assignment that names it.
+  bool counts(const Link &Through) const;
+
+private:
+  void updateEnd();
+
+  NodeState &Node;
+  std::vector<Link> Links;
+  Instant End;
+  // Permission of a member without recorded guardians; renewed by ticks.
+  Instant OwnEnd;
+  // Never restarts, so that late grants to an earlier incarnation of this
+  // process are told apart.
+  std::uint64_t Sequence;
+  std::uint64_t FirstSequence;
+  bool Renewing = true;
+};
+
+} // namespace orioledoor::ownership
+
+#endif // ORIOLEDOOR_OWNERSHIP_PERMISSION_KEEPER_H
--- /dev/null
+++ b/orioledoor/ownership/slice_keeper.cc
@@ -0,0 +1,292 @@
+// Adopts and drops slices, and carries out both sides of planned moves.
+#include "orioledoor/ownership/slice_keeper.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "orioledoor/ownership/events.h"
+#include "orioledoor/ownership/node_state.h"
+
+namespace orioledoor::ownership {
+namespace {
+
+constexpr Duration DrainLimit = std::chrono::seconds(2);
+constexpr Duration MoveRetry = std::chrono::seconds(5);
+constexpr Duration YieldInterval = std::chrono::milliseconds(200);
+// Reports to the coordinator that a yielded slice changed hands.
+constexpr Duration ReportInterval = std::chrono::milliseconds(500);
+
+// The first number that the coordinator records for a slice; no earlier owner
+// can have run anything under it.
+constexpr Fence FirstNumber{1};
+
+} // namespace
+
+SliceKeeper::SliceKeeper(NodeState &Node) : Node(Node) {}
+
+std::optional<Fence> SliceKeeper::owned(SliceRef Slice) const {
+  auto Found = this->Owned.find(Slice);
+  if (Found == this->Owned.end())
+    return std::nullopt;
+  return Found->second.Number;
+}
+
+bool SliceKeeper::isIdle() const {
+  return this->Owned.empty() &&
+         std::ranges::all_of(this->Given, [](const auto &Entry) {
+           return Entry.second.Acknowledged;
+         });
+}
+
+bool SliceKeeper::hasYielded(SliceRef Slice, const SliceOwner &Recorded) const {
+  if (Recorded.Owner == this->Node.Id) {
+    auto Found = this->Given.find(Slice);
+    return Found != this->Given.end() &&
+           Found->second.Recorded == Recorded.Number;
+  }
+  auto Found = this->Taken.find(Slice);
+  return Found != this->Taken.end() && Found->second.From == Recorded.Owner;
+}
+
+void SliceKeeper::forgetRecordedMoves(Effects &Output) {
+  const Assignment &Current = *this->Node.Current;
+  std::erase_if(this->Given, [&](auto &Entry) {
+    auto &[Slice, Of] = Entry;
+    const SliceOwner *Recorded = Current.find(Slice);
+    if (!Recorded || Recorded->Owner != this->Node.Id) {
+      if (!Of.Acknowledged)
+        Output.push_back(DropSlice{Slice});
+      return true;
+    }
+    // A cancelled move: the target promised not to act on the yield, or is
+    // deposed and the record raised this node's number above the target's.
+    bool Cancelled = Recorded->Number != Of.Recorded ||
+                     (Recorded->MoveTarget != Of.To &&
+                      !this->Node.isDeposed(Of.To) && !Of.Acknowledged);
+    if (Cancelled && !Of.Acknowledged)
+      this->Tables[Slice] = std::move(Of.Table);
+    return Cancelled;
+  });
+  std::erase_if(this->Taken, [&](const auto &Entry) {
+    const SliceOwner *Recorded = Current.find(Entry.first);
+    return !Recorded || Recorded->Owner != Entry.second.From;
+  });
+}
+
+void SliceKeeper::adopt(const OwnedSlice &Slice, Effects &Output) {
+  auto Table = this->Tables.extract(Slice.Slice);
+  bool HistoryLost =
+      !Table && (Slice.Position > 0 || Slice.Number > FirstNumber);
+  this->Owned[Slice.Slice] = {Slice.Number, Slice.Position};
+  Output.push_back(AdoptSlice{Slice.Slice, Slice.Number,
+                              Table ? std::move(Table.mapped()) : std::string(),
+                              HistoryLost});
+}
+
+void SliceKeeper::refresh(Instant Now, Effects &Output) {
+  this->forgetRecordedMoves(Output);
+  std::vector<OwnedSlice> Mine = this->Routes.rebuild(
+      this->Node, [&](SliceRef Slice, const SliceOwner &Recorded) {
+        return this->hasYielded(Slice, Recorded);
+      });
+  if (this->Node.Current->Version < this->PromisedVersion)
+    std::erase_if(Mine, [&](const OwnedSlice &S) {
+      return S.Position > 0 && !this->Taken.contains(S.Slice);
+    });
+
+  std::size_t Before = this->Owned.size();
+  std::size_t Adopted = 0;
+  // Mine is in order, so the adoptions are; the losses are sorted below.
+  std::set<SliceRef> Lost;
+  for (const auto &[Slice, Unused] : this->Owned)
+    Lost.insert(Slice);
+  for (const OwnedSlice &S : Mine) {
+    Lost.erase(S.Slice);
+    auto Known = this->Owned.find(S.Slice);
+    if (Known != this->Owned.end()) {
+      Known->second = {S.Number, S.Position};
+      continue;
+    }
+    this->adopt(S, Output);
+    ++Adopted;
+  }
+  for (SliceRef Slice : Lost) {
+    this->Owned.erase(Slice);
+    this->Drains.erase(Slice);
+    this->RetryAfter.erase(Slice);
+    // A yielded slice keeps its table until the receiver has it.
+    if (!this->Given.contains(Slice))
+      Output.push_back(DropSlice{Slice});
+  }
+  this->Tables.clear();
+  if (Adopted > 0 || !Lost.empty())
+    writeLog(events::SlicesChanged,
+             {{"before", std::to_string(Before)},
+              {"adopted", std::to_string(Adopted)},
+              {"lost", std::to_string(Lost.size())}},
+             Output);
+  this->updateDrains(Now, Output);
+}
+
+void SliceKeeper::reset(Effects &Output) {
+  std::set<SliceRef> All;
+  for (const auto &[Slice, Unused] : this->Owned)
+    All.insert(Slice);
+  for (const auto &[Slice, Of] : this->Given)
+    if (!Of.Acknowledged)
+      All.insert(Slice);
+  for (SliceRef Slice : All)
+    Output.push_back(DropSlice{Slice});
+  this->Owned.clear();
+  this->Drains.clear();
+  this->RetryAfter.clear();
+  this->Given.clear();
+  this->Taken.clear();
+  this->Tables.clear();
+  this->PromisedVersion = 0;
+}
+
+void SliceKeeper::updateDrains(Instant Now, Effects &Output) {
+  const Assignment &Current = *this->Node.Current;
+  auto TargetOf = [&](SliceRef Slice) {
+    const SliceOwner *Recorded = Current.find(Slice);
+    bool Wanted = Recorded && Recorded->Owner == this->Node.Id &&
+                  Recorded->MoveTarget &&
+                  Recorded->MoveTarget != this->Node.Id &&
+                  !this->Node.isDeposed(Recorded->MoveTarget);
+    return Wanted ? Recorded->MoveTarget : MemberId{};
+  };
+  std::erase_if(this->Drains, [&](const auto &Entry) {
+    bool Cancelled = TargetOf(Entry.first) != Entry.second.To;
+    if (Cancelled)
+      Output.push_back(ResumeSlice{Entry.first});
+    return Cancelled;
+  });
+  // The move target stands in the record, so scan the record: Owned has no
+  // order of its own.
+  for (const ServiceSlices &Service : Current.Services)
+    for (std::uint32_t I = 0; I < Service.Slices.size(); ++I) {
+      const SliceOwner &Recorded = Service.Slices[I];
+      SliceRef Slice{Service.Service, I};
+      if (Recorded.Owner != this->Node.Id || !Recorded.MoveTarget ||
+          !this->Owned.contains(Slice) || this->Drains.contains(Slice) ||
+          !TargetOf(Slice))
+        continue;
+      auto Retry = this->RetryAfter.find(Slice);
+      if (Retry != this->RetryAfter.end() && Now < Retry->second)
+        continue;
+      this->Drains.emplace(Slice, Drain{Recorded.MoveTarget, Now});
+      Output.push_back(DrainSlice{Slice});
+    }
+}
+
+void SliceKeeper::tick(Instant Now, Effects &Output) {
+  std::erase_if(this->Drains, [&](const auto &Entry) {
+    bool Overdue = Now - Entry.second.Since >= DrainLimit;
+    if (Overdue) {
+      this->RetryAfter[Entry.first] = Now + MoveRetry;
+      Output.push_back(ResumeSlice{Entry.first});
+      writeLog(events::MovePostponed,
+               {{"service", std::to_string(Entry.first.Service.Value)},
+                {"slice", std::to_string(Entry.first.Slice)}},
+               Output);
+    }
+    return Overdue;
+  });
+  if (std::erase_if(this->RetryAfter,
+                    [&](const auto &Entry) { return Now >= Entry.second; }) > 0)
+    this->updateDrains(Now, Output);
+  for (auto &[Slice, Of] : this->Given)
+    if (Now >= Of.NextSend)
+      this->sendYield(Now, Slice, Of, Output);
+  for (auto &[Slice, Of] : this->Taken) {
+    if (Now < Of.NextReport)
+      continue;
+    Of.NextReport = Now + ReportInterval;
+    sendTo(this->Node, this->Node.Current->Coordinator,
+           YieldAck{this->Node.Id, Slice, Of.Number}, Output);
+  }
+}
+
+void SliceKeeper::sendYield(Instant Now, SliceRef Slice, Yielded &Of,
+                            Effects &Output) {
+  Fence Number{Of.Recorded.Value + 1};
+  Of.NextSend = Now + (Of.Acknowledged ? ReportInterval : YieldInterval);
+  if (!Of.Acknowledged)
+    sendTo(this->Node, Of.To, Yield{this->Node.Id, Slice, Number, Of.Table},
+           Output);
+  // Also on the receiver's behalf, which may be lost before it reports.
+  if (Of.Acknowledged || this->Node.isDeposed(Of.To))
+    sendTo(this->Node, this->Node.Current->Coordinator,
+           YieldAck{Of.To, Slice, Number}, Output);
+}
+
+void SliceKeeper::handle(Instant Now, const SliceDrained &Drained,
+                         Effects &Output) {
+  auto Found = this->Drains.find(Drained.Slice);
+  const SliceOwner *Recorded = this->Node.Current->find(Drained.Slice);
+  if (Found == this->Drains.end() || !Recorded)
+    return;
+  Yielded Of{Found->second.To, Recorded->Number, Drained.Table, false, Now};
+  this->Given[Drained.Slice] = std::move(Of);
+  writeLog(events::SliceYielded,
+           {{"service", std::to_string(Drained.Slice.Service.Value)},
+            {"slice", std::to_string(Drained.Slice.Slice)},
+            {"to", std::to_string(Found->second.To.Value)}},
+           Output);
+  this->Drains.erase(Found);
+  // The gate closes before the yield leaves.
+  this->refresh(Now, Output);
+  auto Sent = this->Given.find(Drained.Slice);
+  if (Sent != this->Given.end())
+    this->sendYield(Now, Sent->first, Sent->second, Output);
+}
+
+void SliceKeeper::handle(Instant Now, const std::string &From,
+                         const Yield &Received, Effects &Output) {
+  const Assignment &Current = *this->Node.Current;
+  const SliceOwner *Recorded = Current.find(Received.Slice);
+  if (!Recorded || !this->Node.Id)
+    return;
+  bool IsTarget = Recorded->Owner == Received.From &&
+                  Recorded->MoveTarget == this->Node.Id &&
+                  Recorded->Number.Value + 1 == Received.Number.Value &&
+                  Current.Version >= this->PromisedVersion;
+  bool IsRecorded =
+      Recorded->Owner == this->Node.Id && Recorded->Number >= Received.Number;
+  // Otherwise this node holds an older assignment; the sender repeats.
+  if (!IsTarget && !IsRecorded)
+    return;
+  if (IsTarget && !this->Taken.contains(Received.Slice)) {
+    this->Taken[Received.Slice] = {Received.From, Received.Number, Now};
+    this->Tables[Received.Slice] = Received.Table;
+    this->refresh(Now, Output);
+  }
+  Output.push_back(
+      SendPeer{From, YieldAck{this->Node.Id, Received.Slice, Received.Number}});
+}
+
+void SliceKeeper::handle(const YieldAck &Received, Effects &Output) {
+  auto Found = this->Given.find(Received.Slice);
+  if (Found == this->Given.end() || Found->second.Acknowledged ||
+      Found->second.To != Received.From)
+    return;
+  Found->second.Acknowledged = true;
+  Found->second.Table.clear();
+  Output.push_back(DropSlice{Received.Slice});
+}
+
+void SliceKeeper::handle(const std::string &From,
+                         const PromiseRequest &Received, Effects &Output) {
+  // A node that acts as a successor now cannot promise not to; it is asked
+  // again once the record names it as owner.
+  bool Acting = std::ranges::any_of(
+      this->Owned, [](const auto &Entry) { return Entry.second.Position > 0; });
+  if (!this->Node.Id || Acting)
+    return;
+  this->PromisedVersion = std::max(this->PromisedVersion, Received.Version);
+  Output.push_back(SendPeer{From, Promise{this->Node.Id, Received.Version}});
+}
+
+} // namespace orioledoor::ownership
