--- a/orioledoor/ownership/assignment_planner.cc
+++ b/orioledoor/ownership/assignment_planner.cc
@@ -158,12 +158,20 @@
     SuccessionList Old = this->Plan.Next.successionOf(Slice);
     if (!this->collectPromises(Old, 1))
       return;
-    this->Plan.Next.find(Slice.Service)->Slices[Slice.Slice].MoveTarget = {};
+    // The target may have served before it was lost; the owner goes on above
+    // every number of the old list.
+    SliceOwner &Owner =
+        this->Plan.Next.find(Slice.Service)->Slices[Slice.Slice];
+    Owner.MoveTarget = {};
+    Owner.Number.Value += static_cast<std::uint32_t>(Old.Members.size());
     this->note("cancel move", std::to_string(Slice.Slice), "", "",
                "move target deposed");
   }
 
   void admit() {
+    // The first live member gets no guardians and permits itself; guardians
+    // admitted together with it would all wait for each other's grants.
+    bool First = std::ranges::all_of(this->Plan.Next.Members, &Member::Deposed);
     for (const JoinRequest &Join : this->Input.Joins) {
       ServiceId Service = serviceIdOf(Join.Service);
       if (this->Plan.Next.findByToken(Join.Token)) {
@@ -188,6 +196,8 @@
       this->Plan.Admitted.push_back(Join.Name);
       this->note("admit", nameOf(this->Plan.Next, New.Id), "", Join.Service,
                  "join request");
+      if (First)
+        return;
     }
   }
 
@@ -202,13 +212,23 @@
     }
   }
 
+  // A deposed guardian stays recorded until its last grants have ended;
+  // otherwise the remaining ones could depose a member that holds one.
+  bool hasLapsed(const Guardian &G) const {
+    if (!this->Plan.Next.find(G.Member))
+      return true;
+    auto Since = this->Input.Known.deposedSince(G.Member);
+    return this->isGone(G.Member) && Since &&
+           this->Input.Now - *Since >= GrantLapse;
+  }
+
   void updateGuardians() {
     for (Member &M : this->Plan.Next.Members) {
       if (M.Deposed)
         continue;
       std::vector<Guardian> Before = M.Guardians;
       std::erase_if(M.Guardians,
-                    [&](const Guardian &G) { return this->isGone(G.Member); });
+                    [&](const Guardian &G) { return this->hasLapsed(G); });
       for (Guardian &G : M.Guardians) {
         ConsentNeeded Needed{G.Member, M.Id};
         if (!this->Input.Renewable.contains(Needed))
--- a/orioledoor/ownership/guard_duty.cc
+++ b/orioledoor/ownership/guard_duty.cc
@@ -52,10 +52,6 @@
     bool Same = Kept != this->Duties.end() && Kept->second.Term == Mine->Term;
     Duty Of = Same ? Kept->second : Duty{};
     bool Admitted = M.AdmittedAt == Mine->Term;
-    // The record may have dropped a deposed guardian whose last grants are
-    // still alive; impliesDeposed no longer waits for those.
-    if (!Admitted && Of.Guardians != M.Guardians)
-      Of.DeriveAfter = Now + GrantLapse;
     // Only a fleet of one has no guardians, so whoever ends that state was
     // admitted with the write that named it.
     if (!Same) {
@@ -67,7 +63,6 @@
             return Other.Term < Mine->Term;
           });
     }
-    Of.Guardians = M.Guardians;
     Updated.emplace(M.Id, std::move(Of));
   }
   this->Duties = std::move(Updated);
@@ -150,7 +145,7 @@
         (Now - Of.LastHeard >= ReleaseAfter ||
          (Of.UnpermittedSince && Now - *Of.UnpermittedSince >= ReleaseAfter));
     this->release(Member, Of, Now, News, Output);
-    if (Of.Announced && Now >= Of.DeriveAfter &&
+    if (Of.Announced &&
         this->Node.Known.impliesDeposed(Member, *this->Node.Current, Now) &&
         this->Node.learnDeposed(Member, Now)) {
       News.Deposed.push_back(Member);
--- a/orioledoor/ownership/guard_duty.h
+++ b/orioledoor/ownership/guard_duty.h
@@ -53,16 +53,12 @@
 private:
   struct Duty {
     std::uint64_t Term = 0;
-    // The recorded guardians of the member, this node included.
-    std::vector<Guardian> Guardians;
     Instant LastHeard;
     // Since when the member was granted and yet says that it holds no
     // permission.
     std::optional<Instant> UnpermittedSince;
     // No grant of this node is alive after it.
     Instant GrantsEnd;
-    // Grants of guardians that the record no longer names have ended by then.
-    Instant DeriveAfter;
     // The member may still permit itself: not to be released before it has
     // shown that it knows of its guardian.
     bool MustHearFirst = false;
--- a/orioledoor/ownership/ownership_lifecycle.cc
+++ b/orioledoor/ownership/ownership_lifecycle.cc
@@ -14,6 +14,9 @@
 constexpr Duration GiveUpAfter = std::chrono::milliseconds(1500);
 // After it, a planned stop no longer waits for slices and duties to be moved.
 constexpr Duration LeavingLimit = std::chrono::seconds(20);
+// The write that records a member as leaving names guardians in its place; they
+// count once it has granted under that version.
+constexpr Duration HandoverTime = std::chrono::seconds(1);
 // Time to repeat Left, which may be lost, before the process exits.
 constexpr Duration ExitDelay = std::chrono::milliseconds(300);
 
@@ -37,11 +40,15 @@
                                  Effects &Output) {
   if (News.NewAssignment) {
     bool Newer = News.NewAssignment->Version > this->Node.Current->Version;
+    MemberId Before = this->Node.Current->Coordinator;
     this->Node.Current = News.NewAssignment;
     if (Newer) {
       for (const Member &M : this->Node.Current->Members)
         if (M.Deposed)
           this->Node.learnDeposed(M.Id, Now);
+      // A new coordinator does not know this node's load yet.
+      if (this->Node.Current->Coordinator != Before)
+        this->Load.hurry();
       if (MemberId Id = this->Join.admittedAs())
         this->becomeMember(Now, Id, Output);
       this->Permission.assignmentChanged(Now);
@@ -116,6 +123,7 @@
     return;
   this->Phase = Stage::Leaving;
   this->LeavingSince = Now;
+  this->LeavingRecorded.reset();
   this->Load.hurry();
   writeLog(events::StopStarted, {}, Output);
 }
@@ -131,10 +139,11 @@
     return this->depart(Now, false, Output);
   if (this->Phase != Stage::Leaving)
     return;
-  // The record must show that nothing is moved here any more.
   const Member *Self = this->Node.self();
-  if (Self && Self->Leaving && this->Slices.isIdle() &&
-      this->Duty.members().empty())
+  if (Self && Self->Leaving && !this->LeavingRecorded)
+    this->LeavingRecorded = Now;
+  if (this->LeavingRecorded && Now - *this->LeavingRecorded >= HandoverTime &&
+      this->Slices.isIdle())
     return this->depart(Now, false, Output);
   bool Alone =
       std::ranges::none_of(this->Node.Current->Members, [&](const Member &M) {
--- a/orioledoor/ownership/ownership_reducer.cc
+++ b/orioledoor/ownership/ownership_reducer.cc
@@ -214,7 +214,11 @@
           [&](const ConsentRequest &M) { this->Duty.handle(From, M); },
           [&](const Consent &M) { this->Planner.handle(Now, M); },
           [&](const Yield &M) { this->Slices.handle(Now, From, M, Output); },
-          [&](const YieldAck &M) { this->Slices.handle(M, Output); },
+          [&](const YieldAck &M) {
+            this->Slices.handle(M, Output);
+            if (this->Planner.isActive())
+              this->Planner.handle(Now, M);
+          },
           [&](const LoadReport &M) { this->Planner.handle(Now, M); },
           [&](const SpendRequest &M) { this->Planner.handle(Now, From, M); },
           [&](const SpendGrant &M) {
--- a/orioledoor/ownership/ownership_reducer.h
+++ b/orioledoor/ownership/ownership_reducer.h
@@ -110,6 +110,8 @@
   // Set once the node left; the time until then repeats Left.
   std::optional<Instant> ExitAt;
   Instant LeavingSince;
+  // Since when this node knows that the assignment lists it as leaving.
+  std::optional<Instant> LeavingRecorded;
   std::optional<TargetReady> Target;
   Instant LastPermitted;
   bool WasPermitted = false;
--- a/orioledoor/ownership/permission_keeper.cc
+++ b/orioledoor/ownership/permission_keeper.cc
@@ -6,6 +6,14 @@
 #include "orioledoor/ownership/node_state.h"
 
 namespace orioledoor::ownership {
+namespace {
+
+// Without a permission: after a start of the whole fleet permissions spread
+// from the first member over several guardians, whose sum of waits must stay
+// below the 800 ms for which the first member's own permission lasts.
+constexpr Duration SeekingInterval = std::chrono::milliseconds(40);
+
+} // namespace
 
 // The random start separates the sequences of two processes that used the same
 // address one after the other; 32 bits leave room to count.
@@ -65,7 +73,8 @@
   for (Link &Through : this->Links) {
     if (Now < Through.NextRenewal)
       continue;
-    Through.NextRenewal = Now + RenewalInterval;
+    Through.NextRenewal =
+        Now + (this->holds(Now) ? RenewalInterval : SeekingInterval);
     sendTo(this->Node, Through.Recorded.Member,
            Renew{this->Node.Id, ++this->Sequence, Now, Through.LastGrant,
                  this->holds(Now), this->Node.versions()},
