--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -436,8 +436,13 @@
 
 void Coordinator::handle(Instant, const Promise &Received) {
   State &S = *this->Own;
-  if (S.Current == Phase::Gathering &&
-      Received.Version >= S.Pending.Next.Version)
+  if (S.Current != Phase::Gathering ||
+      Received.Version < S.Pending.Next.Version)
+    return;
+  // A member that already serves slices of an owner that this plan takes for
+  // live may be displaced by it; gossip brings the fact before the next plan.
+  auto IsGone = [&](MemberId Id) { return S.Pending.Next.isDeposed(Id); };
+  if (std::ranges::all_of(Received.ActingFor, IsGone))
     S.Promised.insert(Received.From);
 }
 
