Test fleets of ownership reducers against a naive checker

Real reducers and coordinators run over an in-memory store and delayed messages in virtual time; after every event at most one gate a slice may be open, numbers may not fall, and no recorded version may be overwritten. Slices of a new service wait until no join request is pending; before, the first joiner got all of them.

--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -199,6 +199,10 @@
   for (const auto &[Slice, Ack] : this->Yielded)
     Handovers.push_back(Ack);
   auto MayStart = [&](ServiceId Id) {
+    if (std::ranges::any_of(Requests, [&](const JoinRequest &Join) {
+          return serviceIdOf(Join.Service) == Id;
+        }))
+      return false;
     auto Last = this->LastAdmission.find(Id);
     return Last == this->LastAdmission.end() ||
            Now - Last->second >= StartDelay;
--- a/orioledoor/ownership/ownership_lifecycle.cc
+++ b/orioledoor/ownership/ownership_lifecycle.cc
@@ -23,7 +23,7 @@
 } // namespace
 
 void OwnershipReducer::settle(Instant Now, Effects &Output) {
-  if (std::optional<DistributionNews> News = this->Versions.takeNews())
+  if (std::optional<DistributionNews> News = this->Distributor.takeNews())
     this->applyNews(Now, *News, Output);
   if (this->Node.Id && this->Node.isDeposed(this->Node.Id))
     this->depart(Now, this->Phase == Stage::Active, Output);
@@ -60,11 +60,11 @@
     }
     this->Planner.observe(*this->Node.Current, News.ModRevision);
     if (Newer)
-      this->Versions.pushVersions(Output);
+      this->Distributor.pushVersions(Output);
   }
   if (News.NewCatalogue) {
     this->Planner.observe(News.NewCatalogue);
-    this->Versions.pushVersions(Output);
+    this->Distributor.pushVersions(Output);
   }
 }
 
@@ -177,7 +177,7 @@
       Staying && (this->DomainWatcher || this->Join.mayCoordinate(Now) ||
                   (this->Join.isActive() && this->Planner.isActive()));
   this->Planner.setEligible(Eligible);
-  this->Versions.setWatching(Eligible || this->DomainWatcher, Output);
+  this->Distributor.setWatching(Eligible || this->DomainWatcher, Output);
 }
 
 } // namespace orioledoor::ownership
--- a/orioledoor/ownership/ownership_reducer.cc
+++ b/orioledoor/ownership/ownership_reducer.cc
@@ -18,7 +18,7 @@
 } // namespace
 
 OwnershipReducer::OwnershipReducer(const LocalNode &Self)
-    : Node(Self), Versions(this->Node), Join(this->Node, this->Versions),
+    : Node(Self), Distributor(this->Node), Join(this->Node, this->Distributor),
       Permission(this->Node), Duty(this->Node), Slices(this->Node),
       Spread(this->Node), Load(this->Node), Planner(this->Node.Self) {}
 
@@ -61,7 +61,7 @@
                          .Joining = this->Join.isActive(),
                          .Leaving = this->Phase != Stage::Active,
                          .Coordinating = this->Planner.isActive(),
-                         .WatchingStore = this->Versions.isWatching(),
+                         .WatchingStore = this->Distributor.isWatching(),
                          .Held = this->Node.versions(),
                          .Coordinator = this->Node.Current->Coordinator,
                          .PermissionLeft =
@@ -85,7 +85,7 @@
       Output);
   this->Slices.tick(Now, Output);
   this->Spread.tick(Now, Output);
-  this->Versions.tick(Now, Output);
+  this->Distributor.tick(Now, Output);
   this->Join.tick(Now, Output);
   this->Load.tick(Now, this->Phase == Stage::Leaving, Output);
   this->advanceLeaving(Now, Output);
@@ -139,17 +139,17 @@
                           Effects &Output) {
   const StoreReply &Reply = Input.Reply;
   if ((Reply.Id & CoordinatorRequestBit) != 0) {
-    this->Versions.observe(Reply, Output);
+    this->Distributor.observe(Reply, Output);
     this->Planner.handle(Now, Reply, Output);
     return;
   }
-  this->Versions.handle(Now, Reply, Output);
+  this->Distributor.handle(Now, Reply, Output);
   this->Join.handle(Now, Reply, Output);
 }
 
 void OwnershipReducer::on(Instant Now, const StoreWatched &Input,
                           Effects &Output) {
-  this->Versions.handle(Now, Input, Output);
+  this->Distributor.handle(Now, Input, Output);
   for (const StoreChange &Change : Input.Changes)
     this->Planner.handle(Now, Change);
 }
@@ -177,7 +177,7 @@
   std::visit(
       Overloaded{
           [&](const Renew &M) {
-            this->Versions.request(Now, From, M.Held, Output);
+            this->Distributor.request(Now, From, M.Held, Output);
             this->Duty.handle(Now, From, M, this->Permission.holds(Now),
                               Output);
             // Back from a freeze or a cut: it may not know that it is deposed.
@@ -186,27 +186,31 @@
                   From, Facts{{}, {M.From}, {}, this->Node.versions()}});
           },
           [&](const Grant &M) {
-            this->Versions.request(Now, From, M.Held, Output);
+            this->Distributor.request(Now, From, M.Held, Output);
             this->Permission.handle(Now, M);
           },
           [&](const Refuse &M) {
-            this->Versions.request(Now, From, M.Held, Output);
+            this->Distributor.request(Now, From, M.Held, Output);
           },
           [&](const Facts &M) {
-            this->Versions.compare(Now, From, M.Held, Output);
+            this->Distributor.compare(Now, From, M.Held, Output);
             this->Spread.handle(Now, M, Output);
           },
           [&](const VersionNotice &M) {
-            this->Versions.compare(Now, From, M.Held, Output);
+            this->Distributor.compare(Now, From, M.Held, Output);
           },
           [&](const AssignmentRequest &M) {
-            this->Versions.handle(From, M, Output);
+            this->Distributor.handle(From, M, Output);
+          },
+          [&](const AssignmentUpdate &M) {
+            this->Distributor.handle(M, Output);
           },
-          [&](const AssignmentUpdate &M) { this->Versions.handle(M, Output); },
           [&](const CatalogueRequest &M) {
-            this->Versions.handle(From, M, Output);
+            this->Distributor.handle(From, M, Output);
+          },
+          [&](const CatalogueUpdate &M) {
+            this->Distributor.handle(M, Output);
           },
-          [&](const CatalogueUpdate &M) { this->Versions.handle(M, Output); },
           [&](const PromiseRequest &M) {
             this->Slices.handle(From, M, Output);
           },
--- a/orioledoor/ownership/ownership_reducer.h
+++ b/orioledoor/ownership/ownership_reducer.h
@@ -49,6 +49,10 @@
   double ownedShare(ServiceId Service) const;
   Instant permissionEnd() const;
 
+  // 0 while the node is not a member.
+  MemberId memberId() const { return this->Node.Id; }
+  Versions heldVersions() const { return this->Node.versions(); }
+
   // Linear in the facts known.
   OwnershipStatus status(Instant Now) const;
 
@@ -95,7 +99,7 @@
   bool isDomainWatcher() const;
 
   NodeState Node;
-  Distribution Versions;
+  Distribution Distributor;
   Joining Join;
   PermissionKeeper Permission;
   GuardDuty Duty;
--- /dev/null
+++ b/orioledoor/ownership/testing/fleet.cc
@@ -0,0 +1,408 @@
+// Event loop, fakes and checker of the simulated fleet.
+#include "orioledoor/ownership/testing/fleet.h"
+
+#include <algorithm>
+
+#include "orioledoor/catalogue/published_catalogue.h"
+#include "orioledoor/ownership/assignment.h"
+#include "orioledoor/store/keys.h"
+
+namespace orioledoor::ownership::testing {
+namespace {
+
+constexpr char Service[] = "consulta";
+constexpr Duration TickInterval = std::chrono::milliseconds(20);
+constexpr Duration StoreTimeout = std::chrono::milliseconds(500);
+constexpr std::size_t Domains = 6;
+
+std::string catalogueText(std::uint32_t Slices) {
+  return "deployment: test\nservices:\n  - name: consulta\n    owner: test\n"
+         "    class: critical\n    divided_by_key: true\n    slices: " +
+         std::to_string(Slices) +
+         "\nregions:\n  r0: {state: active}\n"
+         "  r1: {state: active}\n  r2: {state: active}\n"
+         "weights:\n  imbalance: 1\n  churn: 1\n  unavailable: 1\n";
+}
+
+} // namespace
+
+Fleet::Fleet(const FleetOptions &Options)
+    : Options(Options), Random(Options.Seed), Nodes(Options.Nodes),
+      StoreCut(Options.Nodes, false) {
+  for (std::size_t I = 0; I < this->Nodes.size(); ++I) {
+    LocalNode &Local = this->Nodes[I].Local;
+    std::size_t Domain = I % Domains;
+    Local.Name = "n" + std::to_string(I);
+    Local.PeerAddress = "tcp://127.0.0.1:" + std::to_string(1000 + I);
+    Local.Region = "r" + std::to_string(Domain / 2);
+    Local.FailureDomain = "d" + std::to_string(Domain);
+    this->ByAddress[Local.PeerAddress] = I;
+  }
+  PublishedCatalogue Entries{.Revision = 1,
+                             .ApplyId = "a",
+                             .Author = "test",
+                             .TimeMicros = 1,
+                             .Comment = "",
+                             .Text = catalogueText(Options.Slices)};
+  this->Store.apply(
+      {1, StoreTxn{.Puts = {{keys::CatalogueCurrent,
+                             encodePublishedCatalogue(Entries)}}}},
+      this->Now);
+}
+
+bool Fleet::chance(unsigned PartsOfThousand) {
+  return this->Random() % 1000 < PartsOfThousand;
+}
+
+SliceRef Fleet::sliceRef(std::uint32_t Slice) const {
+  return {serviceIdOf(Service), Slice};
+}
+
+Instant Fleet::localTime(const Node &Of) const {
+  return Instant(Of.Offset +
+                 static_cast<std::int64_t>(
+                     static_cast<double>(this->Now.micros()) * Of.Rate));
+}
+
+void Fleet::fail(const std::string &What) {
+  if (this->Violation.empty())
+    this->Violation =
+        "at " + std::to_string(this->now().count() / 1000) + " ms: " + What;
+}
+
+void Fleet::startAll() {
+  for (std::size_t I = 0; I < this->Nodes.size(); ++I) {
+    this->run(Duration(this->Random() % 60'000));
+    this->start(I);
+  }
+}
+
+void Fleet::start(std::size_t Index) {
+  Node &N = this->Nodes[Index];
+  if (N.Running)
+    return;
+  N.Local.Seed = this->Random();
+  // A VM that is replaced has another clock. Rates stay within the 1% for
+  // which guardians allow.
+  N.Offset = static_cast<std::int64_t>(this->Random() % 1'000'000'000);
+  N.Rate = 1 + (static_cast<double>(this->Random() % 9) - 4) / 1000;
+  N.Running = std::make_unique<OwnershipReducer>(N.Local);
+  N.Tables.clear();
+  N.Draining.clear();
+  this->schedule(Index, Duration(this->Random() % 20'000), Tick{});
+  this->schedule(Index, Duration(this->Random() % 50'000),
+                 TargetReady{Service, 20, 130, true});
+}
+
+void Fleet::crash(std::size_t Index) {
+  Node &N = this->Nodes[Index];
+  N.Running.reset();
+  ++N.Epoch;
+  N.Paused = false;
+  N.Waiting.clear();
+  N.WatchedUpTo.reset();
+}
+
+void Fleet::pause(std::size_t Index) { this->Nodes[Index].Paused = true; }
+
+void Fleet::resume(std::size_t Index) {
+  Node &N = this->Nodes[Index];
+  if (!std::exchange(N.Paused, false))
+    return;
+  // The order of the timer and of what arrived meanwhile is open.
+  if (this->chance(500))
+    this->deliver(Index, Tick{});
+  std::deque<Event> Waiting = std::exchange(N.Waiting, {});
+  for (const Event &What : Waiting)
+    this->deliver(Index, What);
+}
+
+void Fleet::stopGracefully(std::size_t Index) {
+  if (this->isUp(Index))
+    this->schedule(Index, Duration(0), StopRequested{});
+}
+
+void Fleet::cut(std::size_t From, std::size_t To, bool Cut) {
+  if (Cut)
+    this->Cuts.emplace(From, To);
+  else
+    this->Cuts.erase({From, To});
+}
+
+void Fleet::healCuts() {
+  this->Cuts.clear();
+  this->StoreCut.assign(this->Nodes.size(), false);
+}
+
+void Fleet::heal() {
+  this->healCuts();
+  this->StoreDown = false;
+  this->Options.MessageLoss = this->Options.MessageRepeat = 0;
+  this->Options.StoreAnswerLoss = 0;
+  for (std::size_t I = 0; I < this->Nodes.size(); ++I) {
+    this->resume(I);
+    this->start(I);
+  }
+}
+
+void Fleet::schedule(std::size_t To, Duration After, Event What) {
+  this->Queue.push({this->Now + After, ++this->Order, To, this->Nodes[To].Epoch,
+                    std::move(What)});
+}
+
+void Fleet::run(Duration For) {
+  Instant End = this->Now + For;
+  while (!this->Queue.empty() && this->Queue.top().At <= End) {
+    Timed Next = this->Queue.top();
+    this->Queue.pop();
+    this->Now = Next.At;
+    Node &N = this->Nodes[Next.To];
+    if (!N.Running || N.Epoch != Next.Epoch)
+      continue;
+    bool IsTick = std::holds_alternative<Tick>(Next.What);
+    if (IsTick)
+      this->schedule(Next.To, TickInterval, Tick{});
+    if (!N.Paused)
+      this->deliver(Next.To, Next.What);
+    else if (!IsTick)
+      N.Waiting.push_back(std::move(Next.What));
+  }
+  this->Now = End;
+}
+
+bool Fleet::runUntil(const std::function<bool()> &Done, Duration Limit) {
+  for (Instant End = this->Now + Limit; this->Now < End;) {
+    if (Done())
+      return true;
+    this->run(TickInterval);
+  }
+  return Done();
+}
+
+void Fleet::deliver(std::size_t To, const Event &What) {
+  Node &N = this->Nodes[To];
+  if (!N.Running)
+    return;
+  if (const auto *Drained = std::get_if<SliceDrained>(&What)) {
+    if (N.Draining.erase(Drained->Slice.Slice) == 0)
+      return;
+    this->LastTable[Drained->Slice.Slice] = Drained->Table;
+  }
+  Effects Output = N.Running->handle(What, this->localTime(N));
+  this->check(To);
+  for (Effect &Wanted : Output)
+    this->carryOut(To, Wanted);
+}
+
+void Fleet::carryOut(std::size_t From, Effect &Wanted) {
+  Node &N = this->Nodes[From];
+  if (auto *Sent = std::get_if<SendPeer>(&Wanted)) {
+    this->send(From, *Sent);
+  } else if (auto *Call = std::get_if<CallStore>(&Wanted)) {
+    this->callStore(From, Call->Request);
+  } else if (auto *Watch = std::get_if<WatchStore>(&Wanted)) {
+    N.WatchedUpTo = Watch->FromRevision - 1;
+    this->feedWatches();
+  } else if (std::holds_alternative<StopWatching>(Wanted)) {
+    N.WatchedUpTo.reset();
+  } else if (auto *Drain = std::get_if<DrainSlice>(&Wanted)) {
+    N.Draining.insert(Drain->Slice.Slice);
+    // Some work takes longer than the 2 s after which a move is put off.
+    Duration After(this->Random() % (this->chance(100) ? 4'000'000 : 300'000));
+    this->schedule(
+        From, After,
+        SliceDrained{Drain->Slice, "t" + std::to_string(++this->Order)});
+  } else if (auto *Resume = std::get_if<ResumeSlice>(&Wanted)) {
+    N.Draining.erase(Resume->Slice.Slice);
+  } else if (auto *Adopt = std::get_if<AdoptSlice>(&Wanted)) {
+    this->checkTable(From, *Adopt);
+  } else if (auto *Log = std::get_if<WriteLog>(&Wanted)) {
+    if (Log->Record.Event->Level == Severity::Error)
+      this->fail(Log->Record.Event->Name +
+                 (": " + Log->Record.Fields.back().Value));
+  } else if (std::holds_alternative<StopCompleted>(Wanted)) {
+    this->crash(From);
+  }
+}
+
+// A table that is handed over is the one that the last owner drained, so that
+// no operation is forgotten without HistoryLost.
+void Fleet::checkTable(std::size_t At, const AdoptSlice &Adopted) {
+  this->HistoryLosses += Adopted.HistoryLost ? 1 : 0;
+  const std::string &Last = this->LastTable[Adopted.Slice.Slice];
+  if (!Adopted.HistoryLost && Adopted.Table != Last)
+    this->fail(this->Nodes[At].Local.Name + " adopted slice " +
+               std::to_string(Adopted.Slice.Slice) + " with table '" +
+               Adopted.Table + "' instead of '" + Last + "'");
+}
+
+void Fleet::send(std::size_t From, SendPeer &Sent) {
+  auto To = this->ByAddress.find(Sent.To);
+  if (To == this->ByAddress.end() || this->Cuts.contains({From, To->second}) ||
+      this->chance(this->Options.MessageLoss))
+    return;
+  const Node &A = this->Nodes[From];
+  const Node &B = this->Nodes[To->second];
+  std::uint64_t Base = A.Local.Region == B.Local.Region ? 1'500 : 8'000;
+  PeerMessage Message{A.Local.PeerAddress, std::move(Sent.Body)};
+  auto Delay = [&] {
+    return Duration(Base + this->Random() % 3'000 +
+                    (this->chance(20) ? this->Random() % 150'000 : 0));
+  };
+  if (this->chance(this->Options.MessageRepeat))
+    this->schedule(To->second, Delay() * 2, Message);
+  this->schedule(To->second, Delay(), std::move(Message));
+}
+
+void Fleet::callStore(std::size_t From, const StoreRequest &Request) {
+  Duration Delay(2'000 + this->Random() % 20'000);
+  StoreReply Reply;
+  Reply.Id = Request.Id;
+  if (this->StoreDown || this->StoreCut[From]) {
+    Reply.Status = absl::UnavailableError("store down");
+    return this->schedule(From, Delay, StoreAnswered{Reply});
+  }
+  Reply = this->Store.apply(Request, this->Now);
+  if (const auto *Txn = std::get_if<StoreTxn>(&Request.Body);
+      Txn && Reply.Succeeded)
+    for (const StorePut &Put : Txn->Puts) {
+      if (Put.Key != keys::Assignment)
+        continue;
+      auto Recorded = decodeAssignment(Put.Value);
+      std::uint64_t Last =
+          this->Written.empty() ? 0 : this->Written.rbegin()->first;
+      if (!Recorded.ok() || Recorded->Version != Last + 1)
+        return this->fail("assignment version " + std::to_string(Last) +
+                          " was overwritten");
+      this->Written[Recorded->Version] = Put.Value;
+    }
+  this->feedWatches();
+  if (this->chance(this->Options.StoreAnswerLoss)) {
+    StoreReply Lost;
+    Lost.Id = Request.Id;
+    Lost.Status = absl::DeadlineExceededError("no answer");
+    return this->schedule(From, StoreTimeout, StoreAnswered{Lost});
+  }
+  this->schedule(From, Delay, StoreAnswered{Reply});
+}
+
+void Fleet::feedWatches() {
+  for (std::size_t I = 0; I < this->Nodes.size(); ++I) {
+    Node &N = this->Nodes[I];
+    if (!N.WatchedUpTo || *N.WatchedUpTo >= this->Store.revision())
+      continue;
+    if (this->StoreDown || this->StoreCut[I]) {
+      N.WatchedUpTo.reset();
+      this->schedule(
+          I, Duration(1'000),
+          StoreWatched{absl::UnavailableError("watch ended"), {}, 0});
+      continue;
+    }
+    StoreWatched Update{absl::OkStatus(), {}, this->Store.revision()};
+    for (auto &[Revision, Change] : this->Store.changesAfter(*N.WatchedUpTo))
+      Update.Changes.push_back(Change);
+    N.WatchedUpTo = this->Store.revision();
+    this->schedule(I, Duration(1'000 + this->Random() % 5'000),
+                   std::move(Update));
+  }
+}
+
+// Only the node that handled an event can have opened a gate: those of all
+// others change by time alone, which only closes them.
+void Fleet::check(std::size_t Changed) {
+  const Node &N = this->Nodes[Changed];
+  auto GateOf = [&](const Node &Of, std::uint32_t Slice) {
+    return Of.Running
+               ? Of.Running->gate(this->sliceRef(Slice), this->localTime(Of))
+               : std::nullopt;
+  };
+  for (std::uint32_t S = 0; S < this->Options.Slices; ++S) {
+    std::optional<Gate> Open = GateOf(N, S);
+    if (!Open)
+      continue;
+    MemberId Id = N.Running->memberId();
+    std::string What = "slice " + std::to_string(S) + " is open at " +
+                       N.Local.Name + " (member " + std::to_string(Id.Value) +
+                       ", number " + std::to_string(Open->Number.Value) + ")";
+    for (const Node &Other : this->Nodes)
+      if (&Other != &N && GateOf(Other, S))
+        this->fail(What + " and at " + Other.Local.Name + " (member " +
+                   std::to_string(Other.Running->memberId().Value) +
+                   ", number " +
+                   std::to_string(GateOf(Other, S)->Number.Value) + ")");
+    auto &[Highest, Server] = this->Served[S];
+    if (Open->Number < Highest || (Open->Number == Highest && Server != Id))
+      this->fail(What + " after member " + std::to_string(Server.Value) +
+                 " served it under number " + std::to_string(Highest.Value));
+    this->Served[S] = {Open->Number, Id};
+  }
+  std::uint64_t Version = N.Running->heldVersions().Assignment;
+  std::uint64_t &Held = this->HeldBy[{Changed, N.Epoch}];
+  if (Version < Held)
+    this->fail(N.Local.Name + " fell back to an older assignment");
+  Held = Version;
+}
+
+bool Fleet::isOpen() const {
+  for (std::uint32_t S = 0; S < this->Options.Slices; ++S)
+    if (std::ranges::none_of(this->Nodes, [&](const Node &N) {
+          return N.Running && !N.Paused &&
+                 N.Running->gate(this->sliceRef(S), this->localTime(N));
+        }))
+      return false;
+  return true;
+}
+
+bool Fleet::isServed() const {
+  if (!this->isOpen())
+    return false;
+  for (std::uint32_t S = 0; S < this->Options.Slices; ++S) {
+    std::set<MemberId> Owners;
+    for (const Node &N : this->Nodes)
+      if (N.Running) {
+        auto To = N.Running->route(this->sliceRef(S));
+        Owners.insert(To ? To->Owner : MemberId{});
+      }
+    if (Owners.size() != 1)
+      return false;
+  }
+  return true;
+}
+
+std::size_t Fleet::slicesOf(std::size_t Index) const {
+  const Node &N = this->Nodes[Index];
+  return N.Running ? N.Running->status(this->localTime(N)).SlicesOwned : 0;
+}
+
+std::string Fleet::describe() const {
+  std::string Text;
+  for (const Node &N : this->Nodes) {
+    Text += "\n  " + N.Local.Name;
+    if (!N.Running) {
+      Text += " down";
+      continue;
+    }
+    OwnershipStatus S = N.Running->status(this->localTime(N));
+    Text += " member " + std::to_string(S.Id.Value) + " version " +
+            std::to_string(S.Held.Assignment) + " permission " +
+            std::to_string(S.PermissionLeft.count() / 1000) + " ms slices " +
+            std::to_string(S.SlicesOwned) + (S.Coordinating ? " coord" : "") +
+            (S.Joining ? " joining" : "") + (S.Leaving ? " leaving" : "") +
+            (S.WatchingStore ? " watching" : "") + " guardians";
+    for (const GuardianStatus &G : S.Guardians)
+      Text += " " + std::to_string(G.Member.Value) + "@" +
+              std::to_string(G.Term) + (G.Counts ? "" : "!") + "/" +
+              std::to_string(G.Left.count() / 1000);
+    Text += " deposed";
+    for (MemberId Id : S.Known.Deposed)
+      Text += " " + std::to_string(Id.Value);
+    for (MemberId Id : S.Known.Left)
+      Text += " left" + std::to_string(Id.Value);
+    for (const Release &R : S.Known.Releases)
+      Text += " rel" + std::to_string(R.Member.Value) + "by" +
+              std::to_string(R.By.Value) + "@" + std::to_string(R.Term);
+  }
+  return Text;
+}
+
+} // namespace orioledoor::ownership::testing
