Add the peer transport, the HTTP server and the HTTP client

The daemon needs shells around the reducers. Nodes exchange batches of frames over nng; every batch acknowledges the newest one received, so that a connection that accepts data and never delivers them is found by a ping. HTTP runs on evhttp; its HTML error pages are replaced by the JSON error body, and a permission is checked when the first byte is about to be written.

--- /dev/null
+++ b/orioledoor/wire/http_client_test.cc
@@ -0,0 +1,153 @@
+// Guards how calls that fail are told apart, against a scripted server.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "orioledoor/wire/http_client.h"
+#include "orioledoor/wire/testing/loop.h"
+
+namespace orioledoor::wire {
+namespace {
+
+using requests::TargetFailure;
+
+constexpr std::uint16_t Port = 21102;
+
+class HttpClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpClientTest);
+  CPPUNIT_TEST(wholeAnswersPassAndConnectionsAreReused);
+  CPPUNIT_TEST(refusedConnectionIsNotSent);
+  CPPUNIT_TEST(endedPermissionIsNotSent);
+  CPPUNIT_TEST(connectionLostAfterWriting);
+  CPPUNIT_TEST(truncatedAnswersAreErrors);
+  CPPUNIT_TEST(timeoutAndCancel);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { this->Listener = testing::listenOn(Port); }
+  void tearDown() override {
+    close(this->Listener);
+    if (this->Server >= 0)
+      close(this->Server);
+    this->Server = -1;
+  }
+
+  // Calls the scripted server, which sends Script once it has read the head of
+  // a request and then ends the connection if EndAfter is set.
+  HttpResult call(std::string_view Script, bool EndAfter,
+                  HttpCall Wanted = HttpCall()) {
+    Wanted.To = {"127.0.0.1", Port};
+    Wanted.Method = "POST";
+    Wanted.Target = "/a";
+    Wanted.Body = "body";
+    std::optional<HttpResult> Result;
+    this->Client.call(
+        Wanted, [&Result](HttpResult Ended) { Result = std::move(Ended); });
+    this->Request.clear();
+    bool Sent = false;
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&Result] { return Result.has_value(); },
+        [&] {
+          if (this->Server < 0) {
+            this->Server = accept4(this->Listener, nullptr, nullptr,
+                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (this->Server >= 0)
+              ++this->Accepted;
+          }
+          bool Open = this->Server >= 0 &&
+                      testing::receive(this->Server, this->Request);
+          if (Open && !Sent && this->Request.ends_with("body")) {
+            Sent = true;
+            testing::sendAll(this->Server, Script);
+            if (EndAfter)
+              shutdown(this->Server, SHUT_RDWR);
+          }
+        }));
+    if (EndAfter && this->Server >= 0) {
+      close(this->Server);
+      this->Server = -1;
+    }
+    return *Result;
+  }
+
+  void wholeAnswersPassAndConnectionsAreReused() {
+    for (int Round = 0; Round < 2; ++Round) {
+      HttpResult Result = this->call("HTTP/1.1 201 Created\r\nX-A: b\r\n"
+                                     "Content-Length: 5\r\n\r\nhello",
+                                     false);
+      CPPUNIT_ASSERT_MESSAGE(Result.Detail, !Result.Failure);
+      CPPUNIT_ASSERT_EQUAL(201, Result.Answer.Status);
+      CPPUNIT_ASSERT_EQUAL(std::string("hello"), Result.Answer.Body);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Result.Answer.Headers.size());
+    }
+    CPPUNIT_ASSERT_EQUAL(1, this->Accepted);
+  }
+
+  // Only this failure allows a non-idempotent request to be sent again.
+  void refusedConnectionIsNotSent() {
+    close(this->Listener);
+    HttpResult Result = this->call("", false);
+    CPPUNIT_ASSERT(Result.Failure == TargetFailure::NotSent);
+  }
+
+  // Work written after the permission ended could run under two owners.
+  void endedPermissionIsNotSent() {
+    HttpCall Wanted;
+    Wanted.NotAfter = readClock();
+    HttpResult Result = this->call("", false, Wanted);
+    CPPUNIT_ASSERT(Result.Failure == TargetFailure::NotSent);
+    CPPUNIT_ASSERT_EQUAL(std::string(), this->Request);
+  }
+
+  // A request that may have run must not be reported as not sent.
+  void connectionLostAfterWriting() {
+    HttpResult Result = this->call("", true);
+    CPPUNIT_ASSERT(Result.Failure == TargetFailure::ConnectionLost);
+  }
+
+  // A part of an answer must not reach a caller as the whole one.
+  void truncatedAnswersAreErrors() {
+    for (std::string_view Script :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore than four"}) {
+      HttpResult Result = this->call(Script, true);
+      CPPUNIT_ASSERT_MESSAGE(std::string(Script) + Result.Detail,
+                             Result.Failure);
+      CPPUNIT_ASSERT_MESSAGE(std::string(Script) + Result.Detail,
+                             *Result.Failure == TargetFailure::Truncated);
+    }
+  }
+
+  void timeoutAndCancel() {
+    HttpCall Wanted;
+    Wanted.Timeout = std::chrono::milliseconds(50);
+    HttpResult Result = this->call("", false, Wanted);
+    CPPUNIT_ASSERT(Result.Failure == TargetFailure::TimedOut);
+    bool Called = false;
+    Wanted.To = {"127.0.0.1", Port};
+    Wanted.Method = "GET";
+    Wanted.Target = "/";
+    this->Client.cancel(
+        this->Client.call(Wanted, [&Called](const HttpResult &) { // NOLINT
+          Called = true;
+        }));
+    CPPUNIT_ASSERT(!this->Events.runUntil([&Called] { return Called; }, {},
+                                          std::chrono::milliseconds(150)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Client.openCalls());
+  }
+
+private:
+  testing::Loop Events;
+  HttpClient Client{Events.base()};
+  int Listener = -1;
+  int Server = -1;
+  int Accepted = 0;
+  std::string Request;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
+
+} // namespace
+} // namespace orioledoor::wire
--- /dev/null
+++ b/orioledoor/wire/http_server_test.cc
@@ -0,0 +1,175 @@
+// Guards the server against damaged requests and callers that leave.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "orioledoor/wire/http_server.h"
+#include "orioledoor/wire/testing/loop.h"
+
+namespace orioledoor::wire {
+namespace {
+
+constexpr std::uint16_t Port = 21101;
+
+// A server that answers at once with the request's target, except for targets
+// that start with "/hold", which it keeps.
+class HttpServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpServerTest);
+  CPPUNIT_TEST(answersPipelinedRequestsInOrder);
+  CPPUNIT_TEST(truncatedBodyGets408);
+  CPPUNIT_TEST(largeBodyGets413);
+  CPPUNIT_TEST(largeHeadersGet431);
+  CPPUNIT_TEST(malformedRequestsGet400);
+  CPPUNIT_TEST(ambiguousFramingGets400);
+  CPPUNIT_TEST(callerThatLeavesIsReported);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    this->Held.clear();
+    this->Gone.clear();
+    this->Received = 0;
+    HttpServerOptions Options{.Listen = {"127.0.0.1", Port}};
+    Options.MaxBodyBytes = 1000;
+    auto Opened = HttpServer::open(
+        this->Events.base(), Options,
+        {.Received =
+             [this](std::uint64_t Id, IncomingRequest Request) {
+               ++this->Received;
+               if (Request.Target.starts_with("/hold"))
+                 this->Held.push_back(Id);
+               else
+                 this->Server->reply(Id, {200, {}, Request.Target + "\n"});
+             },
+         .Gone = [this](std::uint64_t Id) { this->Gone.push_back(Id); }});
+    CPPUNIT_ASSERT(Opened.ok());
+    this->Server = *std::move(Opened);
+  }
+
+  void tearDown() override { this->Server.reset(); }
+
+  // All that comes back for Bytes until the server closes or Count answers
+  // with a body that ends in a line feed came.
+  std::string exchange(std::string_view Bytes, bool EndSending = false,
+                       int Count = 1) {
+    int Caller = testing::connectTo(Port);
+    testing::sendAll(Caller, Bytes);
+    if (EndSending)
+      shutdown(Caller, SHUT_WR);
+    std::string Answer;
+    bool Open = true;
+    this->Events.runUntil(
+        [&] {
+          Open = testing::receive(Caller, Answer);
+          return !Open ||
+                 (Answer.ends_with("\n") && !Answer.ends_with("\r\n") &&
+                  std::ranges::count(Answer, '\n') -
+                          std::ranges::count(Answer, '\r') >=
+                      Count);
+        },
+        {}, std::chrono::seconds(2));
+    close(Caller);
+    return Answer;
+  }
+
+  static bool isError(const std::string &Answer, const std::string &Status) {
+    return Answer.starts_with("HTTP/1.1 " + Status + " ") &&
+           Answer.find("{\"outcome\":\"not-run\",\"step\":\"receive request\","
+                       "\"peer\":\"\",\"message\":") != std::string::npos &&
+           Answer.find("<") == std::string::npos;
+  }
+
+  void answersPipelinedRequestsInOrder() {
+    std::string Answer = this->exchange("GET /a HTTP/1.1\r\n\r\n"
+                                        "POST /b HTTP/1.1\r\n"
+                                        "Content-Length: 3\r\n\r\nxyz"
+                                        "GET /c HTTP/1.1\r\n\r\n",
+                                        false, 3);
+    CPPUNIT_ASSERT(Answer.find("/a\n") < Answer.find("/b\n"));
+    CPPUNIT_ASSERT(Answer.find("/b\n") < Answer.find("/c\n"));
+    CPPUNIT_ASSERT(Answer.ends_with("/c\n"));
+  }
+
+  // A cut upload must neither run nor disturb the requests of others.
+  void truncatedBodyGets408() {
+    std::string Answer = this->exchange(
+        "POST /a HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf", true);
+    CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "408"));
+    CPPUNIT_ASSERT_EQUAL(0, this->Received);
+    CPPUNIT_ASSERT(this->exchange("GET /b HTTP/1.1\r\n\r\n").ends_with("/b\n"));
+    Answer = this->exchange("GET /a HTTP/1.1\r\n\r\n"
+                            "POST /b HTTP/1.1\r\nContent-Length: 9\r\n\r\nx",
+                            true, 2);
+    CPPUNIT_ASSERT_MESSAGE(Answer, Answer.find("408") != std::string::npos);
+  }
+
+  void largeBodyGets413() {
+    std::string Answer =
+        this->exchange("POST /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" +
+                       std::string(1001, 'x'));
+    CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "413"));
+    Answer = this->exchange("POST /a HTTP/1.1\r\nTransfer-Encoding: "
+                            "chunked\r\n\r\nfff\r\n" +
+                            std::string(4095, 'x') + "\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "413"));
+    CPPUNIT_ASSERT_EQUAL(0, this->Received);
+  }
+
+  void largeHeadersGet431() {
+    std::string Answer = this->exchange(
+        "GET /a HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "431"));
+  }
+
+  void malformedRequestsGet400() {
+    for (const char *Bytes :
+         {"GET\r\n\r\n", "\x16\x03\x01 \x02\r\n\r\n",
+          "GET /a HTTP/1.1\r\nno colon\r\n\r\n", "GET /a NOPE/7\r\n\r\n"}) {
+      std::string Answer = this->exchange(Bytes);
+      CPPUNIT_ASSERT_MESSAGE(Bytes + Answer, isError(Answer, "400"));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, this->Received);
+  }
+
+  // Two lengths let a caller hide a second request in the body of the first.
+  void ambiguousFramingGets400() {
+    std::string Answer =
+        this->exchange("POST /a HTTP/1.1\r\nContent-Length: 1\r\n"
+                       "Content-Length: 2\r\n\r\nxy");
+    CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "400"));
+    Answer = this->exchange("POST /a HTTP/1.1\r\nContent-Length: 1\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "400"));
+    CPPUNIT_ASSERT_EQUAL(0, this->Received);
+  }
+
+  // Work for a caller that left would hold a slot until its deadline.
+  void callerThatLeavesIsReported() {
+    int Caller = testing::connectTo(Port);
+    testing::sendAll(Caller, "GET /hold HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(
+        this->Events.runUntil([this] { return !this->Held.empty(); }));
+    CPPUNIT_ASSERT(this->Gone.empty());
+    close(Caller);
+    CPPUNIT_ASSERT(
+        this->Events.runUntil([this] { return !this->Gone.empty(); }));
+    CPPUNIT_ASSERT(this->Gone == this->Held);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Server->openRequests());
+    this->Server->reply(this->Held[0], {200, {}, "late"});
+  }
+
+private:
+  testing::Loop Events;
+  std::unique_ptr<HttpServer> Server;
+  std::vector<std::uint64_t> Held;
+  std::vector<std::uint64_t> Gone;
+  int Received = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
+
+} // namespace
+} // namespace orioledoor::wire
--- /dev/null
+++ b/orioledoor/wire/internal/event_ptr.h
@@ -0,0 +1,24 @@
+// Owning pointers to libevent's objects.
+#ifndef ORIOLEDOOR_WIRE_INTERNAL_EVENT_PTR_H
+#define ORIOLEDOOR_WIRE_INTERNAL_EVENT_PTR_H
+
+#include <memory>
+
+#include <event2/event.h>
+
+namespace orioledoor::wire::internal {
+
+struct EventDeleter {
+  void operator()(event *Owned) const { event_free(Owned); }
+};
+using EventPtr = std::unique_ptr<event, EventDeleter>;
+
+// The seconds and microseconds of a duration in microseconds.
+inline timeval toTimeval(std::int64_t Micros) {
+  return {static_cast<time_t>(Micros / 1'000'000),
+          static_cast<suseconds_t>(Micros % 1'000'000)};
+}
+
+} // namespace orioledoor::wire::internal
+
+#endif // ORIOLEDOOR_WIRE_INTERNAL_EVENT_PTR_H
--- /dev/null
+++ b/orioledoor/wire/peer_transport_test.cc
@@ -0,0 +1,168 @@
+// Guards delivery between nodes and the detection of lost connections.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "orioledoor/wire/peer_transport.h"
+#include "orioledoor/wire/testing/loop.h"
+
+namespace orioledoor::wire {
+namespace {
+
+constexpr char First[] = "tcp://127.0.0.1:21103";
+constexpr char Second[] = "tcp://127.0.0.1:21104";
+constexpr std::uint16_t SilentPort = 21105;
+constexpr char Silent[] = "tcp://127.0.0.1:21105";
+
+// One node as its shell sees the transport.
+struct Side {
+  std::unique_ptr<PeerTransport> Transport;
+  std::vector<std::string> Received;
+  std::vector<std::uint64_t> NotSent;
+  std::vector<std::string> Lost;
+
+  void open(testing::Loop &Events, const char *Address) {
+    auto Opened = PeerTransport::open(
+        Events.base(), {.Address = Address},
+        {.Received =
+             [this](std::string_view From, Channel, std::string_view Payload) {
+               this->Received.push_back(std::string(From) + ' ' +
+                                        std::string(Payload.substr(0, 20)));
+             },
+         .NotSent = [this](std::string_view, Channel,
+                           std::uint64_t Tag) { this->NotSent.push_back(Tag); },
+         .Lost =
+             [this](std::string_view Peer) { this->Lost.emplace_back(Peer); },
+         .Log = {}});
+    CPPUNIT_ASSERT(Opened.ok());
+    this->Transport = *std::move(Opened);
+  }
+};
+
+class PeerTransportTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerTransportTest);
+  CPPUNIT_TEST(framesOfOneTurnShareAMessage);
+  CPPUNIT_TEST(unreachablePeerIsReportedAsNotSent);
+  CPPUNIT_TEST(oversizedPayloadIsNotSent);
+  CPPUNIT_TEST(restartedPeerIsLostAndDialledAfresh);
+  CPPUNIT_TEST(silentConnectionIsLost);
+  CPPUNIT_TEST(quietPeersAreNotPinged);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { this->A.open(this->Events, First); }
+  void tearDown() override {
+    this->A = {};
+    this->B = {};
+  }
+
+  bool runUntil(const std::function<bool()> &Done) {
+    return this->Events.runUntil(Done, [this] {
+      Instant Now = readClock();
+      for (Side *Each : {&this->A, &this->B})
+        if (Each->Transport)
+          Each->Transport->tick(Now);
+    });
+  }
+
+  void framesOfOneTurnShareAMessage() {
+    this->B.open(this->Events, Second);
+    for (int Each = 0; Each < 100; ++Each)
+      this->A.Transport->send(Second, Channel::Control, "hello");
+    CPPUNIT_ASSERT(
+        this->runUntil([this] { return this->B.Received.size() == 100; }));
+    CPPUNIT_ASSERT_EQUAL(std::string(First) + " hello", this->B.Received[0]);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{100},
+                         this->A.Transport->counters().Control.FramesOut);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1000},
+                         this->B.Transport->counters().Control.BytesIn);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         this->A.Transport->counters().BatchesOut);
+  }
+
+  // Only a frame that certainly was not sent may be sent to another owner.
+  void unreachablePeerIsReportedAsNotSent() {
+    this->A.Transport->send(Second, Channel::Requests, "x", 7);
+    this->A.Transport->send("nonsense", Channel::Requests, "x", 8);
+    CPPUNIT_ASSERT(
+        this->runUntil([this] { return this->A.NotSent.size() == 2; }));
+    CPPUNIT_ASSERT((this->A.NotSent == std::vector<std::uint64_t>{8, 7}));
+    CPPUNIT_ASSERT(this->A.Lost.empty());
+  }
+
+  void oversizedPayloadIsNotSent() {
+    this->B.open(this->Events, Second);
+    this->A.Transport->send(Second, Channel::Control,
+                            std::string(MaxPayloadBytes + 1, 'x'), 1);
+    this->A.Transport->send(Second, Channel::Control,
+                            std::string(MaxPayloadBytes, 'x'), 2);
+    CPPUNIT_ASSERT(
+        this->runUntil([this] { return !this->B.Received.empty(); }));
+    CPPUNIT_ASSERT((this->A.NotSent == std::vector<std::uint64_t>{1}));
+  }
+
+  void restartedPeerIsLostAndDialledAfresh() {
+    this->B.open(this->Events, Second);
+    this->A.Transport->send(Second, Channel::Control, "one");
+    CPPUNIT_ASSERT(
+        this->runUntil([this] { return this->B.Received.size() == 1; }));
+    this->B = {};
+    CPPUNIT_ASSERT(this->runUntil([this] { return this->A.Lost.size() == 1; }));
+    this->B.open(this->Events, Second);
+    this->A.Transport->send(Second, Channel::Control, "two");
+    CPPUNIT_ASSERT(
+        this->runUntil([this] { return this->B.Received.size() == 1; }));
+  }
+
+  // A connection that accepts data and never delivers them looks healthy to
+  // TCP for many minutes. The listener below completes nng's handshake and
+  // then reads nothing.
+  void silentConnectionIsLost() {
+    int Listener = testing::listenOn(SilentPort);
+    this->A.Transport->send(Silent, Channel::Control, "renew");
+    std::string Unused;
+    int Connection = -1;
+    Instant Start = readClock();
+    CPPUNIT_ASSERT(this->runUntil([&] {
+      if (Connection < 0) {
+        Connection =
+            accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        // The handshake of a PULL socket (protocol 81).
+        if (Connection >= 0)
+          testing::sendAll(Connection, std::string_view("\0SP\0\0\x51\0\0", 8));
+      }
+      return !this->A.Lost.empty();
+    }));
+    Duration Passed = readClock() - Start;
+    CPPUNIT_ASSERT_EQUAL(std::string(Silent), this->A.Lost[0]);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, this->A.Transport->counters().Pings);
+    CPPUNIT_ASSERT(Passed < std::chrono::milliseconds(900));
+    close(Connection);
+    close(Listener);
+  }
+
+  // Pings to peers that answer would count towards the control cost.
+  void quietPeersAreNotPinged() {
+    this->B.open(this->Events, Second);
+    this->A.Transport->send(Second, Channel::Control, "one-way");
+    Instant Start = readClock();
+    this->runUntil(
+        [&] { return readClock() - Start > std::chrono::milliseconds(1500); });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, this->A.Transport->counters().Pings);
+    CPPUNIT_ASSERT(this->A.Lost.empty());
+    CPPUNIT_ASSERT(this->B.Lost.empty());
+  }
+
+private:
+  testing::Loop Events;
+  Side A;
+  Side B;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTransportTest);
+
+} // namespace
+} // namespace orioledoor::wire
