Add the stand-in store and run EtcdClient against it

Cause: the client had no run behind it, and trials need a store. Change: standins gets an event loop, an HTTP server with truncated, dropped and held answers, and an in-memory store behind the gateway's JSON with leases, watches, counters and faults. store_test covers conflicts, lost answers, refusals, outages, leases, resumed, compacted and silent watches. Conclusion: the plain path and the documented faults work against the stand-in; no run against another implementation of the gateway exists.

--- /dev/null
+++ b/orioledoor/standins/exchange.cc
@@ -0,0 +1,164 @@
+// Answers on evhttp's server side.
+//
+// evhttp stops reading while a request is served and so would not notice that
+// the caller closed its connection; reading is enabled again for that.
+#include "orioledoor/standins/exchange.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <memory>
+
+#include "orioledoor/standins/loop.h"
+
+namespace orioledoor::standins {
+namespace {
+
+struct BufferDeleter {
+  void operator()(evbuffer *Buffer) const { evbuffer_free(Buffer); }
+};
+using BufferPtr = std::unique_ptr<evbuffer, BufferDeleter>;
+
+BufferPtr bufferOf(std::string_view Bytes) {
+  BufferPtr Buffer(evbuffer_new());
+  evbuffer_add(Buffer.get(), Bytes.data(), Bytes.size());
+  return Buffer;
+}
+
+std::string_view nameOf(evhttp_cmd_type Method) {
+  switch (Method) {
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_HEAD:
+    return "HEAD";
+  case EVHTTP_REQ_POST:
+    return "POST";
+  case EVHTTP_REQ_PUT:
+    return "PUT";
+  case EVHTTP_REQ_PATCH:
+    return "PATCH";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  default:
+    return "OTHER";
+  }
+}
+
+std::string orEmpty(const char *Text) { return Text ? Text : ""; }
+
+} // namespace
+
+Exchange::Exchange(Loop &Events, evhttp_request *Request)
+    : Events(Events), Request(Request),
+      Method(nameOf(evhttp_request_get_command(Request))) {
+  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
+  this->Path = orEmpty(Uri ? evhttp_uri_get_path(Uri) : nullptr);
+  this->Query = orEmpty(Uri ? evhttp_uri_get_query(Uri) : nullptr);
+  evbuffer *Input = evhttp_request_get_input_buffer(Request);
+  this->Body.resize(evbuffer_get_length(Input));
+  evbuffer_copyout(Input, this->Body.data(), this->Body.size());
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
+  evhttp_connection_set_closecb(
+      Connection,
+      [](evhttp_connection *, void *Self) {
+        static_cast<Exchange *>(Self)->closed();
+      },
+      this);
+  bufferevent_enable(evhttp_connection_get_bufferevent(Connection), EV_READ);
+}
+
+Exchange::~Exchange() {
+  if (this->Streaming)
+    this->endStream();
+  else
+    this->reply(500, "{}");
+}
+
+void Exchange::closed() {
+  // evhttp frees the request unless it has detached it from the connection.
+  if (this->Request && evhttp_request_get_connection(this->Request))
+    this->Request = nullptr;
+  this->Closed = true;
+  // The function may hold the last reference to this exchange.
+  auto Keep = this->weak_from_this().lock();
+  if (auto Function = std::exchange(this->ClosedFunction, nullptr))
+    Function();
+}
+
+evhttp_request *Exchange::take() {
+  evhttp_request *Taken = std::exchange(this->Request, nullptr);
+  this->ClosedFunction = nullptr;
+  if (Taken)
+    if (evhttp_connection *Connection = evhttp_request_get_connection(Taken))
+      evhttp_connection_set_closecb(Connection, nullptr, nullptr);
+  return Taken;
+}
+
+std::string Exchange::header(std::string_view Name) const {
+  if (!this->Request)
+    return "";
+  return orEmpty(
+      evhttp_find_header(evhttp_request_get_input_headers(this->Request),
+                         std::string(Name).c_str()));
+}
+
+void Exchange::reply(int Code, std::string_view Body,
+                     const HeaderList &Headers) {
+  evhttp_request *Taken = this->take();
+  if (!Taken)
+    return;
+  evkeyvalq *Output = evhttp_request_get_output_headers(Taken);
+  evhttp_add_header(Output, "Content-Type", "application/json");
+  for (const auto &[Name, Value] : Headers)
+    evhttp_add_header(Output, Name.c_str(), Value.c_str());
+  // Also frees a request whose connection was closed.
+  evhttp_send_reply(Taken, Code, nullptr, bufferOf(Body).get());
+}
+
+void Exchange::startStream() {
+  if (!this->Request)
+    return;
+  this->Streaming = true;
+  evhttp_add_header(evhttp_request_get_output_headers(this->Request),
+                    "Content-Type", "application/json");
+  evhttp_send_reply_start(this->Request, 200, nullptr);
+}
+
+void Exchange::sendChunk(std::string_view Bytes) {
+  if (this->Request && !this->Closed)
+    evhttp_send_reply_chunk(this->Request, bufferOf(Bytes).get());
+}
+
+void Exchange::endStream() {
+  if (evhttp_request *Taken = this->take())
+    evhttp_send_reply_end(Taken);
+}
+
+void Exchange::drop() {
+  // Not from inside evhttp's callback for this connection.
+  this->Events.after(Duration(0), [Self = this->shared_from_this()] {
+    if (!Self->Request)
+      return;
+    evhttp_connection *Connection =
+        evhttp_request_get_connection(Self->Request);
+    if (!Connection)
+      return Self->reply(500, "");
+    // Runs closed().
+    evhttp_connection_free(Connection);
+  });
+}
+
+void Exchange::replyTruncated(int Code, std::string_view Body) {
+  this->reply(Code, Body.substr(0, Body.size() / 2),
+              {{"Content-Length", std::to_string(Body.size())},
+               {"Connection", "close"}});
+}
+
+void Exchange::onClosed(std::function<void()> Function) {
+  this->ClosedFunction = std::move(Function);
+}
+
+} // namespace orioledoor::standins
--- /dev/null
+++ b/orioledoor/standins/store_model.cc
@@ -0,0 +1,145 @@
+// Keys, leases and history of the stand-in store.
+#include "orioledoor/standins/store_model.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <utility>
+
+namespace orioledoor::standins {
+
+bool inRange(std::string_view Key, std::string_view From,
+             std::string_view End) {
+  if (End.empty())
+    return Key == From;
+  return Key >= From && (End == std::string_view("\0", 1) || Key < End);
+}
+
+std::vector<StoredKey> StoreModel::range(std::string_view Key,
+                                         std::string_view End) const {
+  std::vector<StoredKey> Found;
+  std::ranges::copy(
+      std::ranges::subrange(this->Keys.lower_bound(Key), this->Keys.end()) |
+          std::views::values |
+          std::views::take_while([&](const StoredKey &Candidate) {
+            return inRange(Candidate.Key, Key, End);
+          }),
+      std::back_inserter(Found));
+  return Found;
+}
+
+const StoredKey *StoreModel::find(std::string_view Key) const {
+  auto At = this->Keys.find(Key);
+  return At == this->Keys.end() ? nullptr : &At->second;
+}
+
+void StoreModel::begin() { this->Open.clear(); }
+
+void StoreModel::put(std::string_view Key, std::string_view Value,
+                     std::int64_t Lease) {
+  StoredKey &Entry = this->Keys[std::string(Key)];
+  if (auto At = this->Leases.find(Entry.Lease); At != this->Leases.end())
+    At->second.Keys.erase(Entry.Key);
+  std::int64_t Next = this->Revision + 1;
+  if (Entry.Version == 0)
+    Entry.CreateRevision = Next;
+  Entry.Key = Key;
+  Entry.Value = Value;
+  Entry.ModRevision = Next;
+  ++Entry.Version;
+  Entry.Lease = Lease;
+  if (auto At = this->Leases.find(Lease); At != this->Leases.end())
+    At->second.Keys.insert(Entry.Key);
+  this->Open.push_back({Entry, false});
+}
+
+std::int64_t StoreModel::remove(std::string_view Key, std::string_view End) {
+  std::vector<StoredKey> Doomed = this->range(Key, End);
+  for (const StoredKey &Entry : Doomed)
+    this->erase(Entry.Key);
+  return std::ssize(Doomed);
+}
+
+void StoreModel::erase(const std::string &Key) {
+  auto Node = this->Keys.extract(Key);
+  if (Node.empty())
+    return;
+  if (auto At = this->Leases.find(Node.mapped().Lease);
+      At != this->Leases.end())
+    At->second.Keys.erase(Key);
+  StoredKey Tombstone;
+  Tombstone.Key = Key;
+  Tombstone.ModRevision = this->Revision + 1;
+  this->Open.push_back({std::move(Tombstone), true});
+}
+
+void StoreModel::commit() {
+  if (this->Open.empty())
+    return;
+  ++this->Revision;
+  std::ranges::copy(this->Open, std::back_inserter(this->History));
+  if (this->OnChange)
+    this->OnChange(std::exchange(this->Open, {}));
+  this->Open.clear();
+}
+
+std::optional<std::vector<StoredChange>>
+StoreModel::changesFrom(std::int64_t From, std::string_view Key,
+                        std::string_view End) const {
+  if (From < this->Compacted)
+    return std::nullopt;
+  std::vector<StoredChange> Found;
+  std::ranges::copy_if(this->History, std::back_inserter(Found),
+                       [&](const StoredChange &Change) {
+                         return Change.After.ModRevision >= From &&
+                                inRange(Change.After.Key, Key, End);
+                       });
+  return Found;
+}
+
+void StoreModel::compact(std::int64_t Below) {
+  this->Compacted = Below;
+  std::erase_if(this->History, [Below](const StoredChange &Change) {
+    return Change.After.ModRevision < Below;
+  });
+}
+
+std::int64_t StoreModel::grantLease(Duration TimeToLive, Instant Now) {
+  std::int64_t Id = ++this->LastLease;
+  this->Leases[Id] = {TimeToLive, Now + TimeToLive, {}};
+  return Id;
+}
+
+bool StoreModel::hasLease(std::int64_t Lease) const {
+  return this->Leases.contains(Lease);
+}
+
+std::optional<Duration> StoreModel::keepAlive(std::int64_t Lease, Instant Now) {
+  auto At = this->Leases.find(Lease);
+  if (At == this->Leases.end())
+    return std::nullopt;
+  At->second.End = Now + At->second.TimeToLive;
+  return At->second.TimeToLive;
+}
+
+bool StoreModel::revokeLease(std::int64_t Lease) {
+  auto Node = this->Leases.extract(Lease);
+  if (Node.empty())
+    return false;
+  this->begin();
+  for (const std::string &Key : Node.mapped().Keys)
+    this->erase(Key);
+  this->commit();
+  return true;
+}
+
+void StoreModel::expireLeases(Instant Now) {
+  std::vector<std::int64_t> Ended;
+  for (const auto &[Id, State] : this->Leases)
+    if (State.End <= Now)
+      Ended.push_back(Id);
+  for (std::int64_t Id : Ended)
+    this->revokeLease(Id);
+}
+
+} // namespace orioledoor::standins
--- /dev/null
+++ b/orioledoor/standins/store_model.h
@@ -0,0 +1,105 @@
+// The state of the stand-in store: keys with revisions, leases and the history
+// that watches read. It has no clock and no socket.
+//
+//   StoreModel Model;
+//   Model.put("orioledoor/assignment", "...", 0);
+//   Model.expireLeases(readClock());
+#ifndef ORIOLEDOOR_STANDINS_STORE_MODEL_H
+#define ORIOLEDOOR_STANDINS_STORE_MODEL_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "orioledoor/base/instant.h"
+
+namespace orioledoor::standins {
+
+struct StoredKey {
+  std::string Key;
+  std::string Value;
+  std::int64_t CreateRevision = 0;
+  std::int64_t ModRevision = 0;
+  std::int64_t Version = 0;
+  std::int64_t Lease = 0;
+};
+
+// A put, or a delete with an empty value.
+struct StoredChange {
+  StoredKey After;
+  bool Deleted = false;
+};
+
+// Not thread-safe. A read costs O(log keys + keys in the range).
+class StoreModel {
+public:
+  // Invoked after each write with the changes of one revision.
+  using ChangeCallback = std::function<void(std::vector<StoredChange>)>;
+
+  void onChange(ChangeCallback Function) {
+    this->OnChange = std::move(Function);
+  }
+
+  std::int64_t revision() const { return this->Revision; }
+
+  // The keys in [Key, End) in order; only Key itself if End is empty. An End
+  // of one zero byte means all keys from Key on.
+  std::vector<StoredKey> range(std::string_view Key,
+                               std::string_view End) const;
+  // Null if the key is absent.
+  const StoredKey *find(std::string_view Key) const;
+
+  // Between begin() and commit() all writes get the same revision.
+  void begin();
+  void put(std::string_view Key, std::string_view Value, std::int64_t Lease);
+  std::int64_t remove(std::string_view Key, std::string_view End);
+  void commit();
+
+  // All changes from a revision on in the range, oldest first. Nothing if
+  // that revision has been compacted.
+  std::optional<std::vector<StoredChange>>
+  changesFrom(std::int64_t From, std::string_view Key,
+              std::string_view End) const;
+  void compact(std::int64_t Below);
+  std::int64_t compactRevision() const { return this->Compacted; }
+
+  std::int64_t grantLease(Duration TimeToLive, Instant Now);
+  bool hasLease(std::int64_t Lease) const;
+  // The time to live from now on; nothing if the lease has ended.
+  std::optional<Duration> keepAlive(std::int64_t Lease, Instant Now);
+  // Deletes the lease's keys; false if there is no such lease.
+  bool revokeLease(std::int64_t Lease);
+  void expireLeases(Instant Now);
+
+private:
+  struct LeaseState {
+    Duration TimeToLive{};
+    Instant End;
+    std::set<std::string> Keys;
+  };
+
+  void erase(const std::string &Key);
+
+  std::map<std::string, StoredKey, std::less<>> Keys;
+  std::map<std::int64_t, LeaseState> Leases;
+  std::vector<StoredChange> History;
+  // Writes since begin().
+  std::vector<StoredChange> Open;
+  std::int64_t Revision = 1;
+  std::int64_t Compacted = 0;
+  // A large start makes a lease id that passed through a double visible.
+  std::int64_t LastLease = 0x7587000000000001;
+  ChangeCallback OnChange;
+};
+
+// Whether Key lies in [From, End) as understood by StoreModel::range.
+bool inRange(std::string_view Key, std::string_view From, std::string_view End);
+
+} // namespace orioledoor::standins
+
+#endif // ORIOLEDOOR_STANDINS_STORE_MODEL_H
--- a/orioledoor/store/internal/gateway_codec.cc
+++ b/orioledoor/store/internal/gateway_codec.cc
@@ -209,9 +209,9 @@
   std::string Message = absl::StrCat("HTTP status ", Result.Code);
   // 429 comes from a limit in front of the store, which answers without a
   // code of its own.
-  int GrpcCode = static_cast<int>(Result.Code == 429
-                                      ? absl::StatusCode::kResourceExhausted
-                                      : absl::StatusCode::kUnknown);
+  int GrpcCode =
+      static_cast<int>(Result.Code == 429 ? absl::StatusCode::kResourceExhausted
+                                          : absl::StatusCode::kUnknown);
   if (Answer.is_object()) {
     if (auto Code = Answer.find("code");
         Code != Answer.end() && Code->is_number_integer())
@@ -309,18 +309,17 @@
 }
 
 absl::StatusOr<PrefixState> decodePrefixState(const HttpResult &Result) {
+  if (Result.Outcome != Transport::Answered || Result.Code != 200)
+    return absl::UnavailableError("the state of the prefix was not answered");
   try {
-    if (Result.Outcome == Transport::Answered && Result.Code == 200) {
-      Json Answer = Json::parse(Result.Body);
-      std::vector<StoreEntry> Entries;
-      addEntries(Answer, Entries);
-      return PrefixState{Entries.empty() ? 0 : Entries.front().ModRevision,
-                         integer(Answer, "count")};
-    }
-  } catch (const Json::exception &) {
-    // Reported like any other failed read.
+    Json Answer = Json::parse(Result.Body);
+    std::vector<StoreEntry> Entries;
+    addEntries(Answer, Entries);
+    return PrefixState{Entries.empty() ? 0 : Entries.front().ModRevision,
+                       integer(Answer, "count")};
+  } catch (const Json::exception &Error) {
+    return absl::UnavailableError(Error.what());
   }
-  return absl::UnavailableError("the state of the prefix could not be read");
 }
 
 } // namespace orioledoor::internal
--- a/orioledoor/store/internal/http_call_pool.cc
+++ b/orioledoor/store/internal/http_call_pool.cc
@@ -5,7 +5,6 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <event2/http_struct.h>
 #include <sys/socket.h>
 
 #include <utility>
@@ -104,9 +103,9 @@
   bool Connected = isConnected(Open.Connection.get());
   // Connections that went silent are not offered to the next calls.
   this->Idle.clear();
-  this->finish(
-      Open, {Connected ? Transport::TimedOut : Transport::NotSent, 0, {}},
-      false);
+  this->finish(Open,
+               {Connected ? Transport::TimedOut : Transport::NotSent, 0, {}},
+               false);
 }
 
 void HttpCallPool::finish(Call &Open, HttpResult Result, bool Reusable) {
--- a/orioledoor/store/internal/watch_stream.cc
+++ b/orioledoor/store/internal/watch_stream.cc
@@ -54,7 +54,8 @@
             absl::UnavailableError("the connection ended"));
       },
       this);
-  evhttp_request_set_chunked_cb(Request, [](evhttp_request *Answer, void *Self) {
+  evhttp_request_set_chunked_cb(Request, [](evhttp_request *Answer,
+                                            void *Self) {
     evbuffer *Input = evhttp_request_get_input_buffer(Answer);
     std::size_t Size = evbuffer_get_length(Input);
     auto *Bytes = reinterpret_cast<const char *>(evbuffer_pullup(Input, -1));
@@ -74,8 +75,7 @@
   for (auto Line : std::views::split(std::string_view(Lines), '\n')) {
     if (this->Ended || Line.empty())
       continue;
-    auto Message =
-        decodeWatchMessage({Line.begin(), Line.end()}, this->Peer);
+    auto Message = decodeWatchMessage({Line.begin(), Line.end()}, this->Peer);
     if (Message.ok())
       this->handle(std::move(*Message));
     else
@@ -86,10 +86,10 @@
 void WatchStream::handle(WatchMessage Message) {
   if (Message.Canceled) {
     bool Compacted = Message.CompactRevision > 0;
-    return this->end(absl::Status(
-        Compacted ? absl::StatusCode::kOutOfRange
-                  : absl::StatusCode::kUnavailable,
-        "the store ended the watch: " + Message.CancelReason));
+    return this->end(
+        absl::Status(Compacted ? absl::StatusCode::kOutOfRange
+                               : absl::StatusCode::kUnavailable,
+                     "the store ended the watch: " + Message.CancelReason));
   }
   if (Message.Created) {
     this->Created = true;
@@ -110,8 +110,8 @@
     this->deliver(
         {absl::OkStatus(), std::move(Message.Changes), this->Delivered});
   }
-  armTimer(this->Timer.get(), this->isBehind() ? this->Limits.WatchLag
-                                               : this->Limits.WatchProbe);
+  armTimer(this->Timer.get(),
+           this->isBehind() ? this->Limits.WatchLag : this->Limits.WatchProbe);
 }
 
 void WatchStream::timerExpired() {
@@ -128,7 +128,7 @@
   this->Probing = true;
   this->Pool.post("/v3/kv/range", encodePrefixState(keys::Root),
                   [this, Token = std::weak_ptr(this->Alive),
-                   Before = this->Delivered](HttpResult Result) {
+                   Before = this->Delivered](const HttpResult &Result) {
                     if (Token.expired() || this->Ended)
                       return;
                     this->Probing = false;
@@ -150,7 +150,7 @@
       std::max(State.NewestRevision, Deleted ? this->Delivered + 1 : 0);
 }
 
-void WatchStream::end(absl::Status Status) {
+void WatchStream::end(const absl::Status &Status) {
   if (this->Ended)
     return;
   this->Ended = true;
--- a/orioledoor/store/internal/watch_stream.h
+++ b/orioledoor/store/internal/watch_stream.h
@@ -47,7 +47,7 @@
   void timerExpired();
   void probe();
   void probed(const PrefixState &State, std::int64_t DeliveredBefore);
-  void end(absl::Status Status);
+  void end(const absl::Status &Status);
   void deliver(StoreWatchUpdate Update);
   void log(const EventDefinition &Event, std::string Detail);
   bool isBehind() const { return this->Expected > this->Delivered; }
--- /dev/null
+++ b/orioledoor/store/store_test.cc
@@ -0,0 +1,292 @@
+// Runs EtcdClient against the stand-in store in one event loop.
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "orioledoor/standins/loop.h"
+#include "orioledoor/standins/store_server.h"
+#include "orioledoor/store/etcd_client.h"
+#include "orioledoor/store/keys.h"
+
+namespace orioledoor {
+namespace {
+
+using namespace std::chrono_literals;
+using absl::StatusCode;
+
+constexpr Duration TestLimit = 10s;
+
+StoreTxn writeOf(std::int64_t Expected, std::string Value) {
+  return {.Compares = {{keys::Assignment, Expected}},
+          .Puts = {{.Key = keys::Assignment, .Value = std::move(Value)}}};
+}
+
+class StoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreTest);
+  CPPUNIT_TEST(valuesKeepEveryByte);
+  CPPUNIT_TEST(conflictShowsTheCurrentEntry);
+  CPPUNIT_TEST(descendingRangeStartsAtTheLastKey);
+  CPPUNIT_TEST(lostAnswerIsUnknownAndReadBack);
+  CPPUNIT_TEST(refusalsAreNotApplied);
+  CPPUNIT_TEST(silentStoreEndsInTime);
+  CPPUNIT_TEST(leaseEndsWithItsKeys);
+  CPPUNIT_TEST(watchResumesAtARevision);
+  CPPUNIT_TEST(watchReportsCompaction);
+  CPPUNIT_TEST(silentWatchIsReported);
+  CPPUNIT_TEST(silentWatchMissingADeleteIsReported);
+  CPPUNIT_TEST(replacedWatchIsNotInvokedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    this->Server.emplace(this->Events, 0);
+    this->Client = std::make_unique<EtcdClient>(
+        this->Events.base(), "127.0.0.1", this->Server->port(), nullptr,
+        EtcdClientLimits{300ms, 100ms, 100ms});
+  }
+
+  // Guards against text that JSON or base64 would alter.
+  void valuesKeepEveryByte() {
+    std::string Bytes;
+    for (int Byte = 0; Byte < 256; ++Byte)
+      Bytes += static_cast<char>(Byte);
+    CPPUNIT_ASSERT(this->call(writeOf(0, Bytes)).Succeeded);
+    StoreReply Reply = this->call(StoreRange{.Key = keys::Assignment});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Reply.Entries.size());
+    CPPUNIT_ASSERT(Reply.Entries[0].Value == Bytes);
+    CPPUNIT_ASSERT_EQUAL(Reply.Revision, Reply.Entries[0].ModRevision);
+  }
+
+  // Guards against two writers of which both believe that they won.
+  void conflictShowsTheCurrentEntry() {
+    std::int64_t First = this->call(writeOf(0, "a")).Revision;
+    StoreReply Second = this->call(writeOf(0, "b"));
+    CPPUNIT_ASSERT(Second.Status.ok() && !Second.Succeeded);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Second.Entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Second.Entries[0].Value);
+    CPPUNIT_ASSERT_EQUAL(First, Second.Entries[0].ModRevision);
+    CPPUNIT_ASSERT(this->call(writeOf(First, "c")).Succeeded);
+  }
+
+  // Guards against a prefix that reaches into its neighbours.
+  void descendingRangeStartsAtTheLastKey() {
+    for (const char *Key : {"orioledoor/audit/1", "orioledoor/audit/2",
+                            "orioledoor/audit/3", "orioledoor/audit0"})
+      this->call(StoreTxn{.Puts = {{.Key = Key, .Value = "v"}}});
+    StoreReply Reply = this->call(StoreRange{.Key = keys::AuditPrefix,
+                                             .Prefix = true,
+                                             .Limit = 2,
+                                             .Descending = true});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Reply.Entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("orioledoor/audit/3"),
+                         Reply.Entries[0].Key);
+    CPPUNIT_ASSERT_EQUAL(std::string("orioledoor/audit/2"),
+                         Reply.Entries[1].Key);
+  }
+
+  // Guards against an applied write that is taken as not applied.
+  void lostAnswerIsUnknownAndReadBack() {
+    this->Server->setFaults({{"lose_answers", 1}});
+    CPPUNIT_ASSERT(this->codeOf(writeOf(0, "a")) == StatusCode::kUnknown);
+    StoreReply Read = this->call(StoreRange{.Key = keys::Assignment});
+    CPPUNIT_ASSERT(Read.Status.ok());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Read.Entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Read.Entries[0].Value);
+  }
+
+  // Guards against read-backs, or worse a write given up, for a write that
+  // the store never saw.
+  void refusalsAreNotApplied() {
+    this->Server->setFaults({{"reject", 1}});
+    CPPUNIT_ASSERT(this->codeOf(writeOf(0, "a")) == StatusCode::kUnavailable);
+    CPPUNIT_ASSERT(this->codeOf(StoreTxn{
+                       .Puts = {{.Key = "orioledoor/x", .Lease = 99}}}) ==
+                   StatusCode::kNotFound);
+    CPPUNIT_ASSERT(this->call(StoreRange{.Key = keys::Root, .Prefix = true})
+                       .Entries.empty());
+    this->Client = std::make_unique<EtcdClient>(
+        this->Events.base(), "127.0.0.1", closedPort(), nullptr);
+    CPPUNIT_ASSERT(this->codeOf(writeOf(0, "a")) == StatusCode::kUnavailable);
+  }
+
+  // Guards against calls that never end, and against calls after an outage
+  // that use a connection which went silent in it.
+  void silentStoreEndsInTime() {
+    this->call(StoreRange{.Key = keys::Assignment});
+    this->Server->setFaults({{"outage", "silent"}});
+    Instant Start = readClock();
+    CPPUNIT_ASSERT(this->codeOf(writeOf(0, "a")) ==
+                   StatusCode::kDeadlineExceeded);
+    CPPUNIT_ASSERT(readClock() - Start < 600ms);
+    this->Server->setFaults({{"outage", "closed"}});
+    CPPUNIT_ASSERT(this->codeOf(writeOf(0, "a")) == StatusCode::kUnknown);
+    CPPUNIT_ASSERT(this->codeOf(StoreRange{.Key = keys::Assignment}) ==
+                   StatusCode::kUnavailable);
+    this->Server->setFaults({{"outage", "none"}});
+    CPPUNIT_ASSERT(this->call(writeOf(0, "a")).Succeeded);
+  }
+
+  // Guards against a coordinator key that outlives its holder, and against a
+  // holder that is not told that its lease has ended.
+  void leaseEndsWithItsKeys() {
+    std::int64_t Lease = this->call(StoreLeaseGrant{1s}).Lease;
+    CPPUNIT_ASSERT(Lease != 0);
+    this->call(StoreTxn{.Puts = {{keys::Coordinator, "7", Lease}}});
+    CPPUNIT_ASSERT(this->call(StoreLeaseKeepAlive{Lease}).TimeToLive == 1s);
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return !this->Server->model().find(keys::Coordinator); },
+        TestLimit));
+    StoreReply Late = this->call(StoreLeaseKeepAlive{Lease});
+    CPPUNIT_ASSERT(Late.Status.ok());
+    CPPUNIT_ASSERT(Late.TimeToLive == 0s);
+    std::int64_t Next = this->call(StoreLeaseGrant{60s}).Lease;
+    this->call(StoreTxn{.Puts = {{keys::Coordinator, "8", Next}}});
+    CPPUNIT_ASSERT(this->call(StoreLeaseRevoke{Next}).Status.ok());
+    CPPUNIT_ASSERT(
+        this->call(StoreRange{.Key = keys::Coordinator}).Entries.empty());
+  }
+
+  // Guards against changes lost between two watches.
+  void watchResumesAtARevision() {
+    std::int64_t First = this->call(writeOf(0, "a")).Revision;
+    this->call(StoreTxn{.Puts = {{.Key = "other/key", .Value = "x"}}});
+    std::int64_t Third = this->call(writeOf(First, "b")).Revision;
+    this->watch(First + 1);
+    this->waitForChanges(1);
+    this->call(StoreTxn{.Deletes = {keys::Assignment}});
+    this->waitForChanges(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), this->Changes[0].Entry.Value);
+    CPPUNIT_ASSERT_EQUAL(Third, this->Changes[0].Entry.ModRevision);
+    CPPUNIT_ASSERT(this->Changes[1].Deleted);
+    this->Server->setFaults({{"close_watches", true}});
+    this->waitForEnd(StatusCode::kUnavailable);
+    CPPUNIT_ASSERT_EQUAL(Third + 1, this->LastRevision);
+    this->call(writeOf(0, "c"));
+    this->watch(this->LastRevision + 1);
+    this->waitForChanges(3);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), this->Changes[2].Entry.Value);
+  }
+
+  // Guards against a watch that silently skips compacted changes.
+  void watchReportsCompaction() {
+    this->call(writeOf(0, "a"));
+    this->Server->setFaults({{"compact", 10}});
+    this->watch(2);
+    this->waitForEnd(StatusCode::kOutOfRange);
+  }
+
+  // Guards against a connection that stays open but no longer delivers.
+  void silentWatchIsReported() {
+    this->watch(1);
+    std::int64_t First = this->call(writeOf(0, "a")).Revision;
+    this->waitForChanges(1);
+    this->Server->setFaults({{"silence_watches", true}});
+    // Without changes silence is normal.
+    CPPUNIT_ASSERT(
+        !this->Events.runUntil([&] { return this->Ended.has_value(); }, 600ms));
+    this->call(writeOf(First, "b"));
+    this->waitForEnd(StatusCode::kUnavailable);
+    this->watch(this->LastRevision + 1);
+    this->waitForChanges(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), this->Changes[1].Entry.Value);
+  }
+
+  // Guards against a lapsed coordinator key that nobody notices.
+  void silentWatchMissingADeleteIsReported() {
+    this->call(StoreTxn{.Puts = {{keys::Coordinator, "7"}}});
+    this->watch(1);
+    this->waitForChanges(1);
+    this->Server->setFaults({{"silence_watches", true}});
+    this->Events.runUntil([] { return false; }, 300ms);
+    this->call(StoreTxn{.Deletes = {keys::Coordinator}});
+    this->waitForEnd(StatusCode::kUnavailable);
+  }
+
+  // Guards against updates of an earlier watch that reach its successor.
+  void replacedWatchIsNotInvokedAgain() {
+    int Earlier = 0;
+    this->Client->watch(1, [&](const StoreWatchUpdate &) { ++Earlier; });
+    this->watch(1);
+    this->call(writeOf(0, "a"));
+    this->waitForChanges(1);
+    this->Client->stopWatching();
+    this->call(StoreTxn{.Deletes = {keys::Assignment}});
+    this->Events.runUntil([] { return false; }, 50ms);
+    CPPUNIT_ASSERT_EQUAL(0, Earlier);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Changes.size());
+  }
+
+private:
+  StoreReply call(StoreRequestBody Body) {
+    std::optional<StoreReply> Reply;
+    this->Client->call({.Id = 7, .Body = std::move(Body)},
+                       [&](StoreReply Answer) { Reply = std::move(Answer); });
+    CPPUNIT_ASSERT(!Reply);
+    CPPUNIT_ASSERT(
+        this->Events.runUntil([&] { return Reply.has_value(); }, TestLimit));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, Reply->Id);
+    return *Reply;
+  }
+
+  StatusCode codeOf(StoreRequestBody Body) {
+    return this->call(std::move(Body)).Status.code();
+  }
+
+  void watch(std::int64_t From) {
+    this->Ended.reset();
+    this->Client->watch(From, [this](StoreWatchUpdate Update) {
+      this->LastRevision = Update.Revision;
+      if (!Update.Status.ok())
+        this->Ended = Update.Status;
+      for (StoreChange &Change : Update.Changes)
+        this->Changes.push_back(std::move(Change));
+    });
+  }
+
+  void waitForChanges(std::size_t Count) {
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return this->Changes.size() >= Count; }, TestLimit));
+    CPPUNIT_ASSERT_EQUAL(Count, this->Changes.size());
+  }
+
+  void waitForEnd(StatusCode Code) {
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return this->Ended.has_value(); }, TestLimit));
+    CPPUNIT_ASSERT(this->Ended->code() == Code);
+  }
+
+  // A port at which nothing listens.
+  static std::uint16_t closedPort() {
+    int Socket = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(Address);
+    CPPUNIT_ASSERT(
+        bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0);
+    getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
+    close(Socket);
+    return ntohs(Address.sin_port);
+  }
+
+  standins::Loop Events;
+  std::optional<standins::StoreServer> Server;
+  std::unique_ptr<EtcdClient> Client;
+  std::vector<StoreChange> Changes;
+  std::optional<absl::Status> Ended;
+  std::int64_t LastRevision = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreTest);
+
+} // namespace
+} // namespace orioledoor
