Compare deletes seen by a watch with the read before

Cause: a watch that had delivered a delete was reported as behind by the next read, since the number of keys was lower than at the earlier read. Change: a lower number of keys counts only if nothing was delivered since the earlier read was sent. Conclusion: deletes no longer end a healthy watch.

--- a/orioledoor/store/internal/watch_stream.cc
+++ b/orioledoor/store/internal/watch_stream.cc
@@ -128,12 +128,12 @@
   this->Probing = true;
   this->Pool.post("/v3/kv/range", encodePrefixState(keys::Root),
                   [this, Token = std::weak_ptr(this->Alive),
-                   Before = this->Delivered](const HttpResult &Result) {
+                   AtStart = this->Delivered](const HttpResult &Result) {
                     if (Token.expired() || this->Ended)
                       return;
                     this->Probing = false;
                     if (auto State = decodePrefixState(Result); State.ok())
-                      this->probed(*State, Before);
+                      this->probed(*State, AtStart);
                     armTimer(this->Timer.get(), this->isBehind()
                                                     ? this->Limits.WatchLag
                                                     : this->Limits.WatchProbe);
@@ -141,11 +141,13 @@
 }
 
 void WatchStream::probed(const PrefixState &State,
-                         std::int64_t DeliveredBefore) {
-  // A deleted key shows only in the count.
-  bool Deleted = this->LastCount >= 0 && State.Count < this->LastCount &&
-                 this->Delivered == DeliveredBefore;
+                         std::int64_t DeliveredAtStart) {
+  // A deleted key shows only in the count. A delete between two reads is
+  // missing if nothing was delivered since the start of the earlier one.
+  bool Deleted = State.Count < this->LastCount &&
+                 this->Delivered == this->DeliveredAtLastProbe;
   this->LastCount = State.Count;
+  this->DeliveredAtLastProbe = DeliveredAtStart;
   this->Expected =
       std::max(State.NewestRevision, Deleted ? this->Delivered + 1 : 0);
 }
--- a/orioledoor/store/internal/watch_stream.h
+++ b/orioledoor/store/internal/watch_stream.h
@@ -46,7 +46,7 @@
   void handle(WatchMessage Message);
   void timerExpired();
   void probe();
-  void probed(const PrefixState &State, std::int64_t DeliveredBefore);
+  void probed(const PrefixState &State, std::int64_t DeliveredAtStart);
   void end(const absl::Status &Status);
   void deliver(StoreWatchUpdate Update);
   void log(const EventDefinition &Event, std::string Detail);
@@ -74,8 +74,9 @@
   std::int64_t Delivered = 0;
   // A read has shown a change at or after this revision, if above Delivered.
   std::int64_t Expected = 0;
-  // The number of keys at the last read; negative before the first.
-  std::int64_t LastCount = -1;
+  // The number of keys at the last read, and Delivered when it was sent.
+  std::int64_t LastCount = 0;
+  std::int64_t DeliveredAtLastProbe = 0;
 };
 
 } // namespace orioledoor::internal
--- a/orioledoor/store/store_test.cc
+++ b/orioledoor/store/store_test.cc
@@ -200,11 +200,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), this->Changes[1].Entry.Value);
   }
 
-  // Guards against a lapsed coordinator key that nobody notices.
+  // Guards against a lapsed coordinator key that nobody notices, and against
+  // a watch that is ended because of a delete that it did deliver.
   void silentWatchMissingADeleteIsReported() {
     this->call(StoreTxn{.Puts = {{keys::Coordinator, "7"}}});
+    this->call(StoreTxn{.Puts = {{keys::Assignment, "a"}}});
     this->watch(1);
-    this->waitForChanges(1);
+    this->waitForChanges(2);
+    this->Events.runUntil([] { return false; }, 300ms);
+    this->call(StoreTxn{.Deletes = {keys::Assignment}});
+    this->waitForChanges(3);
+    CPPUNIT_ASSERT(
+        !this->Events.runUntil([&] { return this->Ended.has_value(); }, 600ms));
     this->Server->setFaults({{"silence_watches", true}});
     this->Events.runUntil([] { return false; }, 300ms);
     this->call(StoreTxn{.Deletes = {keys::Coordinator}});
