--- /dev/null
+++ b/orioledoor/requests/admission_queue.cc
@@ -0,0 +1,68 @@
+// Bounded queue by class and estimate of the wait.
+#include "orioledoor/requests/admission_queue.h"
+
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+#include <span>
+
+namespace orioledoor::requests {
+
+void AdmissionQueue::setSlots(std::uint32_t Count) { this->Slots = Count; }
+
+void AdmissionQueue::callEnded(Duration Took) {
+  --this->Running;
+  this->Typical += (Took - this->Typical) / 16;
+}
+
+Duration AdmissionQueue::expectedWait(ServiceClass Class) const {
+  if (this->slotFree())
+    return Duration{0};
+  std::size_t Ahead = 1;
+  for (const auto &Ids :
+       std::span(this->Waiting).first(static_cast<std::size_t>(Class) + 1))
+    Ahead += Ids.size();
+  return this->Typical * static_cast<std::int64_t>(Ahead) /
+         std::max<std::int64_t>(1, this->Slots);
+}
+
+AdmissionQueue::Pushed AdmissionQueue::push(std::uint64_t Id,
+                                            ServiceClass Class) {
+  Pushed Result;
+  auto Own = static_cast<std::size_t>(Class);
+  if (this->waiting() >= this->Slots * WaitingPerSlot) {
+    auto Cheaper = std::span(this->Waiting).subspan(Own + 1);
+    auto Victim =
+        std::ranges::find_if(Cheaper | std::views::reverse,
+                             [](const auto &Ids) { return !Ids.empty(); });
+    if (Victim == (Cheaper | std::views::reverse).end())
+      return Result;
+    Result.Shed = *Victim->rbegin();
+    Victim->erase(*Result.Shed);
+  }
+  this->Waiting[Own].insert(Id);
+  Result.Queued = true;
+  return Result;
+}
+
+std::optional<std::uint64_t> AdmissionQueue::pop() {
+  auto Found = std::ranges::find_if(
+      this->Waiting, [](const auto &Ids) { return !Ids.empty(); });
+  if (Found == this->Waiting.end())
+    return std::nullopt;
+  std::uint64_t Id = *Found->begin();
+  Found->erase(Found->begin());
+  return Id;
+}
+
+void AdmissionQueue::remove(std::uint64_t Id, ServiceClass Class) {
+  this->Waiting[static_cast<std::size_t>(Class)].erase(Id);
+}
+
+std::size_t AdmissionQueue::waiting() const {
+  return std::transform_reduce(this->Waiting.begin(), this->Waiting.end(),
+                               std::size_t{0}, std::plus<>(),
+                               [](const auto &Ids) { return Ids.size(); });
+}
+
+} // namespace orioledoor::requests
--- /dev/null
+++ b/orioledoor/requests/admission_queue.h
@@ -0,0 +1,66 @@
+// Requests that wait for a slot of the target, by class.
+#ifndef ORIOLEDOOR_REQUESTS_ADMISSION_QUEUE_H
+#define ORIOLEDOOR_REQUESTS_ADMISSION_QUEUE_H
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/catalogue/catalogue.h"
+
+namespace orioledoor::requests {
+
+// Not thread-safe. Ids rise in the order of arrival. All operations are
+// logarithmic at most.
+class AdmissionQueue {
+public:
+  // Sets the number of calls that may run at once, and with it the bound of
+  // the queue.
+  void setSlots(std::uint32_t Count);
+
+  // True if a call may start.
+  bool slotFree() const { return this->Running < this->Slots; }
+  void callStarted() { ++this->Running; }
+  // Notes the duration of a call that ended.
+  void callEnded(Duration Took);
+
+  // Expected wait of a new request of Class behind those that go first.
+  Duration expectedWait(ServiceClass Class) const;
+
+  // Outcome of push: the request was queued, and Shed, if any, lost its place
+  // to it.
+  struct Pushed {
+    bool Queued = false;
+    std::optional<std::uint64_t> Shed;
+  };
+
+  // Queues Id. If the queue is full, the newest request of a cheaper class
+  // loses its place; without one, Id is not queued.
+  Pushed push(std::uint64_t Id, ServiceClass Class);
+
+  // Removes and returns the oldest request of the most important class.
+  std::optional<std::uint64_t> pop();
+
+  void remove(std::uint64_t Id, ServiceClass Class);
+
+private:
+  // Requests that may wait per slot: at 20 slots and calls of 10 ms the last
+  // in the queue waits 80 ms.
+  static constexpr std::size_t WaitingPerSlot = 8;
+
+  std::size_t waiting() const;
+
+  // Indexed by ServiceClass.
+  std::array<std::set<std::uint64_t>, 3> Waiting;
+  std::uint32_t Slots = 0;
+  std::uint32_t Running = 0;
+  // Smoothed duration of a call.
+  Duration Typical = std::chrono::milliseconds(5);
+};
+
+} // namespace orioledoor::requests
+
+#endif // ORIOLEDOOR_REQUESTS_ADMISSION_QUEUE_H
--- /dev/null
+++ b/orioledoor/requests/answers.cc
@@ -0,0 +1,79 @@
+// Answers of nodes and the Oriole headers.
+#include "orioledoor/requests/answers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include "orioledoor/base/ids.h"
+
+namespace orioledoor::requests {
+
+std::string_view nameOf(Outcome Value) {
+  switch (Value) {
+  case Outcome::Ran:
+    return "ran";
+  case Outcome::NotRun:
+    return "not-run";
+  case Outcome::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+Answer answerRefusal(const Forward &Sent, const Refusal &Why) {
+  Answer Ended;
+  Ended.EntryId = Sent.EntryId;
+  Ended.RequestId = Sent.RequestId;
+  Ended.Result = Why.Result;
+  Ended.Retry = Why.Retry;
+  Ended.Answered.Status = Why.Status;
+  Ended.Answered.Body = Why.Message;
+  Ended.Step = Why.Step;
+  if (Why.RetryAfter) {
+    auto Seconds = std::chrono::ceil<std::chrono::seconds>(*Why.RetryAfter);
+    Ended.Answered.Headers.push_back(
+        Header{"Retry-After",
+               std::to_string(std::max<std::int64_t>(1, Seconds.count()))});
+  }
+  return Ended;
+}
+
+HttpAnswer completeAnswer(Answer Ended, Outcome Result) {
+  HttpAnswer Final = std::move(Ended.Answered);
+  if (!Ended.Step.empty()) {
+    nlohmann::json Body{{"outcome", nameOf(Result)},
+                        {"step", Ended.Step},
+                        {"peer", Ended.Peer},
+                        {"message", Final.Body}};
+    Final.Body =
+        Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    Final.Headers.push_back(Header{"Content-Type", "application/json"});
+  }
+  Final.Headers.push_back(
+      Header{"Oriole-Outcome", std::string(nameOf(Result))});
+  if (Ended.Owner) {
+    Final.Headers.push_back(
+        Header{"Oriole-Owner", std::to_string(Ended.Owner.Value)});
+    Final.Headers.push_back(
+        Header{"Oriole-Fence", std::to_string(Ended.Number.Value)});
+  }
+  return Final;
+}
+
+std::uint64_t crashDigest(const HttpRequest &Request) {
+  // Each part seeds the next, so that no two ways of splitting the same bytes
+  // into parts give the same digest.
+  std::uint64_t Digest = stableHash(Request.Service);
+  Digest = stableHash(Request.Method, Digest);
+  Digest = stableHash(Request.Key, Digest);
+  return stableHash(Request.Body, Digest);
+}
+
+std::uint64_t contentDigest(const HttpRequest &Request,
+                            std::uint64_t CrashDigest) {
+  return stableHash(Request.Path, CrashDigest);
+}
+
+} // namespace orioledoor::requests
--- a/orioledoor/requests/effect.h
+++ b/orioledoor/requests/effect.h
@@ -35,11 +35,13 @@
 // Calls the target beside this node.
 struct CallTarget {
   std::uint64_t CallId = 0;
-  HttpRequest Request;
+  SharedRequest Request;
   std::string OperationId;
   SliceRef Slice;
   Fence Number;
-  // The call is cancelled when this much time has passed.
+  // The call is cancelled, and the target told to stop, when this much time has
+  // passed. Ends before the permission unless the target checks fencing
+  // numbers.
   Duration Timeout{0};
   // The call must not be written at or after this time.
   Instant NotAfter;
--- a/orioledoor/requests/event.h
+++ b/orioledoor/requests/event.h
@@ -29,7 +29,7 @@
 struct CallerRequest {
   // Chosen by the shell, unique while the process lives.
   std::uint64_t CallerId = 0;
-  HttpRequest Request;
+  SharedRequest Request;
   // Empty if the caller sent no Idempotency-Key.
   std::string OperationId;
   // Zero if the caller named none.
@@ -40,6 +40,9 @@
   std::uint32_t Attempt = 0;
   // From Oriole-Age-Ms: time since the first send; empty if not stated.
   std::optional<Duration> Age;
+  // Time since the first byte of the request arrived. The deadline counts from
+  // there, so that a stalled upload cannot outlive its caller's resend.
+  Duration Elapsed{0};
   std::int64_t WallMicros = 0;
   // Random, from the shell; seeds the generated operation identifier.
   std::uint64_t Random = 0;
@@ -59,6 +62,7 @@
 // A message could not be handed to the connection: certainly not sent.
 struct PeerSendFailed {
   std::string To;
+  std::uint64_t EntryId = 0;
   std::uint64_t RequestId = 0;
 };
 
@@ -93,10 +97,14 @@
 
 // What the target announced, or its probes found.
 struct TargetChanged {
+  // Calls may start. Stays true while the target is leaving, until the slices
+  // have moved.
   bool Ready = false;
-  std::string Service;
+  std::string Service{};
   std::uint32_t Slots = 0;
   std::uint32_t Connections = 0;
+  // The target checks fencing numbers, so calls may outlast the permission.
+  bool ChecksFence = false;
   // The target was lost; calls in flight at that time count as crashes.
   bool Lost = false;
 };
@@ -118,6 +126,10 @@
 struct DropSlice {
   SliceRef Slice;
 };
+// The drain was given up; the node serves the slice again.
+struct ResumeSlice {
+  SliceRef Slice;
+};
 
 // The coordinator granted a share of a service's spend.
 struct SpendGranted {
@@ -126,10 +138,11 @@
   std::uint32_t Day = 0;
 };
 
-using Event = std::variant<Tick, CallerRequest, CallerGone, PeerMessage,
-                           PeerSendFailed, PeerLost, TargetAnswered,
-                           TargetFailed, TargetChanged, CatalogueChanged,
-                           DrainSlice, AdoptSlice, DropSlice, SpendGranted>;
+using Event =
+    std::variant<Tick, CallerRequest, CallerGone, PeerMessage, PeerSendFailed,
+                 PeerLost, TargetAnswered, TargetFailed, TargetChanged,
+                 CatalogueChanged, DrainSlice, AdoptSlice, DropSlice,
+                 ResumeSlice, SpendGranted>;
 
 } // namespace orioledoor::requests
 
--- a/orioledoor/requests/http_types.h
+++ b/orioledoor/requests/http_types.h
@@ -2,6 +2,7 @@
 #ifndef ORIOLEDOOR_REQUESTS_HTTP_TYPES_H
 #define ORIOLEDOOR_REQUESTS_HTTP_TYPES_H
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,10 @@
   std::string Body;
 };
 
+// Shared by the entry's record, its tries and the call, so that no retry copies
+// the body. Never null in events, messages and effects.
+using SharedRequest = std::shared_ptr<const HttpRequest>;
+
 struct HttpAnswer {
   int Status = 0;
   std::vector<Header> Headers;
--- a/orioledoor/requests/message.h
+++ b/orioledoor/requests/message.h
@@ -17,6 +17,21 @@
 // What is known about an operation after a request ended.
 enum class Outcome : std::uint8_t { Ran, NotRun, Unknown };
 
+// Whether the entry node may try again after an answer.
+enum class RetryAdvice : std::uint8_t {
+  // Another try would end the same way.
+  None,
+  // A target was involved: the retry counts against the caller's tries and the
+  // retry budget.
+  Counted,
+  // No target was involved (no owner yet, stale route): the retry is paced by
+  // the backoff only.
+  Free,
+  // The Forward named an old history; try again at once with the one in the
+  // answer.
+  HistoryChanged,
+};
+
 // An entry node passes a request to the owner.
 struct Forward {
   // Random number of the entry process. RequestId counts up within it, one
@@ -29,7 +44,10 @@
   // The slice's history that the entry node last saw in an Answer; 0 if none.
   // A late copy names an old history and is refused after a loss of it.
   std::uint64_t History = 0;
-  HttpRequest Request;
+  // Age of that history as the entry node knows it when it sends; not above
+  // the true age.
+  Duration HistoryAge{0};
+  SharedRequest Request;
   // Operation identifier; empty for idempotent requests without one.
   std::string OperationId;
   // Number of this send of the operation by the caller; 0 if the caller did
@@ -53,10 +71,10 @@
   // What is known about this try. NotRun also promises that no copy of the
   // Forward will run later.
   Outcome Result = Outcome::Unknown;
-  // Another try may succeed, as far as the answering node knows.
-  bool Retriable = false;
-  // The current history of the slice at the owner; 0 if not known.
+  RetryAdvice Retry = RetryAdvice::None;
+  // The current history of the slice at the owner and its age; 0 if not known.
   std::uint64_t History = 0;
+  Duration HistoryAge{0};
   HttpAnswer Answered;
   MemberId Owner;
   Fence Number;
--- a/orioledoor/requests/message_codec.cc
+++ b/orioledoor/requests/message_codec.cc
@@ -45,19 +45,20 @@
 }
 
 void pack(Packer &Out, const Forward &Value) {
-  packKind(Out, 18, Kind::Forward);
+  packKind(Out, 19, Kind::Forward);
   Out.pack(Value.EntryId);
   Out.pack(Value.RequestId);
   Out.pack(Value.ReplyTo);
   Out.pack(Value.Slice.Service.Value);
   Out.pack(Value.Slice.Slice);
   Out.pack(Value.History);
-  Out.pack(Value.Request.Method);
-  Out.pack(Value.Request.Service);
-  Out.pack(Value.Request.Key);
-  Out.pack(Value.Request.Path);
-  packHeaders(Out, Value.Request.Headers);
-  Out.pack(Value.Request.Body);
+  Out.pack(static_cast<std::int64_t>(Value.HistoryAge.count()));
+  Out.pack(Value.Request->Method);
+  Out.pack(Value.Request->Service);
+  Out.pack(Value.Request->Key);
+  Out.pack(Value.Request->Path);
+  packHeaders(Out, Value.Request->Headers);
+  Out.pack(Value.Request->Body);
   Out.pack(Value.OperationId);
   Out.pack(Value.Attempt);
   // -1 stands for an age that is not known.
@@ -68,12 +69,13 @@
 }
 
 void pack(Packer &Out, const Answer &Value) {
-  packKind(Out, 12, Kind::Answer);
+  packKind(Out, 13, Kind::Answer);
   Out.pack(Value.EntryId);
   Out.pack(Value.RequestId);
   Out.pack(static_cast<std::uint8_t>(Value.Result));
-  Out.pack(Value.Retriable);
+  Out.pack(static_cast<std::uint8_t>(Value.Retry));
   Out.pack(Value.History);
+  Out.pack(static_cast<std::int64_t>(Value.HistoryAge.count()));
   Out.pack(Value.Answered.Status);
   packHeaders(Out, Value.Answered.Headers);
   Out.pack(Value.Answered.Body);
@@ -98,7 +100,7 @@
 std::size_t sizeHint(const Message &Value) {
   constexpr std::size_t Fixed = 512;
   if (const auto *F = std::get_if<Forward>(&Value))
-    return Fixed + F->Request.Body.size();
+    return Fixed + F->Request->Body.size();
   if (const auto *A = std::get_if<Answer>(&Value))
     return Fixed + A->Answered.Body.size();
   return 32;
@@ -145,20 +147,23 @@
 };
 
 Forward readForward(FieldReader &In) {
-  In.expectCount(18);
+  In.expectCount(19);
   Forward Value;
+  auto Request = std::make_shared<HttpRequest>();
   Value.EntryId = In.take<std::uint64_t>();
   Value.RequestId = In.take<std::uint64_t>();
   Value.ReplyTo = In.take<std::string>();
   Value.Slice.Service.Value = In.take<std::uint32_t>();
   Value.Slice.Slice = In.take<std::uint32_t>();
   Value.History = In.take<std::uint64_t>();
-  Value.Request.Method = In.take<std::string>();
-  Value.Request.Service = In.take<std::string>();
-  Value.Request.Key = In.take<std::string>();
-  Value.Request.Path = In.take<std::string>();
-  Value.Request.Headers = In.takeHeaders();
-  Value.Request.Body = In.take<std::string>();
+  Value.HistoryAge = Duration(In.take<std::int64_t>());
+  Request->Method = In.take<std::string>();
+  Request->Service = In.take<std::string>();
+  Request->Key = In.take<std::string>();
+  Request->Path = In.take<std::string>();
+  Request->Headers = In.takeHeaders();
+  Request->Body = In.take<std::string>();
+  Value.Request = std::move(Request);
   Value.OperationId = In.take<std::string>();
   Value.Attempt = In.take<std::uint32_t>();
   if (auto Age = In.take<std::int64_t>(); Age >= 0)
@@ -170,7 +175,7 @@
 }
 
 Answer readAnswer(FieldReader &In) {
-  In.expectCount(12);
+  In.expectCount(13);
   Answer Value;
   Value.EntryId = In.take<std::uint64_t>();
   Value.RequestId = In.take<std::uint64_t>();
@@ -178,8 +183,12 @@
   if (Result > static_cast<std::uint8_t>(Outcome::Unknown))
     throw std::out_of_range("unknown outcome");
   Value.Result = static_cast<Outcome>(Result);
-  Value.Retriable = In.take<bool>();
+  auto Retry = In.take<std::uint8_t>();
+  if (Retry > static_cast<std::uint8_t>(RetryAdvice::HistoryChanged))
+    throw std::out_of_range("unknown retry advice");
+  Value.Retry = static_cast<RetryAdvice>(Retry);
   Value.History = In.take<std::uint64_t>();
+  Value.HistoryAge = Duration(In.take<std::int64_t>());
   Value.Answered.Status = In.take<int>();
   Value.Answered.Headers = In.takeHeaders();
   Value.Answered.Body = In.take<std::string>();
--- a/orioledoor/requests/message_codec_test.cc
+++ b/orioledoor/requests/message_codec_test.cc
@@ -14,9 +14,14 @@
   Value.ReplyTo = "tcp://127.0.0.1:9";
   Value.Slice = SliceRef{ServiceId{5}, 6};
   Value.History = 99;
+  Value.HistoryAge = Duration(77);
   Value.Request =
-      HttpRequest{"POST",       "licencias",  "font-17",
-                  "/seats?n=2", {{"A", "b"}}, std::string("x\0y", 3)};
+      std::make_shared<HttpRequest>(HttpRequest{"POST",
+                                                "licencias",
+                                                "font-17",
+                                                "/seats?n=2",
+                                                {{"A", "b"}},
+                                                std::string("x\0y", 3)});
   Value.OperationId = "op";
   Value.Attempt = 2;
   Value.Age = Duration(1234);
@@ -36,9 +41,16 @@
   // A field lost on the way would, for example, turn a resend into a first
   // send. Encoding the decoded message again compares all of them at once.
   void everyFieldSurvives() {
-    Answer Ended{1,           2,        Outcome::Ran,
-                 true,        3,        {200, {{"N", "v"}}, "body"},
-                 MemberId{4}, Fence{5}, "step",
+    Answer Ended{1,
+                 2,
+                 Outcome::Ran,
+                 RetryAdvice::Free,
+                 3,
+                 Duration(8),
+                 {200, {{"N", "v"}}, "body"},
+                 MemberId{4},
+                 Fence{5},
+                 "step",
                  "peer"};
     for (const Message &Value :
          {Message(sampleForward()), Message(Ended), Message(Cancel{1, 2}),
@@ -52,7 +64,7 @@
     auto Back =
         std::get<Forward>(*decodeMessage(encodeMessage(sampleForward())));
     CPPUNIT_ASSERT(Back.Age == Duration(1234));
-    CPPUNIT_ASSERT_EQUAL(std::string("x\0y", 3), Back.Request.Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("x\0y", 3), Back.Request->Body);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, Back.Attempt);
   }
 
--- /dev/null
+++ b/orioledoor/requests/pending_request.h
@@ -0,0 +1,60 @@
+// A caller's request that the entry node has not answered yet.
+#ifndef ORIOLEDOOR_REQUESTS_PENDING_REQUEST_H
+#define ORIOLEDOOR_REQUESTS_PENDING_REQUEST_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "orioledoor/base/ids.h"
+#include "orioledoor/base/instant.h"
+#include "orioledoor/requests/http_types.h"
+#include "orioledoor/requests/message.h"
+
+namespace orioledoor::requests {
+
+struct PendingRequest {
+  std::uint64_t CallerId = 0;
+  SharedRequest Request;
+  std::string OperationId;
+  SliceRef Slice;
+  std::uint64_t Digest = 0;
+  std::uint32_t Attempt = 0;
+  // At ArrivedAt; empty if the caller did not state it.
+  std::optional<Duration> Age;
+  Instant ArrivedAt;
+  Instant Deadline;
+  bool Idempotent = false;
+  // Any member of the service may serve it.
+  bool AnyMember = false;
+  // The caller may have sent the operation before, so nothing that happens
+  // here proves that it did not run.
+  bool MaybeResend = false;
+  // A try of this request may have run.
+  bool MayHaveRun = false;
+
+  // Tries that may have reached a target, at most MaxTries.
+  std::uint32_t Tries = 0;
+  std::uint32_t MaxTries = 1;
+  // Retries so far, of any kind; sets the backoff.
+  std::uint32_t Backoffs = 0;
+  std::uint32_t HistoryChanges = 0;
+  // RequestId of the try that is open, or 0.
+  std::uint64_t OpenTry = 0;
+  // Where the open or last try went.
+  std::string Peer;
+  MemberId Member;
+
+  // While no try is open: when to try again.
+  std::optional<Instant> RetryAt;
+  // Since when no owner could be reached.
+  std::optional<Instant> WaitingSince;
+  // After the connection to Peer was lost: how long to wait for the answer.
+  std::optional<Instant> GraceUntil;
+  // Why the last try failed.
+  Answer LastFailure;
+};
+
+} // namespace orioledoor::requests
+
+#endif // ORIOLEDOOR_REQUESTS_PENDING_REQUEST_H
--- /dev/null
+++ b/orioledoor/requests/rate_limiter.h
@@ -0,0 +1,32 @@
+// Token bucket for this node's share of a service's rate limit.
+#ifndef ORIOLEDOOR_REQUESTS_RATE_LIMITER_H
+#define ORIOLEDOOR_REQUESTS_RATE_LIMITER_H
+
+#include "orioledoor/base/instant.h"
+
+namespace orioledoor::requests {
+
+// Not thread-safe. All operations are constant.
+class RateLimiter {
+public:
+  // Takes one token of a bucket that fills at Limit x Share a second. A Limit
+  // of 0 means unlimited.
+  bool tryTake(double Limit, double Share, Instant Now);
+
+  // Time until a token is available at the rate of the last tryTake.
+  Duration untilNext() const;
+
+private:
+  // Largest burst, as time at the node's rate. A bucket holds at least one
+  // token, since a share of a small limit would admit nothing otherwise.
+  static constexpr double BurstSeconds = 0.1;
+
+  bool Started = false;
+  double Tokens = 0;
+  double Rate = 0;
+  Instant RefilledAt;
+};
+
+} // namespace orioledoor::requests
+
+#endif // ORIOLEDOOR_REQUESTS_RATE_LIMITER_H
