Merge the member side; let acting successors promise

Cause: two members lost at once whose successors act for each other's pages each refused the promise that the other's record needed, so neither loss would ever be recorded.

--- a/orioledoor/ownership/slice_keeper.cc
+++ b/orioledoor/ownership/slice_keeper.cc
@@ -2,7 +2,9 @@
 #include "orioledoor/ownership/slice_keeper.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <span>
 #include <utility>
 
 #include "orioledoor/ownership/events.h"
@@ -92,7 +94,8 @@
       });
   if (this->Node.Current->Version < this->PromisedVersion)
     std::erase_if(Mine, [&](const OwnedSlice &S) {
-      return S.Position > 0 && !this->Taken.contains(S.Slice);
+      return S.Position > 0 && !this->Taken.contains(S.Slice) &&
+             !this->Owned.contains(S.Slice);
     });
 
   std::size_t Before = this->Owned.size();
@@ -279,14 +282,23 @@
 
 void SliceKeeper::handle(const std::string &From,
                          const PromiseRequest &Received, Effects &Output) {
-  // A node that acts as a successor now cannot promise not to; it is asked
-  // again once the record names it as owner.
-  bool Acting = std::ranges::any_of(
-      this->Owned, [](const auto &Entry) { return Entry.second.Position > 0; });
-  if (!this->Node.Id || Acting)
+  if (!this->Node.Id)
     return;
   this->PromisedVersion = std::max(this->PromisedVersion, Received.Version);
-  Output.push_back(SendPeer{From, Promise{this->Node.Id, Received.Version}});
+  Output.push_back(SendPeer{
+      From, Promise{this->Node.Id, Received.Version, this->actingFor()}});
+}
+
+std::vector<MemberId> SliceKeeper::actingFor() const {
+  std::set<MemberId> Result;
+  for (const auto &[Slice, Of] : this->Owned) {
+    if (Of.Position == 0 || this->Taken.contains(Slice))
+      continue;
+    SuccessionList List = this->Node.Current->successionOf(Slice);
+    std::ranges::copy(std::span(List.Members).first(Of.Position),
+                      std::inserter(Result, Result.end()));
+  }
+  return {Result.begin(), Result.end()};
 }
 
 } // namespace orioledoor::ownership
