--- a/orioledoor/standins/exchange.cc
+++ b/orioledoor/standins/exchange.cc
@@ -51,8 +51,9 @@
 
 } // namespace
 
-Exchange::Exchange(Loop &Events, evhttp_request *Request)
-    : Events(Events), Request(Request),
+Exchange::Exchange(Loop &Events, ServerConnection &Connection,
+                   evhttp_request *Request)
+    : Events(Events), Connection(&Connection), Request(Request),
       Method(nameOf(evhttp_request_get_command(Request))) {
   const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
   this->Path = orEmpty(Uri ? evhttp_uri_get_path(Uri) : nullptr);
@@ -60,14 +61,10 @@
   evbuffer *Input = evhttp_request_get_input_buffer(Request);
   this->Body.resize(evbuffer_get_length(Input));
   evbuffer_copyout(Input, this->Body.data(), this->Body.size());
-  evhttp_connection *Connection = evhttp_request_get_connection(Request);
-  evhttp_connection_set_closecb(
-      Connection,
-      [](evhttp_connection *, void *Self) {
-        static_cast<Exchange *>(Self)->closed();
-      },
-      this);
-  bufferevent_enable(evhttp_connection_get_bufferevent(Connection), EV_READ);
+  Connection.Current = this;
+  bufferevent_enable(evhttp_connection_get_bufferevent(
+                         evhttp_request_get_connection(Request)),
+                     EV_READ);
 }
 
 Exchange::~Exchange() {
@@ -82,6 +79,7 @@
   if (this->Request && evhttp_request_get_connection(this->Request))
     this->Request = nullptr;
   this->Closed = true;
+  this->Connection = nullptr;
   // The function may hold the last reference to this exchange.
   auto Keep = this->weak_from_this().lock();
   if (auto Function = std::exchange(this->ClosedFunction, nullptr))
@@ -89,12 +87,10 @@
 }
 
 evhttp_request *Exchange::take() {
-  evhttp_request *Taken = std::exchange(this->Request, nullptr);
   this->ClosedFunction = nullptr;
-  if (Taken)
-    if (evhttp_connection *Connection = evhttp_request_get_connection(Taken))
-      evhttp_connection_set_closecb(Connection, nullptr, nullptr);
-  return Taken;
+  if (ServerConnection *Open = std::exchange(this->Connection, nullptr))
+    Open->Current = nullptr;
+  return std::exchange(this->Request, nullptr);
 }
 
 std::string Exchange::header(std::string_view Name) const {
@@ -142,12 +138,11 @@
   this->Events.after(Duration(0), [Self = this->shared_from_this()] {
     if (!Self->Request)
       return;
-    evhttp_connection *Connection =
-        evhttp_request_get_connection(Self->Request);
-    if (!Connection)
+    evhttp_connection *Open = evhttp_request_get_connection(Self->Request);
+    if (!Open)
       return Self->reply(500, "");
     // Runs closed().
-    evhttp_connection_free(Connection);
+    evhttp_connection_free(Open);
   });
 }
 
--- a/orioledoor/standins/exchange.h
+++ b/orioledoor/standins/exchange.h
@@ -18,15 +18,23 @@
 
 namespace orioledoor::standins {
 
+class Exchange;
 class Loop;
 
+// A connection to a stand-in's server, as long as it is open.
+struct ServerConnection {
+  // The exchange that is being served, if any.
+  Exchange *Current = nullptr;
+};
+
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
 // Not thread-safe. An exchange that is destroyed without an answer is
 // answered with 500.
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
-  Exchange(Loop &Events, evhttp_request *Request);
+  // Connection outlives the exchange unless it calls closed().
+  Exchange(Loop &Events, ServerConnection &Connection, evhttp_request *Request);
   ~Exchange();
   Exchange(const Exchange &) = delete;
   Exchange &operator=(const Exchange &) = delete;
@@ -58,12 +66,15 @@
   void onClosed(std::function<void()> Function);
   bool isClosed() const { return this->Closed; }
 
-private:
+  // Called by the server when the connection is closed.
   void closed();
+
+private:
   // The request, which the caller must answer; null after the first call.
   evhttp_request *take();
 
   Loop &Events;
+  ServerConnection *Connection;
   evhttp_request *Request;
   bool Closed = false;
   bool Streaming = false;
--- a/orioledoor/standins/http_server.cc
+++ b/orioledoor/standins/http_server.cc
@@ -30,7 +30,8 @@
       this->Http,
       [](evhttp_request *Request, void *Argument) {
         auto *Self = static_cast<HttpServer *>(Argument);
-        Self->OnRequest(std::make_shared<Exchange>(Self->Events, Request));
+        Self->OnRequest(std::make_shared<Exchange>(
+            Self->Events, Self->connectionOf(Request), Request));
       },
       this);
   evhttp_bound_socket *Bound =
@@ -48,4 +49,25 @@
 
 HttpServer::~HttpServer() { evhttp_free(this->Http); }
 
+ServerConnection &HttpServer::connectionOf(evhttp_request *Request) {
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
+  std::unique_ptr<ServerConnection> &Known = this->Connections[Connection];
+  if (!Known) {
+    Known = std::make_unique<ServerConnection>();
+    evhttp_connection_set_closecb(
+        Connection,
+        [](evhttp_connection *Closed, void *Self) {
+          static_cast<HttpServer *>(Self)->closed(Closed);
+        },
+        this);
+  }
+  return *Known;
+}
+
+void HttpServer::closed(evhttp_connection *Connection) {
+  auto Node = this->Connections.extract(Connection);
+  if (!Node.empty() && Node.mapped()->Current)
+    Node.mapped()->Current->closed();
+}
+
 } // namespace orioledoor::standins
--- a/orioledoor/standins/http_server.h
+++ b/orioledoor/standins/http_server.h
@@ -9,11 +9,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <unordered_map>
 
 #include "orioledoor/standins/exchange.h"
 
 struct evhttp;
-struct evhttp_bound_socket;
+struct evhttp_connection;
+struct evhttp_request;
 
 namespace orioledoor::standins {
 
@@ -32,10 +34,18 @@
 
   std::uint16_t port() const { return this->Port; }
 
+  // Open connections over which at least one request has arrived.
+  std::size_t openConnections() const { return this->Connections.size(); }
+
 private:
+  ServerConnection &connectionOf(evhttp_request *Request);
+  void closed(evhttp_connection *Connection);
+
   Loop &Events;
   Handler OnRequest;
   evhttp *Http;
+  std::unordered_map<evhttp_connection *, std::unique_ptr<ServerConnection>>
+      Connections;
   std::uint16_t Port = 0;
 };
 
