--- /dev/null
+++ b/orioledoor/daemon/main.cc
@@ -0,0 +1,136 @@
+// The orioledoor binary: reads the settings and runs one node until it is
+// asked to stop.
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/program_options.hpp>
+#include <event2/event.h>
+
+#include "orioledoor/catalogue/parse_catalogue.h"
+#include "orioledoor/catalogue/settings.h"
+#include "orioledoor/daemon/node.h"
+#include "orioledoor/telemetry/logger.h"
+
+namespace orioledoor::daemon {
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr char Version[] = "orioledoor 0.1.0";
+// Exit statuses.
+constexpr int UsageError = 2;
+constexpr int SettingsError = 3;
+
+struct BaseDeleter {
+  void operator()(event_base *Owned) const { event_base_free(Owned); }
+};
+struct EventDeleter {
+  void operator()(event *Owned) const { event_free(Owned); }
+};
+using EventPtr = std::unique_ptr<event, EventDeleter>;
+
+Severity severityOf(const std::string &Level) {
+  if (Level == "debug")
+    return Severity::Debug;
+  if (Level == "warn")
+    return Severity::Warn;
+  return Level == "error" ? Severity::Error : Severity::Info;
+}
+
+absl::StatusOr<Settings> readSettings(const std::string &FileName) {
+  std::ifstream File(FileName);
+  if (!File)
+    return absl::NotFoundError(FileName + ": cannot be opened for reading");
+  std::string Text((std::istreambuf_iterator<char>(File)), {});
+  return parseSettings(Text, FileName);
+}
+
+EventPtr stopOn(event_base *Base, int Signal, Node &Running) {
+  EventPtr Made(evsignal_new(
+      Base, Signal,
+      [](evutil_socket_t, short, void *Context) {
+        static_cast<Node *>(Context)->requestStop();
+      },
+      &Running));
+  event_add(Made.get(), nullptr);
+  return Made;
+}
+
+int runNode(const Settings &Own) {
+  // Writes to closed connections report an error instead.
+  std::signal(SIGPIPE, SIG_IGN);
+  Logger Log(Own.NodeName, severityOf(Own.LogLevel));
+  // A batch of system calls a turn instead of one for each change of interest.
+  std::unique_ptr<event_config, decltype(&event_config_free)> Config(
+      event_config_new(), event_config_free);
+  event_config_set_flag(Config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  std::unique_ptr<event_base, BaseDeleter> Base(
+      event_base_new_with_config(Config.get()));
+  auto Started = Node::start(Base.get(), Own, Log);
+  if (!Started.ok()) {
+    std::cerr << "orioledoor: " << Started.status().message() << "\n";
+    return EXIT_FAILURE;
+  }
+  EventPtr OnTerm = stopOn(Base.get(), SIGTERM, **Started);
+  EventPtr OnInterrupt = stopOn(Base.get(), SIGINT, **Started);
+  event_base_dispatch(Base.get());
+  return EXIT_SUCCESS;
+}
+
+int run(int Count, char **Arguments) {
+  options::options_description Known("Options");
+  auto Add = Known.add_options();
+  Add("settings", options::value<std::string>()->value_name("FILE"),
+      "settings of this node (YAML)");
+  Add("check", "check the settings and exit");
+  Add("help", "print this help and exit");
+  Add("version", "print the version and exit");
+  options::variables_map Given;
+  options::store(options::parse_command_line(Count, Arguments, Known), Given);
+  options::notify(Given);
+  if (Given.contains("help")) {
+    std::cout << "Usage: orioledoor --settings FILE [--check]\n"
+                 "Runs one node of the request router.\n\n"
+              << Known
+              << "\nExit status: 0 after a graceful stop, 1 if the node cannot "
+                 "listen, 2 for wrong\noptions, 3 for wrong settings.\n";
+    return EXIT_SUCCESS;
+  }
+  if (Given.contains("version")) {
+    std::cout << Version << "\n";
+    return EXIT_SUCCESS;
+  }
+  if (!Given.contains("settings")) {
+    std::cerr << "orioledoor: --settings FILE is missing; see --help\n";
+    return UsageError;
+  }
+  absl::StatusOr<Settings> Own =
+      readSettings(Given["settings"].as<std::string>());
+  if (!Own.ok()) {
+    std::cerr << "orioledoor: " << Own.status().message() << "\n";
+    return SettingsError;
+  }
+  if (Given.contains("check")) {
+    std::cout << "the settings are correct\n";
+    return EXIT_SUCCESS;
+  }
+  return runNode(*Own);
+}
+
+} // namespace
+} // namespace orioledoor::daemon
+
+int main(int Count, char **Arguments) {
+  try {
+    return orioledoor::daemon::run(Count, Arguments);
+  } catch (const boost::program_options::error &Error) {
+    std::cerr << "orioledoor: " << Error.what() << "; see --help\n";
+    return orioledoor::daemon::UsageError;
+  }
+}
--- a/orioledoor/wire/caller_request.cc
+++ b/orioledoor/wire/caller_request.cc
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <charconv>
 #include <limits>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -141,8 +142,9 @@
 absl::StatusOr<requests::CallerRequest>
 parseCallerRequest(IncomingRequest Incoming) {
   requests::CallerRequest Result;
+  auto Request = std::make_shared<requests::HttpRequest>();
   std::vector<requests::Header> &Headers = Incoming.Headers;
-  if (absl::Status Parsed = parseTarget(Incoming.Target, Result.Request);
+  if (absl::Status Parsed = parseTarget(Incoming.Target, *Request);
       !Parsed.ok())
     return Parsed;
   Result.OperationId = takeHeader(Headers, "Idempotency-Key").value_or("");
@@ -166,9 +168,10 @@
   Result.Attempt = static_cast<std::uint32_t>(std::min(*Attempt, MaxCount));
   if (*Age != Missing)
     Result.Age = std::chrono::milliseconds(std::min(*Age, MaxMillis));
-  Result.Request.Method = std::move(Incoming.Method);
-  Result.Request.Headers = std::move(Headers);
-  Result.Request.Body = std::move(Incoming.Body);
+  Request->Method = std::move(Incoming.Method);
+  Request->Headers = std::move(Headers);
+  Request->Body = std::move(Incoming.Body);
+  Result.Request = std::move(Request);
   return Result;
 }
 
--- a/orioledoor/wire/caller_request.h
+++ b/orioledoor/wire/caller_request.h
@@ -16,7 +16,7 @@
 
 struct IncomingRequest;
 
-// Leaves CallerId, WallMicros and Random to the caller of this function. The
+// Leaves CallerId, Elapsed, WallMicros and Random to the caller of this function. The
 // headers that the event carries as fields are taken out of the request's
 // headers. Errors: kInvalidArgument, with what is wrong.
 absl::StatusOr<requests::CallerRequest>
--- a/orioledoor/wire/caller_request_test.cc
+++ b/orioledoor/wire/caller_request_test.cc
@@ -22,6 +22,7 @@
                                .Target = std::move(Target),
                                .Headers = std::move(Headers),
                                .Body = "b",
+                               .FirstByteAt = {},
                                .FromLoopback = true});
   }
 
@@ -33,16 +34,16 @@
                                                {"Oriole-Age-Ms", "0"},
                                                {"X-Own", "kept"}});
     CPPUNIT_ASSERT(Parsed.ok());
-    CPPUNIT_ASSERT_EQUAL(std::string("rotaboard"), Parsed->Request.Service);
-    CPPUNIT_ASSERT_EQUAL(std::string("key-1"), Parsed->Request.Key);
-    CPPUNIT_ASSERT_EQUAL(std::string("/slots?day=2"), Parsed->Request.Path);
+    CPPUNIT_ASSERT_EQUAL(std::string("rotaboard"), Parsed->Request->Service);
+    CPPUNIT_ASSERT_EQUAL(std::string("key-1"), Parsed->Request->Key);
+    CPPUNIT_ASSERT_EQUAL(std::string("/slots?day=2"), Parsed->Request->Path);
     CPPUNIT_ASSERT_EQUAL(std::string("op-7"), Parsed->OperationId);
     CPPUNIT_ASSERT(Parsed->Timeout == std::chrono::milliseconds(1500));
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, Parsed->Attempt);
     CPPUNIT_ASSERT(Parsed->Age == Duration(0));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Parsed->Request.Headers.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Parsed->Request->Headers.size());
     CPPUNIT_ASSERT_EQUAL(std::string("/rotaboard/key-1/slots?day=2"),
-                         targetOf(Parsed->Request));
+                         targetOf(*Parsed->Request));
   }
 
   // Two spellings of a key in two slices would have two owners.
@@ -50,10 +51,10 @@
     auto Plain = parse("/s/a~b");
     auto Encoded = parse("/s/%61%7Eb?q");
     CPPUNIT_ASSERT(Plain.ok() && Encoded.ok());
-    CPPUNIT_ASSERT_EQUAL(Plain->Request.Key, Encoded->Request.Key);
+    CPPUNIT_ASSERT_EQUAL(Plain->Request->Key, Encoded->Request->Key);
     auto Slash = parse("/s/a%2Fb/c");
-    CPPUNIT_ASSERT_EQUAL(std::string("a/b"), Slash->Request.Key);
-    CPPUNIT_ASSERT_EQUAL(std::string("/s/a%2Fb/c"), targetOf(Slash->Request));
+    CPPUNIT_ASSERT_EQUAL(std::string("a/b"), Slash->Request->Key);
+    CPPUNIT_ASSERT_EQUAL(std::string("/s/a%2Fb/c"), targetOf(*Slash->Request));
   }
 
   void malformedPathsAreRefused() {
--- a/orioledoor/wire/http_client.h
+++ b/orioledoor/wire/http_client.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "orioledoor/base/instant.h"
@@ -32,7 +33,8 @@
   // Path and query.
   std::string Target;
   std::vector<requests::Header> Headers;
-  std::string Body;
+  // Copied by call().
+  std::string_view Body;
   // The call is cancelled when this much time has passed.
   Duration Timeout = std::chrono::seconds(30);
   // No byte is written at or after this time; the call then fails as NotSent.
--- a/orioledoor/wire/http_server.cc
+++ b/orioledoor/wire/http_server.cc
@@ -111,6 +111,7 @@
     std::uint64_t Id = 0;
     // Bytes of a request arrived that evhttp has not delivered yet.
     bool Receiving = false;
+    Instant FirstByteAt;
     bool HeadersComplete = false;
     std::size_t HeaderBytes = 0;
     // The bytes that are added to the output come from reply().
@@ -120,7 +121,8 @@
 
     // Follows the bytes of the request that is being received.
     void noteInput(evbuffer *Buffer, std::size_t Added) {
-      this->Receiving = true;
+      if (!std::exchange(this->Receiving, true))
+        this->FirstByteAt = readClock();
       if (this->HeadersComplete)
         return;
       std::size_t Length = evbuffer_get_length(Buffer);
@@ -292,17 +294,20 @@
         .Target = evhttp_request_get_uri(Request),
         .Headers = internal::endToEndHeaders(*Headers),
         .Body = std::string(evbuffer_get_length(Body), '\0'),
+        .FirstByteAt = Of.FirstByteAt,
         .FromLoopback = isLoopback(Of.Http)};
     evbuffer_remove(Body, Incoming.Body.data(), Incoming.Body.size());
     this->Callbacks.Received(Of.Id, std::move(Incoming));
   }
 
-  void reply(std::uint64_t Id, const requests::HttpAnswer &Answer) {
+  std::optional<Duration> reply(std::uint64_t Id,
+                                const requests::HttpAnswer &Answer) {
     auto Found = this->ById.find(Id);
     if (Found == this->ById.end())
-      return;
+      return std::nullopt;
     Connection &Of = *Found->second;
     this->ById.erase(Found);
+    Duration Took = readClock() - Of.FirstByteAt;
     evhttp_request *Request = std::exchange(Of.Request, nullptr);
     Of.Id = 0;
     evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
@@ -329,6 +334,7 @@
     evbuffer *Input = bufferevent_get_input(Of.Stream);
     if (std::size_t Waiting = evbuffer_get_length(Input))
       Of.noteInput(Input, Waiting);
+    return Took;
   }
 
   absl::Status listen() {
@@ -378,8 +384,22 @@
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(Own)));
 }
 
-void HttpServer::reply(std::uint64_t Id, const requests::HttpAnswer &Answer) {
-  this->Own->reply(Id, Answer);
+std::optional<Duration>
+HttpServer::reply(std::uint64_t Id, const requests::HttpAnswer &Answer) {
+  return this->Own->reply(Id, Answer);
+}
+
+requests::HttpAnswer errorAnswer(int Status, const absl::Status &Error) {
+  // The message repeats step and peer, which have fields of their own.
+  std::string Message(Error.message());
+  std::string Step = stepOf(Error);
+  std::string Peer = peerOf(Error);
+  std::string Prefix = Step + (Peer.empty() ? "" : " at " + Peer) + ": ";
+  if (Message.starts_with(Prefix))
+    Message.erase(0, Prefix.size());
+  return {Status,
+          {{"Content-Type", "application/json"}, {"Oriole-Outcome", "not-run"}},
+          internal::errorBody("not-run", Step, Peer, Message)};
 }
 
 std::size_t HttpServer::openRequests() const { return this->Own->ById.size(); }
--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -16,10 +16,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "orioledoor/base/instant.h"
 #include "orioledoor/catalogue/settings.h"
 #include "orioledoor/requests/http_types.h"
 
@@ -34,6 +36,7 @@
   std::string Target;
   std::vector<requests::Header> Headers;
   std::string Body;
+  Instant FirstByteAt;
   bool FromLoopback = false;
 };
 
@@ -51,6 +54,10 @@
   std::function<void(std::uint64_t Id)> Gone;
 };
 
+// The JSON error answer of section 7.1 of the design, outcome not-run, with
+// the step and the peer of Error.
+requests::HttpAnswer errorAnswer(int Status, const absl::Status &Error);
+
 // Writes to closed connections must not raise SIGPIPE: the process ignores it.
 // Not thread-safe: all calls and callbacks happen on the loop's thread.
 class HttpServer {
@@ -63,9 +70,10 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
-  // Ends a request. An Id that is gone is ignored. May be called from within
-  // Received.
-  void reply(std::uint64_t Id, const requests::HttpAnswer &Answer);
+  // Ends a request and returns the time since its first byte arrived. An Id
+  // that is gone is ignored. May be called from within Received.
+  std::optional<Duration> reply(std::uint64_t Id,
+                                const requests::HttpAnswer &Answer);
 
   // Requests received and not yet answered.
   std::size_t openRequests() const;
--- a/orioledoor/wire/http_server_test.cc
+++ b/orioledoor/wire/http_server_test.cc
@@ -37,7 +37,7 @@
     auto Opened = HttpServer::open(
         this->Events.base(), Options,
         {.Received =
-             [this](std::uint64_t Id, IncomingRequest Request) {
+             [this](std::uint64_t Id, const IncomingRequest &Request) {
                ++this->Received;
                if (Request.Target.starts_with("/hold"))
                  this->Held.push_back(Id);
@@ -79,7 +79,7 @@
     return Answer.starts_with("HTTP/1.1 " + Status + " ") &&
            Answer.find("{\"outcome\":\"not-run\",\"step\":\"receive request\","
                        "\"peer\":\"\",\"message\":") != std::string::npos &&
-           Answer.find("<") == std::string::npos;
+           Answer.find('<') == std::string::npos;
   }
 
   void answersPipelinedRequestsInOrder() {
--- a/orioledoor/wire/internal/http_headers.h
+++ b/orioledoor/wire/internal/http_headers.h
@@ -8,7 +8,7 @@
 
 #include "orioledoor/requests/http_types.h"
 
-struct evkeyvalq;
+struct evkeyvalq; // NOLINT(readability-identifier-naming)
 
 namespace orioledoor::wire::internal {
 
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -41,14 +41,14 @@
 
 struct QueuedFrame {
   Channel Kind;
-  std::uint64_t Tag;
+  FrameTag Tag;
   std::size_t Bytes;
 };
 
 struct RefusedFrame {
   std::string To;
   Channel Kind;
-  std::uint64_t Tag;
+  FrameTag Tag;
 };
 
 struct Peer {
@@ -157,7 +157,7 @@
     event_active(this->FlushEvent.get(), 0, 0);
   }
 
-  void refuse(std::string_view To, Channel Kind, std::uint64_t Tag) {
+  void refuse(std::string_view To, Channel Kind, FrameTag Tag) {
     ++this->Counters.FramesNotSent;
     this->Refused.push_back({std::string(To), Kind, Tag});
     event_active(this->FlushEvent.get(), 0, 0);
@@ -257,7 +257,7 @@
   }
 
   void send(std::string_view To, Channel Kind, std::string_view Payload,
-            std::uint64_t Tag) {
+            FrameTag Tag) {
     bool Valid = !To.empty() && To.size() <= MaxAddressBytes &&
                  Payload.size() <= MaxPayloadBytes;
     Peer *Found = Valid ? this->peerFor(To) : nullptr;
@@ -510,7 +510,7 @@
 }
 
 void PeerTransport::send(std::string_view To, Channel Kind,
-                         std::string_view Payload, std::uint64_t Tag) {
+                         std::string_view Payload, FrameTag Tag) {
   this->Own->send(To, Kind, Payload, Tag);
 }
 
--- a/orioledoor/wire/peer_transport.h
+++ b/orioledoor/wire/peer_transport.h
@@ -31,6 +31,14 @@
 
 namespace orioledoor::wire {
 
+// Names a frame to its sender when it comes back as not sent.
+struct FrameTag {
+  std::uint64_t Scope = 0;
+  std::uint64_t Id = 0;
+
+  friend bool operator==(const FrameTag &, const FrameTag &) = default;
+};
+
 // Frames and their payload bytes with headers, of one channel.
 struct ChannelCounters {
   std::uint64_t FramesOut = 0;
@@ -73,7 +81,7 @@
                      std::string_view Payload)>
       Received;
   // The frame was certainly not sent. Never called from within send().
-  std::function<void(std::string_view To, Channel Kind, std::uint64_t Tag)>
+  std::function<void(std::string_view To, Channel Kind, FrameTag Tag)>
       NotSent;
   // The connection to Peer is gone; frames handed to it may be lost.
   std::function<void(std::string_view Peer)> Lost;
@@ -93,7 +101,7 @@
 
   // Queues a frame; never blocks. Tag comes back with NotSent.
   void send(std::string_view To, Channel Kind, std::string_view Payload,
-            std::uint64_t Tag = 0);
+            FrameTag Tag = {});
 
   // An answer from Peer is awaited until the given time at most; answered()
   // ends one such wait.
--- a/orioledoor/wire/peer_transport_test.cc
+++ b/orioledoor/wire/peer_transport_test.cc
@@ -33,7 +33,7 @@
                                         std::string(Payload.substr(0, 20)));
              },
          .NotSent = [this](std::string_view, Channel,
-                           std::uint64_t Tag) { this->NotSent.push_back(Tag); },
+                           FrameTag Tag) { this->NotSent.push_back(Tag.Id); },
          .Lost =
              [this](std::string_view Peer) { this->Lost.emplace_back(Peer); },
          .Log = {}});
@@ -85,8 +85,8 @@
 
   // Only a frame that certainly was not sent may be sent to another owner.
   void unreachablePeerIsReportedAsNotSent() {
-    this->A.Transport->send(Second, Channel::Requests, "x", 7);
-    this->A.Transport->send("nonsense", Channel::Requests, "x", 8);
+    this->A.Transport->send(Second, Channel::Requests, "x", {1, 7});
+    this->A.Transport->send("nonsense", Channel::Requests, "x", {1, 8});
     CPPUNIT_ASSERT(
         this->runUntil([this] { return this->A.NotSent.size() == 2; }));
     CPPUNIT_ASSERT((this->A.NotSent == std::vector<std::uint64_t>{8, 7}));
@@ -96,9 +96,9 @@
   void oversizedPayloadIsNotSent() {
     this->B.open(this->Events, Second);
     this->A.Transport->send(Second, Channel::Control,
-                            std::string(MaxPayloadBytes + 1, 'x'), 1);
+                            std::string(MaxPayloadBytes + 1, 'x'), {1, 1});
     this->A.Transport->send(Second, Channel::Control,
-                            std::string(MaxPayloadBytes, 'x'), 2);
+                            std::string(MaxPayloadBytes, 'x'), {1, 2});
     CPPUNIT_ASSERT(
         this->runUntil([this] { return !this->B.Received.empty(); }));
     CPPUNIT_ASSERT((this->A.NotSent == std::vector<std::uint64_t>{1}));
@@ -123,7 +123,6 @@
   void silentConnectionIsLost() {
     int Listener = testing::listenOn(SilentPort);
     this->A.Transport->send(Silent, Channel::Control, "renew");
-    std::string Unused;
     int Connection = -1;
     Instant Start = readClock();
     CPPUNIT_ASSERT(this->runUntil([&] {
