--- a/orioledoor/ownership/guard_duty.cc
+++ b/orioledoor/ownership/guard_duty.cc
@@ -63,7 +63,7 @@
             return Other.Term < Mine->Term;
           });
     }
-    Updated.emplace(M.Id, std::move(Of));
+    Updated.emplace(M.Id, Of);
   }
   this->Duties = std::move(Updated);
 }
