--- a/orioledoor/requests/events.h
+++ b/orioledoor/requests/events.h
@@ -7,7 +7,7 @@
 namespace orioledoor::requests::events {
 
 inline constexpr EventDefinition SliceAdopted{
-    2001, Severity::Info, "SLICE_ADOPTED",
+    2001, Severity::Debug, "SLICE_ADOPTED",
     "the node serves a slice with a complete table of operations"};
 inline constexpr EventDefinition HistoryStarted{
     2002, Severity::Warn, "HISTORY_STARTED",
--- a/orioledoor/store/store_test.cc
+++ b/orioledoor/store/store_test.cc
@@ -278,8 +278,8 @@
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Size = sizeof(Address);
-    CPPUNIT_ASSERT(
-        bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0);
+    CPPUNIT_ASSERT(bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) ==
+                   0);
     getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
     close(Socket);
     return ntohs(Address.sin_port);
--- a/orioledoor/telemetry/logger.cc
+++ b/orioledoor/telemetry/logger.cc
@@ -46,7 +46,7 @@
 Logger::Logger(std::string_view NodeName, Severity Lowest)
     : Backend(std::make_unique<Impl>()) {
   auto Layout = std::make_shared<log4cxx::PatternLayout>(
-      "%d{yyyy-MM-dd'T'HH:mm:ss.SSS}{GMT}Z %p %c %m%n");
+      "%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z %p %c %m%n");
   auto Appender = std::make_shared<log4cxx::ConsoleAppender>(
       Layout, log4cxx::ConsoleAppender::getSystemErr());
   this->Backend->Sink = log4cxx::Logger::getLogger(std::string(NodeName));
