--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -200,7 +200,8 @@
     Handovers.push_back(Ack);
   auto MayStart = [&](ServiceId Id) {
     if (std::ranges::any_of(Requests, [&](const JoinRequest &Join) {
-          return serviceIdOf(Join.Service) == Id;
+          return serviceIdOf(Join.Service) == Id &&
+                 !this->Doc.findByToken(Join.Token);
         }))
       return false;
     auto Last = this->LastAdmission.find(Id);
@@ -255,9 +256,13 @@
     return;
   this->NextRepeat = Now + GatherRepeat;
   std::uint64_t Version = this->Pending.Next.Version;
+  PromiseRequest Wanted{Version, {}};
+  for (const Member &M : this->Doc.Members)
+    if (this->Pending.Next.isDeposed(M.Id))
+      Wanted.Deposed.push_back(M.Id);
   for (MemberId Id : this->Pending.Promises)
     if (!this->Promised.contains(Id))
-      Output.push_back(SendPeer{this->addressOf(Id), PromiseRequest{Version}});
+      Output.push_back(SendPeer{this->addressOf(Id), Wanted});
   for (const ConsentNeeded &Needed : this->Pending.Consents)
     if (!this->Consented.contains(Needed))
       Output.push_back(SendPeer{this->addressOf(Needed.Guardian),
--- a/orioledoor/ownership/message.h
+++ b/orioledoor/ownership/message.h
@@ -95,9 +95,13 @@
   std::string Text;
 };
 
-// The coordinator asks a successor to act only under versions >= Version.
+// The coordinator asks a successor to act only under versions >= Version. Who
+// acts already in place of members that Version records as deposed goes on: it
+// keeps its place in those lists.
 struct PromiseRequest {
   std::uint64_t Version = 0;
+  // The members that Version records as deposed or removes.
+  std::vector<MemberId> Deposed;
 };
 
 struct Promise {
--- a/orioledoor/ownership/message_codec.cc
+++ b/orioledoor/ownership/message_codec.cc
@@ -54,7 +54,9 @@
 auto fieldsOf(Is<CatalogueUpdate> auto &V) {
   return std::tie(V.Revision, V.Text);
 }
-auto fieldsOf(Is<PromiseRequest> auto &V) { return std::tie(V.Version); }
+auto fieldsOf(Is<PromiseRequest> auto &V) {
+  return std::tie(V.Version, V.Deposed);
+}
 auto fieldsOf(Is<Promise> auto &V) { return std::tie(V.From, V.Version); }
 auto fieldsOf(Is<ConsentRequest> auto &V) {
   return std::tie(V.Member, V.Version);
--- a/orioledoor/ownership/message_codec_test.cc
+++ b/orioledoor/ownership/message_codec_test.cc
@@ -25,6 +25,7 @@
                   Held},
             VersionNotice{Held},
             AssignmentUpdate{8, std::string("\0\xff", 2)},
+            PromiseRequest{4, {MemberId{9}}},
             Consent{MemberId{1}, MemberId{2}, 3},
             Yield{MemberId{1}, Slice, Fence{2}, "table"},
             LoadReport{MemberId{1}, 2.5, {ReportedLoad{Slice, 0.25}}, true},
--- a/orioledoor/ownership/slice_keeper.cc
+++ b/orioledoor/ownership/slice_keeper.cc
@@ -92,7 +92,8 @@
       });
   if (this->Node.Current->Version < this->PromisedVersion)
     std::erase_if(Mine, [&](const OwnedSlice &S) {
-      return S.Position > 0 && !this->Taken.contains(S.Slice);
+      return S.Position > 0 && !this->Taken.contains(S.Slice) &&
+             !this->Owned.contains(S.Slice);
     });
 
   std::size_t Before = this->Owned.size();
@@ -277,14 +278,36 @@
   Output.push_back(DropSlice{Received.Slice});
 }
 
+std::vector<MemberId> SliceKeeper::replaced() const {
+  std::set<MemberId> Result;
+  for (const auto &[Slice, Of] : this->Owned) {
+    const SliceOwner *Recorded = this->Node.Current->find(Slice);
+    // No version takes a move target out of a list while it lives.
+    if (Of.Position == 0 || !Recorded || Recorded->MoveTarget == this->Node.Id)
+      continue;
+    SuccessionList List = this->Node.Current->successionOf(Slice);
+    Result.insert(List.Members.begin(),
+                  List.Members.begin() +
+                      static_cast<std::ptrdiff_t>(Of.Position));
+  }
+  return {Result.begin(), Result.end()};
+}
+
 void SliceKeeper::handle(const std::string &From,
                          const PromiseRequest &Received, Effects &Output) {
-  // A node that acts as a successor now cannot promise not to; it is asked
-  // again once the record names it as owner.
-  bool Acting = std::ranges::any_of(
-      this->Owned, [](const auto &Entry) { return Entry.second.Position > 0; });
-  if (!this->Node.Id || Acting)
+  if (!this->Node.Id)
     return;
+  // The writer may not know yet that a member is deposed in whose place this
+  // node acts; it is asked again once it does.
+  std::vector<MemberId> Unknown = this->replaced();
+  std::erase_if(Unknown, [&](MemberId Id) {
+    return std::ranges::find(Received.Deposed, Id) != Received.Deposed.end();
+  });
+  if (!Unknown.empty()) {
+    Output.push_back(SendPeer{
+        From, Facts{{}, std::move(Unknown), {}, this->Node.versions()}});
+    return;
+  }
   this->PromisedVersion = std::max(this->PromisedVersion, Received.Version);
   Output.push_back(SendPeer{From, Promise{this->Node.Id, Received.Version}});
 }
--- a/orioledoor/ownership/slice_keeper.h
+++ b/orioledoor/ownership/slice_keeper.h
@@ -80,6 +80,8 @@
   void updateDrains(Instant Now, Effects &Output);
   void forgetRecordedMoves(Effects &Output);
   void sendYield(Instant Now, SliceRef Slice, Yielded &Of, Effects &Output);
+  // The deposed members in whose place this node acts as a successor.
+  std::vector<MemberId> replaced() const;
   bool hasYielded(SliceRef Slice, const SliceOwner &Recorded) const;
 
   NodeState &Node;
--- a/orioledoor/ownership/testing/fleet.cc
+++ b/orioledoor/ownership/testing/fleet.cc
@@ -402,6 +402,23 @@
       Text += " rel" + std::to_string(R.Member.Value) + "by" +
               std::to_string(R.By.Value) + "@" + std::to_string(R.Term);
   }
+  for (std::uint32_t S = 0; S < this->Options.Slices; ++S) {
+    std::string Views;
+    bool Open = false;
+    std::set<MemberId> Owners;
+    for (const Node &N : this->Nodes) {
+      if (!N.Running)
+        continue;
+      auto To = N.Running->route(this->sliceRef(S));
+      Owners.insert(To ? To->Owner : MemberId{});
+      Views += " " + std::to_string(To ? To->Owner.Value : 0);
+      Open |=
+          N.Running->gate(this->sliceRef(S), this->localTime(N)).has_value();
+    }
+    if (!Open || Owners.size() != 1)
+      Text += "\n  slice " + std::to_string(S) + (Open ? " open" : " closed") +
+              ", routed to" + Views;
+  }
   return Text;
 }
 
