--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -2,7 +2,9 @@
 #include "orioledoor/ownership/coordinator.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <ranges>
 #include <set>
 
 #include "orioledoor/base/error.h"
@@ -41,6 +43,11 @@
 // A service's slices get their first owners once no member has joined for
 // this long, so that the first member does not get them all.
 constexpr Duration StartDelay = std::chrono::milliseconds(1500);
+// While this node holds no permission, perhaps no member does, and then those
+// admitted now get guardians that cannot grant. Members give up after 1.5 s, so
+// after this pause only permitted ones are left, or none and the next starts
+// alone.
+constexpr Duration UnpermittedPause = std::chrono::milliseconds(2500);
 // A slice rests after a move; longer than load reports may lag.
 constexpr Duration MoveRest = std::chrono::seconds(60);
 // Permissions and guard duties of a region declared lost have ended by then.
@@ -68,6 +75,8 @@
   void noticeNews(Instant Now, const FactSet &Known);
   void load(Instant Now, Effects &Output);
   void plan(Instant Now, const FactSet &Known, Effects &Output);
+  // The join requests that the next version may grant.
+  std::vector<JoinRequest> admissible(Instant Now) const;
   void gather(Instant Now, Effects &Output);
   bool isGathered() const;
   void startWrite(Instant Now, std::int64_t WallMicros, Effects &Output);
@@ -80,6 +89,7 @@
 
   LocalNode Local;
   MemberId Self;
+  bool Permitted = false;
   internal::LeaseKeeper Lease;
   internal::SpendAllocator Spend;
   internal::GuardianRenewal Renewals;
@@ -186,14 +196,28 @@
   return M ? M->PeerAddress : std::string();
 }
 
+std::vector<JoinRequest> Coordinator::State::admissible(Instant Now) const {
+  auto Pending = std::views::values(this->Joins);
+  std::vector<JoinRequest> Result(Pending.begin(), Pending.end());
+  // This node first: as the first member it permits itself at once.
+  std::ranges::stable_partition(Result, [&](const JoinRequest &Join) {
+    return Join.Name == this->Local.Name;
+  });
+  bool Alive =
+      std::ranges::any_of(this->Doc.Members, std::not_fn(&Member::Deposed));
+  bool Recent = std::ranges::any_of(
+      std::views::values(this->LastAdmission),
+      [&](Instant Last) { return Now - Last < UnpermittedPause; });
+  if (!this->Permitted && Alive && Recent)
+    Result.clear();
+  return Result;
+}
+
 void Coordinator::State::plan(Instant Now, const FactSet &Known,
                               Effects &Output) {
   if (!this->Entries)
     return;
-  std::vector<JoinRequest> Requests;
-  Requests.reserve(this->Joins.size());
-  for (const auto &[Name, Join] : this->Joins)
-    Requests.push_back(Join);
+  std::vector<JoinRequest> Requests = this->admissible(Now);
   std::vector<YieldAck> Handovers;
   Handovers.reserve(this->Yielded.size());
   for (const auto &[Slice, Ack] : this->Yielded)
@@ -256,13 +280,9 @@
     return;
   this->NextRepeat = Now + GatherRepeat;
   std::uint64_t Version = this->Pending.Next.Version;
-  PromiseRequest Wanted{Version, {}};
-  for (const Member &M : this->Doc.Members)
-    if (this->Pending.Next.isDeposed(M.Id))
-      Wanted.Deposed.push_back(M.Id);
   for (MemberId Id : this->Pending.Promises)
     if (!this->Promised.contains(Id))
-      Output.push_back(SendPeer{this->addressOf(Id), Wanted});
+      Output.push_back(SendPeer{this->addressOf(Id), PromiseRequest{Version}});
   for (const ConsentNeeded &Needed : this->Pending.Consents)
     if (!this->Consented.contains(Needed))
       Output.push_back(SendPeer{this->addressOf(Needed.Guardian),
@@ -333,6 +353,10 @@
 
 void Coordinator::setSelf(MemberId Self) { this->Own->Self = Self; }
 
+void Coordinator::setPermitted(bool Permitted) {
+  this->Own->Permitted = Permitted;
+}
+
 bool Coordinator::isActive() const {
   return this->Own->Current != Phase::Passive;
 }
@@ -445,8 +469,13 @@
 
 void Coordinator::handle(Instant, const Promise &Received) {
   State &S = *this->Own;
-  if (S.Current == Phase::Gathering &&
-      Received.Version >= S.Pending.Next.Version)
+  if (S.Current != Phase::Gathering ||
+      Received.Version < S.Pending.Next.Version)
+    return;
+  // A member that already serves slices of an owner that this plan takes for
+  // live may be displaced by it; gossip brings the fact before the next plan.
+  auto IsGone = [&](MemberId Id) { return S.Pending.Next.isDeposed(Id); };
+  if (std::ranges::all_of(Received.ActingFor, IsGone))
     S.Promised.insert(Received.From);
 }
 
--- a/orioledoor/ownership/coordinator.h
+++ b/orioledoor/ownership/coordinator.h
@@ -54,6 +54,9 @@
   // This node's member id; 0 while it has none.
   void setSelf(MemberId Self);
 
+  // Whether this node's member holds a permission.
+  void setPermitted(bool Permitted);
+
   // Holds the lease, as far as known.
   bool isActive() const;
 
--- a/orioledoor/ownership/message.h
+++ b/orioledoor/ownership/message.h
@@ -95,18 +95,20 @@
   std::string Text;
 };
 
-// The coordinator asks a successor to act only under versions >= Version. Who
-// acts already in place of members that Version records as deposed goes on: it
-// keeps its place in those lists.
+// The coordinator asks a successor to act only under versions >= Version.
 struct PromiseRequest {
   std::uint64_t Version = 0;
-  // The members that Version records as deposed or removes.
-  std::vector<MemberId> Deposed;
 };
 
+// The sender starts to act as a successor only under versions >= Version. It
+// goes on serving slices that it already took over.
 struct Promise {
   MemberId From;
   std::uint64_t Version = 0;
+  // Deposed members whose slices the sender serves as a successor. The promise
+  // counts only if the coordinator knows them as deposed, too, since its plan
+  // then makes the sender the owner of those slices.
+  std::vector<MemberId> ActingFor;
 };
 
 // The coordinator asks a guardian to give up its present term for Member.
--- a/orioledoor/ownership/slice_keeper.cc
+++ b/orioledoor/ownership/slice_keeper.cc
@@ -2,7 +2,9 @@
 #include "orioledoor/ownership/slice_keeper.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <span>
 #include <utility>
 
 #include "orioledoor/ownership/events.h"
@@ -278,38 +280,25 @@
   Output.push_back(DropSlice{Received.Slice});
 }
 
-std::vector<MemberId> SliceKeeper::replaced() const {
+void SliceKeeper::handle(const std::string &From,
+                         const PromiseRequest &Received, Effects &Output) {
+  if (!this->Node.Id)
+    return;
+  this->PromisedVersion = std::max(this->PromisedVersion, Received.Version);
+  Output.push_back(SendPeer{
+      From, Promise{this->Node.Id, Received.Version, this->actingFor()}});
+}
+
+std::vector<MemberId> SliceKeeper::actingFor() const {
   std::set<MemberId> Result;
   for (const auto &[Slice, Of] : this->Owned) {
-    const SliceOwner *Recorded = this->Node.Current->find(Slice);
-    // No version takes a move target out of a list while it lives.
-    if (Of.Position == 0 || !Recorded || Recorded->MoveTarget == this->Node.Id)
+    if (Of.Position == 0 || this->Taken.contains(Slice))
       continue;
     SuccessionList List = this->Node.Current->successionOf(Slice);
-    Result.insert(List.Members.begin(),
-                  List.Members.begin() +
-                      static_cast<std::ptrdiff_t>(Of.Position));
+    std::ranges::copy(std::span(List.Members).first(Of.Position),
+                      std::inserter(Result, Result.end()));
   }
   return {Result.begin(), Result.end()};
 }
 
-void SliceKeeper::handle(const std::string &From,
-                         const PromiseRequest &Received, Effects &Output) {
-  if (!this->Node.Id)
-    return;
-  // The writer may not know yet that a member is deposed in whose place this
-  // node acts; it is asked again once it does.
-  std::vector<MemberId> Unknown = this->replaced();
-  std::erase_if(Unknown, [&](MemberId Id) {
-    return std::ranges::find(Received.Deposed, Id) != Received.Deposed.end();
-  });
-  if (!Unknown.empty()) {
-    Output.push_back(SendPeer{
-        From, Facts{{}, std::move(Unknown), {}, this->Node.versions()}});
-    return;
-  }
-  this->PromisedVersion = std::max(this->PromisedVersion, Received.Version);
-  Output.push_back(SendPeer{From, Promise{this->Node.Id, Received.Version}});
-}
-
 } // namespace orioledoor::ownership
--- a/orioledoor/ownership/testing/fleet.cc
+++ b/orioledoor/ownership/testing/fleet.cc
@@ -396,8 +396,7 @@
     Text += " deposed";
     for (MemberId Id : S.Known.Deposed)
       Text += " " + std::to_string(Id.Value);
-    for (MemberId Id : S.Known.Left)
-      Text += " left" + std::to_string(Id.Value);
+    Text += " left " + std::to_string(S.Known.Left.size());
     for (const Release &R : S.Known.Releases)
       Text += " rel" + std::to_string(R.Member.Value) + "by" +
               std::to_string(R.By.Value) + "@" + std::to_string(R.Term);
