--- a/orioledoor/ownership/assignment_planner.cc
+++ b/orioledoor/ownership/assignment_planner.cc
@@ -107,6 +107,8 @@
       auto Position = Old.positionOf(Ack.From);
       if (!Position || *Position == 0 ||
           Old.Number.Value + *Position != Ack.Number.Value ||
+          // With both deposed the next in the old list may serve already.
+          (this->isGone(Ack.From) && this->isGone(Old.Members.front())) ||
           !this->collectPromises(Old, *Position + 1))
         continue;
       this->setOwner(Ack.Slice, Ack.From, Ack.Number);
--- a/orioledoor/ownership/internal/candidates.cc
+++ b/orioledoor/ownership/internal/candidates.cc
@@ -48,9 +48,11 @@
     if (!isUsable(M, Subject) || guards(Subject, M.Id) ||
         M.FailureDomain == Subject.FailureDomain)
       continue;
-    Rank Candidate{(M.Region == Subject.Region) != WantOwnRegion,
-                   guards(M, Subject.Id), dutiesOf(Next, M.Id),
-                   mix(Subject.Id.Value, M.Id.Value, 0)};
+    // Two members that guard each other and are lost at once could never be
+    // deposed; that weighs more than the region.
+    Rank Candidate{guards(M, Subject.Id),
+                   (M.Region == Subject.Region) != WantOwnRegion,
+                   dutiesOf(Next, M.Id), mix(Subject.Id.Value, M.Id.Value, 0)};
     if (!Best || Candidate < BestRank) {
       Best = &M;
       BestRank = Candidate;
--- a/orioledoor/ownership/testing/fleet.cc
+++ b/orioledoor/ownership/testing/fleet.cc
@@ -87,7 +87,7 @@
   N.Offset = static_cast<std::int64_t>(this->Random() % 1'000'000'000);
   N.Rate = 1 + (static_cast<double>(this->Random() % 9) - 4) / 1000;
   N.Running = std::make_unique<OwnershipReducer>(N.Local);
-  N.Tables.clear();
+  N.Adopted.clear();
   N.Draining.clear();
   this->schedule(Index, Duration(this->Random() % 20'000), Tick{});
   this->schedule(Index, Duration(this->Random() % 50'000),
@@ -183,12 +183,15 @@
   Node &N = this->Nodes[To];
   if (!N.Running)
     return;
-  if (const auto *Drained = std::get_if<SliceDrained>(&What)) {
-    if (N.Draining.erase(Drained->Slice.Slice) == 0)
-      return;
-    this->LastTable[Drained->Slice.Slice] = Drained->Table;
-  }
+  const auto *Drained = std::get_if<SliceDrained>(&What);
+  if (Drained && N.Draining.erase(Drained->Slice.Slice) == 0)
+    return;
   Effects Output = N.Running->handle(What, this->localTime(N));
+  for (const Effect &Wanted : Output)
+    if (const auto *Adopt = std::get_if<AdoptSlice>(&Wanted)) {
+      this->HistoryLosses += Adopt->HistoryLost ? 1 : 0;
+      N.Adopted[Adopt->Slice.Slice] = *Adopt;
+    }
   this->check(To);
   for (Effect &Wanted : Output)
     this->carryOut(To, Wanted);
@@ -209,13 +212,14 @@
     N.Draining.insert(Drain->Slice.Slice);
     // Some work takes longer than the 2 s after which a move is put off.
     Duration After(this->Random() % (this->chance(100) ? 4'000'000 : 300'000));
+    // The table names the number under which it was last written to.
     this->schedule(
         From, After,
-        SliceDrained{Drain->Slice, "t" + std::to_string(++this->Order)});
+        SliceDrained{
+            Drain->Slice,
+            std::to_string(this->Served[Drain->Slice.Slice].first.Value)});
   } else if (auto *Resume = std::get_if<ResumeSlice>(&Wanted)) {
     N.Draining.erase(Resume->Slice.Slice);
-  } else if (auto *Adopt = std::get_if<AdoptSlice>(&Wanted)) {
-    this->checkTable(From, *Adopt);
   } else if (auto *Log = std::get_if<WriteLog>(&Wanted)) {
     if (Log->Record.Event->Level == Severity::Error)
       this->fail(Log->Record.Event->Name +
@@ -225,15 +229,14 @@
   }
 }
 
-// A table that is handed over is the one that the last owner drained, so that
-// no operation is forgotten without HistoryLost.
-void Fleet::checkTable(std::size_t At, const AdoptSlice &Adopted) {
-  this->HistoryLosses += Adopted.HistoryLost ? 1 : 0;
-  const std::string &Last = this->LastTable[Adopted.Slice.Slice];
-  if (!Adopted.HistoryLost && Adopted.Table != Last)
-    this->fail(this->Nodes[At].Local.Name + " adopted slice " +
-               std::to_string(Adopted.Slice.Slice) + " with table '" +
-               Adopted.Table + "' instead of '" + Last + "'");
+// A table that is handed over is that of the last member that served the slice,
+// so that no operation is forgotten without HistoryLost.
+void Fleet::checkTable(const AdoptSlice &Adopted, const std::string &What) {
+  Fence Last = this->Served[Adopted.Slice.Slice].first;
+  std::string Expected = Last == Fence{} ? "" : std::to_string(Last.Value);
+  if (!Adopted.HistoryLost && Adopted.Table != Expected)
+    this->fail(What + " with table '" + Adopted.Table + "' after number " +
+               Expected);
 }
 
 void Fleet::send(std::size_t From, SendPeer &Sent) {
@@ -269,12 +272,10 @@
       if (Put.Key != keys::Assignment)
         continue;
       auto Recorded = decodeAssignment(Put.Value);
-      std::uint64_t Last =
-          this->Written.empty() ? 0 : this->Written.rbegin()->first;
-      if (!Recorded.ok() || Recorded->Version != Last + 1)
-        return this->fail("assignment version " + std::to_string(Last) +
+      if (!Recorded.ok() || Recorded->Version != ++this->LastWritten)
+        return this->fail("assignment version " +
+                          std::to_string(this->LastWritten - 1) +
                           " was overwritten");
-      this->Written[Recorded->Version] = Put.Value;
     }
   this->feedWatches();
   if (this->chance(this->Options.StoreAnswerLoss)) {
@@ -330,6 +331,8 @@
                    std::to_string(Other.Running->memberId().Value) +
                    ", number " +
                    std::to_string(GateOf(Other, S)->Number.Value) + ")");
+    if (auto Adopted = this->Nodes[Changed].Adopted.extract(S))
+      this->checkTable(Adopted.mapped(), What);
     auto &[Highest, Server] = this->Served[S];
     if (Open->Number < Highest || (Open->Number == Highest && Server != Id))
       this->fail(What + " after member " + std::to_string(Server.Value) +
--- a/orioledoor/ownership/testing/fleet.h
+++ b/orioledoor/ownership/testing/fleet.h
@@ -97,7 +97,8 @@
     // The node's clock: an offset and a rate.
     std::int64_t Offset = 0;
     double Rate = 1;
-    std::map<std::uint32_t, std::string> Tables;
+    // What was adopted with each slice, until its gate first opens.
+    std::map<std::uint32_t, AdoptSlice> Adopted;
     std::set<std::uint32_t> Draining;
   };
   struct Timed {
@@ -120,7 +121,7 @@
   void callStore(std::size_t From, const StoreRequest &Request);
   void feedWatches();
   void check(std::size_t Changed);
-  void checkTable(std::size_t At, const AdoptSlice &Adopted);
+  void checkTable(const AdoptSlice &Adopted, const std::string &What);
   void fail(const std::string &What);
   bool chance(unsigned PartsOfThousand);
   SliceRef sliceRef(std::uint32_t Slice) const;
@@ -142,9 +143,7 @@
   std::size_t HistoryLosses = 0;
   // The highest number under which each slice was served, and by whom.
   std::map<std::uint32_t, std::pair<Fence, MemberId>> Served;
-  // The last table that each slice's owner drained.
-  std::map<std::uint32_t, std::string> LastTable;
-  std::map<std::uint64_t, std::string> Written;
+  std::uint64_t LastWritten = 0;
   std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> HeldBy;
 };
 
