--- a/orioledoor/ownership/assignment_planner.cc
+++ b/orioledoor/ownership/assignment_planner.cc
@@ -111,7 +111,12 @@
           (this->isGone(Ack.From) && this->isGone(Old.Members.front())) ||
           !this->collectPromises(Old, *Position + 1))
         continue;
-      this->setOwner(Ack.Slice, Ack.From, Ack.Number);
+      // If the receiver is deposed, so may be the owner, and the old list's
+      // deposed successors may have served above the receiver's number.
+      Fence Number = Ack.Number;
+      if (this->isGone(Ack.From))
+        Number.Value += static_cast<std::uint32_t>(Old.Members.size());
+      this->setOwner(Ack.Slice, Ack.From, Number);
       ++Count;
     }
     if (Count > 0)
@@ -247,14 +252,40 @@
     }
   }
 
+  // One bucket of a member's page.
+  using Bucket = std::pair<MemberId, std::uint32_t>;
+
+  static Bucket bucketOf(const SliceOwner &Owner, std::uint32_t Slice) {
+    return {Owner.Owner, Slice % SuccessorBuckets};
+  }
+
   void updateSuccessors() {
+    std::set<Bucket> Moving;
+    for (const ServiceSlices &Service : this->Plan.Next.Services)
+      for (std::uint32_t I = 0; I < Service.Slices.size(); ++I)
+        if (Service.Slices[I].MoveTarget)
+          Moving.insert(bucketOf(Service.Slices[I], I));
+    std::map<Bucket, std::uint32_t> Raised;
     for (Member &M : this->Plan.Next.Members)
-      if (!M.Deposed && this->updateSuccessorsOf(M))
+      if (!M.Deposed && this->updateSuccessorsOf(M, Moving, Raised))
         this->note("successors", nameOf(this->Plan.Next, M.Id), "", "",
                    "keep two successors a bucket");
+    if (Raised.empty())
+      return;
+    for (ServiceSlices &Service : this->Plan.Next.Services)
+      for (std::uint32_t I = 0; I < Service.Slices.size(); ++I) {
+        auto Found = Raised.find(bucketOf(Service.Slices[I], I));
+        if (Found != Raised.end())
+          Service.Slices[I].Number.Value += Found->second;
+      }
   }
 
-  bool updateSuccessorsOf(Member &M) {
+  // A deposed successor that is replaced may have served, if the owner is
+  // deposed, too, and the coordinator does not know it yet. Raised gets what
+  // lifts the numbers of the new list above those of the old one. Slices in
+  // motion keep their numbers, so their buckets wait.
+  bool updateSuccessorsOf(Member &M, const std::set<Bucket> &Moving,
+                          std::map<Bucket, std::uint32_t> &Raised) {
     bool Changed = false;
     std::vector<std::vector<MemberId>> Wanted =
         internal::chooseSuccessors(this->Plan.Next, M);
@@ -264,8 +295,18 @@
       M.Successors = std::move(Wanted);
       return true;
     }
-    for (std::size_t B = 0; B < M.Successors.size(); ++B)
-      Changed |= this->updateBucket(M.Successors[B], Wanted[B]);
+    for (std::uint32_t B = 0; B < M.Successors.size(); ++B) {
+      std::vector<MemberId> &Old = M.Successors[B];
+      bool Lost = std::ranges::any_of(
+          Old, [&](MemberId Id) { return this->isGone(Id); });
+      auto Size = static_cast<std::uint32_t>(Old.size());
+      if ((Lost && Moving.contains({M.Id, B})) ||
+          !this->updateBucket(Old, Wanted[B]))
+        continue;
+      Changed = true;
+      if (Lost)
+        Raised[{M.Id, B}] = Size + 1;
+    }
     return Changed;
   }
 
@@ -365,9 +406,11 @@
       return false;
     if (!From->Leaving && !this->Input.Rested(Slice))
       return false;
+    // A deposed successor may have served; its position is not given to the
+    // move target.
     SuccessionList List = this->Plan.Next.successionOf(Slice);
     return std::ranges::none_of(List.Members, [&](MemberId Id) {
-      return this->Input.Unresponsive.contains(Id) && !this->isGone(Id);
+      return this->Input.Unresponsive.contains(Id) || this->isGone(Id);
     });
   }
 
--- a/orioledoor/ownership/guard_duty.cc
+++ b/orioledoor/ownership/guard_duty.cc
@@ -103,7 +103,9 @@
 
 void GuardDuty::handle(const std::string &From,
                        const ConsentRequest &Received) {
-  if (Received.Version <= this->Node.Current->Version || !this->Node.Id)
+  // A fact that this node derived cannot be taken back.
+  if (Received.Version <= this->Node.Current->Version || !this->Node.Id ||
+      this->Node.isDeposed(Received.Member))
     return;
   auto Found = this->Duties.find(Received.Member);
   PendingConsent &Of = this->Consents[Received.Member];
--- a/orioledoor/ownership/permission_keeper.cc
+++ b/orioledoor/ownership/permission_keeper.cc
@@ -23,6 +23,7 @@
 
 void PermissionKeeper::reset() {
   this->Links.clear();
+  this->Former.clear();
   this->End = this->OwnEnd = Instant();
   this->FirstSequence = this->Sequence + 1;
   this->Renewing = true;
@@ -41,21 +42,47 @@
                           ? *Kept
                           : Link{Recorded, Instant(), Now, 0, 0});
   }
-  this->Links = std::move(Updated);
+  this->Links.swap(Updated);
+  std::ranges::for_each(Updated,
+                        [&](const Link &Old) { this->keepFormer(Old); });
   this->updateEnd();
 }
 
+void PermissionKeeper::keepFormer(const Link &Dropped) {
+  // A guardian that is named again consented, so it derived nothing.
+  if (std::ranges::none_of(this->Links, [&](const Link &Kept) {
+        return Kept.Recorded.Member == Dropped.Recorded.Member;
+      }))
+    this->Former.push_back({Dropped.Recorded.Term, Dropped.GrantedUnder,
+                            this->Node.Current->Version});
+}
+
 bool PermissionKeeper::counts(const Link &Through) const {
   const Member *Self = this->Node.self();
   if (!Self || Through.Recorded.Term <= Self->AdmittedAt)
     return true;
-  return std::ranges::all_of(this->Links, [&](const Link &Other) {
-    return Other.Recorded.Term >= Through.Recorded.Term ||
-           Other.GrantedUnder >= Through.Recorded.Term;
-  });
+  auto Knew = [&](std::uint64_t Term, std::uint64_t GrantedUnder) {
+    return Term >= Through.Recorded.Term ||
+           GrantedUnder >= Through.Recorded.Term;
+  };
+  return std::ranges::all_of(this->Links,
+                             [&](const Link &Other) {
+                               return Knew(Other.Recorded.Term,
+                                           Other.GrantedUnder);
+                             }) &&
+         std::ranges::all_of(this->Former, [&](const FormerLink &Other) {
+           return Knew(Other.Term, Other.GrantedUnder);
+         });
 }
 
 void PermissionKeeper::updateEnd() {
+  // Whoever grants under the version that records another as deposed had not
+  // released this node, so the other cannot have deposed it before.
+  std::erase_if(this->Former, [&](const FormerLink &Old) {
+    return std::ranges::any_of(this->Links, [&](const Link &Through) {
+      return this->counts(Through) && Through.GrantedUnder >= Old.DroppedIn;
+    });
+  });
   this->End = this->OwnEnd;
   for (const Link &Through : this->Links)
     if (this->counts(Through))
--- a/orioledoor/ownership/permission_keeper.h
+++ b/orioledoor/ownership/permission_keeper.h
@@ -56,13 +56,25 @@
   const std::vector<Link> &links() const { return this->Links; }
   // Whether grants of this guardian count: it was named at the admission, or
   // every guardian of an older term granted under an assignment that names it.
+  // A guardian that the record dropped without such a grant may have derived
+  // that this node is deposed, until another one shows the contrary.
   bool counts(const Link &Through) const;
 
 private:
+  // A guardian that the record no longer names.
+  struct FormerLink {
+    std::uint64_t Term = 0;
+    std::uint64_t GrantedUnder = 0;
+    // The assignment version without it.
+    std::uint64_t DroppedIn = 0;
+  };
+
+  void keepFormer(const Link &Dropped);
   void updateEnd();
 
   NodeState &Node;
   std::vector<Link> Links;
+  std::vector<FormerLink> Former;
   Instant End;
   // Permission of a member without recorded guardians; renewed by ticks.
   Instant OwnEnd;
--- a/orioledoor/ownership/slice_keeper.cc
+++ b/orioledoor/ownership/slice_keeper.cc
@@ -63,9 +63,9 @@
     }
     // A cancelled move: the target promised not to act on the yield, or is
     // deposed and the record raised this node's number above the target's.
-    bool Cancelled = Recorded->Number != Of.Recorded ||
-                     (Recorded->MoveTarget != Of.To &&
-                      !this->Node.isDeposed(Of.To) && !Of.Acknowledged);
+    bool Cancelled = this->Node.isDeposed(Of.To)
+                         ? Recorded->Number != Of.Recorded
+                         : Recorded->MoveTarget != Of.To && !Of.Acknowledged;
     if (Cancelled && !Of.Acknowledged)
       this->Tables[Slice] = std::move(Of.Table);
     return Cancelled;
