Test the request path under seeded faults and close what it found

Change: a simulation runs seeded schedules in virtual time; a judge compares what callers were told with the log of the targets. It found, and this fixes: - A request that lay in the sockets of a paused entry node was taken for a first send, or its age for the present one, after its caller had sent it again. The pause is now added to its age and its first-send claim dropped. - A reply after such a pause said "not run" although a resend could have run. - A crash was not counted if the node was paused while its target crashed. - A request crashed a third target while the probes of the second were still out. A request counted once is now refused everywhere for 3 s when a connection breaks under it (CrashNotice with Confirmed = false).

--- a/orioledoor/requests/answers.cc
+++ b/orioledoor/requests/answers.cc
@@ -22,6 +22,20 @@
   return "unknown";
 }
 
+std::optional<Refusal> refusalOf(CrashTable::Verdict Verdict) {
+  if (Verdict == CrashTable::Verdict::Quarantined)
+    return Refusal{.Status = 422,
+                   .Step = "quarantine",
+                   .Message =
+                       "two targets were lost while they ran this request"};
+  if (Verdict == CrashTable::Verdict::Suspected)
+    return Refusal{.Status = 503,
+                   .Step = "quarantine",
+                   .Message = "a target may have been lost to this request",
+                   .RetryAfter = std::chrono::seconds(3)};
+  return std::nullopt;
+}
+
 Answer answerRefusal(const Forward &Sent, const Refusal &Why) {
   Answer Ended;
   Ended.EntryId = Sent.EntryId;
--- a/orioledoor/requests/answers.h
+++ b/orioledoor/requests/answers.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "orioledoor/requests/crash_table.h"
 #include "orioledoor/requests/message.h"
 
 namespace orioledoor::requests {
@@ -27,6 +28,9 @@
   std::optional<Duration> RetryAfter{};
 };
 
+// Why a request with this verdict must not run; empty if it may.
+std::optional<Refusal> refusalOf(CrashTable::Verdict Verdict);
+
 // The answer to Sent. Its body is the bare message until completeAnswer.
 Answer answerRefusal(const Forward &Sent, const Refusal &Why);
 
--- a/orioledoor/requests/crash_table.cc
+++ b/orioledoor/requests/crash_table.cc
@@ -18,11 +18,20 @@
   return Found.CrashIds.size() == QuarantineCount;
 }
 
-bool CrashTable::isQuarantined(std::uint64_t Digest, Instant Now) const {
+void CrashTable::suspect(std::uint64_t Digest, Instant Now) {
   auto Found = this->Entries.find(Digest);
-  return Found != this->Entries.end() &&
-         Found->second.CrashIds.size() >= QuarantineCount &&
-         Now - Found->second.LastAt < KeptFor;
+  if (Found != this->Entries.end())
+    Found->second.SuspectedUntil = Now + SuspectedFor;
+}
+
+CrashTable::Verdict CrashTable::judge(std::uint64_t Digest, Instant Now) const {
+  auto Found = this->Entries.find(Digest);
+  if (Found == this->Entries.end() || Now - Found->second.LastAt >= KeptFor)
+    return Verdict::Clear;
+  if (Found->second.CrashIds.size() >= QuarantineCount)
+    return Verdict::Quarantined;
+  return Now < Found->second.SuspectedUntil ? Verdict::Suspected
+                                            : Verdict::Clear;
 }
 
 void CrashTable::expire(Instant Now) {
--- a/orioledoor/requests/crash_table.h
+++ b/orioledoor/requests/crash_table.h
@@ -25,17 +25,39 @@
   // quarantined by it.
   bool count(std::uint64_t Digest, std::uint64_t CrashId, Instant Now);
 
+  // Whether a crash of Digest is counted. Constant.
+  bool holds(std::uint64_t Digest) const {
+    return this->Entries.contains(Digest);
+  }
+
+  // Notes that a connection broke while Digest ran. Without an earlier crash of
+  // Digest this has no effect.
+  void suspect(std::uint64_t Digest, Instant Now);
+
+  enum class Verdict {
+    Clear,
+    // Counted once, and perhaps a second time: refused until the probes of the
+    // target have shown it.
+    Suspected,
+    Quarantined,
+  };
+
   // Constant.
-  bool isQuarantined(std::uint64_t Digest, Instant Now) const;
+  Verdict judge(std::uint64_t Digest, Instant Now) const;
 
   // Drops entries whose last crash is older than KeptFor. Amortised constant.
   void expire(Instant Now);
 
 private:
+  // The time that probes need to find a target lost (2 s) and that a notice
+  // needs to reach all nodes.
+  static constexpr Duration SuspectedFor = std::chrono::seconds(3);
+
   struct Entry {
     // Distinct crashes, at most QuarantineCount.
     std::vector<std::uint64_t> CrashIds;
     Instant LastAt;
+    Instant SuspectedUntil;
   };
 
   std::unordered_map<std::uint64_t, Entry> Entries;
--- a/orioledoor/requests/internal/entry_side.h
+++ b/orioledoor/requests/internal/entry_side.h
@@ -61,10 +61,11 @@
   // Histories change only with a loss, so a second change within one request
   // is rare and a fifth is a fault.
   static constexpr std::uint32_t MaxHistoryChanges = 4;
-  // A gap between events after which requests that wait in sockets may be
-  // older than they seem.
-  static constexpr Duration PauseGap = std::chrono::seconds(1);
-  static constexpr Duration AfterPause = std::chrono::milliseconds(200);
+  // After a gap of three regular ticks between events the process counts as
+  // paused: requests that lay in its sockets are older than they say.
+  static constexpr Duration PauseGap = std::chrono::milliseconds(60);
+  // Time within which the shell reads what piled up during a pause.
+  static constexpr Duration AfterPause = std::chrono::milliseconds(500);
 
   // Fills in what the catalogue entry decides. A refusal if it forbids the
   // request.
@@ -99,6 +100,9 @@
   MemberChoice Members;
   std::unordered_map<ServiceId, RetryBudget> Budgets;
   Instant LastEventAt;
+  // The last pause began at PausedAt; requests that arrive before PausedUntil
+  // may have been sent at any time since.
+  Instant PausedAt;
   Instant PausedUntil;
 };
 
--- a/orioledoor/requests/internal/entry_tries.h
+++ b/orioledoor/requests/internal/entry_tries.h
@@ -25,7 +25,8 @@
                                                    CallerRequest &Event,
                                                    const Ctx &C) {
   const HttpRequest &Request = *Event.Request;
-  P.MaybeResend = !Event.OperationId.empty() && Event.Attempt != 1;
+  P.Named = !Event.OperationId.empty();
+  P.MaybeResend = P.Named && Event.Attempt != 1;
   const ServiceEntry *Entry = this->Shared.Services.find(Request.Service);
   if (!Entry)
     return Refusal{.Status = 404,
@@ -53,9 +54,15 @@
     *P.Age += Event.Elapsed;
   // While the process was paused, the caller may have given up on a request
   // that lay in a socket and sent it again elsewhere.
-  if (C.Now < this->PausedUntil && P.Attempt == 1) {
-    P.Attempt = 0;
-    P.MaybeResend = true;
+  if (C.Now < this->PausedUntil) {
+    Duration Delay = C.Now - this->PausedAt;
+    if (P.Age)
+      *P.Age += Delay;
+    else if (P.Attempt == 1)
+      P.Age = Delay;
+    if (P.Attempt == 1)
+      P.Attempt = 0;
+    P.MaybeResend = P.Named;
   }
   P.OperationId = std::move(Event.OperationId);
   if (!P.Idempotent && P.OperationId.empty()) {
@@ -96,15 +103,8 @@
 void EntrySide<Routing>::dispatch(Id Which, const Ctx &C) {
   PendingRequest &P = this->Pending.at(Which);
   P.RetryAt.reset();
-  if (this->Shared.Crashes.isQuarantined(P.Digest, C.Now))
-    return this->settle(
-        Which,
-        this->failure(
-            {.Status = 422,
-             .Step = "quarantine",
-             .Message = "two targets were lost while they ran this request"},
-            ""),
-        C);
+  if (auto Refused = refusalOf(this->Shared.Crashes.judge(P.Digest, C.Now)))
+    return this->settle(Which, this->failure(*Refused, ""), C);
   std::optional<ownership::Route> Next = this->routeOf(P, C);
   if (!Next)
     return this->waitForOwner(
@@ -309,8 +309,10 @@
 
 template <ownership::RoutingView Routing>
 void EntrySide<Routing>::runTimers(const Ctx &C) {
-  if (C.Now - this->LastEventAt > PauseGap && this->LastEventAt != Instant())
+  if (C.Now - this->LastEventAt > PauseGap && this->LastEventAt != Instant()) {
+    this->PausedAt = this->LastEventAt;
     this->PausedUntil = C.Now + AfterPause;
+  }
   this->LastEventAt = C.Now;
   while (std::optional<Id> Due = this->Timers.popDue(C.Now)) {
     auto Found = this->Pending.find(*Due);
@@ -319,6 +321,9 @@
     PendingRequest &P = Found->second;
     if (P.Deadline <= C.Now) {
       bool Open = P.OpenTry != 0;
+      // After a pause the caller may have sent the operation elsewhere.
+      if (C.Now - P.Deadline > PauseGap)
+        P.MaybeResend = P.Named;
       this->settle(
           *Due,
           this->failure({.Status = 504,
--- a/orioledoor/requests/internal/owner_calls.h
+++ b/orioledoor/requests/internal/owner_calls.h
@@ -54,13 +54,9 @@
     return this->park(Which, W, *Slice, C);
   if ((!W.AnyMember && !Slice) || !this->gateOf(W, C))
     return this->passOn(Which, C);
-  if (this->Shared.Crashes.isQuarantined(W.Sent.Digest, C.Now))
-    return this->refuse(
-        Which,
-        {.Status = 422,
-         .Step = "quarantine",
-         .Message = "two targets were lost while they ran this request"},
-        C);
+  if (auto Refused =
+          refusalOf(this->Shared.Crashes.judge(W.Sent.Digest, C.Now)))
+    return this->refuse(Which, *Refused, C);
   if (!W.Idempotent && !this->deduplicate(Which, W, Slice->Table, C))
     return;
   if (!this->takeCapacity(Which, W, C))
@@ -397,8 +393,12 @@
   if (Event.Failure == TargetFailure::TimedOut)
     Why.Status = 504;
   bool Broke = Event.Failure == TargetFailure::ConnectionLost;
-  if (Broke)
+  if (Broke) {
+    while (!this->Breaks.empty() && C.Now - this->Breaks.front().At > BreakKept)
+      this->Breaks.pop_front();
     this->Breaks.push_back(Break{C.Now, W.Sent.Digest, Event.CallId});
+    this->announceSuspicion(W.Sent.Digest, C);
+  }
   if (Broke && W.Idempotent) {
     // A retry must not reach a second target before the first is known to be
     // lost by this request or not.
--- a/orioledoor/requests/internal/owner_side.h
+++ b/orioledoor/requests/internal/owner_side.h
@@ -67,6 +67,10 @@
   // Longest time until the probes of a target show that it is lost: three
   // probes, 500 ms apart, and their timeouts.
   static constexpr Duration ProbeTime = std::chrono::seconds(2);
+  // A break counts as a crash if the target is found lost within this time and
+  // answered nothing in between. Longer than ProbeTime, since the node itself
+  // may be paused while its target crashes.
+  static constexpr Duration BreakKept = std::chrono::seconds(10);
   static constexpr Duration SweepInterval = std::chrono::seconds(10);
   // More waiting requests of one slice than this are refused.
   static constexpr std::size_t MaxParked = 4096;
@@ -100,6 +104,9 @@
   void release(Id Which, Work &W, const Ctx &C);
   void reportIfDrained(SliceRef Ref, OwnedSlice &Slice, const Ctx &C);
   void countCrashes(const Ctx &C);
+  // Has all nodes refuse a request that may just have crashed its second
+  // target, before the probes show it.
+  void announceSuspicion(std::uint64_t Digest, const Ctx &C);
 
   OwnedSlice *findSlice(SliceRef Ref);
   std::optional<ownership::Gate> gateOf(const Work &W, const Ctx &C) const;
--- a/orioledoor/requests/internal/owner_slices.h
+++ b/orioledoor/requests/internal/owner_slices.h
@@ -157,10 +157,25 @@
 
 template <ownership::RoutingView Routing>
 void OwnerSide<Routing>::crashed(const CrashNotice &Notice, const Ctx &C) {
+  if (!Notice.Confirmed)
+    return this->Shared.Crashes.suspect(Notice.Digest, C.Now);
   if (this->Shared.Crashes.count(Notice.Digest, Notice.CrashId, C.Now))
     C.Output.push_back(
         WriteLog{LogRecord{&events::RequestQuarantined,
                            {{"digest", std::to_string(Notice.Digest)}}}});
+  // The target beside this node may be the second one.
+  if (std::ranges::find(this->Breaks, Notice.Digest, &Break::Digest) !=
+      this->Breaks.end())
+    this->announceSuspicion(Notice.Digest, C);
+}
+
+template <ownership::RoutingView Routing>
+void OwnerSide<Routing>::announceSuspicion(std::uint64_t Digest, const Ctx &C) {
+  // A first break is no reason to refuse a request that may be innocent.
+  if (!this->Shared.Crashes.holds(Digest))
+    return;
+  this->Shared.Crashes.suspect(Digest, C.Now);
+  C.Output.push_back(Broadcast{CrashNotice{Digest, 0, false}});
 }
 
 template <ownership::RoutingView Routing>
@@ -169,7 +184,7 @@
       stableHash(std::to_string(++this->CrashCount), this->Shared.Options.Seed);
   std::set<std::uint64_t> Digests;
   for (const Break &Broken : this->Breaks)
-    if (C.Now - Broken.At <= ProbeTime)
+    if (C.Now - Broken.At <= BreakKept)
       Digests.insert(Broken.Digest);
   this->Breaks.clear();
   std::set<Id> Affected;
@@ -182,7 +197,7 @@
       Digests.insert(W.Sent.Digest);
   // All notices go out before any answer, so that they precede the retries.
   for (std::uint64_t Digest : Digests) {
-    CrashNotice Notice{Digest, CrashId};
+    CrashNotice Notice{Digest, CrashId, true};
     C.Output.push_back(Broadcast{Notice});
     C.Output.push_back(WriteLog{
         LogRecord{&events::TargetCrash, {{"digest", std::to_string(Digest)}}}});
--- a/orioledoor/requests/message.h
+++ b/orioledoor/requests/message.h
@@ -89,11 +89,13 @@
   std::uint64_t RequestId = 0;
 };
 
-// A target was lost while it ran a request with this digest.
+// A target was lost while it ran a request with this digest, or, if not
+// Confirmed, its connection broke and its probes are not back yet.
 struct CrashNotice {
   std::uint64_t Digest = 0;
   // Distinguishes crashes, so that gossip counts each once.
   std::uint64_t CrashId = 0;
+  bool Confirmed = true;
 };
 
 using Message = std::variant<Forward, Answer, Cancel, CrashNotice>;
--- a/orioledoor/requests/message_codec.cc
+++ b/orioledoor/requests/message_codec.cc
@@ -92,9 +92,10 @@
 }
 
 void pack(Packer &Out, const CrashNotice &Value) {
-  packKind(Out, 2, Kind::CrashNotice);
+  packKind(Out, 3, Kind::CrashNotice);
   Out.pack(Value.Digest);
   Out.pack(Value.CrashId);
+  Out.pack(Value.Confirmed);
 }
 
 std::size_t sizeHint(const Message &Value) {
@@ -212,9 +213,10 @@
     return Cancel{EntryId, In.take<std::uint64_t>()};
   }
   case Kind::CrashNotice: {
-    In.expectCount(2);
+    In.expectCount(3);
     auto Digest = In.take<std::uint64_t>();
-    return CrashNotice{Digest, In.take<std::uint64_t>()};
+    auto CrashId = In.take<std::uint64_t>();
+    return CrashNotice{Digest, CrashId, In.take<bool>()};
   }
   }
   throw std::out_of_range("unknown kind of message");
--- a/orioledoor/requests/message_codec_test.cc
+++ b/orioledoor/requests/message_codec_test.cc
@@ -54,7 +54,7 @@
                  "peer"};
     for (const Message &Value :
          {Message(sampleForward()), Message(Ended), Message(Cancel{1, 2}),
-          Message(CrashNotice{3, 4})}) {
+          Message(CrashNotice{3, 4, false})}) {
       std::string Bytes = encodeMessage(Value);
       absl::StatusOr<Message> Back = decodeMessage(Bytes);
       CPPUNIT_ASSERT(Back.ok());
--- a/orioledoor/requests/pending_request.h
+++ b/orioledoor/requests/pending_request.h
@@ -27,6 +27,8 @@
   bool Idempotent = false;
   // Any member of the service may serve it.
   bool AnyMember = false;
+  // The caller gave the operation identifier.
+  bool Named = false;
   // The caller may have sent the operation before, so nothing that happens
   // here proves that it did not run.
   bool MaybeResend = false;
--- /dev/null
+++ b/orioledoor/requests/requests_differential_test.cc
@@ -0,0 +1,61 @@
+// Guards the promises of section 1.1 of the design against any schedule of
+// faults: runs seeded schedules and compares what callers were told with what
+// the targets ran.
+//
+// ORIOLEDOOR_SEEDS=N runs N schedules instead of the default,
+// ORIOLEDOOR_FIRST_SEED=S starts at S.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "orioledoor/requests/testing/simulation.h"
+
+namespace orioledoor::requests {
+namespace {
+
+std::uint64_t numberFrom(const char *Name, std::uint64_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text ? std::stoull(Text) : Default;
+}
+
+class RequestsDifferentialTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestsDifferentialTest);
+  CPPUNIT_TEST(promisesHoldUnderFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void promisesHoldUnderFaults() {
+    std::uint64_t First = numberFrom("ORIOLEDOOR_FIRST_SEED", 1);
+    std::uint64_t Count = numberFrom("ORIOLEDOOR_SEEDS", 1500);
+    std::map<std::string, int> Outcomes;
+    std::uint64_t Failed = 0;
+    for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
+      testing::Simulation World(Seed);
+      std::vector<std::string> Violations = World.run();
+      for (const auto &[Outcome, Times] : World.judge().outcomes())
+        Outcomes[Outcome] += Times;
+      if (Violations.empty())
+        continue;
+      ++Failed;
+      for (const std::string &Text : Violations)
+        std::cerr << "seed " << Seed << ": " << Text << "\n";
+    }
+    for (const auto &[Outcome, Times] : Outcomes)
+      std::cerr << "  " << Outcome << ": " << Times << "\n";
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Failed);
+    // Schedules that never end well or never fail would prove nothing.
+    if (Count >= 100)
+      for (const char *Expected :
+           {"ran 200", "not-run 503", "unknown 503", "unknown 504",
+            "not-run 422", "not-run 429", "unknown 502"})
+        CPPUNIT_ASSERT_MESSAGE(Expected, Outcomes[Expected] > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestsDifferentialTest);
+
+} // namespace
+} // namespace orioledoor::requests
--- /dev/null
+++ b/orioledoor/requests/testing/judge.h
@@ -0,0 +1,123 @@
+// The naive model of the differential test: a log of what the targets ran and
+// what callers were told, and the rules that must hold between both.
+#ifndef ORIOLEDOOR_REQUESTS_TESTING_JUDGE_H
+#define ORIOLEDOOR_REQUESTS_TESTING_JUDGE_H
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "orioledoor/requests/http_types.h"
+
+namespace orioledoor::requests::testing {
+
+// Collects violations as text. Operations have unique names; each send of one
+// has a unique CallerId.
+class Judge {
+public:
+  struct Send {
+    std::string Operation;
+    bool Idempotent = false;
+    std::uint32_t MaxTries = 1;
+    bool Gone = false;
+    std::uint32_t Runs = 0;
+    std::vector<HttpAnswer> Answers;
+  };
+
+  void sent(std::uint64_t CallerId, Send Value) {
+    this->Sends[CallerId] = std::move(Value);
+  }
+  void gone(std::uint64_t CallerId) { this->Sends.at(CallerId).Gone = true; }
+
+  // A target ran the operation for the send. Owned: the node beside the target
+  // owned the slice and held a permission at that time.
+  void ran(std::uint64_t CallerId, bool Owned) {
+    Send &From = this->Sends.at(CallerId);
+    ++From.Runs;
+    ++this->Runs[From.Operation];
+    if (!Owned)
+      this->Violations.push_back("ran without a permission: " + From.Operation);
+  }
+
+  void answered(std::uint64_t CallerId, const HttpAnswer &Value) {
+    this->Sends.at(CallerId).Answers.push_back(Value);
+  }
+
+  bool waits(std::uint64_t CallerId) const {
+    const Send &Value = this->Sends.at(CallerId);
+    return Value.Answers.empty() && !Value.Gone;
+  }
+
+  bool toldRan(std::uint64_t CallerId) const {
+    return this->told(CallerId, "ran");
+  }
+  bool toldNotRun(std::uint64_t CallerId) const {
+    return this->told(CallerId, "not-run");
+  }
+
+  static std::string outcomeOf(const HttpAnswer &Value) {
+    auto Found =
+        std::ranges::find(Value.Headers, "Oriole-Outcome", &Header::Name);
+    return Found == Value.Headers.end() ? "" : Found->Value;
+  }
+
+  void expect(bool Holds, std::string Rule) {
+    if (!Holds)
+      this->Violations.push_back(std::move(Rule));
+  }
+
+  // Applies the rules over whole sends, after the last event.
+  std::vector<std::string> verdict() {
+    for (const auto &[CallerId, Value] : this->Sends) {
+      std::uint32_t Total = this->Runs[Value.Operation];
+      std::string Name = Value.Operation + " caller " +
+                         std::to_string(CallerId) + " runs " +
+                         std::to_string(Total);
+      this->expect(Value.Idempotent || Total <= 1, "ran twice: " + Name);
+      this->expect(Value.Runs <= Value.MaxTries, "too many tries: " + Name);
+      this->expect(Value.Answers.size() == (Value.Gone ? 0 : 1),
+                   std::to_string(Value.Answers.size()) + " answers: " + Name);
+      for (const HttpAnswer &Ended : Value.Answers) {
+        std::string Told = outcomeOf(Ended);
+        this->expect(Told == "ran" || Told == "not-run" || Told == "unknown",
+                     "no outcome: " + Name);
+        // Each send of an idempotent request is an operation of its own.
+        this->expect(Told != "not-run" ||
+                         (Value.Idempotent ? Value.Runs : Total) == 0,
+                     "told not-run but ran: " + Name);
+        this->expect(Told != "ran" ||
+                         (Total >= 1 && Ended.Body == "echo" + Value.Operation),
+                     "answer of another request: " + Name);
+      }
+    }
+    return std::move(this->Violations);
+  }
+
+  // How often each outcome was told, to show that schedules reach all of them.
+  std::map<std::string, int> outcomes() const {
+    std::map<std::string, int> Counts;
+    for (const auto &[CallerId, Value] : this->Sends)
+      for (const HttpAnswer &Ended : Value.Answers)
+        ++Counts[outcomeOf(Ended) + " " + std::to_string(Ended.Status)];
+    return Counts;
+  }
+
+private:
+  bool told(std::uint64_t CallerId, std::string_view Outcome) const {
+    return std::ranges::any_of(
+        this->Sends.at(CallerId).Answers,
+        [Outcome](const HttpAnswer &A) { return outcomeOf(A) == Outcome; });
+  }
+
+  std::map<std::uint64_t, Send> Sends;
+  std::map<std::string, std::uint32_t> Runs;
+  std::vector<std::string> Violations;
+};
+
+} // namespace orioledoor::requests::testing
+
+#endif // ORIOLEDOOR_REQUESTS_TESTING_JUDGE_H
--- /dev/null
+++ b/orioledoor/requests/testing/simulation.cc
@@ -0,0 +1,303 @@
+// Schedules of the differential test. Probabilities are in percent and chosen
+// so that most seeds see several faults within a few seconds.
+#include "orioledoor/requests/testing/simulation.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "orioledoor/requests/message_codec.h"
+
+namespace orioledoor::requests::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration Permission = 800ms;
+constexpr Duration IssueTime = 4s;
+constexpr Duration TotalTime = 16s;
+constexpr int Wishes = 40;
+constexpr char ServiceName[] = "desk";
+
+std::string addressOf(int Node) { return "node" + std::to_string(Node); }
+int nodeOf(const std::string &Address) { return Address.back() - '0'; }
+
+std::uint64_t callerOf(const CallTarget &Effect) {
+  return std::stoull(Effect.Request->Headers.at(0).Value);
+}
+
+} // namespace
+
+std::optional<ownership::Route> NodeRouting::route(SliceRef Ref) const {
+  int Owner = this->World->Nodes[this->Self].BelievedOwner[Ref.Slice];
+  return ownership::Route{MemberId{static_cast<std::uint32_t>(Owner) + 1},
+                          addressOf(Owner), Owner == this->Self, true};
+}
+
+std::optional<ownership::Gate> NodeRouting::gate(SliceRef Ref,
+                                                 Instant Now) const {
+  const auto &Node = this->World->Nodes[this->Self];
+  if (Node.BelievedOwner[Ref.Slice] != this->Self || Node.PermissionEnd <= Now)
+    return std::nullopt;
+  return ownership::Gate{Fence{this->World->Slices[Ref.Slice].Number},
+                         Node.PermissionEnd};
+}
+
+std::vector<ownership::Route>
+NodeRouting::membersOf(ServiceId /*Service*/) const {
+  return {};
+}
+
+double NodeRouting::ownedShare(ServiceId /*Service*/) const {
+  auto Owned = std::ranges::count(this->World->Slices, this->Self,
+                                  &Simulation::Slice::Owner);
+  return static_cast<double>(Owned) / Simulation::SliceCount;
+}
+
+Instant NodeRouting::permissionEnd() const {
+  return this->World->Nodes[this->Self].PermissionEnd;
+}
+
+Simulation::Simulation(std::uint64_t Seed)
+    : Random(Seed), Services(std::make_shared<Catalogue>()), Nodes(NodeCount),
+      Slices(SliceCount) {
+  ServiceEntry Entry;
+  Entry.Name = ServiceName;
+  Entry.Id = serviceIdOf(ServiceName);
+  Entry.DividedByKey = true;
+  Entry.Slices = SliceCount;
+  Entry.Limits.RequestsPerSecond = this->chance(20) ? 10 : 0;
+  Entry.Limits.SpendPerDay = this->chance(20) ? 30 : 0;
+  this->SpendLeft = Entry.Limits.SpendPerDay;
+  this->Services->Services.push_back(Entry);
+  this->ChecksFence = this->chance(30);
+  for (int I = 0; I < NodeCount; ++I) {
+    Node &N = this->Nodes[I];
+    N.Routing = NodeRouting{this, I};
+    N.BelievedOwner = {1, 2};
+    N.PermissionEnd = this->Now + Permission;
+    N.Reducer = std::make_unique<RequestReducer<NodeRouting>>(
+        ReducerOptions{addressOf(I), this->Random() | 1});
+    this->deliver(I, CatalogueChanged{this->Services});
+    this->recover(I, true);
+  }
+  this->Slices[1].Owner = 2;
+  for (std::uint32_t I = 0; I < SliceCount; ++I)
+    this->adopt(I, this->Slices[I].Owner, "", false);
+}
+
+std::vector<std::string> Simulation::run() {
+  Instant Start = this->Now;
+  Instant End = Start + TotalTime;
+  for (int I = 0; I < NodeCount; ++I)
+    for (Duration T = 0us; T < TotalTime; T += 10ms)
+      this->at(Start + T, [this, I] {
+        Node &N = this->Nodes[I];
+        if (!N.Cut && N.TargetUp && N.FrozenUntil <= this->Now)
+          N.PermissionEnd = this->Now + Permission;
+        this->deliver(I, Tick{1'000'000});
+      });
+  for (int I = 0; I < Wishes; ++I) {
+    auto Wish = std::make_shared<Want>();
+    Wish->Name = "/" + std::to_string(I);
+    Wish->Key = "k" + std::to_string(this->below(8));
+    Wish->Method = this->chance(70) ? "POST" : "GET";
+    Wish->Body = this->chance(4) ? "poison" : "b";
+    Wish->StatesAttempt = this->chance(80);
+    Wish->StatesAge = this->chance(50);
+    if (Wish->Method == "POST" && this->chance(90))
+      Wish->OperationId = "op" + Wish->Name;
+    if (Wish->Body == "poison")
+      Wish->Key = "k0";
+    this->at(Start + this->upTo(IssueTime),
+             [this, Wish] { this->submit(Wish); });
+  }
+  for (std::uint64_t I = this->below(4); I > 0; --I)
+    this->at(Start + this->upTo(IssueTime), [this] {
+      this->startMove(static_cast<std::uint32_t>(this->below(SliceCount)));
+    });
+  for (std::uint64_t I = this->below(3); I > 0; --I)
+    this->at(Start + this->upTo(IssueTime), [this] {
+      this->cutOff(FirstOwner + static_cast<int>(this->below(2)));
+    });
+  if (this->chance(40))
+    this->at(Start + this->upTo(IssueTime), [this] {
+      int Which = static_cast<int>(this->below(NodeCount));
+      this->Nodes[Which].FrozenUntil = this->Now + this->upTo(2s);
+      // A frozen member renews nothing and is replaced like a lost one.
+      if (Which >= FirstOwner)
+        this->cutOff(Which);
+    });
+  while (!this->Agenda.empty() && std::get<0>(this->Agenda.top()) <= End) {
+    Entry Next = this->Agenda.top();
+    this->Agenda.pop();
+    this->Now = std::get<0>(Next);
+    std::get<2>(Next)();
+  }
+  const ServiceLimits &Limits = this->Services->Services[0].Limits;
+  double Seconds = std::chrono::duration<double>(TotalTime).count();
+  if (Limits.RequestsPerSecond > 0)
+    // Each owner's bucket may hold one token more.
+    this->Log.expect(static_cast<double>(this->CallsStarted) <=
+                         Limits.RequestsPerSecond * Seconds + 2,
+                     "rate limit exceeded");
+  if (Limits.SpendPerDay > 0)
+    this->Log.expect(this->Executions <= Limits.SpendPerDay, "spend exceeded");
+  return this->Log.verdict();
+}
+
+void Simulation::at(Instant When, std::function<void()> Action) {
+  this->Agenda.emplace(When, ++this->Sequence, std::move(Action));
+}
+
+void Simulation::deliver(int To, Event Input) {
+  Node &N = this->Nodes[To];
+  if (N.FrozenUntil > this->Now) {
+    auto Kept = std::make_shared<Event>(std::move(Input));
+    return this->at(N.FrozenUntil,
+                    [this, To, Kept] { this->deliver(To, std::move(*Kept)); });
+  }
+  Effects Output;
+  N.Reducer->handle(std::move(Input), this->Now, N.Routing, Output);
+  for (Effect &E : Output)
+    this->act(To, E);
+}
+
+void Simulation::act(int From, Effect &Output) {
+  if (auto *Reply = std::get_if<ReplyCaller>(&Output)) {
+    this->Log.answered(Reply->CallerId, Reply->Answer);
+  } else if (auto *Sent = std::get_if<SendPeer>(&Output)) {
+    this->transmit(From, *Sent);
+  } else if (auto *Notice = std::get_if<Broadcast>(&Output)) {
+    for (int To = 0; To < NodeCount; ++To)
+      if (To != From)
+        this->after(1ms, [this, From, To, Body = Notice->Body] {
+          this->deliver(To, PeerMessage{addressOf(From), Body});
+        });
+  } else if (auto *Call = std::get_if<CallTarget>(&Output)) {
+    this->call(From, *Call);
+  } else if (auto *Stop = std::get_if<CancelTarget>(&Output)) {
+    this->Nodes[From].Calls.erase(Stop->CallId);
+  } else if (auto *Report = std::get_if<SliceDrained>(&Output)) {
+    this->drained(From, *Report);
+  } else if (auto *Ask = std::get_if<RequestSpend>(&Output)) {
+    std::uint64_t Share = std::min(Ask->Amount, this->SpendLeft);
+    this->SpendLeft -= Share;
+    if (Share > 0 && !this->chance(10))
+      this->after(10ms, [this, From,
+                         Grant = SpendGranted{Ask->Service, Share, Ask->Day}] {
+        this->deliver(From, Grant);
+      });
+  }
+}
+
+void Simulation::transmit(int From, const SendPeer &Sent) {
+  int To = nodeOf(Sent.To);
+  const auto *F = std::get_if<Forward>(&Sent.Body);
+  bool Cut = this->Nodes[From].Cut || this->Nodes[To].Cut;
+  if (F && this->chance(Cut ? 30 : 2))
+    return this->after(
+        1ms, [this, From,
+              Failed = PeerSendFailed{Sent.To, F->EntryId, F->RequestId}] {
+          this->deliver(From, Failed);
+        });
+  if (Cut && this->chance(50))
+    this->after(300ms, [this, From, To] {
+      this->deliver(From, PeerLost{addressOf(To)});
+    });
+  if (Cut || this->chance(4))
+    return;
+  std::string Bytes = encodeMessage(Sent.Body);
+  for (int Copies = this->chance(10) ? 2 : 1; Copies > 0; --Copies) {
+    Duration Delay = this->chance(8) ? this->upTo(4s) : this->upTo(5ms);
+    this->after(Delay, [this, From, To, Bytes] {
+      this->deliver(To, PeerMessage{addressOf(From), *decodeMessage(Bytes)});
+    });
+  }
+}
+
+void Simulation::call(int At, const CallTarget &Effect) {
+  ++this->CallsStarted;
+  Node &N = this->Nodes[At];
+  this->Log.expect(Effect.NotAfter > this->Now, "call after its last moment");
+  auto Running = std::make_shared<TargetCall>(TargetCall{Effect, false});
+  N.Calls[Effect.CallId] = Running;
+  std::uint64_t CallId = Effect.CallId;
+  auto Failed = [this, At, CallId](TargetFailure Why) {
+    this->endCall(At, CallId, TargetFailed{CallId, Why, "simulated"});
+  };
+  if (!N.TargetUp || this->chance(4))
+    return this->after(1ms, [Failed] { Failed(TargetFailure::NotSent); });
+  if (Effect.Request->Body == "poison" && Effect.Timeout > 2ms)
+    return this->after(2ms, [this, At, Running] {
+      if (!this->Nodes[At].Calls.contains(Running->Effect.CallId))
+        return;
+      this->execute(At, *Running);
+      const std::string &Method = Running->Effect.Request->Method;
+      // What a paused node knows of a crash cannot reach the others.
+      bool Paused = std::ranges::any_of(this->Nodes, [this](const Node &Any) {
+        return Any.FrozenUntil + 10ms > this->Now;
+      });
+      this->Log.expect(++this->Crashes[Method] <= 2 || Paused,
+                       Method + " crashed a third target");
+      this->crashTarget(At);
+    });
+  bool Stalls = this->chance(8);
+  Duration Takes = Stalls ? Effect.Timeout : this->upTo(20ms) + 1ms;
+  if (!Stalls || this->chance(50))
+    this->after(std::min(Takes, Effect.Timeout) / 2, [this, At, CallId] {
+      auto Found = this->Nodes[At].Calls.find(CallId);
+      if (Found != this->Nodes[At].Calls.end())
+        this->execute(At, *Found->second);
+    });
+  if (Takes >= Effect.Timeout)
+    return this->after(Effect.Timeout,
+                       [Failed] { Failed(TargetFailure::TimedOut); });
+  if (this->chance(4))
+    return this->after(Takes, [this, Failed] {
+      Failed(this->chance(50) ? TargetFailure::ConnectionLost
+                              : TargetFailure::Truncated);
+    });
+  this->after(Takes, [this, At, CallId, Running, Failed] {
+    if (!Running->Ran)
+      return Failed(TargetFailure::Truncated);
+    const std::string &Path = Running->Effect.Request->Path;
+    this->endCall(At, CallId, TargetAnswered{CallId, {200, {}, "echo" + Path}});
+  });
+}
+
+void Simulation::endCall(int At, std::uint64_t CallId, Event Result) {
+  if (this->Nodes[At].Calls.erase(CallId) > 0)
+    this->deliver(At, std::move(Result));
+}
+
+void Simulation::execute(int At, TargetCall &Running) {
+  const CallTarget &Effect = Running.Effect;
+  bool Owned = this->owns(At, Effect.Slice.Slice) &&
+               this->Slices[Effect.Slice.Slice].Number == Effect.Number.Value;
+  if (this->ChecksFence && !Owned)
+    return;
+  Running.Ran = true;
+  ++this->Executions;
+  this->Log.ran(callerOf(Effect), Owned);
+}
+
+void Simulation::crashTarget(int At) {
+  Node &N = this->Nodes[At];
+  if (!N.TargetUp)
+    return;
+  N.TargetUp = false;
+  auto Calls = std::exchange(N.Calls, {});
+  for (const auto &[CallId, Running] : Calls)
+    this->deliver(At, TargetFailed{CallId, TargetFailure::ConnectionLost, ""});
+  this->after(1500ms, [this, At] {
+    this->deliver(At, TargetChanged{.Lost = true});
+    this->Nodes[At].PermissionEnd = this->Now;
+    for (std::uint32_t I = 0; I < SliceCount; ++I)
+      if (this->Slices[I].Owner == At)
+        this->after(50ms, [this, I] { this->replaceOwner(I); });
+    this->after(1s, [this, At] { this->recover(At, true); });
+  });
+}
+
+} // namespace orioledoor::requests::testing
--- /dev/null
+++ b/orioledoor/requests/testing/simulation.h
@@ -0,0 +1,155 @@
+// One seeded schedule in virtual time: three nodes, two of them with targets,
+// callers, a network that loses, delays, duplicates and reorders messages, and
+// an ownership that moves and loses slices.
+#ifndef ORIOLEDOOR_REQUESTS_TESTING_SIMULATION_H
+#define ORIOLEDOOR_REQUESTS_TESTING_SIMULATION_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "orioledoor/catalogue/catalogue.h"
+#include "orioledoor/requests/request_reducer.h"
+#include "orioledoor/requests/testing/judge.h"
+
+namespace orioledoor::requests::testing {
+
+class Simulation;
+
+// What one node believes about ownership, on top of the true permission.
+struct NodeRouting {
+  const Simulation *World = nullptr;
+  int Self = 0;
+
+  std::optional<ownership::Route> route(SliceRef Slice) const;
+  std::optional<ownership::Gate> gate(SliceRef Slice, Instant Now) const;
+  std::vector<ownership::Route> membersOf(ServiceId Service) const;
+  double ownedShare(ServiceId Service) const;
+  Instant permissionEnd() const;
+};
+
+class Simulation {
+public:
+  static constexpr std::uint32_t SliceCount = 2;
+  static constexpr int NodeCount = 3;
+  // Node 0 has no target and only acts as an entry node.
+  static constexpr int FirstOwner = 1;
+
+  explicit Simulation(std::uint64_t Seed);
+
+  // Runs the schedule to its end and returns the violations.
+  std::vector<std::string> run();
+
+  const Judge &judge() const { return this->Log; }
+
+private:
+  friend struct NodeRouting;
+
+  struct TargetCall {
+    CallTarget Effect;
+    bool Ran = false;
+  };
+  struct Node {
+    std::unique_ptr<RequestReducer<NodeRouting>> Reducer;
+    NodeRouting Routing;
+    Instant PermissionEnd;
+    Instant FrozenUntil;
+    // Cut off from peers and guardians.
+    bool Cut = false;
+    bool TargetUp = false;
+    std::vector<int> BelievedOwner = std::vector<int>(SliceCount);
+    // Slices adopted and not dropped.
+    std::set<std::uint32_t> Held;
+    std::map<std::uint64_t, std::shared_ptr<TargetCall>> Calls;
+  };
+  struct Slice {
+    int Owner = FirstOwner;
+    std::uint32_t Number = 1;
+    bool Draining = false;
+  };
+  // What a caller wants to have done; sent again while the answer is not
+  // certain.
+  struct Want {
+    std::string Name;
+    std::string Method;
+    std::string Key;
+    std::string Body;
+    std::string OperationId;
+    bool StatesAttempt = true;
+    bool StatesAge = true;
+    Instant FirstSentAt;
+    std::uint32_t Sends = 0;
+  };
+
+  std::uint64_t below(std::uint64_t Bound) { return this->Random() % Bound; }
+  bool chance(int Percent) {
+    return this->below(100) < static_cast<std::uint64_t>(Percent);
+  }
+  Duration upTo(Duration Most) {
+    return Duration(static_cast<std::int64_t>(
+        this->below(static_cast<std::uint64_t>(Most.count()) + 1)));
+  }
+
+  void at(Instant When, std::function<void()> Action);
+  void after(Duration Delay, std::function<void()> Action) {
+    this->at(this->Now + Delay, std::move(Action));
+  }
+  // Feeds Input to the node, after its pause if it is frozen.
+  void deliver(int To, Event Input);
+  void act(int From, Effect &Output);
+  void transmit(int From, const SendPeer &Message);
+  void call(int At, const CallTarget &Effect);
+  void endCall(int At, std::uint64_t CallId, Event Result);
+  // Runs the operation, unless the target checks fencing numbers and refuses.
+  void execute(int At, TargetCall &Running);
+  void crashTarget(int At);
+
+  void submit(const std::shared_ptr<Want> &Wish);
+  void resendUnlessCertain(const std::shared_ptr<Want> &Wish,
+                           std::uint64_t CallerId);
+
+  void startMove(std::uint32_t Index);
+  void drained(int From, const SliceDrained &Report);
+  void cutOff(int Which);
+  // Gives the slices of a lost node to a healthy one without their tables.
+  void replaceOwner(std::uint32_t Index);
+  // Ends the cut. With TargetBack, a new target has started.
+  void recover(int Which, bool TargetBack);
+  void adopt(std::uint32_t Index, int By, std::string Table, bool Lost);
+  bool owns(int Which, std::uint32_t Index) const;
+
+  Judge Log;
+  std::mt19937_64 Random;
+  std::shared_ptr<Catalogue> Services;
+  bool ChecksFence = false;
+  std::vector<Node> Nodes;
+  std::vector<Slice> Slices;
+  Instant Now{1'000'000};
+  std::uint64_t Sequence = 0;
+  using Entry = std::tuple<Instant, std::uint64_t, std::function<void()>>;
+  struct Later {
+    bool operator()(const Entry &A, const Entry &B) const {
+      return std::tie(std::get<0>(A), std::get<1>(A)) >
+             std::tie(std::get<0>(B), std::get<1>(B));
+    }
+  };
+  std::priority_queue<Entry, std::vector<Entry>, Later> Agenda;
+  std::uint64_t CallerIds = 0;
+  std::uint64_t SpendLeft = 0;
+  std::uint64_t Executions = 0;
+  std::uint64_t CallsStarted = 0;
+  // Targets lost to the poisonous request, by its method.
+  std::map<std::string, int> Crashes;
+};
+
+} // namespace orioledoor::requests::testing
+
+#endif // ORIOLEDOOR_REQUESTS_TESTING_SIMULATION_H
