--- a/orioledoor/daemon/announcement_test.cc
+++ b/orioledoor/daemon/announcement_test.cc
@@ -48,9 +48,9 @@
     for (const auto &[Json, Field] : Cases) {
       auto Read = decodeAnnouncement(Json);
       CPPUNIT_ASSERT_MESSAGE(Json, !Read.ok());
-      CPPUNIT_ASSERT_MESSAGE(
-          Json, std::string(Read.status().message()).find(Field) !=
-                    std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(Json,
+                             std::string(Read.status().message()).find(Field) !=
+                                 std::string::npos);
     }
   }
 };
--- a/orioledoor/daemon/node.cc
+++ b/orioledoor/daemon/node.cc
@@ -161,16 +161,14 @@
 
   void handleOwnership(const ownership::Event &Input) {
     for (ownership::Effect &Each : this->Members.handle(Input, readClock()))
-      std::visit(
-          [this](auto &E) { this->carryOut(std::move(E)); }, Each);
+      std::visit([this](auto &E) { this->carryOut(std::move(E)); }, Each);
   }
 
   void handleRequest(requests::Event Input) {
     requests::Effects Output;
     this->Routing.handle(std::move(Input), readClock(), this->Members, Output);
     for (requests::Effect &Each : Output)
-      std::visit(
-          [this](auto &E) { this->carryOut(std::move(E)); }, Each);
+      std::visit([this](auto &E) { this->carryOut(std::move(E)); }, Each);
   }
 
   // The request reducer's timers are finer than the regular tick.
@@ -179,7 +177,8 @@
     if (!Next || (this->TimerAt && *this->TimerAt <= *Next))
       return;
     this->TimerAt = *Next;
-    std::int64_t Left = std::max<std::int64_t>((*Next - readClock()).count(), 0);
+    std::int64_t Left =
+        std::max<std::int64_t>((*Next - readClock()).count(), 0);
     timeval Time = wire::internal::toTimeval(Left);
     event_add(this->TimerEvent.get(), &Time);
   }
@@ -244,8 +243,7 @@
       return;
     }
     this->InForce = std::make_shared<const Catalogue>(*std::move(Parsed));
-    this->dispatch(
-        requests::Event(requests::CatalogueChanged{this->InForce}));
+    this->dispatch(requests::Event(requests::CatalogueChanged{this->InForce}));
   }
   void carryOut(const ownership::DrainSlice &E) {
     this->dispatch(requests::Event(requests::DrainSlice{E.Slice}));
@@ -262,8 +260,8 @@
     this->dispatch(requests::Event(requests::DropSlice{E.Slice}));
   }
   void carryOut(const ownership::SpendGranted &E) {
-    this->dispatch(requests::Event(
-        requests::SpendGranted{E.Service, E.Amount, E.Day}));
+    this->dispatch(
+        requests::Event(requests::SpendGranted{E.Service, E.Amount, E.Day}));
   }
   void carryOut(const ownership::StopCompleted &) {
     if (!this->StopWanted || this->ExitBy)
@@ -277,7 +275,8 @@
 
   void carryOut(const requests::ReplyCaller &E) {
     std::optional<Duration> Took = this->Server->reply(E.CallerId, E.Answer);
-    auto Hundreds = static_cast<std::size_t>(std::max(E.Answer.Status, 0)) / 100;
+    auto Hundreds =
+        static_cast<std::size_t>(std::max(E.Answer.Status, 0)) / 100;
     this->Answers[std::min(Hundreds, this->Answers.size() - 1)]->add(1);
     if (Took)
       this->Latency.observe(static_cast<double>(Took->count()) / 1e6);
@@ -318,18 +317,18 @@
     Headers.push_back({"Oriole-Fence", std::to_string(E.Number.Value)});
     Headers.push_back(
         {"Oriole-Timeout-Ms", std::to_string(E.Timeout.count() / 1000)});
-    this->OpenCalls[E.CallId] = this->Client.call(
-        {.To = this->Target.known()->Address,
-         .Method = E.Request->Method,
-         .Target = wire::targetOf(*E.Request),
-         .Headers = std::move(Headers),
-         .Body = E.Request->Body,
-         .Timeout = E.Timeout,
-         .NotAfter = E.NotAfter,
-         .FreshConnection = false},
-        [this, Id = E.CallId](wire::HttpResult Result) {
-          this->onTargetResult(Id, std::move(Result));
-        });
+    this->OpenCalls[E.CallId] =
+        this->Client.call({.To = this->Target.known()->Address,
+                           .Method = E.Request->Method,
+                           .Target = wire::targetOf(*E.Request),
+                           .Headers = std::move(Headers),
+                           .Body = E.Request->Body,
+                           .Timeout = E.Timeout,
+                           .NotAfter = E.NotAfter,
+                           .FreshConnection = false},
+                          [this, Id = E.CallId](wire::HttpResult Result) {
+                            this->onTargetResult(Id, std::move(Result));
+                          });
   }
   void carryOut(const requests::CancelTarget &E) {
     auto Found = this->OpenCalls.find(E.CallId);
@@ -339,12 +338,12 @@
     this->OpenCalls.erase(Found);
   }
   void carryOut(requests::SliceDrained E) {
-    this->dispatch(ownership::Event(
-        ownership::SliceDrained{E.Slice, std::move(E.Table)}));
+    this->dispatch(
+        ownership::Event(ownership::SliceDrained{E.Slice, std::move(E.Table)}));
   }
   void carryOut(const requests::RequestSpend &E) {
-    this->dispatch(ownership::Event(
-        ownership::SpendWanted{E.Service, E.Amount, E.Day}));
+    this->dispatch(
+        ownership::Event(ownership::SpendWanted{E.Service, E.Amount, E.Day}));
   }
   void carryOut(const requests::WriteLog &E) { this->Log.write(E.Record); }
 
@@ -367,13 +366,13 @@
 
   void onTarget(TargetChange Change, const Announcement &Of) {
     bool Usable = Change != TargetChange::Lost;
-    this->dispatch(requests::Event(requests::TargetChanged{
-        .Ready = Usable,
-        .Service = Of.Service,
-        .Slots = Of.Slots,
-        .Connections = Of.Connections,
-        .ChecksFence = Of.ChecksFence,
-        .Lost = Change == TargetChange::Lost}));
+    this->dispatch(requests::Event(
+        requests::TargetChanged{.Ready = Usable,
+                                .Service = Of.Service,
+                                .Slots = Of.Slots,
+                                .Connections = Of.Connections,
+                                .ChecksFence = Of.ChecksFence,
+                                .Lost = Change == TargetChange::Lost}));
     if (Change == TargetChange::Ready)
       this->dispatch(ownership::Event(ownership::TargetReady{
           Of.Service, Of.Slots, Of.Connections, Of.ChecksFence}));
@@ -391,8 +390,8 @@
       absl::StatusOr<ownership::Message> Body =
           ownership::decodeMessage(Payload);
       if (Body.ok())
-        this->dispatch(ownership::Event(ownership::PeerMessage{
-            std::string(From), *std::move(Body)}));
+        this->dispatch(ownership::Event(
+            ownership::PeerMessage{std::string(From), *std::move(Body)}));
       else
         this->refuseMessage(From, Body.status());
       return;
@@ -462,12 +461,12 @@
     ownership::OwnershipStatus Status = this->Members.status(readClock());
     NodeFigures Figures = this->figures(Status);
     if (Path == "/oriole/ready")
-      return jsonAnswer(Figures.Ready ? 200 : 503,
-                        Figures.Ready ? "{\"ready\":true}\n"
-                                      : "{\"ready\":false}\n");
+      return jsonAnswer(Figures.Ready ? 200 : 503, Figures.Ready
+                                                       ? "{\"ready\":true}\n"
+                                                       : "{\"ready\":false}\n");
     if (Path == "/oriole/status")
-      return jsonAnswer(
-          200, statusPage(this->Own, Status, this->Target, Figures));
+      return jsonAnswer(200,
+                        statusPage(this->Own, Status, this->Target, Figures));
     if (Path == "/oriole/metrics") {
       collectMetrics(this->Metrics, this->Peers->counters(),
                      this->Client.counters(), Status, Figures);
@@ -475,9 +474,9 @@
               {{"Content-Type", "text/plain; version=0.0.4"}},
               this->Metrics.text()};
     }
-    return wire::errorAnswer(
-        404, makeError(absl::StatusCode::kNotFound, "operators' page", "",
-                       "there is no such page"));
+    return wire::errorAnswer(404, makeError(absl::StatusCode::kNotFound,
+                                            "operators' page", "",
+                                            "there is no such page"));
   }
 
   requests::HttpAnswer
@@ -497,11 +496,10 @@
     ownership::OwnershipStatus Status = this->Members.status(readClock());
     // A leaving target may end once it owns and runs nothing.
     bool Idle = Status.SlicesOwned == 0 && this->OpenCalls.empty();
-    return jsonAnswer(200, "{\"member\":" + std::to_string(Status.Id.Value) +
-                               ",\"slices_owned\":" +
-                               std::to_string(Status.SlicesOwned) +
-                               ",\"idle\":" + (Idle ? "true" : "false") +
-                               "}\n");
+    return jsonAnswer(
+        200, "{\"member\":" + std::to_string(Status.Id.Value) +
+                 ",\"slices_owned\":" + std::to_string(Status.SlicesOwned) +
+                 ",\"idle\":" + (Idle ? "true" : "false") + "}\n");
   }
 
   // Start and stop ------------------------------------------------------------
@@ -523,8 +521,8 @@
              },
          .Lost =
              [this](std::string_view Peer) {
-               this->dispatch(requests::Event(
-                   requests::PeerLost{std::string(Peer)}));
+               this->dispatch(
+                   requests::Event(requests::PeerLost{std::string(Peer)}));
              },
          .Log = [this](const LogRecord &Record) { this->Log.write(Record); }});
     if (!Peers.ok())
@@ -565,8 +563,7 @@
   }
 
   void exitWhenDone(Instant Now) {
-    bool Idle =
-        this->Server->openRequests() == 0 && this->OpenCalls.empty();
+    bool Idle = this->Server->openRequests() == 0 && this->OpenCalls.empty();
     if (!Idle && Now < *this->ExitBy)
       return;
     this->Log.write({Idle ? &NodeStopped : &StopCutShort, {}});
--- a/orioledoor/daemon/target_monitor.cc
+++ b/orioledoor/daemon/target_monitor.cc
@@ -50,9 +50,8 @@
   if (this->Known && isSame(*this->Known, Announced) &&
       (this->Up || Announced.State == TargetState::Starting))
     return;
-  bool Moved = this->Known &&
-               formatEndpoint(this->Known->Address) !=
-                   formatEndpoint(Announced.Address);
+  bool Moved = this->Known && formatEndpoint(this->Known->Address) !=
+                                  formatEndpoint(Announced.Address);
   // A target that starts, or that has another address, is another process.
   if (this->Up && (Moved || Announced.State == TargetState::Starting))
     this->lose(Now);
@@ -152,33 +151,31 @@
   // The target runs on the same VM, so it may compare valid_until_us with its
   // own CLOCK_BOOTTIME. valid_ms alone would count from the time of reading,
   // which a frozen target delays.
-  std::string Body =
-      nlohmann::json{{"member", Permit.Member.Value},
-                     {"fence", Permit.Number.Value},
-                     {"valid_ms", Left.count()},
-                     {"valid_until_us", Permit.Until.micros()}}
-          .dump();
+  std::string Body = nlohmann::json{{"member", Permit.Member.Value},
+                                    {"fence", Permit.Number.Value},
+                                    {"valid_ms", Left.count()},
+                                    {"valid_until_us", Permit.Until.micros()}}
+                         .dump();
   this->GrantOpen = true;
   this->GrantedUntil = Permit.Until;
-  this->Client.call(
-      {.To = this->Known->Address,
-       .Method = "POST",
-       .Target = "/oriole/grant",
-       .Headers = {{"Content-Type", "application/json"}},
-       .Body = Body,
-       .Timeout = std::min<Duration>(GrantTimeout, Left),
-       .NotAfter = Permit.Until,
-       .FreshConnection = false},
-      [this](const wire::HttpResult &Result) { // NOLINT
-        this->GrantOpen = false;
-        bool Failed = !isSuccess(Result);
-        if (Failed && !this->GrantFailed)
-          this->Callbacks.Log(
-              {&GrantRefused,
-               {{"status", std::to_string(Result.Answer.Status)},
-                {"detail", Result.Detail}}});
-        this->GrantFailed = Failed;
-      });
+  this->Client.call({.To = this->Known->Address,
+                     .Method = "POST",
+                     .Target = "/oriole/grant",
+                     .Headers = {{"Content-Type", "application/json"}},
+                     .Body = Body,
+                     .Timeout = std::min<Duration>(GrantTimeout, Left),
+                     .NotAfter = Permit.Until,
+                     .FreshConnection = false},
+                    [this](const wire::HttpResult &Result) { // NOLINT
+                      this->GrantOpen = false;
+                      bool Failed = !isSuccess(Result);
+                      if (Failed && !this->GrantFailed)
+                        this->Callbacks.Log(
+                            {&GrantRefused,
+                             {{"status", std::to_string(Result.Answer.Status)},
+                              {"detail", Result.Detail}}});
+                      this->GrantFailed = Failed;
+                    });
 }
 
 } // namespace orioledoor::daemon
--- a/orioledoor/telemetry/metrics.cc
+++ b/orioledoor/telemetry/metrics.cc
@@ -89,7 +89,8 @@
   bool HasPrevious = false;
 
   double present(std::size_t Which) const {
-    return acc::extended_p_square(this->Present)[Which];
+    return acc::extended_p_square(
+        this->Present)[static_cast<std::ptrdiff_t>(Which)];
   }
 };
 
@@ -120,10 +121,9 @@
   const Impl &From = *this->Own;
   std::size_t Which = Q < 0.7 ? 0 : Q < 0.95 ? 1 : 2;
   if (From.InWindow < FirstEstimate)
-    return From.HasPrevious ? From.Previous[Which]
-           : From.InWindow == 0
-               ? 0
-               : From.Sum / static_cast<double>(From.InWindow);
+    return From.HasPrevious     ? From.Previous[Which]
+           : From.InWindow == 0 ? 0
+                                : From.Sum / static_cast<double>(From.InWindow);
   if (!From.HasPrevious)
     return From.present(Which);
   double Weight = static_cast<double>(From.InWindow) / WindowSize;
@@ -166,15 +166,15 @@
                 [&](const auto &Name, const auto &Labels, const Gauge &Each) {
                   Line(series(Name, Labels), format(Each.value()));
                 });
-  writeFamilies(
-      Page, this->Own->Summaries, "summary",
-      [&](const auto &Name, const auto &Labels, const Summary &Each) {
-        for (double Q : Quantiles)
-          Line(series(Name, Labels, "quantile=\"" + format(Q) + "\""),
-               format(Each.quantile(Q)));
-        Line(series(Name + "_sum", Labels), format(Each.sum()));
-        Line(series(Name + "_count", Labels), std::to_string(Each.count()));
-      });
+  writeFamilies(Page, this->Own->Summaries, "summary",
+                [&](const auto &Name, const auto &Labels, const Summary &Each) {
+                  for (double Q : Quantiles)
+                    Line(series(Name, Labels, "quantile=\"" + format(Q) + "\""),
+                         format(Each.quantile(Q)));
+                  Line(series(Name + "_sum", Labels), format(Each.sum()));
+                  Line(series(Name + "_count", Labels),
+                       std::to_string(Each.count()));
+                });
   return Page;
 }
 
--- a/orioledoor/wire/caller_request.h
+++ b/orioledoor/wire/caller_request.h
@@ -16,9 +16,9 @@
 
 struct IncomingRequest;
 
-// Leaves CallerId, Elapsed, WallMicros and Random to the caller of this function. The
-// headers that the event carries as fields are taken out of the request's
-// headers. Errors: kInvalidArgument, with what is wrong.
+// Leaves CallerId, Elapsed, WallMicros and Random to the caller of this
+// function. The headers that the event carries as fields are taken out of the
+// request's headers. Errors: kInvalidArgument, with what is wrong.
 absl::StatusOr<requests::CallerRequest>
 parseCallerRequest(IncomingRequest Incoming);
 
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -329,7 +329,7 @@
                      "no answer within the time allowed");
   }
 
-  std::uint64_t call(HttpCall Call, Callback Done) {
+  std::uint64_t call(const HttpCall &Call, Callback Done) {
     std::uint64_t Id = this->NextId++;
     ++this->Counters.Calls;
     OpenCall &Open = this->Calls[Id];
@@ -392,8 +392,8 @@
 
 HttpClient::~HttpClient() = default;
 
-std::uint64_t HttpClient::call(HttpCall Call, Callback Done) {
-  return this->Own->call(std::move(Call), std::move(Done));
+std::uint64_t HttpClient::call(const HttpCall &Call, Callback Done) {
+  return this->Own->call(Call, std::move(Done));
 }
 
 void HttpClient::cancel(std::uint64_t Id) { this->Own->cancel(Id); }
--- a/orioledoor/wire/http_client.h
+++ b/orioledoor/wire/http_client.h
@@ -71,7 +71,7 @@
 
   // Starts a call. Done is called exactly once, never from within call(),
   // unless the call is cancelled.
-  std::uint64_t call(HttpCall Call, Callback Done);
+  std::uint64_t call(const HttpCall &Call, Callback Done);
 
   // Ends a call without its callback and closes its connection. An unknown Id
   // is ignored.
--- a/orioledoor/wire/http_server.cc
+++ b/orioledoor/wire/http_server.cc
@@ -384,8 +384,8 @@
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(Own)));
 }
 
-std::optional<Duration>
-HttpServer::reply(std::uint64_t Id, const requests::HttpAnswer &Answer) {
+std::optional<Duration> HttpServer::reply(std::uint64_t Id,
+                                          const requests::HttpAnswer &Answer) {
   return this->Own->reply(Id, Answer);
 }
 
--- a/orioledoor/wire/peer_transport.h
+++ b/orioledoor/wire/peer_transport.h
@@ -81,8 +81,7 @@
                      std::string_view Payload)>
       Received;
   // The frame was certainly not sent. Never called from within send().
-  std::function<void(std::string_view To, Channel Kind, FrameTag Tag)>
-      NotSent;
+  std::function<void(std::string_view To, Channel Kind, FrameTag Tag)> NotSent;
   // The connection to Peer is gone; frames handed to it may be lost.
   std::function<void(std::string_view Peer)> Lost;
   std::function<void(const LogRecord &Record)> Log;
