Trust a lost target's announcement only after a good probe

The stand-in target repeats its announcement every second, and a lost target came up again each time. The default health path becomes /oriole/health, and any whole answer to a probe counts as a sign of life.

--- a/orioledoor/daemon/announcement.h
+++ b/orioledoor/daemon/announcement.h
@@ -2,7 +2,7 @@
 //
 //   {"service": "consulta", "address": "127.0.0.1:9001", "slots": 20,
 //    "connections": 130, "checks_fence": true, "state": "ready",
-//    "health": "/health"}
+//    "health": "/oriole/health"}
 //
 // health is optional.
 #ifndef ORIOLEDOOR_DAEMON_ANNOUNCEMENT_H
@@ -29,7 +29,7 @@
   bool ChecksFence = false;
   TargetState State = TargetState::Starting;
   // Path that is probed with GET.
-  std::string HealthPath = "/health";
+  std::string HealthPath = "/oriole/health";
 };
 
 // Errors: kInvalidArgument with the field and what was expected.
--- a/orioledoor/daemon/target_monitor.cc
+++ b/orioledoor/daemon/target_monitor.cc
@@ -47,14 +47,15 @@
 }
 
 void TargetMonitor::announce(const Announcement &Announced, Instant Now) {
-  if (this->Known && isSame(*this->Known, Announced) &&
-      (this->Up || Announced.State == TargetState::Starting))
+  if (this->Known && isSame(*this->Known, Announced))
     return;
   bool Moved = this->Known && formatEndpoint(this->Known->Address) !=
                                   formatEndpoint(Announced.Address);
   // A target that starts, or that has another address, is another process.
   if (this->Up && (Moved || Announced.State == TargetState::Starting))
     this->lose(Now);
+  if (Moved || Announced.State == TargetState::Starting)
+    this->WasLost = false;
   this->Known = Announced;
   this->Callbacks.Log({&TargetAnnounced,
                        {{"service", Announced.Service},
@@ -64,6 +65,13 @@
   this->Successes = 0;
   this->NextProbe = Now + ProbeInterval;
   if (Announced.State == TargetState::Ready) {
+    // What the node measured takes precedence over what the target says: after
+    // a loss one probe must succeed first.
+    if (this->WasLost) {
+      this->Successes = ProbesToReturn - 1;
+      this->NextProbe = Now;
+      return;
+    }
     this->Up = true;
     this->report(TargetChange::Ready);
   } else if (Announced.State == TargetState::Leaving && this->Up) {
@@ -73,6 +81,7 @@
 
 void TargetMonitor::lose(Instant Now) {
   this->Up = false;
+  this->WasLost = true;
   this->Successes = 0;
   this->NextProbe = Now + ProbeInterval;
   this->GrantedUntil = Now;
@@ -110,7 +119,9 @@
 void TargetMonitor::probed(const wire::HttpResult &Result) {
   this->ProbeOpen = false;
   Instant Now = readClock();
-  if (!isSuccess(Result)) {
+  // The status is the target's opinion of itself and may mislead; that an
+  // answer came on a fresh connection is what the node measured.
+  if (Result.Failure) {
     this->probeFailed(Now);
     return;
   }
@@ -119,6 +130,7 @@
       ++this->Successes < ProbesToReturn)
     return;
   this->Up = true;
+  this->WasLost = false;
   this->Callbacks.Log(
       {&TargetBack, {{"address", formatEndpoint(this->Known->Address)}}});
   this->report(TargetChange::Ready);
--- a/orioledoor/daemon/target_monitor.h
+++ b/orioledoor/daemon/target_monitor.h
@@ -79,6 +79,8 @@
   TargetMonitorCallbacks Callbacks;
   std::optional<Announcement> Known;
   bool Up = false;
+  // Its probes failed since it was last announced by another state or address.
+  bool WasLost = false;
   bool ProbeOpen = false;
   Instant NextProbe;
   Instant LastAnswer;
