--- a/orioledoor/daemon/node.cc
+++ b/orioledoor/daemon/node.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
-#include <random>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -12,13 +11,15 @@
 
 #include <event2/event.h>
 
-#include "orioledoor/base/error.h"
 #include "orioledoor/catalogue/catalogue.h"
 #include "orioledoor/catalogue/parse_catalogue.h"
 #include "orioledoor/catalogue/parse_endpoint.h"
 #include "orioledoor/catalogue/settings.h"
 #include "orioledoor/daemon/events.h"
+#include "orioledoor/daemon/identity.h"
+#include "orioledoor/daemon/load_sampler.h"
 #include "orioledoor/daemon/node_pages.h"
+#include "orioledoor/daemon/target_call.h"
 #include "orioledoor/daemon/target_monitor.h"
 #include "orioledoor/ownership/message_codec.h"
 #include "orioledoor/ownership/ownership_reducer.h"
@@ -40,7 +41,6 @@
 using Requests = requests::RequestReducer<Ownership>;
 
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
-constexpr Duration LoadInterval = std::chrono::seconds(1);
 // Longest time a stopping process waits for requests in flight after its
 // duties are handed over; the longest deadline of a service.
 constexpr Duration DrainLimit = std::chrono::seconds(30);
@@ -51,32 +51,6 @@
       .count();
 }
 
-std::uint64_t randomNumber() {
-  std::random_device Source;
-  return (static_cast<std::uint64_t>(Source()) << 32) | Source();
-}
-
-std::string peerAddress(const Endpoint &Of) {
-  return "tcp://" + formatEndpoint(Of);
-}
-
-ownership::LocalNode localNode(const Settings &Own) {
-  ownership::LocalNode Result{.Name = Own.NodeName,
-                              .PeerAddress = peerAddress(Own.Peer),
-                              .HttpAddress = formatEndpoint(Own.Http),
-                              .Region = Own.Region,
-                              .FailureDomain = Own.FailureDomain,
-                              .Seed = randomNumber(),
-                              .Seeds = {}};
-  std::ranges::transform(Own.Seeds, std::back_inserter(Result.Seeds),
-                         peerAddress);
-  return Result;
-}
-
-requests::HttpAnswer jsonAnswer(int Status, std::string Body) {
-  return {Status, {{"Content-Type", "application/json"}}, std::move(Body)};
-}
-
 } // namespace
 
 struct Node::Impl {
@@ -107,8 +81,7 @@
   std::shared_ptr<const Catalogue> InForce;
   // Client calls by CallId.
   std::unordered_map<std::uint64_t, std::uint64_t> OpenCalls;
-  std::unordered_map<SliceRef, std::uint32_t> CallsBySlice;
-  Instant LoadSampledAt = readClock();
+  LoadSampler Load{readClock()};
   Fence HighestFence;
   std::uint64_t Seed = randomNumber();
   bool StopWanted = false;
@@ -196,24 +169,12 @@
     this->Target.tick(Now, {.Member = this->Members.memberId(),
                             .Number = this->HighestFence,
                             .Until = this->Members.permissionEnd()});
-    if (Now - this->LoadSampledAt >= LoadInterval)
-      this->sampleLoad(Now);
+    if (std::optional<ownership::LoadSampled> Sample = this->Load.take(Now))
+      this->dispatch(ownership::Event(*std::move(Sample)));
     if (this->ExitBy)
       this->exitWhenDone(Now);
   }
 
-  void sampleLoad(Instant Now) {
-    double Seconds =
-        static_cast<double>((Now - this->LoadSampledAt).count()) / 1e6;
-    this->LoadSampledAt = Now;
-    ownership::LoadSampled Sample;
-    for (const auto &[Slice, Calls] : std::exchange(this->CallsBySlice, {}))
-      Sample.Slices.push_back({Slice, Calls / Seconds});
-    // The reducer's input must not depend on the order of a hash table.
-    std::ranges::sort(Sample.Slices, {}, &ownership::SliceLoad::Slice);
-    this->dispatch(ownership::Event(std::move(Sample)));
-  }
-
   // Effects of ownership ------------------------------------------------------
 
   void carryOut(const ownership::SendPeer &E) {
@@ -310,22 +271,9 @@
           E.CallId, requests::TargetFailure::NotSent, "no target"}));
       return;
     }
-    ++this->CallsBySlice[E.Slice];
-    std::vector<requests::Header> Headers = E.Request->Headers;
-    if (!E.OperationId.empty())
-      Headers.push_back({"Idempotency-Key", E.OperationId});
-    Headers.push_back({"Oriole-Fence", std::to_string(E.Number.Value)});
-    Headers.push_back(
-        {"Oriole-Timeout-Ms", std::to_string(E.Timeout.count() / 1000)});
+    this->Load.count(E.Slice);
     this->OpenCalls[E.CallId] =
-        this->Client.call({.To = this->Target.known()->Address,
-                           .Method = E.Request->Method,
-                           .Target = wire::targetOf(*E.Request),
-                           .Headers = std::move(Headers),
-                           .Body = E.Request->Body,
-                           .Timeout = E.Timeout,
-                           .NotAfter = E.NotAfter,
-                           .FreshConnection = false},
+        this->Client.call(targetCall(E, this->Target.known()->Address),
                           [this, Id = E.CallId](wire::HttpResult Result) {
                             this->onTargetResult(Id, std::move(Result));
                           });
@@ -448,58 +396,17 @@
   }
 
   requests::HttpAnswer answerOwn(const wire::IncomingRequest &Incoming) {
-    std::string_view Path = Incoming.Target;
-    Path = Path.substr(0, Path.find('?'));
-    if (Path == "/oriole/announce")
-      return this->answerAnnouncement(Incoming);
-    if (Incoming.Method != "GET" && Incoming.Method != "HEAD")
-      return wire::errorAnswer(
-          405, makeError(absl::StatusCode::kInvalidArgument, "operators' page",
-                         "", "only GET is supported"));
-    if (Path == "/oriole/health")
-      return jsonAnswer(200, "{\"status\":\"ok\"}\n");
-    ownership::OwnershipStatus Status = this->Members.status(readClock());
-    NodeFigures Figures = this->figures(Status);
-    if (Path == "/oriole/ready")
-      return jsonAnswer(Figures.Ready ? 200 : 503, Figures.Ready
-                                                       ? "{\"ready\":true}\n"
-                                                       : "{\"ready\":false}\n");
-    if (Path == "/oriole/status")
-      return jsonAnswer(200,
-                        statusPage(this->Own, Status, this->Target, Figures));
-    if (Path == "/oriole/metrics") {
-      collectMetrics(this->Metrics, this->Peers->counters(),
-                     this->Client.counters(), Status, Figures);
-      return {200,
-              {{"Content-Type", "text/plain; version=0.0.4"}},
-              this->Metrics.text()};
-    }
-    return wire::errorAnswer(404, makeError(absl::StatusCode::kNotFound,
-                                            "operators' page", "",
-                                            "there is no such page"));
-  }
-
-  requests::HttpAnswer
-  answerAnnouncement(const wire::IncomingRequest &Incoming) {
-    if (!Incoming.FromLoopback)
-      return wire::errorAnswer(
-          403, makeError(absl::StatusCode::kPermissionDenied, "announce", "",
-                         "only the target beside the node may announce"));
-    if (Incoming.Method != "POST")
-      return wire::errorAnswer(
-          405, makeError(absl::StatusCode::kInvalidArgument, "announce", "",
-                         "only POST is supported"));
-    absl::StatusOr<Announcement> Decoded = decodeAnnouncement(Incoming.Body);
-    if (!Decoded.ok())
-      return wire::errorAnswer(400, Decoded.status());
-    this->Target.announce(*Decoded, readClock());
     ownership::OwnershipStatus Status = this->Members.status(readClock());
-    // A leaving target may end once it owns and runs nothing.
-    bool Idle = Status.SlicesOwned == 0 && this->OpenCalls.empty();
-    return jsonAnswer(
-        200, "{\"member\":" + std::to_string(Status.Id.Value) +
-                 ",\"slices_owned\":" + std::to_string(Status.SlicesOwned) +
-                 ",\"idle\":" + (Idle ? "true" : "false") + "}\n");
+    if (pathOf(Incoming.Target) == "/oriole/announce")
+      return answerAnnouncement(Incoming, this->Target, Status,
+                                this->OpenCalls.size());
+    return answerPage(Incoming, {.Own = this->Own,
+                                 .Status = Status,
+                                 .Target = this->Target,
+                                 .Figures = this->figures(Status),
+                                 .Peers = this->Peers->counters(),
+                                 .Client = this->Client.counters(),
+                                 .Metrics = this->Metrics});
   }
 
   // Start and stop ------------------------------------------------------------
--- a/orioledoor/daemon/node_pages.cc
+++ b/orioledoor/daemon/node_pages.cc
@@ -1,4 +1,4 @@
-// Builds the status page and copies counters into the registry.
+// Builds the pages and copies counters into the registry.
 #include "orioledoor/daemon/node_pages.h"
 
 #include <sys/resource.h>
@@ -7,15 +7,20 @@
 #include <algorithm>
 #include <fstream>
 #include <iterator>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
+#include "orioledoor/base/error.h"
+#include "orioledoor/base/instant.h"
 #include "orioledoor/catalogue/parse_endpoint.h"
 #include "orioledoor/catalogue/settings.h"
 #include "orioledoor/daemon/target_monitor.h"
 #include "orioledoor/telemetry/metrics.h"
 #include "orioledoor/wire/http_client.h"
+#include "orioledoor/wire/http_server.h"
 #include "orioledoor/wire/peer_transport.h"
 
 namespace orioledoor::daemon {
@@ -83,12 +88,9 @@
   To.counter("oriole_peer_bytes_total", In).set(From.BytesIn);
 }
 
-} // namespace
-
-std::string statusPage(const Settings &Own,
-                       const ownership::OwnershipStatus &Status,
-                       const TargetMonitor &Target,
-                       const NodeFigures &Figures) {
+std::string statusPage(const PageSources &From) {
+  const ownership::OwnershipStatus &Status = From.Status;
+  const NodeFigures &Figures = From.Figures;
   ordered_json Guardians = ordered_json::array();
   std::ranges::transform(Status.Guardians, std::back_inserter(Guardians),
                          guardianJson);
@@ -99,11 +101,11 @@
                                    {"by", Each.By.Value},
                                    {"term", Each.Term}};
                          });
-  ordered_json Page = {{"node", Own.NodeName},
+  ordered_json Page = {{"node", From.Own.NodeName},
                        {"member", Status.Id.Value},
                        {"ready", Figures.Ready},
-                       {"region", Own.Region},
-                       {"failure_domain", Own.FailureDomain},
+                       {"region", From.Own.Region},
+                       {"failure_domain", From.Own.FailureDomain},
                        {"catalogue_revision", Status.Held.Catalogue},
                        {"assignment_version", Status.Held.Assignment},
                        {"slices_owned", Status.SlicesOwned},
@@ -120,17 +122,21 @@
                         {{"deposed", values(Status.Known.Deposed)},
                          {"left", values(Status.Known.Left)},
                          {"releases", std::move(Releases)}}},
-                       {"target", targetJson(Target)},
+                       {"target", targetJson(From.Target)},
                        {"open_requests", Figures.OpenRequests},
                        {"open_calls", Figures.OpenCalls}};
   return Page.dump(-1, ' ', false, ordered_json::error_handler_t::replace) +
          "\n";
 }
 
-void collectMetrics(MetricsRegistry &To, const wire::TransportCounters &Peers,
-                    const wire::HttpClientCounters &Client,
-                    const ownership::OwnershipStatus &Status,
-                    const NodeFigures &Figures) {
+// Brings the metrics up to date that are counted elsewhere: transport, client,
+// and processor time and memory of the process.
+void collectMetrics(const PageSources &From) {
+  MetricsRegistry &To = From.Metrics;
+  const wire::TransportCounters &Peers = From.Peers;
+  const wire::HttpClientCounters &Client = From.Client;
+  const ownership::OwnershipStatus &Status = From.Status;
+  const NodeFigures &Figures = From.Figures;
   collectChannel(To, "control", Peers.Control);
   collectChannel(To, "requests", Peers.Requests);
   To.counter("oriole_peer_messages_total", R"(direction="out")")
@@ -170,4 +176,59 @@
   Gauge("process_resident_memory_bytes", residentBytes());
 }
 
+requests::HttpAnswer jsonAnswer(int Status, std::string Body) {
+  return {Status, {{"Content-Type", "application/json"}}, std::move(Body)};
+}
+
+requests::HttpAnswer refusal(int Status, std::string_view Step,
+                             std::string_view Message) {
+  return wire::errorAnswer(
+      Status, makeError(absl::StatusCode::kInvalidArgument, Step, "", Message));
+}
+
+} // namespace
+
+std::string_view pathOf(std::string_view Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+requests::HttpAnswer answerPage(const wire::IncomingRequest &Incoming,
+                                const PageSources &From) {
+  if (Incoming.Method != "GET" && Incoming.Method != "HEAD")
+    return refusal(405, "operators' page", "only GET is supported");
+  std::string_view Path = pathOf(Incoming.Target);
+  if (Path == "/oriole/health")
+    return jsonAnswer(200, "{\"status\":\"ok\"}\n");
+  if (Path == "/oriole/ready")
+    return From.Figures.Ready ? jsonAnswer(200, "{\"ready\":true}\n")
+                              : jsonAnswer(503, "{\"ready\":false}\n");
+  if (Path == "/oriole/status")
+    return jsonAnswer(200, statusPage(From));
+  if (Path != "/oriole/metrics")
+    return refusal(404, "operators' page", "there is no such page");
+  collectMetrics(From);
+  return {200,
+          {{"Content-Type", "text/plain; version=0.0.4"}},
+          From.Metrics.text()};
+}
+
+requests::HttpAnswer
+answerAnnouncement(const wire::IncomingRequest &Incoming, TargetMonitor &Target,
+                   const ownership::OwnershipStatus &Status,
+                   std::size_t OpenCalls) {
+  if (!Incoming.FromLoopback)
+    return refusal(403, "announce",
+                   "only the target beside the node may announce");
+  if (Incoming.Method != "POST")
+    return refusal(405, "announce", "only POST is supported");
+  absl::StatusOr<Announcement> Decoded = decodeAnnouncement(Incoming.Body);
+  if (!Decoded.ok())
+    return wire::errorAnswer(400, Decoded.status());
+  Target.announce(*Decoded, readClock());
+  ordered_json Answer = {{"member", Status.Id.Value},
+                         {"slices_owned", Status.SlicesOwned},
+                         {"idle", Status.SlicesOwned == 0 && OpenCalls == 0}};
+  return jsonAnswer(200, Answer.dump() + "\n");
+}
+
 } // namespace orioledoor::daemon
--- /dev/null
+++ b/orioledoor/daemon/target_call.cc
@@ -0,0 +1,29 @@
+// Adds what the target needs to know to the caller's request.
+#include "orioledoor/daemon/target_call.h"
+
+#include <utility>
+
+#include "orioledoor/requests/effect.h"
+#include "orioledoor/wire/caller_request.h"
+
+namespace orioledoor::daemon {
+
+wire::HttpCall targetCall(const requests::CallTarget &Effect,
+                          const Endpoint &Target) {
+  std::vector<requests::Header> Headers = Effect.Request->Headers;
+  if (!Effect.OperationId.empty())
+    Headers.push_back({"Idempotency-Key", Effect.OperationId});
+  Headers.push_back({"Oriole-Fence", std::to_string(Effect.Number.Value)});
+  Headers.push_back(
+      {"Oriole-Timeout-Ms", std::to_string(Effect.Timeout.count() / 1000)});
+  return {.To = Target,
+          .Method = Effect.Request->Method,
+          .Target = wire::targetOf(*Effect.Request),
+          .Headers = std::move(Headers),
+          .Body = Effect.Request->Body,
+          .Timeout = Effect.Timeout,
+          .NotAfter = Effect.NotAfter,
+          .FreshConnection = false};
+}
+
+} // namespace orioledoor::daemon
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -18,11 +18,15 @@
 #include "orioledoor/base/error.h"
 #include "orioledoor/wire/events.h"
 #include "orioledoor/wire/internal/event_ptr.h"
+#include "orioledoor/wire/internal/peer.h"
 #include "orioledoor/wire/internal/pipe_notifier.h"
 
 namespace orioledoor::wire {
 namespace {
 
+using internal::Peer;
+using internal::QueuedFrame;
+
 // Batches that nng holds for a connection that does not drain; more are
 // refused as not sent.
 constexpr int SendBufferBatches = 128;
@@ -39,54 +43,12 @@
 constexpr Duration ForgetAfter = std::chrono::minutes(5);
 constexpr std::size_t MaxPeers = 8192;
 
-struct QueuedFrame {
-  Channel Kind;
-  FrameTag Tag;
-  std::size_t Bytes;
-};
-
 struct RefusedFrame {
   std::string To;
   Channel Kind;
   FrameTag Tag;
 };
 
-struct Peer {
-  std::string Address;
-  std::optional<nng_socket> Socket;
-  bool Connected = false;
-  Instant DialledAt;
-  std::uint32_t Epoch = 0;
-  std::uint32_t Sequence = 0;
-  std::uint32_t Acknowledged = 0;
-  // The last batch with frames. Batches that only acknowledge need no
-  // acknowledgement, else two peers would never fall silent.
-  std::uint32_t LastWithFrames = 0;
-  // Since when such a batch is unacknowledged; valid if Acknowledged is below
-  // LastWithFrames.
-  Instant UnacknowledgedSince;
-  // Set while a ping is unanswered.
-  std::optional<Instant> PingedAt;
-  std::uint32_t PingSequence = 0;
-  bool PingDue = false;
-  bool AckDue = false;
-  bool Queued = false;
-  bool ReportedUnreachable = false;
-  std::string Batch;
-  // The frames in Batch.
-  std::vector<QueuedFrame> Frames;
-  // Answers awaited, of which the last one until AwaitUntil.
-  std::uint32_t Awaited = 0;
-  Instant AwaitedSince;
-  Instant AwaitUntil;
-  Instant LastHeard;
-  Instant LastUsed;
-  std::uint32_t ReceivedEpoch = 0;
-  std::uint32_t ReceivedSequence = 0;
-  std::uint32_t PreviousEpoch = 0;
-  std::uint32_t ReceivedPipe = 0;
-};
-
 struct AddressHash {
   using is_transparent = void; // NOLINT(readability-identifier-naming)
   std::size_t operator()(std::string_view Text) const {
@@ -395,15 +357,6 @@
     }
   }
 
-  // Whether Of left something unanswered for too long.
-  bool isOverdue(const Peer &Of, Instant Now) const {
-    if (Of.Acknowledged < Of.LastWithFrames &&
-        Now - Of.UnacknowledgedSince >= this->Options.OverdueAfter)
-      return true;
-    return Of.Awaited > 0 && Now - std::max(Of.LastHeard, Of.AwaitedSince) >=
-                                 this->Options.OverdueAfter;
-  }
-
   // Whether the connection is to be given up.
   bool supervise(Peer &Of, Instant Now, bool Paused) {
     if (Of.Awaited > 0 && Now >= Of.AwaitUntil)
@@ -412,7 +365,7 @@
       Of.PingedAt = Now;
     if (Of.PingedAt)
       return Now - *Of.PingedAt >= this->Options.PingTimeout;
-    if (!Of.PingDue && this->isOverdue(Of, Now)) {
+    if (!Of.PingDue && Of.isOverdue(Now, this->Options.OverdueAfter)) {
       Of.PingDue = true;
       this->schedule(Of);
     }
