Answer HEAD without a body

evhttp sends the body of an answer to HEAD, which the caller takes for the start of its next answer. The length is stated and the body left out. wire_test: 28 tests pass.

--- a/orioledoor/wire/http_server.cc
+++ b/orioledoor/wire/http_server.cc
@@ -97,6 +97,15 @@
   return Address->sa_family == AF_INET6 && IN6_IS_ADDR_LOOPBACK(&In->sin6_addr);
 }
 
+// An answer to HEAD states the length that the answer to GET would have.
+void addLengthForHead(evkeyvalq &To, const requests::HttpAnswer &Answer) {
+  const requests::Header *Stated =
+      internal::findHeader(Answer.Headers, "Content-Length");
+  std::string Length =
+      Stated ? Stated->Value : std::to_string(Answer.Body.size());
+  evhttp_add_header(&To, "Content-Length", Length.c_str());
+}
+
 } // namespace
 
 struct HttpServer::Impl {
@@ -312,16 +321,15 @@
     Of.Id = 0;
     evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
     internal::addHeaders(*Headers, Answer.Headers);
-    // The answer to HEAD states the length that GET would have.
-    if (const requests::Header *Length =
-            evhttp_request_get_command(Request) == EVHTTP_REQ_HEAD
-                ? internal::findHeader(Answer.Headers, "Content-Length")
-                : nullptr)
-      evhttp_add_header(Headers, "Content-Length", Length->Value.c_str());
+    bool Head = evhttp_request_get_command(Request) == EVHTTP_REQ_HEAD;
+    if (Head)
+      addLengthForHead(*Headers, Answer);
     if (this->Stopping)
       evhttp_add_header(Headers, "Connection", "close");
     evbuffer *Body = evhttp_request_get_output_buffer(Request);
-    evbuffer_add(Body, Answer.Body.data(), Answer.Body.size());
+    // evhttp would send the body of an answer to HEAD.
+    if (!Head)
+      evbuffer_add(Body, Answer.Body.data(), Answer.Body.size());
     int Status =
         Answer.Status >= 200 && Answer.Status <= 599 ? Answer.Status : 502;
     std::string Reason(internal::reasonOf(Status));
--- a/orioledoor/wire/http_server_test.cc
+++ b/orioledoor/wire/http_server_test.cc
@@ -19,6 +19,7 @@
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(answersPipelinedRequestsInOrder);
+  CPPUNIT_TEST(headHasLengthAndNoBody);
   CPPUNIT_TEST(truncatedBodyGets408);
   CPPUNIT_TEST(largeBodyGets413);
   CPPUNIT_TEST(largeHeadersGet431);
@@ -93,6 +94,16 @@
     CPPUNIT_ASSERT(Answer.ends_with("/c\n"));
   }
 
+  // Bytes after the answer to HEAD would be taken for the next answer.
+  void headHasLengthAndNoBody() {
+    std::string Answer = this->exchange("HEAD /abc HTTP/1.1\r\n\r\n"
+                                        "GET /d HTTP/1.1\r\n\r\n",
+                                        false, 2);
+    CPPUNIT_ASSERT(Answer.find("Content-Length: 5\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(Answer.find("/abc") == std::string::npos);
+    CPPUNIT_ASSERT(Answer.ends_with("/d\n"));
+  }
+
   // A cut upload must neither run nor disturb the requests of others.
   void truncatedBodyGets408() {
     std::string Answer = this->exchange(
