--- a/orioledoor/oriolectl/catalogue_apply.cc
+++ b/orioledoor/oriolectl/catalogue_apply.cc
@@ -38,7 +38,10 @@
                             Current.Revision));
 }
 
-std::string describe(const std::vector<CatalogueChange> &Changes) {
+std::string describe(const ApplyRequest &Request,
+                     const std::vector<CatalogueChange> &Changes) {
+  if (Request.Base == 0)
+    return "first catalogue";
   if (Changes.empty())
     return "layout or comments only";
   std::string Text =
@@ -91,8 +94,8 @@
       .Action = Step,
       .Subject = "catalogue",
       .From = Request.Base == 0 ? "none" : revisionName(Request.Base),
-      .To = absl::StrCat(revisionName(New.Revision), " (", describe(Changes),
-                         ")"),
+      .To = absl::StrCat(revisionName(New.Revision), " (",
+                         describe(Request, Changes), ")"),
       .Reason = Request.Comment,
       .Outcome = absl::StrCat("applied, apply id ", Request.ApplyId)};
   std::string Value = encodePublishedCatalogue(New);
@@ -203,8 +206,9 @@
   absl::Status Allowed = checkAssignment(Store, *New);
   if (!Allowed.ok())
     return Allowed;
-  ApplyResult Result{.Revision = Request.Base + 1,
-                     .Changes = diffCatalogues(*Old, *New)};
+  ApplyResult Result{.Revision = Request.Base + 1, .Changes = {}};
+  if (Request.Base != 0)
+    Result.Changes = diffCatalogues(*Old, *New);
   absl::Status Written =
       write(Store, Request, *Current,
             makeTransaction(Request, *Current, Result.Changes), Limits);
--- a/orioledoor/oriolectl/catalogue_apply.h
+++ b/orioledoor/oriolectl/catalogue_apply.h
@@ -47,7 +47,7 @@
 struct ApplyResult {
   // In force from now on; equal to the base if the text was the same.
   std::uint64_t Revision = 0;
-  // Empty if nothing but layout or comments changed.
+  // Empty for the first catalogue and if only layout or comments changed.
   std::vector<CatalogueChange> Changes;
 };
 
--- a/orioledoor/oriolectl/catalogue_read_commands.cc
+++ b/orioledoor/oriolectl/catalogue_read_commands.cc
@@ -61,12 +61,18 @@
   auto Old = parsePublished(Current->Published);
   if (!Old.ok())
     return Call.Terminal.fail(Old.status());
-  std::vector<CatalogueChange> Changes = diffCatalogues(*Old, *New);
+  std::vector<CatalogueChange> Changes;
+  if (Current->Published.Revision != 0)
+    Changes = diffCatalogues(*Old, *New);
   if (Call.Terminal.Json) {
     printJson(Call.Terminal, {{"base", Current->Published.Revision},
                               {"changes", changesJson(Changes)}});
     return ExitStatus::Success;
   }
+  if (Current->Published.Revision == 0) {
+    Call.Terminal.Out << "the store holds no catalogue yet\n";
+    return ExitStatus::Success;
+  }
   Call.Terminal.Out << Changes.size() << " changes from revision "
                     << Current->Published.Revision << '\n';
   printChanges(Call.Terminal.Out, Changes);
--- a/orioledoor/oriolectl/catalogue_write_commands.cc
+++ b/orioledoor/oriolectl/catalogue_write_commands.cc
@@ -74,6 +74,9 @@
   if (Unchanged)
     Call.Terminal.Out << "revision " << Result.Revision
                       << " has the same text; nothing applied\n";
+  else if (Request.Base == 0)
+    Call.Terminal.Out << "applied as revision " << Result.Revision
+                      << ", the first catalogue\n";
   else
     Call.Terminal.Out << "applied as revision " << Result.Revision << ", "
                       << Result.Changes.size() << " changes\n";
--- a/orioledoor/oriolectl/command_line.cc
+++ b/orioledoor/oriolectl/command_line.cc
@@ -154,7 +154,8 @@
     return WantsHelp ? ExitStatus::Success : ExitStatus::Usage;
   }
   std::vector<std::string> Rest(
-      Arguments.begin() + words(Selected->Name).size(), Arguments.end());
+      std::next(Arguments.begin(), std::ssize(words(Selected->Name))),
+      Arguments.end());
   try {
     return runCommand(*Selected, Rest, Loop, Terminal, DefaultAuthor);
   } catch (const UsageError &Error) {
--- a/orioledoor/oriolectl/console.cc
+++ b/orioledoor/oriolectl/console.cc
@@ -14,6 +14,9 @@
 
 using nlohmann::json;
 
+// Longer texts are cut in tables; JSON has them whole.
+constexpr std::size_t MaxCell = 60;
+
 std::string dump(const json &Value, int Indent) {
   return Value.dump(Indent, ' ', false, json::error_handler_t::replace);
 }
@@ -28,6 +31,13 @@
       Found->is_string() ? Found->get<std::string>() : dump(*Found, -1);
   std::ranges::replace_if(
       Text, [](unsigned char C) { return C < 0x20 || C == 0x7f; }, ' ');
+  if (Text.size() > MaxCell) {
+    // Cuts before a byte that begins a character of UTF-8.
+    std::size_t End = MaxCell;
+    while (End > 0 && (Text[End] & 0xc0) == 0x80)
+      --End;
+    Text = Text.substr(0, End) + "...";
+  }
   return Text.empty() ? "-" : Text;
 }
 
--- a/orioledoor/oriolectl/console.h
+++ b/orioledoor/oriolectl/console.h
@@ -35,7 +35,8 @@
   std::string Heading;
 };
 
-// Prints an array of objects: whole as JSON, or Columns as a table.
+// Prints an array of objects: whole as JSON, or Columns as a table with long
+// texts cut.
 void printRecords(const Console &To, const std::vector<Column> &Columns,
                   const nlohmann::json &Records);
 
--- a/orioledoor/oriolectl/node_status.cc
+++ b/orioledoor/oriolectl/node_status.cc
@@ -128,9 +128,9 @@
             Calls, [](const auto &Call) { return Call->isDone(); });
       },
       Limit);
-  std::vector<NodeStatus> Results;
-  for (const auto &Call : Calls)
-    Results.push_back(Call->result());
+  std::vector<NodeStatus> Results(Calls.size());
+  std::ranges::transform(Calls, Results.begin(),
+                         [](const auto &Call) { return Call->result(); });
   return Results;
 }
 
--- a/orioledoor/oriolectl/store_session.cc
+++ b/orioledoor/oriolectl/store_session.cc
@@ -2,6 +2,7 @@
 #include "orioledoor/oriolectl/store_session.h"
 
 #include <memory>
+#include <utility>
 
 #include "orioledoor/base/error.h"
 #include "orioledoor/catalogue/parse_endpoint.h"
@@ -24,8 +25,9 @@
 StoreReply StoreSession::call(StoreRequestBody Body) {
   // Shared with the callback, which may run after this call gave up.
   auto Reply = std::make_shared<std::optional<StoreReply>>();
-  this->Client.call({.Id = ++this->LastId, .Body = std::move(Body)},
-                    [Reply](StoreReply Received) { *Reply = Received; });
+  this->Client.call(
+      {.Id = ++this->LastId, .Body = std::move(Body)},
+      [Reply](StoreReply Received) { *Reply = std::move(Received); });
   // The client ends each call within its own limit; the second limit only
   // guards against a loop without events.
   this->Loop.runUntil([&] { return Reply->has_value(); },
