--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -199,6 +199,10 @@
   for (const auto &[Slice, Ack] : this->Yielded)
     Handovers.push_back(Ack);
   auto MayStart = [&](ServiceId Id) {
+    if (std::ranges::any_of(Requests, [&](const JoinRequest &Join) {
+          return serviceIdOf(Join.Service) == Id;
+        }))
+      return false;
     auto Last = this->LastAdmission.find(Id);
     return Last == this->LastAdmission.end() ||
            Now - Last->second >= StartDelay;
@@ -436,8 +440,13 @@
 
 void Coordinator::handle(Instant, const Promise &Received) {
   State &S = *this->Own;
-  if (S.Current == Phase::Gathering &&
-      Received.Version >= S.Pending.Next.Version)
+  if (S.Current != Phase::Gathering ||
+      Received.Version < S.Pending.Next.Version)
+    return;
+  // A member that already serves slices of an owner that this plan takes for
+  // live may be displaced by it; gossip brings the fact before the next plan.
+  auto IsGone = [&](MemberId Id) { return S.Pending.Next.isDeposed(Id); };
+  if (std::ranges::all_of(Received.ActingFor, IsGone))
     S.Promised.insert(Received.From);
 }
 
--- a/orioledoor/ownership/message.h
+++ b/orioledoor/ownership/message.h
@@ -100,9 +100,15 @@
   std::uint64_t Version = 0;
 };
 
+// The sender starts to act as a successor only under versions >= Version. It
+// goes on serving slices that it already took over.
 struct Promise {
   MemberId From;
   std::uint64_t Version = 0;
+  // Deposed members whose slices the sender serves as a successor. The promise
+  // counts only if the coordinator knows them as deposed, too, since its plan
+  // then makes the sender the owner of those slices.
+  std::vector<MemberId> ActingFor;
 };
 
 // The coordinator asks a guardian to give up its present term for Member.
--- a/orioledoor/ownership/message_codec.cc
+++ b/orioledoor/ownership/message_codec.cc
@@ -55,7 +55,9 @@
   return std::tie(V.Revision, V.Text);
 }
 auto fieldsOf(Is<PromiseRequest> auto &V) { return std::tie(V.Version); }
-auto fieldsOf(Is<Promise> auto &V) { return std::tie(V.From, V.Version); }
+auto fieldsOf(Is<Promise> auto &V) {
+  return std::tie(V.From, V.Version, V.ActingFor);
+}
 auto fieldsOf(Is<ConsentRequest> auto &V) {
   return std::tie(V.Member, V.Version);
 }
--- a/orioledoor/ownership/ownership_lifecycle.cc
+++ b/orioledoor/ownership/ownership_lifecycle.cc
@@ -14,13 +14,16 @@
 constexpr Duration GiveUpAfter = std::chrono::milliseconds(1500);
 // After it, a planned stop no longer waits for slices and duties to be moved.
 constexpr Duration LeavingLimit = std::chrono::seconds(20);
+// The write that records a member as leaving names guardians in its place; they
+// count once it has granted under that version.
+constexpr Duration HandoverTime = std::chrono::seconds(1);
 // Time to repeat Left, which may be lost, before the process exits.
 constexpr Duration ExitDelay = std::chrono::milliseconds(300);
 
 } // namespace
 
 void OwnershipReducer::settle(Instant Now, Effects &Output) {
-  if (std::optional<DistributionNews> News = this->Versions.takeNews())
+  if (std::optional<DistributionNews> News = this->Distributor.takeNews())
     this->applyNews(Now, *News, Output);
   if (this->Node.Id && this->Node.isDeposed(this->Node.Id))
     this->depart(Now, this->Phase == Stage::Active, Output);
@@ -37,11 +40,15 @@
                                  Effects &Output) {
   if (News.NewAssignment) {
     bool Newer = News.NewAssignment->Version > this->Node.Current->Version;
+    MemberId Before = this->Node.Current->Coordinator;
     this->Node.Current = News.NewAssignment;
     if (Newer) {
       for (const Member &M : this->Node.Current->Members)
         if (M.Deposed)
           this->Node.learnDeposed(M.Id, Now);
+      // A new coordinator does not know this node's load yet.
+      if (this->Node.Current->Coordinator != Before)
+        this->Load.hurry();
       if (MemberId Id = this->Join.admittedAs())
         this->becomeMember(Now, Id, Output);
       this->Permission.assignmentChanged(Now);
@@ -53,11 +60,11 @@
     }
     this->Planner.observe(*this->Node.Current, News.ModRevision);
     if (Newer)
-      this->Versions.pushVersions(Output);
+      this->Distributor.pushVersions(Output);
   }
   if (News.NewCatalogue) {
     this->Planner.observe(News.NewCatalogue);
-    this->Versions.pushVersions(Output);
+    this->Distributor.pushVersions(Output);
   }
 }
 
@@ -116,6 +123,7 @@
     return;
   this->Phase = Stage::Leaving;
   this->LeavingSince = Now;
+  this->LeavingRecorded.reset();
   this->Load.hurry();
   writeLog(events::StopStarted, {}, Output);
 }
@@ -131,10 +139,11 @@
     return this->depart(Now, false, Output);
   if (this->Phase != Stage::Leaving)
     return;
-  // The record must show that nothing is moved here any more.
   const Member *Self = this->Node.self();
-  if (Self && Self->Leaving && this->Slices.isIdle() &&
-      this->Duty.members().empty())
+  if (Self && Self->Leaving && !this->LeavingRecorded)
+    this->LeavingRecorded = Now;
+  if (this->LeavingRecorded && Now - *this->LeavingRecorded >= HandoverTime &&
+      this->Slices.isIdle())
     return this->depart(Now, false, Output);
   bool Alone =
       std::ranges::none_of(this->Node.Current->Members, [&](const Member &M) {
@@ -168,7 +177,7 @@
       Staying && (this->DomainWatcher || this->Join.mayCoordinate(Now) ||
                   (this->Join.isActive() && this->Planner.isActive()));
   this->Planner.setEligible(Eligible);
-  this->Versions.setWatching(Eligible || this->DomainWatcher, Output);
+  this->Distributor.setWatching(Eligible || this->DomainWatcher, Output);
 }
 
 } // namespace orioledoor::ownership
--- a/orioledoor/ownership/ownership_reducer.h
+++ b/orioledoor/ownership/ownership_reducer.h
@@ -49,6 +49,10 @@
   double ownedShare(ServiceId Service) const;
   Instant permissionEnd() const;
 
+  // 0 while the node is not a member.
+  MemberId memberId() const { return this->Node.Id; }
+  Versions heldVersions() const { return this->Node.versions(); }
+
   // Linear in the facts known.
   OwnershipStatus status(Instant Now) const;
 
@@ -95,7 +99,7 @@
   bool isDomainWatcher() const;
 
   NodeState Node;
-  Distribution Versions;
+  Distribution Distributor;
   Joining Join;
   PermissionKeeper Permission;
   GuardDuty Duty;
@@ -110,6 +114,8 @@
   // Set once the node left; the time until then repeats Left.
   std::optional<Instant> ExitAt;
   Instant LeavingSince;
+  // Since when this node knows that the assignment lists it as leaving.
+  std::optional<Instant> LeavingRecorded;
   std::optional<TargetReady> Target;
   Instant LastPermitted;
   bool WasPermitted = false;
--- a/orioledoor/ownership/planner_benchmark.cc
+++ b/orioledoor/ownership/planner_benchmark.cc
@@ -66,7 +66,8 @@
                             .MayStart = [](ServiceId) { return true; },
                             .Rested = [](SliceRef) { return true; }});
   };
-  // All members but one join at once, then the last one alone.
+  // The first member joins alone, then all but one, then the last one.
+  Doc = Plan(std::span(Joins).first(1)).Next;
   Doc = Plan(std::span(Joins).first(Joins.size() - 1)).Next;
   double Admit = millisOf([&] { Plan(std::span(Joins).last(1)); });
   Doc = Plan(std::span(Joins).last(1)).Next;
--- a/orioledoor/ownership/slice_keeper.h
+++ b/orioledoor/ownership/slice_keeper.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "orioledoor/base/ids.h"
 #include "orioledoor/base/instant.h"
@@ -81,6 +82,9 @@
   void forgetRecordedMoves(Effects &Output);
   void sendYield(Instant Now, SliceRef Slice, Yielded &Of, Effects &Output);
   bool hasYielded(SliceRef Slice, const SliceOwner &Recorded) const;
+  // The deposed members before this node in the lists of the slices that it
+  // serves as a successor. Linear in the slices owned.
+  std::vector<MemberId> actingFor() const;
 
   NodeState &Node;
   RoutingTable Routes;
@@ -91,7 +95,7 @@
   std::map<SliceRef, Accepted> Taken;
   // Tables of yields and cancelled moves, for the adoption that follows.
   std::map<SliceRef, std::string> Tables;
-  // This node acts as a successor only under versions not below.
+  // This node starts to act as a successor only under versions not below.
   std::uint64_t PromisedVersion = 0;
 };
 
