--- a/orioledoor/oriolectl/catalogue_apply.cc
+++ b/orioledoor/oriolectl/catalogue_apply.cc
@@ -32,10 +32,15 @@
 
 absl::Status conflict(const StoreSession &Store, const ApplyRequest &Request,
                       const PublishedCatalogue &Current) {
+  std::string Reason =
+      Current.Revision != Request.Base
+          ? absl::StrCat("the base is revision ", Request.Base,
+                         ", but the current one is revision ", Current.Revision)
+          : absl::StrCat("the history already holds revision ",
+                         Request.Base + 1, ", although the current one is ",
+                         "revision ", Current.Revision);
   return error(absl::StatusCode::kAborted, Store,
-               absl::StrCat("nothing applied: the base is revision ",
-                            Request.Base, ", but the current one is revision ",
-                            Current.Revision));
+               absl::StrCat("nothing applied: ", Reason));
 }
 
 std::string describe(const ApplyRequest &Request,
--- a/orioledoor/oriolectl/catalogue_apply_test.cc
+++ b/orioledoor/oriolectl/catalogue_apply_test.cc
@@ -46,12 +46,13 @@
 
 ApplyRequest request(std::uint64_t Base, std::string Text,
                      const std::string &Author = "ana") {
+  std::uint64_t Id = stableHash(Text);
   return {.Text = std::move(Text),
           .FileName = "c.yaml",
           .Base = Base,
           .Author = Author,
           .Comment = "why",
-          .ApplyId = absl::StrCat(Author, "-", Base),
+          .ApplyId = absl::StrCat(Author, "-", Base, "-", Id),
           .TimeMicros = 1'000'000};
 }
 
@@ -95,6 +96,7 @@
   CPPUNIT_TEST(refusesInvalidChanges);
   CPPUNIT_TEST(refusesSlicesOtherThanRecorded);
   CPPUNIT_TEST(ignoresTheSameText);
+  CPPUNIT_TEST(neverOverwritesARevision);
   CPPUNIT_TEST(oneOfTwoOperatorsWins);
   CPPUNIT_TEST(lostAnswerIsReadBack);
   CPPUNIT_TEST(lostAnswerOfASupersededChangeIsReadBack);
@@ -166,6 +168,17 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Same->Revision);
   }
 
+  // As after the current key alone was restored from an older copy.
+  void neverOverwritesARevision() {
+    this->applied(0, yaml(1));
+    std::string First =
+        this->Server->model().find(keys::CatalogueCurrent)->Value;
+    this->applied(1, yaml(2));
+    this->Server->model().put(keys::CatalogueCurrent, First, 0);
+    this->refused(StatusCode::kAborted, 1, yaml(3));
+    CPPUNIT_ASSERT_EQUAL(yaml(2), readRevision(*this->Store, 2)->Text);
+  }
+
   void oneOfTwoOperatorsWins() {
     this->applied(0, yaml(1));
     for (std::uint64_t Base = 1; Base <= 10; ++Base) {
--- a/orioledoor/oriolectl/command_line.cc
+++ b/orioledoor/oriolectl/command_line.cc
@@ -47,8 +47,9 @@
   po::options_description Options("Common options");
   Options.add_options()("help,h", "shows this help")(
       "store", po::value<std::string>()->value_name("IP:PORT"),
-      "address of the store")("author", Author,
-                              "who makes a change; default: environment USER")(
+      "address of the store")(
+      "author", Author,
+      "who makes a change; default: environment USER, else the account")(
       "output",
       po::value<std::string>()->default_value("table")->value_name("FORMAT"),
       "table or json");
@@ -56,7 +57,8 @@
 }
 
 void printOverview(std::ostream &Out, std::span<const Command> Commands) {
-  Out << "Usage: oriolectl COMMAND [ARGUMENT...] [OPTION...]\n\nCommands:\n";
+  Out << "Usage: oriolectl [OPTION...] COMMAND [ARGUMENT...] "
+         "[OPTION...]\n\nCommands:\n";
   for (const Command &C : Commands) {
     std::string Usage(C.Name);
     if (!C.Arguments.empty())
@@ -80,6 +82,21 @@
   Out << Common << ExitStatusHelp;
 }
 
+// Moves options before the command behind it: "--store X catalogue show"
+// becomes "catalogue show --store X". All common options but --help have a
+// value.
+std::vector<std::string>
+commandFirst(const std::vector<std::string> &Arguments) {
+  auto At = Arguments.begin();
+  while (At != Arguments.end() && At->starts_with("--")) {
+    bool Single = *At == "--help" || At->find('=') != std::string::npos;
+    At += std::min<std::ptrdiff_t>(Single ? 1 : 2, Arguments.end() - At);
+  }
+  std::vector<std::string> Result(At, Arguments.end());
+  Result.insert(Result.end(), Arguments.begin(), At);
+  return Result;
+}
+
 // Whether the command line begins with the words of the command.
 bool isSelected(const Command &Candidate,
                 const std::vector<std::string> &Arguments) {
@@ -131,9 +148,10 @@
 
 } // namespace
 
-ExitStatus runCommandLine(const std::vector<std::string> &Arguments,
+ExitStatus runCommandLine(const std::vector<std::string> &Given,
                           EventLoop &Loop, Console Terminal,
                           const std::string &DefaultAuthor) {
+  std::vector<std::string> Arguments = commandFirst(Given);
   std::vector<Command> Commands = allCommands();
   constexpr std::array<std::string_view, 3> HelpWords{"help", "--help", "-h"};
   if (!Arguments.empty() &&
--- a/orioledoor/oriolectl/command_line.h
+++ b/orioledoor/oriolectl/command_line.h
@@ -14,9 +14,9 @@
 
 class EventLoop;
 
-// Arguments exclude the program's name. DefaultAuthor stands for a missing
+// Given excludes the program's name. DefaultAuthor stands for a missing
 // --author; empty if unknown. Throws nothing.
-ExitStatus runCommandLine(const std::vector<std::string> &Arguments,
+ExitStatus runCommandLine(const std::vector<std::string> &Given,
                           EventLoop &Loop, Console Terminal,
                           const std::string &DefaultAuthor);
 
--- a/orioledoor/oriolectl/command_line_test.cc
+++ b/orioledoor/oriolectl/command_line_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST_SUITE(CommandLineTest);
   CPPUNIT_TEST(everyCommandHasHelp);
   CPPUNIT_TEST(refusesWrongUsage);
+  CPPUNIT_TEST(acceptsCommonOptionsBeforeTheCommand);
   CPPUNIT_TEST(validatesFiles);
   CPPUNIT_TEST(appliesShowsAndRollsBack);
   CPPUNIT_TEST(conflictShowsWhatChanged);
@@ -94,6 +95,19 @@
     CPPUNIT_ASSERT(this->warns("--author is missing"));
   }
 
+  // Scripts put --store first.
+  void acceptsCommonOptionsBeforeTheCommand() {
+    this->applyDesk();
+    std::string Store = absl::StrCat("--store=127.0.0.1:", this->Store->port());
+    this->runAlone(Store + " --output json catalogue history",
+                   ExitStatus::Success);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, json::parse(this->Out.str()).size());
+    this->runAlone("--output json --store 127.0.0.1:1 catalogue --help",
+                   ExitStatus::Success);
+    this->runAlone("--store", ExitStatus::Usage);
+    this->runAlone("--verbose catalogue history " + Store, ExitStatus::Usage);
+  }
+
   void validatesFiles() {
     this->run(absl::StrCat("catalogue validate ", Desk), ExitStatus::Success);
     std::string Bad = this->file("bad.yaml", "deployment: desk\nclas: x\n");
@@ -193,8 +207,8 @@
     CPPUNIT_ASSERT(Shown.at("slice") == sliceOf("font-17", 4096));
     // The recorded owner 6 is deposed, so the successor 7 acts under the next
     // number.
-    CPPUNIT_ASSERT(Shown.at("owner").at("member") == 7);
-    CPPUNIT_ASSERT(Shown.at("owner").at("fence") == 42);
+    CPPUNIT_ASSERT(Shown.at("owner") == 7);
+    CPPUNIT_ASSERT(Shown.at("fence") == 42);
     CPPUNIT_ASSERT(Shown.at("guardians")[0].at("member") == 7);
     // "member 71" is another member than "member 7".
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Shown.at("audit").size());
--- a/orioledoor/oriolectl/explanation.cc
+++ b/orioledoor/oriolectl/explanation.cc
@@ -103,15 +103,21 @@
 }
 
 json explanationJson(const Explanation &Value) {
-  const ExplainedMember *Acting = Value.acting();
-  return {{"service", Value.Service},
-          {"key", Value.Key},
-          {"slice", Value.Slice},
-          {"divided_by_key", Value.DividedByKey},
-          {"assignment_version", Value.AssignmentVersion},
-          {"owner", Acting ? memberJson(*Acting) : json(nullptr)},
-          {"succession", membersJson(Value.Succession)},
-          {"guardians", membersJson(Value.Guardians)}};
+  json Out = {{"service", Value.Service},
+              {"key", Value.Key},
+              {"slice", Value.Slice},
+              {"divided_by_key", Value.DividedByKey},
+              {"assignment_version", Value.AssignmentVersion},
+              {"owner", nullptr},
+              {"succession", membersJson(Value.Succession)},
+              {"guardians", membersJson(Value.Guardians)}};
+  if (const ExplainedMember *Acting = Value.acting()) {
+    Out["owner"] = Acting->Member.Id.Value;
+    Out["owner_node"] = Acting->Member.Name;
+    Out["owner_address"] = Acting->Member.HttpAddress;
+    Out["fence"] = Acting->Number.Value;
+  }
+  return Out;
 }
 
 } // namespace orioledoor::ctl
--- a/orioledoor/oriolectl/explanation.h
+++ b/orioledoor/oriolectl/explanation.h
@@ -54,6 +54,7 @@
                                        std::string_view Service,
                                        std::string_view Key);
 
+// "owner" is the member id of acting(), or null.
 nlohmann::json explanationJson(const Explanation &Value);
 
 } // namespace orioledoor::ctl
--- a/orioledoor/oriolectl/main.cc
+++ b/orioledoor/oriolectl/main.cc
@@ -4,13 +4,27 @@
 #include <string>
 #include <vector>
 
+#include <pwd.h>
+#include <unistd.h>
+
 #include "orioledoor/oriolectl/command_line.h"
 #include "orioledoor/oriolectl/event_loop.h"
 
+namespace {
+
+// USER, or the name of the account where USER is not set, as in services.
+std::string defaultAuthor() {
+  if (const char *User = std::getenv("USER"))
+    return User;
+  const passwd *Account = getpwuid(geteuid());
+  return Account ? Account->pw_name : "";
+}
+
+} // namespace
+
 int main(int Argc, char **Argv) {
   std::vector<std::string> Arguments(Argv + 1, Argv + Argc);
-  const char *User = std::getenv("USER");
   orioledoor::ctl::EventLoop Loop;
   return static_cast<int>(orioledoor::ctl::runCommandLine(
-      Arguments, Loop, {std::cout, std::cerr}, User ? User : ""));
+      Arguments, Loop, {std::cout, std::cerr}, defaultAuthor()));
 }
