Wait for members, and show bulk slice changes in explain

`--wait` returned success while the assignment listed no members, although six nodes ran and none was known to follow; it now waits and ends with status 6. explain left out the records by which the coordinator starts, moves or passes on slices in bulk, since they name no slice; it now shows those that may include the key's slice.

--- a/orioledoor/oriolectl/audit_commands.cc
+++ b/orioledoor/oriolectl/audit_commands.cc
@@ -146,9 +146,10 @@
   if (const ExplainedMember *Acting = Found->acting())
     Subjects.push_back(memberSubject(Acting->Member.Id));
   std::erase_if(Trail->Records, [&](const AuditRecord &Record) {
-    return std::ranges::none_of(Subjects, [&](const std::string &Subject) {
-      return mentions(Record, Subject);
-    });
+    return !concernsSlices(Record, Found->Service) &&
+           std::ranges::none_of(Subjects, [&](const std::string &Subject) {
+             return mentions(Record, Subject);
+           });
   });
   json Out = explanationJson(*Found);
   if (Call.Terminal.Json) {
@@ -179,8 +180,7 @@
 
 constexpr Command Commands[] = {
     {"audit", "", "lists audit records, latest first", addAudit, audit},
-    {"explain", "SERVICE KEY",
-     "shows the owner of a key and the audit records of owner and slice",
+    {"explain", "SERVICE KEY", "shows the owner of a key and what led there",
      addLimit, explain},
 };
 
--- a/orioledoor/oriolectl/audit_trail.cc
+++ b/orioledoor/oriolectl/audit_trail.cc
@@ -63,6 +63,11 @@
       Texts, [&](std::string_view Text) { return appearsIn(Text, Subject); });
 }
 
+bool concernsSlices(const AuditRecord &Record, std::string_view Service) {
+  std::string Named = " slices of " + std::string(Service);
+  return Record.Subject.ends_with(" slices") || Record.Subject.ends_with(Named);
+}
+
 nlohmann::json auditJson(const std::vector<AuditRecord> &Records) {
   nlohmann::json Out = nlohmann::json::array();
   for (const AuditRecord &Record : Records)
--- a/orioledoor/oriolectl/audit_trail.h
+++ b/orioledoor/oriolectl/audit_trail.h
@@ -34,6 +34,10 @@
 // record's subject, from or to; "member 7" does not appear in "member 71".
 bool mentions(const AuditRecord &Record, std::string_view Subject);
 
+// Whether the record is about several slices at once that may include one of
+// Service: its subject is "N slices" or "N slices of SERVICE".
+bool concernsSlices(const AuditRecord &Record, std::string_view Service);
+
 nlohmann::json auditJson(const std::vector<AuditRecord> &Records);
 
 void printAudit(const Console &To, const std::vector<AuditRecord> &Records);
--- a/orioledoor/oriolectl/command_line_test.cc
+++ b/orioledoor/oriolectl/command_line_test.cc
@@ -119,6 +119,8 @@
   void appliesShowsAndRollsBack() {
     this->run("catalogue show", ExitStatus::InvalidInput);
     this->applyDesk();
+    this->putAssignment();
+    this->setNode(2);
     std::string Faster = this->edited("2400", "2500");
     this->run("catalogue diff " + Faster, ExitStatus::Success);
     CPPUNIT_ASSERT(this->prints("requests_per_second: 2400 -> 2500"));
@@ -178,6 +180,9 @@
   }
 
   void waitTimesOut() {
+    // An empty list of members proves nothing.
+    this->run("status --wait 1 --timeout 1", ExitStatus::TimedOut);
+    CPPUNIT_ASSERT(this->warns("the assignment lists no members"));
     std::string Address = absl::StrCat("127.0.0.1:", this->Node->port());
     this->run("status --wait 9 --timeout 1 --node " + Address,
               ExitStatus::TimedOut);
@@ -198,10 +203,13 @@
     this->applyDesk();
     this->run("explain consulta font-17", ExitStatus::InvalidInput);
     this->putAssignment();
-    this->putAudit(
-        1, {1, "rule: lost", "succeed", "139 slices", "member 71", "", "", ""});
-    this->putAudit(
-        2, {2, "rule: join", "admit", "member 7 ebro-1", "", "", "", ""});
+    // Of these, only the last two concern member 7 or slices of consulta.
+    std::vector<std::string> Subjects{
+        "member 71 ebro-9", "9 slices of registro", "9 slices of consulta",
+        "member 7 ebro-1"};
+    for (std::size_t I = 0; I < Subjects.size(); ++I)
+      this->putAudit(I, {static_cast<std::int64_t>(I), "rule: coordinator",
+                         "change", Subjects[I], "", "", "", ""});
     this->run("explain consulta font-17 --output json", ExitStatus::Success);
     json Shown = json::parse(this->Out.str());
     CPPUNIT_ASSERT(Shown.at("slice") == sliceOf("font-17", 4096));
@@ -210,9 +218,9 @@
     CPPUNIT_ASSERT(Shown.at("owner") == 7);
     CPPUNIT_ASSERT(Shown.at("fence") == 42);
     CPPUNIT_ASSERT(Shown.at("guardians")[0].at("member") == 7);
-    // "member 71" is another member than "member 7".
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Shown.at("audit").size());
-    CPPUNIT_ASSERT(Shown.at("audit")[0].at("action") == "admit");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Shown.at("audit").size());
+    CPPUNIT_ASSERT(Shown.at("audit")[0].at("subject") == Subjects[3]);
+    CPPUNIT_ASSERT(Shown.at("audit")[1].at("subject") == Subjects[2]);
     this->run("explain consulta font-17", ExitStatus::Success);
     CPPUNIT_ASSERT(this->prints("member 7 ebro-1"));
     this->run("explain unknown font-17", ExitStatus::InvalidInput);
--- a/orioledoor/oriolectl/node_wait.cc
+++ b/orioledoor/oriolectl/node_wait.cc
@@ -35,6 +35,9 @@
 
 absl::Status timedOut(std::uint64_t Revision,
                       const std::vector<NodeStatus> &Missing) {
+  if (Missing.empty())
+    return makeError(absl::StatusCode::kDeadlineExceeded, "wait for nodes", "",
+                     "the assignment lists no members");
   std::vector<std::string> Names;
   std::ranges::transform(Missing, std::back_inserter(Names), describe);
   std::size_t More = Names.size() > NamedNodes ? Names.size() - NamedNodes : 0;
@@ -88,7 +91,8 @@
     if (Line != Shown)
       Progress << Line << std::flush;
     Shown = Line;
-    if (Missing.empty())
+    // Without members nothing shows that the nodes follow.
+    if (Missing.empty() && All != 0)
       return absl::OkStatus();
     if (readClock() + RoundPause >= End)
       return timedOut(Revision, Missing);
--- a/orioledoor/oriolectl/node_wait.h
+++ b/orioledoor/oriolectl/node_wait.h
@@ -37,8 +37,8 @@
 // Asks the nodes until all have Revision or a later one in force. The members
 // are read again each round, so that a node that was lost meanwhile is not
 // waited for. Prints a line to Progress whenever the count changes. Errors:
-// kDeadlineExceeded with the nodes that lack the revision after Limit, else as
-// listNodes().
+// kDeadlineExceeded after Limit with the nodes that lack the revision, also if
+// there are no nodes at all; else as listNodes().
 absl::Status waitForRevision(EventLoop &Loop, const NodeSource &Source,
                              std::uint64_t Revision, Duration Limit,
                              std::ostream &Progress);
