--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -2,7 +2,9 @@
 #include "orioledoor/ownership/coordinator.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <ranges>
 #include <set>
 
 #include "orioledoor/base/error.h"
@@ -41,6 +43,11 @@
 // A service's slices get their first owners once no member has joined for
 // this long, so that the first member does not get them all.
 constexpr Duration StartDelay = std::chrono::milliseconds(1500);
+// While this node holds no permission, perhaps no member does, and then those
+// admitted now get guardians that cannot grant. Members give up after 1.5 s, so
+// after this pause only permitted ones are left, or none and the next starts
+// alone.
+constexpr Duration UnpermittedPause = std::chrono::milliseconds(2500);
 // A slice rests after a move; longer than load reports may lag.
 constexpr Duration MoveRest = std::chrono::seconds(60);
 // Permissions and guard duties of a region declared lost have ended by then.
@@ -68,6 +75,8 @@
   void noticeNews(Instant Now, const FactSet &Known);
   void load(Instant Now, Effects &Output);
   void plan(Instant Now, const FactSet &Known, Effects &Output);
+  // The join requests that the next version may grant.
+  std::vector<JoinRequest> admissible(Instant Now) const;
   void gather(Instant Now, Effects &Output);
   bool isGathered() const;
   void startWrite(Instant Now, std::int64_t WallMicros, Effects &Output);
@@ -80,6 +89,7 @@
 
   LocalNode Local;
   MemberId Self;
+  bool Permitted = false;
   internal::LeaseKeeper Lease;
   internal::SpendAllocator Spend;
   internal::GuardianRenewal Renewals;
@@ -186,21 +196,36 @@
   return M ? M->PeerAddress : std::string();
 }
 
+std::vector<JoinRequest> Coordinator::State::admissible(Instant Now) const {
+  auto Pending = std::views::values(this->Joins);
+  std::vector<JoinRequest> Result(Pending.begin(), Pending.end());
+  // This node first: as the first member it permits itself at once.
+  std::ranges::stable_partition(Result, [&](const JoinRequest &Join) {
+    return Join.Name == this->Local.Name;
+  });
+  bool Alive =
+      std::ranges::any_of(this->Doc.Members, std::not_fn(&Member::Deposed));
+  bool Recent = std::ranges::any_of(
+      std::views::values(this->LastAdmission),
+      [&](Instant Last) { return Now - Last < UnpermittedPause; });
+  if (!this->Permitted && Alive && Recent)
+    Result.clear();
+  return Result;
+}
+
 void Coordinator::State::plan(Instant Now, const FactSet &Known,
                               Effects &Output) {
   if (!this->Entries)
     return;
-  std::vector<JoinRequest> Requests;
-  Requests.reserve(this->Joins.size());
-  for (const auto &[Name, Join] : this->Joins)
-    Requests.push_back(Join);
+  std::vector<JoinRequest> Requests = this->admissible(Now);
   std::vector<YieldAck> Handovers;
   Handovers.reserve(this->Yielded.size());
   for (const auto &[Slice, Ack] : this->Yielded)
     Handovers.push_back(Ack);
   auto MayStart = [&](ServiceId Id) {
     if (std::ranges::any_of(Requests, [&](const JoinRequest &Join) {
-          return serviceIdOf(Join.Service) == Id;
+          return serviceIdOf(Join.Service) == Id &&
+                 !this->Doc.findByToken(Join.Token);
         }))
       return false;
     auto Last = this->LastAdmission.find(Id);
@@ -328,6 +353,10 @@
 
 void Coordinator::setSelf(MemberId Self) { this->Own->Self = Self; }
 
+void Coordinator::setPermitted(bool Permitted) {
+  this->Own->Permitted = Permitted;
+}
+
 bool Coordinator::isActive() const {
   return this->Own->Current != Phase::Passive;
 }
