--- /dev/null
+++ b/orioledoor/standins/operation_judge.cc
@@ -0,0 +1,168 @@
+// operation_judge: compares what callers were told (load_tool --operations)
+// with what the targets did (their logs, GET /standin/log) after a run with
+// faults. Prints one line of counts and the first violations. The exit status
+// is 1 if
+//   - an operation was executed more than once,
+//   - an operation answered as "ran" is in no log,
+//   - an operation answered as "not-run" is in a log,
+//   - two targets worked on one key at the same time, or a later write of a
+//     key carries a lower fencing number.
+//
+//   operation_judge --operations ops.txt --log target-0.json --log ...
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr std::size_t ViolationsShown = 10;
+
+struct Execution {
+  std::size_t Target = 0;
+  std::int64_t Start = 0;
+  std::int64_t End = 0;
+  std::uint32_t Fence = 0;
+  std::string Operation;
+};
+
+struct Counts {
+  std::uint64_t Ran = 0;
+  std::uint64_t NotRun = 0;
+  std::uint64_t Unknown = 0;
+};
+
+class Judge {
+public:
+  void readLog(const std::string &File) {
+    std::ifstream In(File);
+    std::size_t Target = this->Targets++;
+    for (const auto &Line : nlohmann::json::parse(In)) {
+      if (Line.at("outcome") != "executed" ||
+          Line.value("operation", "").empty())
+        continue;
+      Execution Done{Target, Line.at("start_us"), Line.at("end_us"),
+                     Line.at("fence"), Line.at("operation")};
+      ++this->Runs[Done.Operation];
+      this->ByKey[Line.at("key")].push_back(std::move(Done));
+    }
+  }
+
+  void readOperations(const std::string &File) {
+    std::ifstream In(File);
+    std::string Operation;
+    std::string Key;
+    int Status = 0;
+    std::string Outcome;
+    // An answer without an outcome, such as none at all, counts as unknown.
+    for (std::string Line; std::getline(In, Line);) {
+      std::istringstream Fields(Line);
+      Outcome.clear();
+      Fields >> Operation >> Key >> Status >> Outcome;
+      this->check(Operation, Outcome);
+    }
+  }
+
+  void checkRuns() {
+    for (const auto &[Operation, Count] : this->Runs)
+      if (Count > 1)
+        this->fail("operation " + Operation + " ran " + std::to_string(Count) +
+                   " times");
+  }
+
+  void checkOwners() {
+    for (auto &[Key, Writes] : this->ByKey) {
+      std::ranges::sort(Writes, {}, &Execution::Start);
+      for (std::size_t I = 1; I < Writes.size(); ++I)
+        this->checkPair(Key, Writes[I - 1], Writes[I]);
+    }
+  }
+
+  int report() const {
+    std::cout << "executed " << this->Runs.size() << ", answered ran "
+              << this->Answers.Ran << ", not-run " << this->Answers.NotRun
+              << ", unknown " << this->Answers.Unknown << ", keys "
+              << this->ByKey.size() << ", violations " << this->Violations
+              << '\n';
+    return this->Violations == 0 ? 0 : 1;
+  }
+
+private:
+  void check(const std::string &Operation, const std::string &Outcome) {
+    bool Executed = this->Runs.contains(Operation);
+    if (Outcome == "ran") {
+      ++this->Answers.Ran;
+      if (!Executed)
+        this->fail("operation " + Operation + " answered as ran is in no log");
+    } else if (Outcome == "not-run") {
+      ++this->Answers.NotRun;
+      if (Executed)
+        this->fail("operation " + Operation + " answered as not-run ran");
+    } else {
+      ++this->Answers.Unknown;
+    }
+  }
+
+  void checkPair(const std::string &Key, const Execution &Earlier,
+                 const Execution &Later) {
+    if (Later.Fence < Earlier.Fence)
+      this->fail("key " + Key + ": fencing number fell from " +
+                 std::to_string(Earlier.Fence) + " to " +
+                 std::to_string(Later.Fence));
+    if (Later.Target != Earlier.Target && Later.Start < Earlier.End)
+      this->fail("key " + Key + ": two targets at the same time");
+  }
+
+  void fail(const std::string &What) {
+    if (this->Violations++ < ViolationsShown)
+      std::cout << "violation: " << What << '\n';
+  }
+
+  std::size_t Targets = 0;
+  std::map<std::string, unsigned> Runs;
+  std::map<std::string, std::vector<Execution>> ByKey;
+  Counts Answers;
+  std::uint64_t Violations = 0;
+};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  std::vector<std::string> Logs;
+  std::vector<std::string> Operations;
+  po::options_description Options("operation_judge");
+  Options.add_options()("help", "shows the options")(
+      "log", po::value(&Logs)->required(), "log of a target; repeated")(
+      "operations", po::value(&Operations)->required(),
+      "file written by load_tool; may be repeated");
+  try {
+    po::variables_map Given;
+    po::store(po::parse_command_line(Argc, Argv, Options), Given);
+    if (Given.contains("help")) {
+      std::cout << Options;
+      return 0;
+    }
+    po::notify(Given);
+    Judge Verdict;
+    std::ranges::for_each(
+        Logs, [&](const std::string &File) { Verdict.readLog(File); });
+    std::ranges::for_each(Operations, [&](const std::string &File) {
+      Verdict.readOperations(File);
+    });
+    Verdict.checkRuns();
+    Verdict.checkOwners();
+    return Verdict.report();
+  } catch (const std::exception &Error) {
+    std::cerr << "operation_judge: " << Error.what() << '\n';
+    return 2;
+  }
+}
--- a/orioledoor/standins/outage_probe.cc
+++ b/orioledoor/standins/outage_probe.cc
@@ -140,11 +140,11 @@
   Options.add_options()("help", "shows the options")(
       "entry", po::value(&Probe.Entries)->required(),
       "IP:PORT of an entry node; may be repeated")(
-      "service", po::value(&Probe.Service)->required(), "service name")(
-      "keys", po::value(&Probe.Keys), "number of keys")(
-      "duration", po::value(&Probe.Seconds), "seconds")(
-      "threshold-ms", po::value(&Probe.ThresholdMillis),
-      "shorter gaps do not count as an interruption");
+      "service", po::value(&Probe.Service)->required(),
+      "service name")("keys", po::value(&Probe.Keys), "number of keys")(
+      "duration", po::value(&Probe.Seconds),
+      "seconds")("threshold-ms", po::value(&Probe.ThresholdMillis),
+                 "shorter gaps do not count as an interruption");
   try {
     po::variables_map Given;
     po::store(po::parse_command_line(Argc, Argv, Options), Given);
