Reuse nng's operations, and space the probes of a target

nng_sendmsg and nng_recvmsg make an operation for every message, with a getrandom call each: 10,673 a second at 4,000 requests a second. MessagePort keeps two.

--- a/orioledoor/daemon/target_monitor.cc
+++ b/orioledoor/daemon/target_monitor.cc
@@ -100,8 +100,15 @@
     this->grant(Now, Permit);
 }
 
+void TargetMonitor::noteBrokenConnection(Instant Now) {
+  // Without the pause three probes would fail within one short disturbance.
+  this->NextProbe =
+      std::min(this->NextProbe, std::max(Now, this->LastProbe + RetryInterval));
+}
+
 void TargetMonitor::probe(Instant Now) {
   this->ProbeOpen = true;
+  this->LastProbe = Now;
   this->NextProbe = Now + ProbeInterval;
   this->Client.call({.To = this->Known->Address,
                      .Method = "GET",
--- a/orioledoor/daemon/target_monitor.h
+++ b/orioledoor/daemon/target_monitor.h
@@ -59,8 +59,8 @@
 
   // The target answered a request.
   void noteAnswer(Instant Now) { this->LastAnswer = Now; }
-  // A connection to the target broke; it is probed at once.
-  void noteBrokenConnection(Instant Now) { this->NextProbe = Now; }
+  // A connection to the target broke; it is probed soon.
+  void noteBrokenConnection(Instant Now);
 
   // The last announcement, if any.
   const std::optional<Announcement> &known() const { return this->Known; }
@@ -82,6 +82,7 @@
   // Its probes failed since it was last announced by another state or address.
   bool WasLost = false;
   bool ProbeOpen = false;
+  Instant LastProbe;
   Instant NextProbe;
   Instant LastAnswer;
   Instant FirstFailure;
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -67,6 +67,8 @@
     // NotAfter had come when the first byte was due; the sending half was
     // shut down before it.
     bool Expired = false;
+    // TCP_NODELAY is set.
+    bool Tuned = false;
     // The head of the answer came.
     bool Answering = false;
     std::optional<Instant> NotAfter;
@@ -148,8 +150,9 @@
         return;
       }
       int Enabled = 1;
-      setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &Enabled,
-                 sizeof Enabled);
+      if (!std::exchange(On->Tuned, true))
+        setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &Enabled,
+                   sizeof Enabled);
     }
     // A reset also drains the buffer; it then counts as written, which errs on
     // the side of "unknown".
@@ -168,6 +171,12 @@
     evhttp_connection_set_max_headers_size(Added->Http, MaxAnswerHeaderBytes);
     evhttp_connection_set_max_body_size(Added->Http, MaxAnswerBodyBytes);
     evhttp_connection_set_retries(Added->Http, 0);
+    evhttp_connection_set_closecb(
+        Added->Http,
+        [](evhttp_connection *, void *Context) {
+          static_cast<Connection *>(Context)->Tuned = false;
+        },
+        Added.get());
     evbuffer_add_cb(
         bufferevent_get_output(evhttp_connection_get_bufferevent(Added->Http)),
         onOutput, Added.get());
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -18,6 +18,7 @@
 #include "orioledoor/base/error.h"
 #include "orioledoor/wire/events.h"
 #include "orioledoor/wire/internal/event_ptr.h"
+#include "orioledoor/wire/internal/message_port.h"
 #include "orioledoor/wire/internal/peer.h"
 #include "orioledoor/wire/internal/pipe_notifier.h"
 
@@ -70,6 +71,7 @@
   PeerTransportCallbacks Callbacks;
   TransportCounters Counters;
   internal::PipeNotifier Notifier;
+  internal::MessagePort Port;
   std::optional<nng_socket> Inbound;
   internal::EventPtr ReceiveEvent;
   internal::EventPtr NotifyEvent;
@@ -185,9 +187,7 @@
                        .AckSequence = To.ReceivedSequence,
                        .WantsAck = To.PingDue};
     sealBatch(To.Batch, Header);
-    // The data are copied and not changed.
-    if (nng_send(*To.Socket, To.Batch.data(), To.Batch.size(),
-                 NNG_FLAG_NONBLOCK) != 0) {
+    if (!this->Port.send(*To.Socket, To.Batch)) {
       this->refuseQueued(To);
       To.Batch.clear();
       return;
@@ -338,8 +338,8 @@
 
   void onReadable() {
     for (int Left = ReceivesPerTurn; Left > 0; --Left) {
-      nng_msg *Message = nullptr;
-      if (nng_recvmsg(*this->Inbound, &Message, NNG_FLAG_NONBLOCK) != 0)
+      nng_msg *Message = this->Port.receive(*this->Inbound);
+      if (!Message)
         return;
       std::string_view Bytes(static_cast<const char *>(nng_msg_body(Message)),
                              nng_msg_len(Message));
