--- a/orioledoor/ownership/ownership_lifecycle.cc
+++ b/orioledoor/ownership/ownership_lifecycle.cc
@@ -177,6 +177,7 @@
       Staying && (this->DomainWatcher || this->Join.mayCoordinate(Now) ||
                   (this->Join.isActive() && this->Planner.isActive()));
   this->Planner.setEligible(Eligible);
+  this->Planner.setPermitted(this->Permission.holds(Now));
   this->Distributor.setWatching(Eligible || this->DomainWatcher, Output);
 }
 
