Test the parts of the request path and earn rate tokens once

The simulation hands drained slices over with a delay and starts at a limit of 4 a second. RateLimiter earns tokens at the smaller of the old and the new rate, so that a share that changes hands does not count on both sides.

--- a/orioledoor/requests/event.h
+++ b/orioledoor/requests/event.h
@@ -59,7 +59,7 @@
   Message Body;
 };
 
-// A message could not be handed to the connection: certainly not sent.
+// A Forward could not be handed to the connection: certainly not sent.
 struct PeerSendFailed {
   std::string To;
   std::uint64_t EntryId = 0;
--- a/orioledoor/requests/events.h
+++ b/orioledoor/requests/events.h
@@ -29,9 +29,6 @@
 inline constexpr EventDefinition HopLimitReached{
     2020, Severity::Warn, "HOP_LIMIT_REACHED",
     "a request was passed on too often; routes disagree"};
-inline constexpr EventDefinition SpendExhausted{
-    2030, Severity::Warn, "SPEND_EXHAUSTED",
-    "a service's share of the day's spend is used up"};
 inline constexpr EventDefinition PeerUnreachable{
     2040, Severity::Warn, "PEER_UNREACHABLE",
     "requests to a peer were left without an answer"};
--- a/orioledoor/requests/internal/owner_side.h
+++ b/orioledoor/requests/internal/owner_side.h
@@ -54,7 +54,8 @@
 
   // Acts on what is due; called before each event.
   void runTimers(const Ctx &C);
-  // Housekeeping, on each Tick. Constant but for a sweep every 10 s.
+  // Housekeeping, on each Tick. Linear in the number of services, and every 10
+  // s in that of slices.
   void tick(const Ctx &C);
   std::optional<Instant> nextTimer() const { return this->Timers.next(); }
 
--- a/orioledoor/requests/internal/owner_slices.h
+++ b/orioledoor/requests/internal/owner_slices.h
@@ -275,6 +275,10 @@
   this->Timers.compact(this->Works.size(), [this](Id Which) {
     return this->Works.contains(Which);
   });
+  for (auto &[Service, Limiter] : this->Limiters)
+    if (const ServiceEntry *Entry = this->Shared.Services.find(Service))
+      Limiter.refill(Entry->Limits.RequestsPerSecond,
+                     C.Routes.ownedShare(Service), C.Now);
   if (C.Now - this->SweptAt < SweepInterval)
     return;
   this->SweptAt = C.Now;
--- a/orioledoor/requests/rate_limiter.cc
+++ b/orioledoor/requests/rate_limiter.cc
@@ -2,23 +2,28 @@
 #include "orioledoor/requests/rate_limiter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace orioledoor::requests {
 
-bool RateLimiter::tryTake(double Limit, double Share, Instant Now) {
-  if (Limit <= 0)
-    return true;
-  this->Rate = Limit * Share;
+void RateLimiter::refill(double Limit, double Share, Instant Now) {
+  double Before = std::exchange(this->Rate, Limit * Share);
   double Capacity = std::max(1.0, this->Rate * BurstSeconds);
-  if (!this->Started) {
-    this->Started = true;
+  if (!std::exchange(this->Started, true)) {
     this->Tokens = Capacity;
   } else {
     double Seconds =
         std::chrono::duration<double>(Now - this->RefilledAt).count();
-    this->Tokens = std::min(this->Tokens + Seconds * this->Rate, Capacity);
+    this->Tokens = std::min(
+        this->Tokens + Seconds * std::min(Before, this->Rate), Capacity);
   }
   this->RefilledAt = Now;
+}
+
+bool RateLimiter::tryTake(double Limit, double Share, Instant Now) {
+  if (Limit <= 0)
+    return true;
+  this->refill(Limit, Share, Now);
   if (this->Tokens < 1)
     return false;
   this->Tokens -= 1;
--- a/orioledoor/requests/rate_limiter.h
+++ b/orioledoor/requests/rate_limiter.h
@@ -9,6 +9,11 @@
 // Not thread-safe. All operations are constant.
 class RateLimiter {
 public:
+  // Adds the tokens since the last call at the smaller of the rates then and
+  // now, so that a share that changed hands fills no bucket twice. Called on
+  // each Tick, since the share may change more than once between requests.
+  void refill(double Limit, double Share, Instant Now);
+
   // Takes one token of a bucket that fills at Limit x Share a second. A Limit
   // of 0 means unlimited.
   bool tryTake(double Limit, double Share, Instant Now);
--- a/orioledoor/requests/request_reducer_test.cc
+++ b/orioledoor/requests/request_reducer_test.cc
@@ -65,9 +65,10 @@
 
   FixedRouting Routes;
 
+  Instant Now{1'000'000};
+
 private:
   RequestReducer<FixedRouting> Reducer;
-  Instant Now{1'000'000};
 };
 
 SliceRef onlySlice() { return SliceRef{serviceIdOf("desk"), 0}; }
@@ -83,6 +84,22 @@
   return Event;
 }
 
+CallerRequest get(std::uint64_t CallerId) {
+  CallerRequest Event;
+  Event.CallerId = CallerId;
+  Event.Request = std::make_shared<HttpRequest>(
+      HttpRequest{"GET", "desk", "k", "", {}, ""});
+  return Event;
+}
+
+// The first effect of one kind; fails the test without one.
+template <typename T> T firstOf(const Effects &Output) {
+  auto Found = std::ranges::find_if(
+      Output, [](const Effect &E) { return std::holds_alternative<T>(E); });
+  CPPUNIT_ASSERT(Found != Output.end());
+  return std::get<T>(*Found);
+}
+
 std::string headerOf(const HttpAnswer &Value, std::string_view Name) {
   auto Found = std::ranges::find(Value.Headers, Name, &Header::Name);
   return Found == Value.Headers.end() ? "" : Found->Value;
@@ -92,6 +109,14 @@
   CPPUNIT_TEST_SUITE(RequestReducerTest);
   CPPUNIT_TEST(localRequestIsCalledAndAnswered);
   CPPUNIT_TEST(remoteRequestIsForwardedAndAnswered);
+  CPPUNIT_TEST(missingOwnerCostsNoTry);
+  CPPUNIT_TEST(brokenCallHoldsRetryUntilProbesAreBack);
+  CPPUNIT_TEST(drainedSlicePassesItsRequestsOn);
+  CPPUNIT_TEST(staleRoutesEndAtTheHopLimit);
+  CPPUNIT_TEST(joinedResendGetsTheAnswer);
+  CPPUNIT_TEST(queuedRequestIsCancelledAndRefused);
+  CPPUNIT_TEST(permissionBoundsTheCall);
+  CPPUNIT_TEST(sharedServiceNeedsNoSlice);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +162,172 @@
                          std::get<ReplyCaller>(Output.at(0)).CallerId);
     CPPUNIT_ASSERT(N.feed(PeerMessage{"peer", Right}).empty());
   }
+
+  // During a takeover a request must wait for the new owner, not use up its
+  // tries on the way.
+  void missingOwnerCostsNoTry() {
+    Node N(7);
+    N.Routes.Next = ownership::Route{MemberId{2}, "peer", false, true};
+    CallerRequest Request = post(1, "op");
+    Request.MaxTries = 1;
+    Effects Output = N.feed(Request);
+    for (int I = 0; I < 20; ++I) {
+      auto F = std::get<Forward>(firstOf<SendPeer>(Output).Body);
+      N.feed(PeerSendFailed{"peer", F.EntryId, F.RequestId});
+      Output = N.feed(Tick{}, 100ms);
+    }
+    N.Routes.Next.reset();
+    auto F = std::get<Forward>(firstOf<SendPeer>(Output).Body);
+    N.feed(PeerSendFailed{"peer", F.EntryId, F.RequestId});
+    CPPUNIT_ASSERT(N.feed(Tick{}, 100ms).empty());
+    Output.clear();
+    for (int I = 0; I < 20 && Output.empty(); ++I)
+      Output = N.feed(Tick{}, 100ms);
+    auto Reply = firstOf<ReplyCaller>(Output);
+    CPPUNIT_ASSERT_EQUAL(503, Reply.Answer.Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"),
+                         headerOf(Reply.Answer, "Oriole-Outcome"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                         headerOf(Reply.Answer, "Retry-After"));
+  }
+
+  // A retry before the probes are back could crash a second target.
+  void brokenCallHoldsRetryUntilProbesAreBack() {
+    Node N(7);
+    N.feed(AdoptSlice{onlySlice(), Fence{3}, "", false});
+    auto Break = [&N](std::uint64_t CallerId) {
+      auto Call = firstOf<CallTarget>(N.feed(get(CallerId)));
+      CPPUNIT_ASSERT(
+          N.feed(TargetFailed{Call.CallId, TargetFailure::ConnectionLost, ""})
+              .empty());
+    };
+    Break(1);
+    // Another answer shows that the target lives, so the retry follows.
+    auto Other = firstOf<CallTarget>(N.feed(post(2, "op")));
+    N.feed(TargetAnswered{Other.CallId, {200, {}, ""}});
+    auto Retry = firstOf<CallTarget>(N.feed(Tick{}, 20ms));
+    N.feed(TargetAnswered{Retry.CallId, {200, {}, ""}});
+    Break(3);
+    Effects Output = N.feed(TargetChanged{.Lost = true}, 1500ms);
+    CPPUNIT_ASSERT(std::holds_alternative<Broadcast>(Output.at(0)));
+    auto Notice = std::get<CrashNotice>(firstOf<Broadcast>(Output).Body);
+    CPPUNIT_ASSERT(Notice.Confirmed);
+    N.feed(PeerMessage{"peer", CrashNotice{Notice.Digest, 1, true}});
+    Output = N.feed(get(4));
+    CPPUNIT_ASSERT_EQUAL(422, firstOf<ReplyCaller>(Output).Answer.Status);
+  }
+
+  // Requests that arrive during a move must reach the new owner.
+  void drainedSlicePassesItsRequestsOn() {
+    Node N(7);
+    N.feed(AdoptSlice{onlySlice(), Fence{3}, "", false});
+    auto Call = firstOf<CallTarget>(N.feed(post(1, "a")));
+    N.feed(post(2, "b"));
+    CPPUNIT_ASSERT(N.feed(DrainSlice{onlySlice()}).empty());
+    CPPUNIT_ASSERT(N.feed(post(3, "c")).empty());
+    Effects Output = N.feed(TargetAnswered{Call.CallId, {200, {}, ""}});
+    firstOf<ReplyCaller>(Output);
+    std::string Table = firstOf<SliceDrained>(Output).Table;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Output.size());
+    N.Routes.Next = ownership::Route{MemberId{2}, "peer", false, true};
+    N.Routes.Open = false;
+    Output = N.feed(DropSlice{onlySlice()});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Output.size());
+    auto F = std::get<Forward>(firstOf<SendPeer>(Output).Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), F.OperationId);
+    CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(F.Hops));
+    CPPUNIT_ASSERT(OperationTable::decode(Table, N.Now)->find("a", N.Now));
+    CPPUNIT_ASSERT(!OperationTable::decode(Table, N.Now)->find("b", N.Now));
+  }
+
+  // Two nodes that take each other for the owner must not pass a request back
+  // and forth for ever.
+  void staleRoutesEndAtTheHopLimit() {
+    Node N(7);
+    N.Routes.Next = ownership::Route{MemberId{2}, "peer", false, true};
+    Forward F;
+    F.EntryId = 99;
+    F.RequestId = 1;
+    F.ReplyTo = "entry";
+    F.Slice = onlySlice();
+    F.Request = get(1).Request;
+    F.Remaining = 1s;
+    Effects Output = N.feed(PeerMessage{"entry", F});
+    CPPUNIT_ASSERT_EQUAL(std::string("peer"), firstOf<SendPeer>(Output).To);
+    CPPUNIT_ASSERT(N.feed(PeerMessage{"entry", F}).empty());
+    F.Hops = 2;
+    Output = N.feed(PeerMessage{"peer", F});
+    CPPUNIT_ASSERT_EQUAL(std::string("entry"), firstOf<SendPeer>(Output).To);
+    auto Ended = std::get<Answer>(firstOf<SendPeer>(Output).Body);
+    CPPUNIT_ASSERT(Ended.Result == Outcome::NotRun);
+    CPPUNIT_ASSERT(Ended.Retry == RetryAdvice::Free);
+  }
+
+  // A resend of a running operation must neither run nor be refused.
+  void joinedResendGetsTheAnswer() {
+    Node N(7);
+    N.feed(AdoptSlice{onlySlice(), Fence{3}, "", false});
+    auto Call = firstOf<CallTarget>(N.feed(post(1, "a")));
+    CPPUNIT_ASSERT(N.feed(CallerGone{1}).empty());
+    CPPUNIT_ASSERT(N.feed(post(2, "a", 2)).empty());
+    Effects Output = N.feed(TargetAnswered{Call.CallId, {200, {}, "done"}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Output.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                         firstOf<ReplyCaller>(Output).CallerId);
+    CallerRequest Changed = post(3, "a", 2);
+    Changed.Request = std::make_shared<HttpRequest>(
+        HttpRequest{"POST", "desk", "k", "", {}, "other"});
+    Output = N.feed(Changed);
+    CPPUNIT_ASSERT_EQUAL(409, firstOf<ReplyCaller>(Output).Answer.Status);
+  }
+
+  // A queued request whose caller is gone must not reach the target, and one
+  // that cannot meet its deadline must not wait for it.
+  void queuedRequestIsCancelledAndRefused() {
+    Node N(7);
+    N.feed(AdoptSlice{onlySlice(), Fence{3}, "", false});
+    auto Call = firstOf<CallTarget>(N.feed(post(1, "a")));
+    CPPUNIT_ASSERT(N.feed(get(2)).empty());
+    N.feed(CallerGone{2});
+    CallerRequest Hasty = get(3);
+    Hasty.Timeout = 1ms;
+    auto Reply = firstOf<ReplyCaller>(N.feed(Hasty));
+    CPPUNIT_ASSERT_EQUAL(503, Reply.Answer.Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                         headerOf(Reply.Answer, "Retry-After"));
+    Effects Output = N.feed(TargetAnswered{Call.CallId, {200, {}, ""}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Output.size());
+  }
+
+  // Work must end before the permission does, unless the target checks.
+  void permissionBoundsTheCall() {
+    Node N(7);
+    N.feed(AdoptSlice{onlySlice(), Fence{3}, "", false});
+    N.Routes.ValidUntil = N.Now + 501ms;
+    auto Call = firstOf<CallTarget>(N.feed(post(1, "a")));
+    CPPUNIT_ASSERT(Call.Timeout == Duration(500ms));
+    CPPUNIT_ASSERT(Call.NotAfter == N.Routes.ValidUntil);
+    N.feed(TargetChanged{.Ready = true,
+                         .Service = "desk",
+                         .Slots = 2,
+                         .Connections = 8,
+                         .ChecksFence = true});
+    Call = firstOf<CallTarget>(N.feed(post(2, "b")));
+    CPPUNIT_ASSERT(Call.Timeout == Duration(30s));
+  }
+
+  // A service that is not divided by key serves idempotent requests at any
+  // member, also at one that owns no slice.
+  void sharedServiceNeedsNoSlice() {
+    Node N(7);
+    auto Shared = std::make_shared<Catalogue>(*sampleCatalogue());
+    Shared->Services[0].DividedByKey = false;
+    N.feed(CatalogueChanged{Shared});
+    N.Routes.Open = false;
+    auto Call = firstOf<CallTarget>(N.feed(get(1)));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, Call.Number.Value);
+    CPPUNIT_ASSERT(N.feed(post(2, "op")).empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestReducerTest);
--- a/orioledoor/requests/testing/simulation.cc
+++ b/orioledoor/requests/testing/simulation.cc
@@ -66,7 +66,7 @@
   Entry.Id = serviceIdOf(ServiceName);
   Entry.DividedByKey = true;
   Entry.Slices = SliceCount;
-  Entry.Limits.RequestsPerSecond = this->chance(20) ? 10 : 0;
+  Entry.Limits.RequestsPerSecond = this->chance(20) ? 4 : 0;
   Entry.Limits.SpendPerDay = this->chance(20) ? 30 : 0;
   this->SpendLeft = Entry.Limits.SpendPerDay;
   this->Services->Services.push_back(Entry);
@@ -134,16 +134,25 @@
     this->Now = std::get<0>(Next);
     std::get<2>(Next)();
   }
+  this->checkLimits();
+  return this->Log.verdict();
+}
+
+void Simulation::checkLimits() {
   const ServiceLimits &Limits = this->Services->Services[0].Limits;
-  double Seconds = std::chrono::duration<double>(TotalTime).count();
-  if (Limits.RequestsPerSecond > 0)
-    // Each owner's bucket may hold one token more.
-    this->Log.expect(static_cast<double>(this->CallsStarted) <=
-                         Limits.RequestsPerSecond * Seconds + 2,
-                     "rate limit exceeded");
   if (Limits.SpendPerDay > 0)
     this->Log.expect(this->Executions <= Limits.SpendPerDay, "spend exceeded");
-  return this->Log.verdict();
+  if (Limits.RequestsPerSecond <= 0)
+    return;
+  // Tokens are taken on admission and calls may start later, so the bound holds
+  // from the start on: the rate, and one token in the bucket of each owner.
+  for (std::size_t I = 0; I < this->CallTimes.size(); ++I) {
+    double Seconds =
+        std::chrono::duration<double>(this->CallTimes[I] - this->CallTimes[0])
+            .count();
+    if (static_cast<double>(I + 1) > Limits.RequestsPerSecond * Seconds + 3)
+      return this->Log.expect(false, "rate limit exceeded");
+  }
 }
 
 void Simulation::at(Instant When, std::function<void()> Action) {
@@ -217,7 +226,7 @@
 }
 
 void Simulation::call(int At, const CallTarget &Effect) {
-  ++this->CallsStarted;
+  this->CallTimes.push_back(this->Now);
   Node &N = this->Nodes[At];
   this->Log.expect(Effect.NotAfter > this->Now, "call after its last moment");
   auto Running = std::make_shared<TargetCall>(TargetCall{Effect, false});
--- a/orioledoor/requests/testing/simulation.h
+++ b/orioledoor/requests/testing/simulation.h
@@ -74,6 +74,7 @@
     int Owner = FirstOwner;
     std::uint32_t Number = 1;
     bool Draining = false;
+    bool Drained = false;
   };
   // What a caller wants to have done; sent again while the answer is not
   // certain.
@@ -111,6 +112,7 @@
   // Runs the operation, unless the target checks fencing numbers and refuses.
   void execute(int At, TargetCall &Running);
   void crashTarget(int At);
+  void checkLimits();
 
   void submit(const std::shared_ptr<Want> &Wish);
   void resendUnlessCertain(const std::shared_ptr<Want> &Wish,
@@ -118,6 +120,7 @@
 
   void startMove(std::uint32_t Index);
   void drained(int From, const SliceDrained &Report);
+  void handOver(int From, const SliceDrained &Report);
   void cutOff(int Which);
   // Gives the slices of a lost node to a healthy one without their tables.
   void replaceOwner(std::uint32_t Index);
@@ -145,7 +148,7 @@
   std::uint64_t CallerIds = 0;
   std::uint64_t SpendLeft = 0;
   std::uint64_t Executions = 0;
-  std::uint64_t CallsStarted = 0;
+  std::vector<Instant> CallTimes;
   // Targets lost to the poisonous request, by its method.
   std::map<std::string, int> Crashes;
 };
--- a/orioledoor/requests/testing/simulation_world.cc
+++ b/orioledoor/requests/testing/simulation_world.cc
@@ -86,6 +86,7 @@
   Slice &S = this->Slices[Index];
   S.Owner = By;
   S.Draining = false;
+  S.Drained = false;
   std::uint32_t Number = S.Number;
   for (int I = 0; I < NodeCount; ++I)
     this->after(this->upTo(I == By ? 1ms : 100ms), [this, I, Index, Number] {
@@ -120,7 +121,8 @@
   this->deliver(From, DrainSlice{Ref});
   this->after(this->upTo(2s), [this, From, Index, Ref, Number = S.Number] {
     Slice &Now = this->Slices[Index];
-    if (!Now.Draining || Now.Number != Number || Now.Owner != From)
+    if (!Now.Draining || Now.Drained || Now.Number != Number ||
+        Now.Owner != From)
       return;
     Now.Draining = false;
     this->deliver(From, ResumeSlice{Ref});
@@ -130,7 +132,20 @@
 void Simulation::drained(int From, const SliceDrained &Report) {
   std::uint32_t Index = Report.Slice.Slice;
   Slice &S = this->Slices[Index];
-  if (!S.Draining || !this->owns(From, Index) || this->Nodes[From].Cut)
+  if (!S.Draining || S.Owner != From)
+    return;
+  S.Drained = true;
+  this->after(this->upTo(30ms), [this, From, Report, Number = S.Number] {
+    if (this->Slices[Report.Slice.Slice].Number == Number)
+      this->handOver(From, Report);
+  });
+}
+
+void Simulation::handOver(int From, const SliceDrained &Report) {
+  std::uint32_t Index = Report.Slice.Slice;
+  Slice &S = this->Slices[Index];
+  // Otherwise the slice is replaced like that of any lost node.
+  if (!this->owns(From, Index) || this->Nodes[From].Cut)
     return;
   int To = FirstOwner + NodeCount - 1 - From;
   ++S.Number;
