Start alone only beside members that may be lost

The coordinator without a permission starts alone only if at most two recorded members are not deposed; otherwise a member cut off one way would start alone beside a healthy fleet.

--- a/orioledoor/ownership/coordinator.cc
+++ b/orioledoor/ownership/coordinator.cc
@@ -45,9 +45,12 @@
 constexpr Duration StartDelay = std::chrono::milliseconds(1500);
 // While this node holds no permission, perhaps no member does, and then those
 // admitted now get guardians that cannot grant. Members give up after 1.5 s and
-// lost ones are deposed 0.8 s after their guardians; after this pause this node
-// starts alone and the others follow.
+// lost ones are deposed 0.8 s after their guardians, so after this pause only
+// permitted members are left, or those of LostAtOnce, beside which this node
+// starts alone.
 constexpr Duration UnpermittedPause = std::chrono::seconds(4);
+// Members that may be lost at once and yet be recorded.
+constexpr std::ptrdiff_t LostAtOnce = 2;
 // A slice rests after a move; longer than load reports may lag.
 constexpr Duration MoveRest = std::chrono::seconds(60);
 // Permissions and guard duties of a region declared lost have ended by then.
@@ -75,8 +78,8 @@
   void noticeNews(Instant Now, const FactSet &Known);
   void load(Instant Now, Effects &Output);
   void plan(Instant Now, const FactSet &Known, Effects &Output);
-  // There are members, but perhaps none with a permission.
-  bool mayBeUnpermitted() const;
+  // All recorded members may be lost, so that nobody can grant or depose.
+  bool mayStartAlone() const;
   // The join requests that the next version may grant.
   std::vector<JoinRequest> admissible(Instant Now) const;
   void gather(Instant Now, Effects &Output);
@@ -198,9 +201,10 @@
   return M ? M->PeerAddress : std::string();
 }
 
-bool Coordinator::State::mayBeUnpermitted() const {
-  return !this->Permitted &&
-         std::ranges::any_of(this->Doc.Members, std::not_fn(&Member::Deposed));
+bool Coordinator::State::mayStartAlone() const {
+  auto Live =
+      this->Doc.Members | std::views::filter(std::not_fn(&Member::Deposed));
+  return !this->Permitted && std::ranges::distance(Live) <= LostAtOnce;
 }
 
 std::vector<JoinRequest> Coordinator::State::admissible(Instant Now) const {
@@ -212,9 +216,11 @@
   bool Recent = std::ranges::any_of(
       std::views::values(this->LastAdmission),
       [&](Instant Last) { return Now - Last < UnpermittedPause; });
-  if (this->mayBeUnpermitted())
+  bool Alive =
+      std::ranges::any_of(this->Doc.Members, std::not_fn(&Member::Deposed));
+  if (!this->Permitted && Alive)
     std::erase_if(Result, [&](const JoinRequest &Join) {
-      return Recent || !IsOwn(Join);
+      return Recent || (this->mayStartAlone() && !IsOwn(Join));
     });
   // This node first: as the first member it permits itself at once.
   std::ranges::stable_partition(Result, IsOwn);
@@ -251,7 +257,7 @@
       .Loads = this->Loads,
       .Now = Now,
       .Joins = Requests,
-      .AdmitAlone = this->mayBeUnpermitted(),
+      .AdmitAlone = this->mayStartAlone(),
       .Yielded = Handovers,
       .DeclaredLost = this->declaredLost(Now),
       .Leaving = this->Leaving,
--- a/orioledoor/ownership/guard_duty.cc
+++ b/orioledoor/ownership/guard_duty.cc
@@ -55,7 +55,7 @@
     if (!Same) {
       Of.Term = Mine->Term;
       Of.LastHeard = Now;
-      Of.MustHearFirst = M.AloneUntil != 0 && Mine->Term >= M.AloneUntil;
+      Of.MustHearFirst = M.AloneUntil != 0 && Mine->Term == M.AloneUntil;
     }
     Updated.emplace(M.Id, Of);
   }
