Do not send overdue requests from the load tool

Cause: in a trial that stalled half of the keys for 7 s, the requests that were due meanwhile were sent afterwards, which hit rate limits and made the seconds after the stall look slow (p50 5 s falling to 0.2 s over 7 s). Change: a timed request that finds no free connection before its deadline is counted as not sent in time. Conclusion: seconds after a fault show the service and not the tool's backlog.

--- a/orioledoor/standins/load_generator.cc
+++ b/orioledoor/standins/load_generator.cc
@@ -117,6 +117,16 @@
       this->send(Free, readClock());
     return;
   }
+  // A caller gives up at its deadline; sending its request later would burden
+  // the seconds after a fault with the requests of the fault.
+  Instant Oldest = readClock() - this->Options.Timeout;
+  while (!this->Waiting.empty() && this->Waiting.front() < Oldest) {
+    LoadSample Missed;
+    Missed.Second = this->secondOf(this->Waiting.front());
+    Missed.Status = -2;
+    this->Report.add(Missed);
+    this->Waiting.pop_front();
+  }
   if (this->Waiting.empty())
     return this->Idle.push_back(&Free);
   Instant Due = this->Waiting.front();
@@ -124,6 +134,11 @@
   this->send(Free, Due);
 }
 
+std::uint32_t LoadGenerator::secondOf(Instant Due) const {
+  return static_cast<std::uint32_t>((Due - this->Start) /
+                                    std::chrono::seconds(1));
+}
+
 void LoadGenerator::send(Connection &Free, Instant Due) {
   Free.Due = Due;
   Free.Key = this->Keys.choose(Due - this->Start);
@@ -158,8 +173,7 @@
 void LoadGenerator::ended(Connection &Used, evhttp_request *Answer) {
   --this->Open;
   LoadSample Sample;
-  Sample.Second =
-      static_cast<std::uint32_t>((Used.Due - this->Start).count() / 1'000'000);
+  Sample.Second = this->secondOf(Used.Due);
   Sample.Latency = readClock() - Used.Due;
   Sample.Status = Answer ? evhttp_request_get_response_code(Answer) : -1;
   std::string Outcome = "-";
--- a/orioledoor/standins/load_generator.h
+++ b/orioledoor/standins/load_generator.h
@@ -58,6 +58,8 @@
 private:
   struct Connection;
 
+  // In which second of the load a request was due.
+  std::uint32_t secondOf(Instant Due) const;
   void tick();
   void next(Connection &Free);
   void send(Connection &Free, Instant Due);
--- a/orioledoor/standins/load_report.cc
+++ b/orioledoor/standins/load_report.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <limits>
 #include <ostream>
+#include <string>
 
 namespace orioledoor::standins {
 namespace {
@@ -25,6 +26,19 @@
          static_cast<double>(Time.tv_usec) / 1e6;
 }
 
+std::string nameOf(int Status) {
+  switch (Status) {
+  case 0:
+    return "no connection";
+  case -1:
+    return "failed connection";
+  case -2:
+    return "not sent in time";
+  default:
+    return "status " + std::to_string(Status);
+  }
+}
+
 } // namespace
 
 void LoadReport::add(const LoadSample &Sample) {
@@ -51,13 +65,8 @@
   double Seconds = static_cast<double>(Elapsed.count()) / 1e6;
   Out << "requests " << Requests << " in " << Seconds << " s ("
       << static_cast<double>(Requests) / Seconds << "/s)\n";
-  for (auto [Status, Count] : this->ByStatus) {
-    if (Status > 0)
-      Out << "status " << Status << ' ' << Count << '\n';
-    else
-      Out << (Status == 0 ? "no connection " : "failed connection ") << Count
-          << '\n';
-  }
+  for (auto [Status, Count] : this->ByStatus)
+    Out << nameOf(Status) << ' ' << Count << '\n';
   Out << "misrouted " << this->Misrouted << "\nlatency us p50 "
       << quantile(All, 0.5) << " p99 " << quantile(All, 0.99) << " p999 "
       << quantile(All, 0.999) << " max " << quantile(All, 1) << '\n';
--- a/orioledoor/standins/load_report.h
+++ b/orioledoor/standins/load_report.h
@@ -23,7 +23,8 @@
   // From the time at which it was due, not from when a connection was free.
   Duration Latency{0};
   // The HTTP status; 0: no connection, -1: the connection failed or the
-  // answer was late or truncated.
+  // answer was late or truncated, -2: not sent, since no connection was free
+  // before the deadline.
   int Status = 0;
   // The answer was that to another key or operation.
   bool Misrouted = false;
--- a/orioledoor/standins/loop.cc
+++ b/orioledoor/standins/loop.cc
@@ -50,8 +50,6 @@
 
 Loop::~Loop() {
   this->Timers.clear();
-  for (event *Event : this->Signals)
-    event_free(Event);
   event_base_free(this->Base);
 }
 
@@ -105,6 +103,8 @@
     this->Signals.push_back(Event);
   }
   event_base_dispatch(this->Base);
+  for (event *Event : std::exchange(this->Signals, {}))
+    event_free(Event);
 }
 
 void Loop::stop() { event_base_loopbreak(this->Base); }
--- a/orioledoor/standins/standins_test.cc
+++ b/orioledoor/standins/standins_test.cc
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -93,6 +94,7 @@
   CPPUNIT_TEST(lifeIsAnnounced);
   CPPUNIT_TEST(relayBreaksAndHeals);
   CPPUNIT_TEST(loadCountsMisroutedAnswers);
+  CPPUNIT_TEST(loadDoesNotSendOverdueRequests);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -278,9 +280,23 @@
                     [](const std::shared_ptr<Exchange> &Request) {
                       Request->reply(200, R"({"key":"other"})");
                     });
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, this->misrouted(Target.port()));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         this->load(Target.port()).misrouted());
     CPPUNIT_ASSERT(!Target.log().empty());
-    CPPUNIT_ASSERT(this->misrouted(Liar.port()) > 0);
+    CPPUNIT_ASSERT(this->load(Liar.port()).misrouted() > 0);
+  }
+
+  // Guards against a stall whose requests burden the time after it.
+  void loadDoesNotSendOverdueRequests() {
+    this->Options.ServiceTime = 500ms;
+    TargetServer Target(this->Events, this->Options);
+    this->Load.Connections = 1;
+    this->Load.Timeout = 100ms;
+    std::ostringstream Text;
+    this->load(Target.port()).print(Text, 1s);
+    CPPUNIT_ASSERT(Text.str().find("requests 40 ") != std::string::npos);
+    CPPUNIT_ASSERT(Text.str().find("not sent in time") != std::string::npos);
+    CPPUNIT_ASSERT(Target.log().size() < 10);
   }
 
 private:
@@ -317,22 +333,22 @@
         ->status();
   }
 
-  std::uint64_t misrouted(std::uint16_t Port) {
-    LoadOptions Load;
-    Load.Entries = {"127.0.0.1:" + std::to_string(Port)};
-    Load.Service = "s";
-    Load.Rate = 200;
-    Load.Length = 200ms;
-    Load.PostShare = 0.5;
+  LoadReport load(std::uint16_t Port) {
+    this->Load.Entries = {"127.0.0.1:" + std::to_string(Port)};
+    this->Load.Service = "s";
+    this->Load.Rate = 200;
+    this->Load.Length = 200ms;
+    this->Load.PostShare = 0.5;
     LoadReport Report;
-    LoadGenerator Generator(this->Events, Load, Report, nullptr);
+    LoadGenerator Generator(this->Events, this->Load, Report, nullptr);
     Generator.start();
     this->Events.run();
-    return Report.misrouted();
+    return Report;
   }
 
   Loop Events;
   TargetOptions Options;
+  LoadOptions Load;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StandinsTest);
