--- a/orioledoor/ownership/guard_duty.cc
+++ b/orioledoor/ownership/guard_duty.cc
@@ -103,7 +103,9 @@
 
 void GuardDuty::handle(const std::string &From,
                        const ConsentRequest &Received) {
-  if (Received.Version <= this->Node.Current->Version || !this->Node.Id)
+  // A fact that this node derived cannot be taken back.
+  if (Received.Version <= this->Node.Current->Version || !this->Node.Id ||
+      this->Node.isDeposed(Received.Member))
     return;
   auto Found = this->Duties.find(Received.Member);
   PendingConsent &Of = this->Consents[Received.Member];
@@ -114,6 +116,15 @@
     Of.GrantsEnd = std::max(Of.GrantsEnd, Found->second.GrantsEnd);
 }
 
+bool GuardDuty::releasedByOther(MemberId Member) const {
+  const struct Member *Recorded = this->Node.Current->find(Member);
+  return Recorded &&
+         std::ranges::any_of(Recorded->Guardians, [&](const Guardian &G) {
+           return G.Member != this->Node.Id &&
+                  this->Node.Known.findRelease(Member, G.Member, G.Term);
+         });
+}
+
 void GuardDuty::release(MemberId Member, Duty &Of, Instant Now, DutyNews &News,
                         Effects &Output) {
   if (!Of.Released || Of.Announced || Now < Of.GrantsEnd)
--- a/orioledoor/telemetry/metrics.cc
+++ b/orioledoor/telemetry/metrics.cc
@@ -89,7 +89,8 @@
   bool HasPrevious = false;
 
   double present(std::size_t Which) const {
-    return acc::extended_p_square(this->Present)[Which];
+    return acc::extended_p_square(
+        this->Present)[static_cast<std::ptrdiff_t>(Which)];
   }
 };
 
