Hand slices over a few at a time and in constant time

Cause: a node that stopped drained all of its 683 slices at once, and each drain and each yield recomputed the owner of every slice at both sides; yields that reached a receiver with an older assignment were repeated after 200 ms only. Change: at most 32 handovers at once; a yield changes one route; repeats after 20 ms, doubling to 320 ms.

--- a/orioledoor/ownership/ownership_reducer.cc
+++ b/orioledoor/ownership/ownership_reducer.cc
@@ -219,7 +219,7 @@
           [&](const Consent &M) { this->Planner.handle(Now, M); },
           [&](const Yield &M) { this->Slices.handle(Now, From, M, Output); },
           [&](const YieldAck &M) {
-            this->Slices.handle(M, Output);
+            this->Slices.handle(Now, M, Output);
             if (this->Planner.isActive())
               this->Planner.handle(Now, M);
           },
--- a/orioledoor/ownership/ownership_reducer_test.cc
+++ b/orioledoor/ownership/ownership_reducer_test.cc
@@ -245,7 +245,7 @@
     CPPUNIT_ASSERT(Taker.owned(Slice) == Fence{2});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countOf<AdoptSlice>(Taken));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent<YieldAck>(Taken).size());
-    Giver.handle(sent<YieldAck>(Taken)[0], Given);
+    Giver.handle(this->Now, sent<YieldAck>(Taken)[0], Given);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countOf<DropSlice>(Given));
     CPPUNIT_ASSERT(Giver.isIdle());
   }
--- a/orioledoor/ownership/routing_table.cc
+++ b/orioledoor/ownership/routing_table.cc
@@ -74,6 +74,20 @@
   return Mine;
 }
 
+void RoutingTable::assign(SliceRef Slice, MemberId Owner) {
+  auto Table =
+      std::ranges::find(this->Services, Slice.Service, &ServiceTable::Service);
+  auto To = std::ranges::lower_bound(this->Routes, Owner, {}, &Route::Owner);
+  if (Table == this->Services.end() || Slice.Slice >= Table->Owners.size() ||
+      To == this->Routes.end() || To->Owner != Owner)
+    return;
+  std::uint32_t &Entry = Table->Owners[Slice.Slice];
+  bool WasLocal = Entry != NoOwner && this->Routes[Entry].Local;
+  double Part = 1 / static_cast<double>(Table->Owners.size());
+  Table->OwnedShare += (To->Local ? Part : 0) - (WasLocal ? Part : 0);
+  Entry = static_cast<std::uint32_t>(To - this->Routes.begin());
+}
+
 const RoutingTable::ServiceTable *RoutingTable::find(ServiceId Service) const {
   auto Found =
       std::ranges::find(this->Services, Service, &ServiceTable::Service);
--- a/orioledoor/ownership/routing_table.h
+++ b/orioledoor/ownership/routing_table.h
@@ -40,6 +40,10 @@
   std::vector<OwnedSlice> rebuild(const NodeState &Node,
                                   const HasYielded &Yielded);
 
+  // Routes one slice to a live member until the next rebuild. Logarithmic in
+  // the members.
+  void assign(SliceRef Slice, MemberId Owner);
+
   // Constant time but for the search among the services (3).
   std::optional<Route> route(SliceRef Slice) const;
   std::vector<Route> membersOf(ServiceId Service) const;
@@ -57,7 +61,7 @@
 
   const ServiceTable *find(ServiceId Service) const;
 
-  // One for each member of the assignment, in its order.
+  // One for each member of the assignment, in its order, which is by id.
   std::vector<Route> Routes;
   std::vector<ServiceTable> Services;
 };
--- a/orioledoor/ownership/slice_keeper.cc
+++ b/orioledoor/ownership/slice_keeper.cc
@@ -14,8 +14,15 @@
 namespace {
 
 constexpr Duration DrainLimit = std::chrono::seconds(2);
+// Handovers at once. Requests of a slice wait from its drain to its yield, so
+// a stopping node hands over a few slices at a time: with all of its 683 at
+// once keys waited for up to 488 ms.
+constexpr std::size_t MaxHandovers = 32;
 constexpr Duration MoveRetry = std::chrono::seconds(5);
-constexpr Duration YieldInterval = std::chrono::milliseconds(200);
+// A receiver that does not hold the assignment of the move yet ignores the
+// yield, and requests of the slice wait meanwhile; so the first repeat is soon.
+constexpr Duration FirstYieldRepeat = std::chrono::milliseconds(20);
+constexpr Duration LongestYieldRepeat = std::chrono::milliseconds(320);
 // Reports to the coordinator that a yielded slice changed hands.
 constexpr Duration ReportInterval = std::chrono::milliseconds(500);
 
@@ -167,10 +174,16 @@
       Output.push_back(ResumeSlice{Entry.first});
     return Cancelled;
   });
+  std::size_t InMotion =
+      this->Drains.size() + static_cast<std::size_t>(std::ranges::count_if(
+                                this->Given, [](const auto &Entry) {
+                                  return !Entry.second.Acknowledged;
+                                }));
   // The move target stands in the record, so scan the record: Owned has no
   // order of its own.
   for (const ServiceSlices &Service : Current.Services)
-    for (std::uint32_t I = 0; I < Service.Slices.size(); ++I) {
+    for (std::uint32_t I = 0;
+         I < Service.Slices.size() && InMotion < MaxHandovers; ++I) {
       const SliceOwner &Recorded = Service.Slices[I];
       SliceRef Slice{Service.Service, I};
       if (Recorded.Owner != this->Node.Id || !Recorded.MoveTarget ||
@@ -180,6 +193,7 @@
       auto Retry = this->RetryAfter.find(Slice);
       if (Retry != this->RetryAfter.end() && Now < Retry->second)
         continue;
+      ++InMotion;
       this->Drains.emplace(Slice, Drain{Recorded.MoveTarget, Now});
       Output.push_back(DrainSlice{Slice});
     }
@@ -216,7 +230,8 @@
 void SliceKeeper::sendYield(Instant Now, SliceRef Slice, Yielded &Of,
                             Effects &Output) {
   Fence Number{Of.Recorded.Value + 1};
-  Of.NextSend = Now + (Of.Acknowledged ? ReportInterval : YieldInterval);
+  Of.NextSend = Now + (Of.Acknowledged ? ReportInterval : Of.Repeat);
+  Of.Repeat = std::min(Of.Repeat * 2, LongestYieldRepeat);
   if (!Of.Acknowledged)
     sendTo(this->Node, Of.To, Yield{this->Node.Id, Slice, Number, Of.Table},
            Output);
@@ -232,16 +247,24 @@
   const SliceOwner *Recorded = this->Node.Current->find(Drained.Slice);
   if (Found == this->Drains.end() || !Recorded)
     return;
-  Yielded Of{Found->second.To, Recorded->Number, Drained.Table, false, Now};
+  Yielded Of{Found->second.To, Recorded->Number, Drained.Table, false, Now,
+             FirstYieldRepeat};
   this->Given[Drained.Slice] = std::move(Of);
   writeLog(events::SliceYielded,
            {{"service", std::to_string(Drained.Slice.Service.Value)},
             {"slice", std::to_string(Drained.Slice.Slice)},
             {"to", std::to_string(Found->second.To.Value)}},
            Output);
+  MemberId To = Found->second.To;
   this->Drains.erase(Found);
   // The gate closes before the yield leaves.
-  this->refresh(Now, Output);
+  if (this->Node.isDeposed(To)) {
+    this->refresh(Now, Output);
+  } else {
+    this->Owned.erase(Drained.Slice);
+    this->RetryAfter.erase(Drained.Slice);
+    this->Routes.assign(Drained.Slice, To);
+  }
   auto Sent = this->Given.find(Drained.Slice);
   if (Sent != this->Given.end())
     this->sendYield(Now, Sent->first, Sent->second, Output);
@@ -251,7 +274,7 @@
                          const Yield &Received, Effects &Output) {
   const Assignment &Current = *this->Node.Current;
   const SliceOwner *Recorded = Current.find(Received.Slice);
-  if (!Recorded || !this->Node.Id)
+  if (!Recorded || !this->Node.Id || this->Node.isDeposed(this->Node.Id))
     return;
   bool IsTarget = Recorded->Owner == Received.From &&
                   Recorded->MoveTarget == this->Node.Id &&
@@ -265,13 +288,17 @@
   if (IsTarget && !this->Taken.contains(Received.Slice)) {
     this->Taken[Received.Slice] = {Received.From, Received.Number, Now};
     this->Tables[Received.Slice] = Received.Table;
-    this->refresh(Now, Output);
+    // The sender is the recorded owner and this node stands next to it, so
+    // the rule of ownership needs no other slice.
+    this->adopt(OwnedSlice{Received.Slice, Received.Number, 1}, Output);
+    this->Routes.assign(Received.Slice, this->Node.Id);
   }
   Output.push_back(
       SendPeer{From, YieldAck{this->Node.Id, Received.Slice, Received.Number}});
 }
 
-void SliceKeeper::handle(const YieldAck &Received, Effects &Output) {
+void SliceKeeper::handle(Instant Now, const YieldAck &Received,
+                         Effects &Output) {
   auto Found = this->Given.find(Received.Slice);
   if (Found == this->Given.end() || Found->second.Acknowledged ||
       Found->second.To != Received.From)
@@ -279,6 +306,7 @@
   Found->second.Acknowledged = true;
   Found->second.Table.clear();
   Output.push_back(DropSlice{Received.Slice});
+  this->updateDrains(Now, Output);
 }
 
 void SliceKeeper::handle(const std::string &From,
--- a/orioledoor/ownership/slice_keeper.h
+++ b/orioledoor/ownership/slice_keeper.h
@@ -24,7 +24,8 @@
 
 struct NodeState;
 
-// Not thread-safe. A tick is linear in the slices in motion (at most 32).
+// Not thread-safe. A tick is linear in the slices in motion. A yield takes
+// constant time at both sides, an acknowledgement is linear in the slices.
 class SliceKeeper {
 public:
   explicit SliceKeeper(NodeState &Node);
@@ -38,7 +39,7 @@
   void handle(Instant Now, const SliceDrained &Drained, Effects &Output);
   void handle(Instant Now, const std::string &From, const Yield &Received,
               Effects &Output);
-  void handle(const YieldAck &Received, Effects &Output);
+  void handle(Instant Now, const YieldAck &Received, Effects &Output);
   void handle(const std::string &From, const PromiseRequest &Received,
               Effects &Output);
 
@@ -68,6 +69,8 @@
     std::string Table;
     bool Acknowledged = false;
     Instant NextSend;
+    // Pause until the next repeat; doubles.
+    Duration Repeat{0};
   };
   // A slice that its owner yielded to this node. Kept until the record names
   // this node as owner.
