--- a/orioledoor/ownership/ownership_differential_test.cc
+++ b/orioledoor/ownership/ownership_differential_test.cc
@@ -243,7 +243,7 @@
 
   void schedulesKeepInvariants() {
     std::uint64_t First = setting("ORIOLEDOOR_FIRST_SEED", 1);
-    std::uint64_t Count = setting("ORIOLEDOOR_SEEDS", 200);
+    std::uint64_t Count = setting("ORIOLEDOOR_SEEDS", 400);
     std::string Failures;
     std::size_t Failed = 0;
     for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
