State how calls of the target end

Cause: the reducer relies on one end for each call to free its slot, and the event header did not say so. Change: a contract at TargetAnswered and TargetFailed. Conclusion: the shell's duty is written down.

--- a/orioledoor/requests/event.h
+++ b/orioledoor/requests/event.h
@@ -84,6 +84,8 @@
   TimedOut,
 };
 
+// Each CallTarget that is not cancelled ends in exactly one TargetAnswered or
+// TargetFailed, at the latest after its Timeout.
 struct TargetAnswered {
   std::uint64_t CallId = 0;
   HttpAnswer Answer;
