--- /dev/null
+++ b/orioledoor/daemon/target_monitor_test.cc
@@ -0,0 +1,119 @@
+// Guards when a target counts as lost and when it is trusted again.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <vector>
+
+#include "orioledoor/daemon/target_monitor.h"
+#include "orioledoor/wire/http_client.h"
+#include "orioledoor/wire/http_server.h"
+#include "orioledoor/wire/testing/loop.h"
+
+namespace orioledoor::daemon {
+namespace {
+
+constexpr std::uint16_t Port = 21110;
+
+class TargetMonitorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetMonitorTest);
+  CPPUNIT_TEST(deadTargetIsLostAndReturnsAfterAProbe);
+  CPPUNIT_TEST(unhealthyStatusIsNoLoss);
+  CPPUNIT_TEST(permitIsGrantedToTargetsThatCheck);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void tearDown() override { this->Server.reset(); }
+
+  void startTarget(int Status) {
+    auto Opened = wire::HttpServer::open(
+        this->Events.base(), {.Listen = {"127.0.0.1", Port}},
+        {.Received =
+             [this, Status](std::uint64_t Id,
+                            const wire::IncomingRequest &Request) {
+               this->Requests.push_back(Request);
+               this->Server->reply(Id, {Status, {}, "{}"});
+             },
+         .Gone = {}});
+    CPPUNIT_ASSERT(Opened.ok());
+    this->Server = *std::move(Opened);
+  }
+
+  static Announcement ready(bool ChecksFence = false) {
+    Announcement Result;
+    Result.Service = "consulta";
+    Result.Address = {"127.0.0.1", Port};
+    Result.Slots = 1;
+    Result.Connections = 1;
+    Result.ChecksFence = ChecksFence;
+    Result.State = TargetState::Ready;
+    return Result;
+  }
+
+  bool runUntil(const std::function<bool()> &Done,
+                const WorkPermit &Permit = {},
+                std::chrono::milliseconds Limit = std::chrono::seconds(5)) {
+    return this->Events.runUntil(
+        Done, [&] { this->Target.tick(readClock(), Permit); }, Limit);
+  }
+
+  // A target that announces itself every second must not bring the node back
+  // while its probes fail, and a burst of refused calls must not lose it.
+  void deadTargetIsLostAndReturnsAfterAProbe() {
+    this->Target.announce(ready(), readClock());
+    CPPUNIT_ASSERT(this->Target.isUp());
+    Instant Start = readClock();
+    CPPUNIT_ASSERT(this->runUntil([this] {
+      this->Target.noteBrokenConnection(readClock());
+      return !this->Target.isUp();
+    }));
+    CPPUNIT_ASSERT(readClock() - Start >= std::chrono::milliseconds(200));
+    this->Target.announce(ready(), readClock());
+    CPPUNIT_ASSERT(!this->Target.isUp());
+    this->startTarget(200);
+    CPPUNIT_ASSERT(this->runUntil([this] { return this->Target.isUp(); }));
+    CPPUNIT_ASSERT(
+        (this->Changes == std::vector<TargetChange>{TargetChange::Ready,
+                                                    TargetChange::Lost,
+                                                    TargetChange::Ready}));
+  }
+
+  // A health endpoint may mislead; that it answers is what counts.
+  void unhealthyStatusIsNoLoss() {
+    this->startTarget(503);
+    this->Target.announce(ready(), readClock());
+    CPPUNIT_ASSERT(!this->runUntil([this] { return !this->Target.isUp(); }, {},
+                                   std::chrono::milliseconds(2500)));
+    CPPUNIT_ASSERT(this->Requests.size() >= 3);
+  }
+
+  void permitIsGrantedToTargetsThatCheck() {
+    this->startTarget(200);
+    this->Target.announce(ready(true), readClock());
+    WorkPermit Permit{MemberId{7}, Fence{9},
+                      readClock() + std::chrono::seconds(1)};
+    CPPUNIT_ASSERT(
+        this->runUntil([this] { return !this->Requests.empty(); }, Permit));
+    CPPUNIT_ASSERT_EQUAL(std::string("/oriole/grant"),
+                         this->Requests[0].Target);
+    CPPUNIT_ASSERT(this->Requests[0].Body.starts_with(
+        R"({"fence":9,"member":7,"valid_ms":)"));
+  }
+
+private:
+  wire::testing::Loop Events;
+  std::vector<TargetChange> Changes;
+  std::vector<wire::IncomingRequest> Requests;
+  std::unique_ptr<wire::HttpServer> Server;
+  wire::HttpClient Client{Events.base()};
+  TargetMonitor Target{Client,
+                       {.Changed =
+                            [this](TargetChange Change, const Announcement &) {
+                              this->Changes.push_back(Change);
+                            },
+                        .Log = [](const LogRecord &) {}}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetMonitorTest);
+
+} // namespace
+} // namespace orioledoor::daemon
