--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -2,6 +2,7 @@
 #include "orioledoor/wire/peer_transport.h"
 
 #include <algorithm>
+#include <bit>
 #include <chrono>
 #include <limits>
 #include <optional>
@@ -349,9 +350,14 @@
         this->onBatch(*Parsed, nng_msg_get_pipe(Message).id);
       } else {
         bool Unknown = absl::IsUnimplemented(Parsed.status());
-        ++(Unknown ? this->Counters.UnknownVersions : this->Counters.Malformed);
-        this->log(FrameRefused,
-                  {{"reason", std::string(Parsed.status().message())}});
+        std::uint64_t Count = ++(Unknown ? this->Counters.UnknownVersions
+                                         : this->Counters.Malformed);
+        // Every doubling is logged, so that a peer of another release does not
+        // fill the log.
+        if (std::has_single_bit(Count))
+          this->log(FrameRefused,
+                    {{"reason", std::string(Parsed.status().message())},
+                     {"count", std::to_string(Count)}});
       }
       nng_msg_free(Message);
     }
