--- a/orioledoor/standins/target_server.cc
+++ b/orioledoor/standins/target_server.cc
@@ -87,8 +87,11 @@
 void TargetServer::announce() {
   if (this->Options.Node.empty())
     return;
+  std::uint16_t Port = this->Options.AnnouncedPort != 0
+                           ? this->Options.AnnouncedPort
+                           : this->port();
   Json Body{{"service", this->Options.Service},
-            {"address", "127.0.0.1:" + std::to_string(this->port())},
+            {"address", "127.0.0.1:" + std::to_string(Port)},
             {"slots", this->Options.Slots},
             {"connections", this->Options.Connections},
             {"checks_fence", this->Options.ChecksFence},
--- a/orioledoor/standins/target_server.h
+++ b/orioledoor/standins/target_server.h
@@ -47,6 +47,8 @@
   std::uint16_t Port = 0;
   // "IP:PORT" of the node's HTTP endpoint; empty: no announcements.
   std::string Node;
+  // The announced port, for a relay in front of the target; 0: the own port.
+  std::uint16_t AnnouncedPort = 0;
   std::string Service;
   std::string Name = "target";
   std::uint32_t Slots = 20;
--- a/orioledoor/standins/target_standin.cc
+++ b/orioledoor/standins/target_standin.cc
@@ -24,6 +24,8 @@
   Options.add_options()("help", "shows the options")(
       "port", po::value(&Target.Port)->required(), "port on 127.0.0.1")(
       "node", po::value(&Target.Node), "IP:PORT of the node's HTTP endpoint")(
+      "announce-port", po::value(&Target.AnnouncedPort),
+      "port to announce, if a relay stands in front")(
       "service", po::value(&Target.Service)->required(),
       "service name")("name", po::value(&Target.Name), "name in answers")(
       "slots", po::value(&Target.Slots), "operations at once")(
