Let explain take the nodes' facts into account

explain named a lost owner until the assignment recorded its loss. Successors serve earlier.

explain now asks the members for the depositions that they know of and names the first member of the list that is left.

--- a/orioledoor/oriolectl/audit_commands.cc
+++ b/orioledoor/oriolectl/audit_commands.cc
@@ -11,6 +11,8 @@
 #include "orioledoor/oriolectl/catalogue_store.h"
 #include "orioledoor/oriolectl/commands.h"
 #include "orioledoor/oriolectl/explanation.h"
+#include "orioledoor/oriolectl/node_status.h"
+#include "orioledoor/oriolectl/node_wait.h"
 #include "orioledoor/oriolectl/store_session.h"
 #include "orioledoor/store/keys.h"
 
@@ -77,9 +79,18 @@
   return ExitStatus::Success;
 }
 
-absl::StatusOr<Explanation> readExplanation(StoreSession &Store,
-                                            const std::string &Service,
-                                            const std::string &Key) {
+// Marks the members that live nodes know to be deposed. Successors serve
+// before the store records it, for as long as the store is down.
+void applyFacts(EventLoop &Loop, ownership::Assignment &Recorded) {
+  for (const NodeStatus &Status :
+       fetchStatuses(Loop, membersOf(Recorded), NodeAnswerLimit))
+    for (MemberId Id : Status.Gone)
+      if (ownership::Member *Member = Recorded.find(Id))
+        Member->Deposed = true;
+}
+
+absl::StatusOr<Explanation> readExplanation(const Invocation &Call,
+                                            StoreSession &Store) {
   auto Current = readCurrent(Store);
   if (!Current.ok())
     return Current.status();
@@ -96,7 +107,8 @@
       return Decoded.status();
     Recorded = std::move(*Decoded);
   }
-  return explainKey(*Services, Recorded, Service, Key);
+  applyFacts(Call.Loop, Recorded);
+  return explainKey(*Services, Recorded, Call.Arguments[0], Call.Arguments[1]);
 }
 
 void printExplanation(const Console &To, const Explanation &Value,
@@ -134,7 +146,7 @@
 ExitStatus explain(const Invocation &Call) {
   std::uint64_t Limit = limitOf(Call, SearchedRecords);
   StoreSession Store(Call.Loop, Call.store());
-  auto Found = readExplanation(Store, Call.Arguments[0], Call.Arguments[1]);
+  auto Found = readExplanation(Call, Store);
   if (!Found.ok())
     return Call.Terminal.fail(Found.status());
   auto Trail = readAuditTrail(Store, Limit);
--- a/orioledoor/oriolectl/command_line_test.cc
+++ b/orioledoor/oriolectl/command_line_test.cc
@@ -223,6 +223,12 @@
     CPPUNIT_ASSERT(Shown.at("audit")[1].at("subject") == Subjects[2]);
     this->run("explain consulta font-17", ExitStatus::Success);
     CPPUNIT_ASSERT(this->prints("member 7 ebro-1"));
+    // A deposition that only the nodes know of: nobody is left.
+    json Page = json::parse(this->NodeBody);
+    Page["facts"] = {{"deposed", {7}}, {"left", json::array()}};
+    this->NodeBody = Page.dump();
+    this->run("explain consulta font-17 --output json", ExitStatus::Success);
+    CPPUNIT_ASSERT(json::parse(this->Out.str()).at("owner").is_null());
     this->run("explain unknown font-17", ExitStatus::InvalidInput);
   }
 
--- a/orioledoor/oriolectl/explanation.h
+++ b/orioledoor/oriolectl/explanation.h
@@ -42,8 +42,8 @@
   // Of the recorded owner.
   std::vector<ExplainedMember> Guardians;
 
-  // The first of the list that is not deposed, or null: it owns the slice
-  // unless facts that the store does not hold yet say otherwise.
+  // The first of the list that is not deposed, or null: the owner by the rule
+  // of ownership, as far as the document given to explainKey() says.
   const ExplainedMember *acting() const;
 };
 
--- a/orioledoor/oriolectl/node_status.cc
+++ b/orioledoor/oriolectl/node_status.cc
@@ -80,6 +80,16 @@
   std::unique_ptr<evhttp_connection, void (*)(evhttp_connection *)> Connection;
 };
 
+// The facts are optional, so that status works with nodes that omit them.
+std::vector<MemberId> goneMembers(const json &In) {
+  std::vector<MemberId> Gone;
+  json Facts = In.value("facts", json::object());
+  for (const char *Kind : {"deposed", "left"})
+    for (const json &Id : Facts.value(Kind, json::array()))
+      Gone.push_back(MemberId{Id.get<std::uint32_t>()});
+  return Gone;
+}
+
 } // namespace
 
 absl::StatusOr<NodeStatus> decodeNodeStatus(std::string_view Body) {
@@ -93,6 +103,7 @@
     Status.SlicesOwned = In.at("slices_owned").get<std::uint64_t>();
     Status.PermissionMs = In.at("permission_ms").get<std::int64_t>();
     Status.Ready = In.at("ready").get<bool>();
+    Status.Gone = goneMembers(In);
     return Status;
   } catch (const json::exception &Error) {
     return makeError(absl::StatusCode::kDataLoss, "decode node status", "",
--- a/orioledoor/oriolectl/node_status.h
+++ b/orioledoor/oriolectl/node_status.h
@@ -14,6 +14,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "absl/status/statusor.h"
+#include "orioledoor/base/ids.h"
 #include "orioledoor/base/instant.h"
 #include "orioledoor/catalogue/settings.h"
 
@@ -35,6 +36,9 @@
   // What is left of the permission to serve; 0 if it holds none.
   std::int64_t PermissionMs = 0;
   bool Ready = false;
+  // Members that the node knows to be deposed or to have left; the assignment
+  // may not record it yet.
+  std::vector<MemberId> Gone;
 };
 
 // Reads the body of a status answer; Address and Error stay unset. Errors:
--- a/orioledoor/oriolectl/node_wait.cc
+++ b/orioledoor/oriolectl/node_wait.cc
@@ -50,24 +50,28 @@
 
 } // namespace
 
+std::vector<Endpoint> membersOf(const ownership::Assignment &Recorded) {
+  std::vector<Endpoint> Nodes;
+  for (const ownership::Member &Member : Recorded.Members) {
+    std::optional<Endpoint> Address = parseEndpoint(Member.HttpAddress);
+    if (Address && !Member.Deposed)
+      Nodes.push_back(*Address);
+  }
+  return Nodes;
+}
+
 absl::StatusOr<std::vector<Endpoint>> listNodes(const NodeSource &Source) {
   if (!Source.Nodes.empty())
     return Source.Nodes;
   auto Entry = Source.Store->readKey(keys::Assignment);
   if (!Entry.ok())
     return Entry.status();
-  std::vector<Endpoint> Nodes;
   if (!*Entry)
-    return Nodes;
+    return std::vector<Endpoint>();
   auto Recorded = ownership::decodeAssignment((*Entry)->Value);
   if (!Recorded.ok())
     return Recorded.status();
-  for (const ownership::Member &Member : Recorded->Members) {
-    std::optional<Endpoint> Address = parseEndpoint(Member.HttpAddress);
-    if (Address && !Member.Deposed)
-      Nodes.push_back(*Address);
-  }
-  return Nodes;
+  return membersOf(*Recorded);
 }
 
 absl::Status waitForRevision(EventLoop &Loop, const NodeSource &Source,
--- a/orioledoor/oriolectl/node_wait.h
+++ b/orioledoor/oriolectl/node_wait.h
@@ -14,6 +14,10 @@
 #include "orioledoor/base/instant.h"
 #include "orioledoor/oriolectl/invocation.h"
 
+namespace orioledoor::ownership {
+struct Assignment;
+} // namespace orioledoor::ownership
+
 namespace orioledoor::ctl {
 
 class EventLoop;
@@ -30,6 +34,9 @@
 // The time that a node has for its answer.
 inline constexpr Duration NodeAnswerLimit = std::chrono::seconds(1);
 
+// The HTTP addresses of the members that are not recorded as deposed.
+std::vector<Endpoint> membersOf(const ownership::Assignment &Recorded);
+
 // Errors: kUnavailable if the store does not answer, kDataLoss if the
 // assignment cannot be read. Empty if there is no assignment yet.
 absl::StatusOr<std::vector<Endpoint>> listNodes(const NodeSource &Source);
