Never take a slice that returns without its table for a new one

Cause: an adoption without a table and without a stated loss means that the slice began with it. A node that had owned the slice and dropped it would then run resends of operations from before. Change: the owner side remembers which slices it owned; such an adoption starts a lost history. Conclusion: the rule no longer depends on the events of another package alone.

--- a/orioledoor/requests/internal/owner_side.h
+++ b/orioledoor/requests/internal/owner_side.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -118,6 +119,8 @@
   // Open records by EntryId and RequestId, for Cancel.
   std::map<std::pair<std::uint64_t, std::uint64_t>, Id> ByRequest;
   std::unordered_map<SliceRef, OwnedSlice> Slices;
+  // Slices that this process owned at any time.
+  std::unordered_set<SliceRef> EverOwned;
   DuplicateFilter Duplicates;
   AdmissionQueue Queue;
   TimerHeap Timers;
--- a/orioledoor/requests/internal/owner_slices.h
+++ b/orioledoor/requests/internal/owner_slices.h
@@ -104,7 +104,10 @@
                                            std::to_string(Event.Number.Value),
                                        this->Shared.Options.Seed) |
                             1;
-  bool Lost = Event.HistoryLost;
+  // A slice that was owned and dropped here did not begin now, whatever the
+  // event says.
+  bool Returned = !this->EverOwned.insert(Event.Slice).second;
+  bool Lost = Event.HistoryLost || (Returned && Event.Table.empty());
   OwnedSlice &Slice = this->Slices[Event.Slice];
   Slice.Table = OperationTable::startHistory(HistoryId, !Lost, C.Now);
   if (!Lost && !Event.Table.empty()) {
--- a/orioledoor/requests/request_reducer_test.cc
+++ b/orioledoor/requests/request_reducer_test.cc
@@ -238,6 +238,13 @@
     CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(F.Hops));
     CPPUNIT_ASSERT(OperationTable::decode(Table, N.Now)->find("a", N.Now));
     CPPUNIT_ASSERT(!OperationTable::decode(Table, N.Now)->find("b", N.Now));
+    // Back without its table, the slice must not pass for a new one.
+    N.Routes = FixedRouting{ownership::Route{MemberId{1}, "self", true, true}};
+    N.feed(AdoptSlice{onlySlice(), Fence{5}, "", false});
+    auto Reply = firstOf<ReplyCaller>(N.feed(post(4, "a", 2)));
+    CPPUNIT_ASSERT_EQUAL(503, Reply.Answer.Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                         headerOf(Reply.Answer, "Oriole-Outcome"));
   }
 
   // Two nodes that take each other for the owner must not pass a request back
