--- a/orioledoor/requests/events.h
+++ b/orioledoor/requests/events.h
@@ -16,10 +16,10 @@
     2003, Severity::Error, "TABLE_MALFORMED",
     "a table of operations could not be decoded; a new history begins"};
 inline constexpr EventDefinition SliceDrainedEvent{
-    2004, Severity::Info, "SLICE_DRAINED",
+    2004, Severity::Debug, "SLICE_DRAINED",
     "no request of the slice runs or may start here"};
 inline constexpr EventDefinition SliceDropped{
-    2005, Severity::Info, "SLICE_DROPPED", "the node gave up a slice"};
+    2005, Severity::Debug, "SLICE_DROPPED", "the node gave up a slice"};
 inline constexpr EventDefinition TargetCrash{
     2010, Severity::Error, "TARGET_CRASH",
     "the target was lost while it ran a request"};
