Check a watch by a fresh connection and drop kept ones when it ends

Cause: when all open connections to the store went silent, the read that checks the watch and the read after its end each waited 2 s for a kept connection. Change: the check uses a fresh connection; a watch that ends closes the idle kept connections.

--- a/orioledoor/store/internal/http_call_pool.cc
+++ b/orioledoor/store/internal/http_call_pool.cc
@@ -47,8 +47,8 @@
 
 HttpCallPool::~HttpCallPool() = default;
 
-ConnectionPtr HttpCallPool::takeConnection() {
-  if (!this->Idle.empty()) {
+ConnectionPtr HttpCallPool::takeConnection(Use Wanted) {
+  if (Wanted == Use::Kept && !this->Idle.empty()) {
     ConnectionPtr Connection = std::move(this->Idle.back());
     this->Idle.pop_back();
     return Connection;
@@ -58,12 +58,13 @@
 }
 
 void HttpCallPool::post(std::string_view Path, std::string_view Json,
-                        Callback OnResult) {
+                        Callback OnResult, Use Connection) {
   std::uint64_t Id = ++this->LastId;
-  Call &Open = *this->Calls
-                    .emplace(Id, new Call{this, Id, std::move(OnResult),
-                                          this->takeConnection(), nullptr})
-                    .first->second;
+  Call &Open =
+      *this->Calls
+           .emplace(Id, new Call{this, Id, std::move(OnResult),
+                                 this->takeConnection(Connection), nullptr})
+           .first->second;
   Open.Timer.reset(evtimer_new(
       this->Base,
       [](evutil_socket_t, short, void *Argument) {
--- a/orioledoor/store/internal/http_call_pool.h
+++ b/orioledoor/store/internal/http_call_pool.h
@@ -35,13 +35,21 @@
   HttpCallPool(const HttpCallPool &) = delete;
   HttpCallPool &operator=(const HttpCallPool &) = delete;
 
+  // Which connection a call uses. A fresh one cannot have gone silent before.
+  enum class Use { Kept, Fresh };
+
   // Invokes OnResult exactly once, from the loop.
-  void post(std::string_view Path, std::string_view Json, Callback OnResult);
+  void post(std::string_view Path, std::string_view Json, Callback OnResult,
+            Use Connection = Use::Kept);
+
+  // Closes the kept connections that no call uses, since they may have gone
+  // silent.
+  void closeIdle() { this->Idle.clear(); }
 
 private:
   struct Call;
 
-  ConnectionPtr takeConnection();
+  ConnectionPtr takeConnection(Use Wanted);
   void answered(Call &Open, evhttp_request *Request);
   void timedOut(Call &Open);
   void finish(Call &Open, HttpResult Result, bool Reusable);
--- a/orioledoor/store/internal/watch_stream.cc
+++ b/orioledoor/store/internal/watch_stream.cc
@@ -126,18 +126,20 @@
 
 void WatchStream::probe() {
   this->Probing = true;
-  this->Pool.post("/v3/kv/range", encodePrefixState(keys::Root),
-                  [this, Token = std::weak_ptr(this->Alive),
-                   AtStart = this->Delivered](const HttpResult &Result) {
-                    if (Token.expired() || this->Ended)
-                      return;
-                    this->Probing = false;
-                    if (auto State = decodePrefixState(Result); State.ok())
-                      this->probed(*State, AtStart);
-                    armTimer(this->Timer.get(), this->isBehind()
-                                                    ? this->Limits.WatchLag
-                                                    : this->Limits.WatchProbe);
-                  });
+  // Kept connections may have gone silent together with the watch.
+  this->Pool.post(
+      "/v3/kv/range", encodePrefixState(keys::Root),
+      [this, Token = std::weak_ptr(this->Alive),
+       AtStart = this->Delivered](const HttpResult &Result) {
+        if (Token.expired() || this->Ended)
+          return;
+        this->Probing = false;
+        if (auto State = decodePrefixState(Result); State.ok())
+          this->probed(*State, AtStart);
+        armTimer(this->Timer.get(), this->isBehind() ? this->Limits.WatchLag
+                                                     : this->Limits.WatchProbe);
+      },
+      HttpCallPool::Use::Fresh);
 }
 
 void WatchStream::probed(const PrefixState &State,
@@ -157,6 +159,8 @@
     return;
   this->Ended = true;
   evtimer_del(this->Timer.get());
+  // What broke the watch may have broken them as well.
+  this->Pool.closeIdle();
   this->log(events::StoreWatchEnded, std::string(Status.message()));
   this->deliver({makeError(Status.code(), "/v3/watch", this->Peer,
                            toStd(Status.message())),
--- a/orioledoor/store/store_test.cc
+++ b/orioledoor/store/store_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "orioledoor/standins/loop.h"
+#include "orioledoor/standins/relay_link.h"
 #include "orioledoor/standins/store_server.h"
 #include "orioledoor/store/etcd_client.h"
 #include "orioledoor/store/keys.h"
@@ -43,6 +44,7 @@
   CPPUNIT_TEST(watchReportsCompaction);
   CPPUNIT_TEST(silentWatchIsReported);
   CPPUNIT_TEST(silentWatchMissingADeleteIsReported);
+  CPPUNIT_TEST(silentConnectionsDoNotDelayTheReport);
   CPPUNIT_TEST(replacedWatchIsNotInvokedAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -218,6 +220,28 @@
     this->waitForEnd(StatusCode::kUnavailable);
   }
 
+  // Guards against a check of the watch, and a read after its end, that wait
+  // for a kept connection which went silent with it.
+  void silentConnectionsDoNotDelayTheReport() {
+    standins::RelayLink Link(
+        this->Events, 0, "127.0.0.1:" + std::to_string(this->Server->port()));
+    this->Client = std::make_unique<EtcdClient>(
+        this->Events.base(), "127.0.0.1", Link.port(), nullptr,
+        EtcdClientLimits{5s, 100ms, 100ms});
+    this->call(writeOf(0, "a"));
+    this->watch(1);
+    this->waitForChanges(1);
+    Link.setFaults({{"silence_open", true}});
+    this->Server->model().begin();
+    this->Server->model().put(keys::Assignment, "b", 0);
+    this->Server->model().commit();
+    Instant Start = readClock();
+    this->waitForEnd(StatusCode::kUnavailable);
+    CPPUNIT_ASSERT(this->call(StoreRange{.Key = keys::Assignment}).Status.ok());
+    CPPUNIT_ASSERT(readClock() - Start < 3s);
+    this->Client.reset();
+  }
+
   // Guards against updates of an earlier watch that reach its successor.
   void replacedWatchIsNotInvokedAgain() {
     int Earlier = 0;
