--- a/orioledoor/ownership/guard_duty.cc
+++ b/orioledoor/ownership/guard_duty.cc
@@ -145,6 +145,8 @@
     if (!HoldsPermission || this->consented(Member) ||
         this->Node.isDeposed(Member))
       continue;
+    // Another guardian releases such a member only after it heard it.
+    Of.MustHearFirst = Of.MustHearFirst && !this->releasedByOther(Member);
     Of.Released |=
         !Of.MustHearFirst &&
         (Now - Of.LastHeard >= ReleaseAfter ||
