--- a/orioledoor/ownership/message.h
+++ b/orioledoor/ownership/message.h
@@ -98,6 +98,15 @@
 // The coordinator asks a successor to act only under versions >= Version.
 struct PromiseRequest {
   std::uint64_t Version = 0;
+  // Distinguishes the gatherings of one coordinator; unique in its process.
+  std::uint64_t Attempt = 0;
+};
+
+// The sender will not write what it asked the promises of Attempt for, so they
+// need not be kept. Without it a successor could not act through a store
+// outage that began between its promise and the write.
+struct PromiseWithdrawn {
+  std::uint64_t Attempt = 0;
 };
 
 // The sender starts to act as a successor only under versions >= Version. It
@@ -105,6 +114,7 @@
 struct Promise {
   MemberId From;
   std::uint64_t Version = 0;
+  std::uint64_t Attempt = 0;
   // Deposed members whose slices the sender serves as a successor. The promise
   // counts only if the coordinator knows them as deposed, too, since its plan
   // then makes the sender the owner of those slices.
@@ -171,8 +181,9 @@
 using Message =
     std::variant<Renew, Grant, Refuse, Facts, VersionNotice, AssignmentRequest,
                  AssignmentUpdate, CatalogueRequest, CatalogueUpdate,
-                 PromiseRequest, Promise, ConsentRequest, Consent, Yield,
-                 YieldAck, LoadReport, SpendRequest, SpendGrant>;
+                 PromiseRequest, PromiseWithdrawn, Promise, ConsentRequest,
+                 Consent, Yield, YieldAck, LoadReport, SpendRequest,
+                 SpendGrant>;
 
 } // namespace orioledoor::ownership
 
--- a/orioledoor/ownership/message_codec.cc
+++ b/orioledoor/ownership/message_codec.cc
@@ -54,9 +54,12 @@
 auto fieldsOf(Is<CatalogueUpdate> auto &V) {
   return std::tie(V.Revision, V.Text);
 }
-auto fieldsOf(Is<PromiseRequest> auto &V) { return std::tie(V.Version); }
+auto fieldsOf(Is<PromiseRequest> auto &V) {
+  return std::tie(V.Version, V.Attempt);
+}
+auto fieldsOf(Is<PromiseWithdrawn> auto &V) { return std::tie(V.Attempt); }
 auto fieldsOf(Is<Promise> auto &V) {
-  return std::tie(V.From, V.Version, V.ActingFor);
+  return std::tie(V.From, V.Version, V.Attempt, V.ActingFor);
 }
 auto fieldsOf(Is<ConsentRequest> auto &V) {
   return std::tie(V.Member, V.Version);
--- a/orioledoor/ownership/ownership_reducer.cc
+++ b/orioledoor/ownership/ownership_reducer.cc
@@ -211,6 +211,9 @@
           [&](const CatalogueUpdate &M) {
             this->Distributor.handle(M, Output);
           },
+          [&](const PromiseWithdrawn &M) {
+            this->Slices.handle(Now, From, M, Output);
+          },
           [&](const PromiseRequest &M) {
             this->Slices.handle(From, M, Output);
           },
--- a/orioledoor/ownership/slice_keeper.cc
+++ b/orioledoor/ownership/slice_keeper.cc
@@ -95,12 +95,15 @@
 }
 
 void SliceKeeper::refresh(Instant Now, Effects &Output) {
+  std::erase_if(this->Promises, [&](const Promised &P) {
+    return P.Version <= this->Node.Current->Version;
+  });
   this->forgetRecordedMoves(Output);
   std::vector<OwnedSlice> Mine = this->Routes.rebuild(
       this->Node, [&](SliceRef Slice, const SliceOwner &Recorded) {
         return this->hasYielded(Slice, Recorded);
       });
-  if (this->Node.Current->Version < this->PromisedVersion)
+  if (this->isBoundByPromise())
     std::erase_if(Mine, [&](const OwnedSlice &S) {
       return S.Position > 0 && !this->Taken.contains(S.Slice) &&
              !this->Owned.contains(S.Slice);
@@ -155,7 +158,7 @@
   this->Given.clear();
   this->Taken.clear();
   this->Tables.clear();
-  this->PromisedVersion = 0;
+  this->Promises.clear();
 }
 
 void SliceKeeper::updateDrains(Instant Now, Effects &Output) {
@@ -279,7 +282,7 @@
   bool IsTarget = Recorded->Owner == Received.From &&
                   Recorded->MoveTarget == this->Node.Id &&
                   Recorded->Number.Value + 1 == Received.Number.Value &&
-                  Current.Version >= this->PromisedVersion;
+                  !this->isBoundByPromise();
   bool IsRecorded =
       Recorded->Owner == this->Node.Id && Recorded->Number >= Received.Number;
   // Otherwise this node holds an older assignment; the sender repeats.
@@ -313,9 +316,30 @@
                          const PromiseRequest &Received, Effects &Output) {
   if (!this->Node.Id)
     return;
-  this->PromisedVersion = std::max(this->PromisedVersion, Received.Version);
-  Output.push_back(SendPeer{
-      From, Promise{this->Node.Id, Received.Version, this->actingFor()}});
+  Promised Given{From, Received.Attempt, Received.Version};
+  auto IsSame = [&](const Promised &P) {
+    return P.To == From && P.Attempt == Received.Attempt;
+  };
+  if (std::ranges::none_of(this->Promises, IsSame))
+    this->Promises.push_back(std::move(Given));
+  Output.push_back(
+      SendPeer{From, Promise{this->Node.Id, Received.Version, Received.Attempt,
+                             this->actingFor()}});
+}
+
+void SliceKeeper::handle(Instant Now, const std::string &From,
+                         const PromiseWithdrawn &Received, Effects &Output) {
+  std::size_t Dropped = std::erase_if(this->Promises, [&](const Promised &P) {
+    return P.To == From && P.Attempt == Received.Attempt;
+  });
+  if (Dropped > 0 && this->Node.Id)
+    this->refresh(Now, Output);
+}
+
+bool SliceKeeper::isBoundByPromise() const {
+  return std::ranges::any_of(this->Promises, [&](const Promised &P) {
+    return P.Version > this->Node.Current->Version;
+  });
 }
 
 std::vector<MemberId> SliceKeeper::actingFor() const {
--- a/orioledoor/ownership/slice_keeper.h
+++ b/orioledoor/ownership/slice_keeper.h
@@ -42,6 +42,8 @@
   void handle(Instant Now, const YieldAck &Received, Effects &Output);
   void handle(const std::string &From, const PromiseRequest &Received,
               Effects &Output);
+  void handle(Instant Now, const std::string &From,
+              const PromiseWithdrawn &Received, Effects &Output);
 
   // The number under which this node owns the slice. Constant time.
   std::optional<Fence> owned(SliceRef Slice) const;
@@ -80,7 +82,16 @@
     Instant NextReport;
   };
 
+  // A promise to the coordinator at an address.
+  struct Promised {
+    std::string To;
+    std::uint64_t Attempt = 0;
+    std::uint64_t Version = 0;
+  };
+
   void adopt(const OwnedSlice &Slice, Effects &Output);
+  // An assignment below a promised version is held.
+  bool isBoundByPromise() const;
   void updateDrains(Instant Now, Effects &Output);
   void forgetRecordedMoves(Effects &Output);
   void sendYield(Instant Now, SliceRef Slice, Yielded &Of, Effects &Output);
@@ -98,8 +109,9 @@
   std::map<SliceRef, Accepted> Taken;
   // Tables of yields and cancelled moves, for the adoption that follows.
   std::map<SliceRef, std::string> Tables;
-  // This node starts to act as a successor only under versions not below.
-  std::uint64_t PromisedVersion = 0;
+  // This node starts to act as a successor only under versions not below any
+  // of these. Promises of versions that the assignment reached are dropped.
+  std::vector<Promised> Promises;
 };
 
 } // namespace orioledoor::ownership
