--- a/orioledoor/standins/load_tool.cc
+++ b/orioledoor/standins/load_tool.cc
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <string>
 
+#include "orioledoor/standins/command_line.h"
 #include "orioledoor/standins/json_poster.h"
 #include "orioledoor/standins/load_generator.h"
 #include "orioledoor/standins/loop.h"
@@ -55,18 +56,8 @@
       "csv", po::value(&CsvFile), "file for one line a second")(
       "operations", po::value(&OperationsFile),
       "file for one line a POST: operation, key, status, outcome");
-  try {
-    po::variables_map Given;
-    po::store(po::parse_command_line(Argc, Argv, Options), Given);
-    if (Given.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Given);
-  } catch (const po::error &Error) {
-    std::cerr << "load_tool: " << Error.what() << '\n' << Options;
-    return 2;
-  }
+  if (auto Status = parseCommandLine("load_tool", Options, Argc, Argv))
+    return *Status;
   for (const std::string &Entry : Load.Entries)
     if (splitPeer(Entry).second == 0) {
       std::cerr << "load_tool: entry " << Entry << " is not IP:PORT\n";
--- a/orioledoor/standins/operation_judge.cc
+++ b/orioledoor/standins/operation_judge.cc
@@ -21,6 +21,8 @@
 #include <string>
 #include <vector>
 
+#include "orioledoor/standins/command_line.h"
+
 namespace po = boost::program_options;
 
 namespace {
@@ -144,14 +146,10 @@
       "log", po::value(&Logs)->required(), "log of a target; repeated")(
       "operations", po::value(&Operations)->required(),
       "file written by load_tool; may be repeated");
+  if (auto Status = orioledoor::standins::parseCommandLine("operation_judge",
+                                                           Options, Argc, Argv))
+    return *Status;
   try {
-    po::variables_map Given;
-    po::store(po::parse_command_line(Argc, Argv, Options), Given);
-    if (Given.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Given);
     Judge Verdict;
     std::ranges::for_each(
         Logs, [&](const std::string &File) { Verdict.readLog(File); });
--- a/orioledoor/standins/outage_probe.cc
+++ b/orioledoor/standins/outage_probe.cc
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "orioledoor/base/instant.h"
+#include "orioledoor/standins/command_line.h"
 #include "orioledoor/standins/json_poster.h"
 #include "orioledoor/standins/loop.h"
 
@@ -145,17 +146,8 @@
       "duration", po::value(&Probe.Seconds),
       "seconds")("threshold-ms", po::value(&Probe.ThresholdMillis),
                  "shorter gaps do not count as an interruption");
-  try {
-    po::variables_map Given;
-    po::store(po::parse_command_line(Argc, Argv, Options), Given);
-    if (Given.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Given);
-  } catch (const po::error &Error) {
-    std::cerr << "outage_probe: " << Error.what() << '\n' << Options;
-    return 2;
-  }
+  if (auto Status = orioledoor::standins::parseCommandLine("outage_probe",
+                                                           Options, Argc, Argv))
+    return *Status;
   return probe(Probe);
 }
--- a/orioledoor/standins/relay.cc
+++ b/orioledoor/standins/relay.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "orioledoor/standins/command_line.h"
 #include "orioledoor/standins/http_server.h"
 #include "orioledoor/standins/json_poster.h"
 #include "orioledoor/standins/loop.h"
@@ -58,18 +59,8 @@
       "control", po::value(&Control)->required(),
       "port for faults")("link", po::value(&Given)->required(),
                          "LISTEN:TARGET, ports of 127.0.0.1; may be repeated");
-  try {
-    po::variables_map Values;
-    po::store(po::parse_command_line(Argc, Argv, Options), Values);
-    if (Values.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Values);
-  } catch (const po::error &Error) {
-    std::cerr << "relay: " << Error.what() << '\n' << Options;
-    return 2;
-  }
+  if (auto Status = parseCommandLine("relay", Options, Argc, Argv))
+    return *Status;
   Loop Events;
   std::list<RelayLink> Links;
   for (const std::string &Text : Given) {
--- a/orioledoor/standins/store_standin.cc
+++ b/orioledoor/standins/store_standin.cc
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <iostream>
 
+#include "orioledoor/standins/command_line.h"
 #include "orioledoor/standins/loop.h"
 #include "orioledoor/standins/store_server.h"
 
@@ -17,18 +18,9 @@
   po::options_description Options("store_standin");
   Options.add_options()("help", "shows the options")(
       "port", po::value(&Port)->required(), "port on 127.0.0.1");
-  try {
-    po::variables_map Given;
-    po::store(po::parse_command_line(Argc, Argv, Options), Given);
-    if (Given.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Given);
-  } catch (const po::error &Error) {
-    std::cerr << "store_standin: " << Error.what() << '\n' << Options;
-    return 2;
-  }
+  if (auto Status = orioledoor::standins::parseCommandLine("store_standin",
+                                                           Options, Argc, Argv))
+    return *Status;
   orioledoor::standins::Loop Events;
   orioledoor::standins::StoreServer Store(Events, Port);
   std::cout << "store_standin listens on 127.0.0.1:" << Store.port()
--- a/orioledoor/standins/target_standin.cc
+++ b/orioledoor/standins/target_standin.cc
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <iostream>
 
+#include "orioledoor/standins/command_line.h"
 #include "orioledoor/standins/loop.h"
 #include "orioledoor/standins/target_server.h"
 
@@ -37,18 +38,9 @@
       "cold-ms", po::value(&ColdMs), "slow time after that")(
       "cold-factor", po::value(&Target.ColdFactor), "how slow")(
       "drain-ms", po::value(&DrainMs), "longest time from SIGTERM to the end");
-  try {
-    po::variables_map Given;
-    po::store(po::parse_command_line(Argc, Argv, Options), Given);
-    if (Given.contains("help")) {
-      std::cout << Options;
-      return 0;
-    }
-    po::notify(Given);
-  } catch (const po::error &Error) {
-    std::cerr << "target_standin: " << Error.what() << '\n' << Options;
-    return 2;
-  }
+  if (auto Status = orioledoor::standins::parseCommandLine("target_standin",
+                                                           Options, Argc, Argv))
+    return *Status;
   Target.ServiceTime = std::chrono::duration_cast<orioledoor::Duration>(
       std::chrono::duration<double, std::milli>(ServiceMs));
   Target.Starting = Milliseconds(StartingMs);
