Name service, owners and reason in the audit trail of slices

Cause: audit records of slices named neither service nor owners, so explain could not say how a slice came to its owner; a loss whose record waited for a promise was counted as a change and rewrote the assignment every 500 ms; a takeover logged one warning a slice (2,064 lines). Change: slice changes are grouped by action, service, old and new owner, and counted only if they are made; HISTORY_STARTED is a debug event. Conclusion: explain names the record that gave a slice to its owner.

--- a/orioledoor/ownership/assignment_planner.cc
+++ b/orioledoor/ownership/assignment_planner.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "orioledoor/catalogue/audit_record.h"
 #include "orioledoor/catalogue/catalogue.h"
@@ -42,6 +43,7 @@
     this->removeUnreferenced();
     this->startSlices();
     this->planMoves();
+    this->noteSliceChanges();
     return std::move(this->Plan);
   }
 
@@ -53,6 +55,39 @@
                       std::move(To), std::move(Reason)});
   }
 
+  // Slices that changed in the same way share one record of the audit trail.
+  struct SliceChange {
+    std::string Action;
+    ServiceId Service;
+    MemberId From;
+    MemberId To;
+    std::string Reason;
+
+    friend auto operator<=>(const SliceChange &, const SliceChange &) = default;
+  };
+
+  void noteSlice(std::string Action, SliceRef Slice, MemberId From, MemberId To,
+                 std::string Reason) {
+    ++this->SliceChanges[SliceChange{std::move(Action), Slice.Service, From, To,
+                                     std::move(Reason)}];
+  }
+
+  void noteSliceChanges() {
+    auto Name = [&](MemberId Id) {
+      return Id ? nameOf(this->Input.Current.find(Id) ? this->Input.Current
+                                                      : this->Plan.Next,
+                         Id)
+                : std::string();
+    };
+    for (const auto &[Change, Count] : this->SliceChanges) {
+      const ServiceEntry *Entry = this->Input.Entries.find(Change.Service);
+      this->note(Change.Action,
+                 std::to_string(Count) + " slices of " +
+                     (Entry ? Entry->Name : std::string("removed service")),
+                 Name(Change.From), Name(Change.To), Change.Reason);
+    }
+  }
+
   bool isGone(MemberId Id) const {
     const Member *M = this->Plan.Next.find(Id);
     return !M || M->Deposed;
@@ -101,7 +136,6 @@
 
   // Records the new owner of slices that were handed over.
   void recordYields() {
-    std::size_t Count = 0;
     for (const YieldAck &Ack : this->Input.Yielded) {
       SuccessionList Old = this->Input.Current.successionOf(Ack.Slice);
       auto Position = Old.positionOf(Ack.From);
@@ -117,11 +151,9 @@
       if (this->isGone(Ack.From))
         Number.Value += static_cast<std::uint32_t>(Old.Members.size());
       this->setOwner(Ack.Slice, Ack.From, Number);
-      ++Count;
+      this->noteSlice("move", Ack.Slice, Old.Members.front(), Ack.From,
+                      "handover completed");
     }
-    if (Count > 0)
-      this->note("move", std::to_string(Count) + " slices", "", "",
-                 "handover completed");
   }
 
   void setOwner(SliceRef Slice, MemberId Owner, Fence Number) {
@@ -131,20 +163,14 @@
 
   // Puts the first live member of each list at its head.
   void replaceDeposedOwners() {
-    std::map<MemberId, std::size_t> Counts;
     for (ServiceSlices &Service : this->Plan.Next.Services)
       for (std::uint32_t I = 0; I < Service.Slices.size(); ++I)
         if (Service.Slices[I].Owner && this->isGone(Service.Slices[I].Owner)) {
-          ++Counts[Service.Slices[I].Owner];
           this->replaceOwner(SliceRef{Service.Service, I});
         } else if (Service.Slices[I].MoveTarget &&
                    this->isGone(Service.Slices[I].MoveTarget)) {
           this->dropMoveTarget(SliceRef{Service.Service, I});
         }
-    for (const auto &[Id, Count] : Counts)
-      this->note("succeed", std::to_string(Count) + " slices",
-                 nameOf(this->Plan.Next, Id), "recorded successors",
-                 "owner deposed");
   }
 
   void replaceOwner(SliceRef Slice) {
@@ -155,10 +181,15 @@
     if (First == Old.Members.end()) {
       // Nobody is left in the list; startSlices picks an owner.
       this->setOwner(Slice, MemberId{}, Fence{Old.Number.Value + Position});
+      this->noteSlice("succeed", Slice, Old.Members.front(), MemberId{},
+                      "owner and successors deposed");
       return;
     }
-    if (this->collectPromises(Old, Position + 1))
-      this->setOwner(Slice, *First, Fence{Old.Number.Value + Position});
+    if (!this->collectPromises(Old, Position + 1))
+      return;
+    this->setOwner(Slice, *First, Fence{Old.Number.Value + Position});
+    this->noteSlice("succeed", Slice, Old.Members.front(), *First,
+                    "owner deposed");
   }
 
   void dropMoveTarget(SliceRef Slice) {
@@ -169,10 +200,10 @@
     // every number of the old list.
     SliceOwner &Owner =
         this->Plan.Next.find(Slice.Service)->Slices[Slice.Slice];
-    Owner.MoveTarget = {};
+    MemberId Gone = std::exchange(Owner.MoveTarget, MemberId{});
     Owner.Number.Value += static_cast<std::uint32_t>(Old.Members.size());
-    this->note("cancel move", std::to_string(Slice.Slice), "", "",
-               "move target deposed");
+    this->noteSlice("cancel move", Slice, Old.Members.front(), Gone,
+                    "move target deposed");
   }
 
   void admit() {
@@ -363,20 +394,17 @@
       std::map<MemberId, std::size_t> Counts;
       for (const SliceOwner &Owner : Service.Slices)
         ++Counts[Owner.Owner];
-      std::size_t Started = 0;
       for (SliceOwner &Slice : Service.Slices) {
         if (Slice.Owner)
           continue;
         MemberId Least = *std::ranges::min_element(
             Owners, {}, [&](MemberId Id) { return Counts[Id]; });
         ++Counts[Least];
-        ++Started;
         Slice.Owner = Least;
         Slice.Number.Value += 1;
+        this->noteSlice("start", SliceRef{Service.Service, 0}, MemberId{},
+                        Least, "no live owner");
       }
-      if (Started > 0)
-        this->note("start", std::to_string(Started) + " slices", "", "",
-                   "no live owner");
     }
   }
 
@@ -398,9 +426,6 @@
       std::vector<SliceMove> Moves = ownership::planMoves(Query);
       std::ranges::for_each(Moves,
                             [this](const SliceMove &M) { this->start(M); });
-      if (!Moves.empty())
-        this->note("start move", std::to_string(Moves.size()) + " slices", "",
-                   "", "placement cost");
     }
   }
 
@@ -430,10 +455,13 @@
         ->Slices[Move.Slice.Slice]
         .MoveTarget = Move.To;
     this->Plan.Moved.push_back(Move.Slice);
+    this->noteSlice("start move", Move.Slice, Move.From, Move.To,
+                    "placement cost");
   }
 
   const AssignmentPlanInput &Input;
   AssignmentPlan Plan;
+  std::map<SliceChange, std::size_t> SliceChanges;
   // The member that this version admits gets no guardians yet.
   bool Alone = false;
 };
--- a/orioledoor/requests/events.h
+++ b/orioledoor/requests/events.h
@@ -10,7 +10,7 @@
     2001, Severity::Debug, "SLICE_ADOPTED",
     "the node serves a slice with a complete table of operations"};
 inline constexpr EventDefinition HistoryStarted{
-    2002, Severity::Warn, "HISTORY_STARTED",
+    2002, Severity::Debug, "HISTORY_STARTED",
     "the node serves a slice whose earlier operations are unknown"};
 inline constexpr EventDefinition TableMalformed{
     2003, Severity::Error, "TABLE_MALFORMED",
