--- a/orioledoor/ownership/ownership_lifecycle.cc
+++ b/orioledoor/ownership/ownership_lifecycle.cc
@@ -10,12 +10,13 @@
 namespace orioledoor::ownership {
 namespace {
 
-// A member that has held no permission for this long since its admission starts
-// over as a new member; permissions spread step by step in a new fleet.
-constexpr Duration NeverPermittedLimit = std::chrono::milliseconds(1500);
-// The same for a member that lost its permission: with the 800 ms that a lost
-// guardian's last grant lasts, its slices are open elsewhere within 2 s.
-constexpr Duration UnpermittedLimit = std::chrono::milliseconds(700);
+// A member that held no permission for this long starts over as a new member.
+constexpr Duration UnpermittedLimit = std::chrono::milliseconds(1500);
+// The same for a member none of whose guardians can grant again: with the 800
+// ms that a lost guardian's last grant lasts, its slices are open elsewhere
+// within 2 s. Applied to every member, it kept a fleet that had lost all
+// permissions from settling (seed 60330 of the differential test).
+constexpr Duration NoGuardianLimit = std::chrono::milliseconds(700);
 // After it, a planned stop no longer waits for slices and duties to be moved.
 constexpr Duration LeavingLimit = std::chrono::seconds(20);
 // The write that records a member as leaving names guardians in its place; they
@@ -77,7 +78,6 @@
   this->Node.Id = Id;
   this->LastPermitted = Now;
   this->WasPermitted = false;
-  this->EverPermitted = false;
   this->Planner.setSelf(Id);
   this->Load.hurry();
   writeLog(events::MemberAdmitted, {{"member", std::to_string(Id.Value)}},
@@ -112,9 +112,14 @@
   if (std::exchange(this->WasPermitted, Holds) != Holds)
     writeLog(Holds ? events::PermissionGained : events::PermissionLost, {},
              Output);
-  this->EverPermitted |= Holds;
+  auto CanGrant = [&](const PermissionKeeper::Link &Through) {
+    return this->Permission.counts(Through) &&
+           !this->Node.isDeposed(Through.Recorded.Member);
+  };
+  bool Hopeless = !this->Permission.links().empty() &&
+                  std::ranges::none_of(this->Permission.links(), CanGrant);
   if (Now - this->LastPermitted >=
-      (this->EverPermitted ? UnpermittedLimit : NeverPermittedLimit))
+      (Hopeless ? NoGuardianLimit : UnpermittedLimit))
     this->depart(Now, this->Phase == Stage::Active, Output);
 }
 
--- a/orioledoor/ownership/ownership_reducer.h
+++ b/orioledoor/ownership/ownership_reducer.h
@@ -119,8 +119,6 @@
   std::optional<TargetReady> Target;
   Instant LastPermitted;
   bool WasPermitted = false;
-  // Held a permission since its admission.
-  bool EverPermitted = false;
   bool DomainWatcher = false;
   // What the slices were last refreshed for.
   std::uint64_t SeenVersion = 0;
