Answer a deadline of 0 ms with 504

Cause: Oriole-Timeout-Ms: 0 counted as no deadline, and the request ran; the largest number of a header counted as a missing one. Conclusion: a caller whose deadline has passed gets no work done.

--- a/orioledoor/daemon/node.cc
+++ b/orioledoor/daemon/node.cc
@@ -373,8 +373,9 @@
     absl::StatusOr<requests::CallerRequest> Parsed =
         wire::parseCallerRequest(std::move(Incoming));
     if (!Parsed.ok()) {
-      this->Answers[4]->add(1);
-      this->Server->reply(Id, wire::errorAnswer(400, Parsed.status()));
+      int Status = absl::IsDeadlineExceeded(Parsed.status()) ? 504 : 400;
+      this->Answers[Status / 100]->add(1);
+      this->Server->reply(Id, wire::errorAnswer(Status, Parsed.status()));
       return;
     }
     Parsed->CallerId = Id;
--- a/orioledoor/wire/caller_request.cc
+++ b/orioledoor/wire/caller_request.cc
@@ -41,13 +41,12 @@
   return Value;
 }
 
-// A non-negative decimal number; Absent if the header is missing.
-absl::StatusOr<std::uint64_t> takeNumber(std::vector<requests::Header> &From,
-                                         std::string_view Name,
-                                         std::uint64_t Absent) {
+// A non-negative decimal number; empty if the header is missing.
+absl::StatusOr<std::optional<std::uint64_t>>
+takeNumber(std::vector<requests::Header> &From, std::string_view Name) {
   std::optional<std::string> Text = takeHeader(From, Name);
   if (!Text)
-    return Absent;
+    return std::nullopt;
   std::uint64_t Value = 0;
   const char *End = Text->data() + Text->size();
   auto [Stop, Error] = std::from_chars(Text->data(), End, Value);
@@ -150,24 +149,29 @@
   Result.OperationId = takeHeader(Headers, "Idempotency-Key").value_or("");
   if (Result.OperationId.size() > MaxOperationIdBytes)
     return invalid("Idempotency-Key is longer than 256 bytes");
-  constexpr std::uint64_t Missing = std::numeric_limits<std::uint64_t>::max();
-  absl::StatusOr<std::uint64_t> Timeout =
-      takeNumber(Headers, "Oriole-Timeout-Ms", 0);
-  absl::StatusOr<std::uint64_t> Tries =
-      takeNumber(Headers, "Oriole-Max-Tries", 0);
-  absl::StatusOr<std::uint64_t> Attempt =
-      takeNumber(Headers, "Oriole-Attempt", 0);
-  absl::StatusOr<std::uint64_t> Age =
-      takeNumber(Headers, "Oriole-Age-Ms", Missing);
+  auto Timeout = takeNumber(Headers, "Oriole-Timeout-Ms");
+  auto Tries = takeNumber(Headers, "Oriole-Max-Tries");
+  auto Attempt = takeNumber(Headers, "Oriole-Attempt");
+  auto Age = takeNumber(Headers, "Oriole-Age-Ms");
   for (const auto *Number : {&Timeout, &Tries, &Attempt, &Age})
     if (!Number->ok())
       return Number->status();
-  constexpr std::uint64_t MaxCount = std::numeric_limits<std::uint32_t>::max();
-  Result.Timeout = std::chrono::milliseconds(std::min(*Timeout, MaxMillis));
-  Result.MaxTries = static_cast<std::uint32_t>(std::min(*Tries, MaxCount));
-  Result.Attempt = static_cast<std::uint32_t>(std::min(*Attempt, MaxCount));
-  if (*Age != Missing)
-    Result.Age = std::chrono::milliseconds(std::min(*Age, MaxMillis));
+  if (*Timeout == std::uint64_t{0})
+    return makeError(absl::StatusCode::kDeadlineExceeded, "parse request", "",
+                     "Oriole-Timeout-Ms is 0: the deadline has passed");
+  auto Count = [](std::optional<std::uint64_t> Number) {
+    constexpr std::uint64_t Max = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::min(Number.value_or(0), Max));
+  };
+  auto Millis = [](std::uint64_t Number) {
+    return std::chrono::milliseconds(std::min(Number, MaxMillis));
+  };
+  if (*Timeout)
+    Result.Timeout = Millis(**Timeout);
+  if (*Age)
+    Result.Age = Millis(**Age);
+  Result.MaxTries = Count(*Tries);
+  Result.Attempt = Count(*Attempt);
   Request->Method = std::move(Incoming.Method);
   Request->Headers = std::move(Headers);
   Request->Body = std::move(Incoming.Body);
--- a/orioledoor/wire/caller_request.h
+++ b/orioledoor/wire/caller_request.h
@@ -18,7 +18,8 @@
 
 // Leaves CallerId, Elapsed, WallMicros and Random to the caller of this
 // function. The headers that the event carries as fields are taken out of the
-// request's headers. Errors: kInvalidArgument, with what is wrong.
+// request's headers. Errors: kInvalidArgument, with what is wrong;
+// kDeadlineExceeded if the stated time is 0.
 absl::StatusOr<requests::CallerRequest>
 parseCallerRequest(IncomingRequest Incoming);
 
--- a/orioledoor/wire/caller_request_test.cc
+++ b/orioledoor/wire/caller_request_test.cc
@@ -67,6 +67,9 @@
     for (const char *Value : {"", "-1", "1.5", "99999999999999999999", "1 "})
       CPPUNIT_ASSERT_MESSAGE(
           Value, !parse("/s/k", {{"Oriole-Timeout-Ms", Value}}).ok());
+    // A deadline that has passed must not be taken for "no deadline".
+    CPPUNIT_ASSERT(absl::IsDeadlineExceeded(
+        parse("/s/k", {{"Oriole-Timeout-Ms", "0"}}).status()));
     CPPUNIT_ASSERT(
         parse("/s/k", {{"Oriole-Timeout-Ms", "18446744073709551615"}})
             ->Timeout == std::chrono::hours(24));
