--- /dev/null
+++ b/orioledoor/base/wall_clock.cc
@@ -0,0 +1,14 @@
+// Reads the system's UTC clock.
+#include "orioledoor/base/wall_clock.h"
+
+#include <chrono>
+
+namespace orioledoor {
+
+std::int64_t readWallMicros() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+} // namespace orioledoor
--- a/orioledoor/daemon/node.cc
+++ b/orioledoor/daemon/node.cc
@@ -11,6 +11,7 @@
 
 #include <event2/event.h>
 
+#include "orioledoor/base/wall_clock.h"
 #include "orioledoor/catalogue/catalogue.h"
 #include "orioledoor/catalogue/parse_catalogue.h"
 #include "orioledoor/catalogue/parse_endpoint.h"
@@ -45,12 +46,6 @@
 // duties are handed over; the longest deadline of a service.
 constexpr Duration DrainLimit = std::chrono::seconds(30);
 
-std::int64_t wallMicros() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 } // namespace
 
 struct Node::Impl {
@@ -158,13 +153,13 @@
 
   void onTimer() {
     this->TimerAt.reset();
-    this->dispatch(requests::Event(requests::Tick{wallMicros()}));
+    this->dispatch(requests::Event(requests::Tick{readWallMicros()}));
   }
 
   void onTick() {
     Instant Now = readClock();
-    this->dispatch(ownership::Event(ownership::Tick{wallMicros()}));
-    this->dispatch(requests::Event(requests::Tick{wallMicros()}));
+    this->dispatch(ownership::Event(ownership::Tick{readWallMicros()}));
+    this->dispatch(requests::Event(requests::Tick{readWallMicros()}));
     this->Peers->tick(Now);
     this->Target.tick(Now, {.Member = this->Members.memberId(),
                             .Number = this->HighestFence,
@@ -380,7 +375,7 @@
     }
     Parsed->CallerId = Id;
     Parsed->Elapsed = readClock() - FirstByteAt;
-    Parsed->WallMicros = wallMicros();
+    Parsed->WallMicros = readWallMicros();
     // Weyl sequence: distinct numbers without a system call a request.
     this->Seed += 0x9e3779b97f4a7c15;
     Parsed->Random = this->Seed;
--- a/orioledoor/oriolectl/catalogue_write_commands.cc
+++ b/orioledoor/oriolectl/catalogue_write_commands.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "orioledoor/base/error.h"
+#include "orioledoor/base/wall_clock.h"
 #include "orioledoor/oriolectl/catalogue_apply.h"
 #include "orioledoor/oriolectl/catalogue_store.h"
 #include "orioledoor/oriolectl/catalogue_text.h"
@@ -119,7 +120,7 @@
                          .Author = std::move(Author),
                          .Comment = Call.text("comment"),
                          .ApplyId = makeApplyId(),
-                         .TimeMicros = wallMicros()});
+                         .TimeMicros = readWallMicros()});
 }
 
 ExitStatus rollback(const Invocation &Call) {
@@ -140,7 +141,7 @@
                          .Author = std::move(Author),
                          .Comment = std::move(Comment),
                          .ApplyId = makeApplyId(),
-                         .TimeMicros = wallMicros()});
+                         .TimeMicros = readWallMicros()});
 }
 
 void addApply(po::options_description &Options) {
--- a/orioledoor/oriolectl/invocation.cc
+++ b/orioledoor/oriolectl/invocation.cc
@@ -64,10 +64,4 @@
   return Text;
 }
 
-std::int64_t wallMicros() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 } // namespace orioledoor::ctl
--- a/orioledoor/oriolectl/invocation.h
+++ b/orioledoor/oriolectl/invocation.h
@@ -66,9 +66,6 @@
 // Errors: kInvalidArgument.
 absl::StatusOr<std::string> readFile(const std::string &Path);
 
-// UTC, microseconds since 1970.
-std::int64_t wallMicros();
-
 } // namespace orioledoor::ctl
 
 #endif // ORIOLEDOOR_ORIOLECTL_INVOCATION_H
