--- /dev/null
+++ b/orioledoor/platform/platform_store.cc
@@ -0,0 +1,177 @@
+// Calls and watches over wire::HttpClient.
+#include "orioledoor/platform/platform_store.h"
+
+#include <iterator>
+#include <map>
+#include <utility>
+
+#include <event2/event.h>
+
+#include "orioledoor/base/error.h"
+#include "orioledoor/platform/store_codec.h"
+#include "orioledoor/wire/http_client.h"
+
+namespace orioledoor::platform {
+namespace {
+
+// A waiting watch is given up this long after it should have been answered.
+constexpr Duration WatchSlack = std::chrono::milliseconds(1000);
+
+struct EventDeleter {
+  void operator()(event *Owned) const { event_free(Owned); }
+};
+using EventPtr = std::unique_ptr<event, EventDeleter>;
+
+absl::Status statusOf(const wire::HttpResult &Result, std::string_view Peer) {
+  using requests::TargetFailure;
+  absl::StatusCode Code = absl::StatusCode::kUnknown;
+  if (*Result.Failure == TargetFailure::NotSent)
+    Code = absl::StatusCode::kUnavailable;
+  else if (*Result.Failure == TargetFailure::TimedOut)
+    Code = absl::StatusCode::kDeadlineExceeded;
+  return makeError(Code, "call store", Peer, Result.Detail);
+}
+
+} // namespace
+
+struct PlatformStore::Impl {
+  struct Watch {
+    Impl *Owner = nullptr;
+    std::string Prefix;
+    std::int64_t Revision = 0;
+    StoreWatchCallback OnUpdate;
+    std::uint64_t Call = 0;
+    EventPtr Timer;
+  };
+
+  event_base *Base;
+  Endpoint Store;
+  std::string Peer;
+  PlatformStoreLimits Limits;
+  PlatformStoreCounters Counters;
+  wire::HttpClient Client;
+  std::map<std::string, std::unique_ptr<Watch>> Watches;
+
+  Impl(event_base *Base, Endpoint Store, PlatformStoreLimits Limits)
+      : Base(Base), Store(std::move(Store)),
+        Peer(this->Store.Host + ":" + std::to_string(this->Store.Port)),
+        Limits(Limits), Client(Base) {}
+
+  wire::HttpCall httpCall(const StoreCall &Sent, Duration Timeout) const {
+    wire::HttpCall Call{.To = this->Store,
+                        .Method = Sent.Method,
+                        .Target = Sent.Target,
+                        .Body = Sent.Body,
+                        .Timeout = Timeout};
+    if (!Sent.Body.empty())
+      Call.Headers.push_back({"Content-Type", "application/json"});
+    return Call;
+  }
+
+  // Reads one page; Before holds the entries of the earlier ones.
+  void callPage(StoreRequest Request, std::vector<StoreEntry> Before,
+                StoreReplyCallback OnReply) {
+    ++this->Counters.Calls;
+    StoreCall Sent = encodeCall(
+        Request.Body, Before.empty() ? std::string_view() : Before.back().Key);
+    this->Client.call(
+        this->httpCall(Sent, this->Limits.Call),
+        [this, Request = std::move(Request), Before = std::move(Before),
+         OnReply = std::move(OnReply)](wire::HttpResult Result) mutable {
+          if (Result.Failure) {
+            ++this->Counters.Failures;
+            // Whatever silenced one connection may have silenced them all.
+            this->Client.dropIdle(this->Store);
+            OnReply({.Id = Request.Id,
+                     .Status = statusOf(Result, this->Peer)});
+            return;
+          }
+          bool More = false;
+          StoreReply Reply = decodeReply(Request, Result.Answer.Status,
+                                         Result.Answer.Body, this->Peer, &More);
+          if (!Reply.Status.ok())
+            ++this->Counters.Failures;
+          std::ranges::move(Reply.Entries, std::back_inserter(Before));
+          if (Reply.Status.ok() && More && !Before.empty()) {
+            this->callPage(std::move(Request), std::move(Before),
+                           std::move(OnReply));
+            return;
+          }
+          Reply.Entries = std::move(Before);
+          OnReply(std::move(Reply));
+        });
+  }
+
+  void open(Watch &Of) {
+    ++this->Counters.Calls;
+    StoreCall Sent{
+        "GET", encodeWatch(Of.Prefix, Of.Revision, this->Limits.WatchWait), ""};
+    Of.Call = this->Client.call(
+        this->httpCall(Sent, this->Limits.WatchWait + WatchSlack),
+        [this, &Of](const wire::HttpResult &Result) {
+          Of.Call = 0;
+          this->watched(Of, Result);
+        });
+  }
+
+  void watched(Watch &Of, const wire::HttpResult &Result) {
+    StoreWatchUpdate Update;
+    if (Result.Failure)
+      Update.Status = statusOf(Result, this->Peer);
+    else
+      Update = decodeWatch(Result.Answer.Status, Result.Answer.Body,
+                           this->Peer);
+    bool Ended = absl::IsOutOfRange(Update.Status);
+    if (Update.Status.ok())
+      Of.Revision = std::max(Of.Revision, Update.Revision);
+    else
+      ++this->Counters.Failures;
+    Duration Pause = !Update.Status.ok()       ? this->Limits.WatchRetry
+                     : Update.Changes.empty() ? Duration(0)
+                                               : this->Limits.WatchPause;
+    StoreWatchCallback OnUpdate = Of.OnUpdate;
+    if (Ended) {
+      this->Watches.erase(Of.Prefix);
+    } else {
+      timeval After{0, static_cast<suseconds_t>(Pause.count())};
+      evtimer_add(Of.Timer.get(), &After);
+    }
+    OnUpdate(std::move(Update));
+  }
+
+  static void onTimer(evutil_socket_t, short, void *Context) {
+    auto *Of = static_cast<Watch *>(Context);
+    if (Of->Call == 0)
+      Of->Owner->open(*Of);
+  }
+};
+
+PlatformStore::PlatformStore(event_base *Base, Endpoint Store,
+                             PlatformStoreLimits Limits)
+    : Own(std::make_unique<Impl>(Base, std::move(Store), Limits)) {}
+
+PlatformStore::~PlatformStore() = default;
+
+void PlatformStore::call(StoreRequest Request, StoreReplyCallback OnReply) {
+  this->Own->callPage(std::move(Request), {}, std::move(OnReply));
+}
+
+void PlatformStore::watch(const std::string &Prefix, std::int64_t Revision,
+                          StoreWatchCallback OnUpdate) {
+  std::unique_ptr<Impl::Watch> &Kept = this->Own->Watches[Prefix];
+  if (Kept && Kept->Call != 0)
+    this->Own->Client.cancel(Kept->Call);
+  Kept = std::make_unique<Impl::Watch>();
+  Kept->Owner = this->Own.get();
+  Kept->Prefix = Prefix;
+  Kept->Revision = Revision;
+  Kept->OnUpdate = std::move(OnUpdate);
+  Kept->Timer.reset(evtimer_new(this->Own->Base, Impl::onTimer, Kept.get()));
+  this->Own->open(*Kept);
+}
+
+const PlatformStoreCounters &PlatformStore::counters() const {
+  return this->Own->Counters;
+}
+
+} // namespace orioledoor::platform
--- /dev/null
+++ b/orioledoor/platform/platform_store.h
@@ -0,0 +1,70 @@
+// Client of the platform's key-value store inside a libevent loop.
+//
+//   PlatformStore Store(Base, {"10.200.1.7", 8309});
+//   Store.call({.Id = 1, .Body = StoreRange{.Key = "oriole/", .Prefix = true}},
+//              [](StoreReply Reply) { ... });
+//   Store.watch("oriole/", Reply.Revision, [](StoreWatchUpdate Update) {...});
+#ifndef ORIOLEDOOR_PLATFORM_PLATFORM_STORE_H
+#define ORIOLEDOOR_PLATFORM_PLATFORM_STORE_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "orioledoor/catalogue/settings.h"
+#include "orioledoor/store/store_client.h"
+
+struct event_base;
+
+namespace orioledoor::platform {
+
+struct PlatformStoreLimits {
+  // From call() to the reply. The platform slows its store down to 240 ms an
+  // answer; after a second a fresh connection is the better try.
+  Duration Call = std::chrono::milliseconds(1000);
+  // How long one watch waits at the store. Each costs a read, and a connection
+  // that went silent is noticed no sooner than its keep-alive probes do.
+  std::chrono::milliseconds WatchWait{10'000};
+  // Pause before a watch that failed is opened again.
+  Duration WatchRetry = std::chrono::milliseconds(250);
+  // Pause before the next watch after changes came, so that a burst of changes
+  // costs one call.
+  Duration WatchPause = std::chrono::milliseconds(20);
+};
+
+struct PlatformStoreCounters {
+  std::uint64_t Calls = 0;
+  std::uint64_t Failures = 0;
+};
+
+// Not thread-safe; lives on its loop's thread. Callbacks run from the loop.
+class PlatformStore {
+public:
+  PlatformStore(event_base *Base, Endpoint Store,
+                PlatformStoreLimits Limits = {});
+  // Drops open calls and watches without their callbacks.
+  ~PlatformStore();
+  PlatformStore(const PlatformStore &) = delete;
+  PlatformStore &operator=(const PlatformStore &) = delete;
+
+  // The status of the reply is as documented at StoreReply. A range is read
+  // page by page.
+  void call(StoreRequest Request, StoreReplyCallback OnReply);
+
+  // Reports changes of keys that start with Prefix after Revision, until an
+  // update says kOutOfRange. Failed watches are reported with their status and
+  // opened again. Replaces an earlier watch of the prefix.
+  void watch(const std::string &Prefix, std::int64_t Revision,
+             StoreWatchCallback OnUpdate);
+
+  const PlatformStoreCounters &counters() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Own;
+};
+
+} // namespace orioledoor::platform
+
+#endif // ORIOLEDOOR_PLATFORM_PLATFORM_STORE_H
--- /dev/null
+++ b/orioledoor/routing/crash_guard.cc
@@ -0,0 +1,67 @@
+// Crash counts by digest.
+#include "orioledoor/routing/crash_guard.h"
+
+#include <algorithm>
+
+#include "orioledoor/base/ids.h"
+
+namespace orioledoor::routing {
+namespace {
+
+// A target that crashed is back within seconds and reports its new start.
+constexpr Duration EvidenceTime = std::chrono::seconds(8);
+constexpr Duration QuarantineTime = std::chrono::minutes(10);
+// Requests that merely ran beside the culprit are counted once; the platform
+// tolerates three crashes.
+constexpr std::uint32_t QuarantineAt = 2;
+
+} // namespace
+
+std::uint64_t crashDigest(std::string_view Caller, const RequestContent &Of) {
+  std::uint64_t Digest = stableHash(Caller);
+  Digest = stableHash(Of.Method, Digest);
+  Digest = stableHash(Of.Target, Digest);
+  return stableHash(Of.Body, Digest);
+}
+
+void CrashGuard::noteBroken(std::uint64_t Digest, Instant Now) {
+  this->Broken.emplace_back(Digest, Now);
+}
+
+std::vector<CrashNotice> CrashGuard::noteTargetEnded(Instant Now) {
+  std::vector<CrashNotice> Notices;
+  for (const auto &[Digest, At] : std::exchange(this->Broken, {})) {
+    if (Now - At > EvidenceTime)
+      continue;
+    Record &Of = this->Records[Digest];
+    ++Of.Crashes;
+    Of.Last = Now;
+    Notices.push_back({.Digest = Digest, .Crashes = Of.Crashes});
+  }
+  return Notices;
+}
+
+void CrashGuard::merge(const CrashNotice &Notice, Instant Now) {
+  Record &Of = this->Records[Notice.Digest];
+  // Two nodes that each saw one crash both state 1.
+  Of.Crashes = std::max(Of.Crashes + 1, Notice.Crashes);
+  Of.Last = Now;
+}
+
+bool CrashGuard::isQuarantined(std::uint64_t Digest, Instant Now) const {
+  auto Found = this->Records.find(Digest);
+  return Found != this->Records.end() &&
+         Found->second.Crashes >= QuarantineAt &&
+         Now - Found->second.Last < QuarantineTime;
+}
+
+void CrashGuard::tick(Instant Now) {
+  std::erase_if(this->Broken, [Now](const auto &Each) {
+    return Now - Each.second > EvidenceTime;
+  });
+  std::erase_if(this->Records, [Now](const auto &Each) {
+    return Now - Each.second.Last > QuarantineTime;
+  });
+}
+
+} // namespace orioledoor::routing
--- /dev/null
+++ b/orioledoor/routing/events.h
@@ -0,0 +1,54 @@
+// Numbered log events of the request path.
+#ifndef ORIOLEDOOR_ROUTING_EVENTS_H
+#define ORIOLEDOOR_ROUTING_EVENTS_H
+
+#include "orioledoor/telemetry/log_record.h"
+
+namespace orioledoor::routing::events {
+
+inline constexpr EventDefinition RequestAnswered{
+    2201, Severity::Info, "REQUEST_ANSWERED",
+    "the target's answer went to the caller"};
+inline constexpr EventDefinition RequestRefused{
+    2202, Severity::Info, "REQUEST_REFUSED",
+    "the entry node refused a request that no target has run"};
+inline constexpr EventDefinition RequestFailed{
+    2203, Severity::Warn, "REQUEST_FAILED",
+    "the entry node ended a request that may have run"};
+inline constexpr EventDefinition RequestRetried{
+    2204, Severity::Info, "REQUEST_RETRIED",
+    "the entry node sends a request to another target"};
+inline constexpr EventDefinition RequestParked{
+    2205, Severity::Info, "REQUEST_PARKED",
+    "a keyed request waits for its key's new owner"};
+inline constexpr EventDefinition CallerLeft{
+    2206, Severity::Info, "CALLER_LEFT",
+    "the caller closed its connection before the answer"};
+inline constexpr EventDefinition CallRefused{
+    2211, Severity::Info, "CALL_REFUSED",
+    "the node beside the target did not start a forwarded request"};
+inline constexpr EventDefinition CallFailed{
+    2212, Severity::Warn, "CALL_FAILED", "no whole answer came from the target"};
+inline constexpr EventDefinition TargetReady{
+    2221, Severity::Info, "TARGET_READY", "a new life of the target reported"};
+inline constexpr EventDefinition TargetLeaving{
+    2222, Severity::Info, "TARGET_LEAVING",
+    "the target announced that it leaves"};
+inline constexpr EventDefinition TargetDrained{
+    2223, Severity::Info, "TARGET_DRAINED",
+    "the time for new work at a leaving target is over"};
+inline constexpr EventDefinition ReportIgnored{
+    2224, Severity::Warn, "REPORT_IGNORED",
+    "a report is late or of an earlier life"};
+inline constexpr EventDefinition TargetSilent{
+    2225, Severity::Warn, "TARGET_SILENT", "the target stopped reporting"};
+inline constexpr EventDefinition RequestQuarantined{
+    2226, Severity::Warn, "REQUEST_QUARANTINED",
+    "a request ended the targets that ran it"};
+inline constexpr EventDefinition PeerUnreachable{
+    2227, Severity::Warn, "PEER_UNREACHABLE",
+    "a message to another node could not be sent"};
+
+} // namespace orioledoor::routing::events
+
+#endif // ORIOLEDOOR_ROUTING_EVENTS_H
--- /dev/null
+++ b/orioledoor/routing/message_codec.cc
@@ -0,0 +1,250 @@
+// Writes messages as flat MessagePack arrays that begin with the kind, and
+// reads them back field by field with checks of type and number.
+#include "orioledoor/routing/message_codec.h"
+
+#include <exception>
+#include <stdexcept>
+#include <utility>
+
+#include <msgpack.hpp>
+
+#include "orioledoor/base/error.h"
+
+namespace orioledoor::routing {
+namespace {
+
+// Longest array that a well-formed message may hold: two per header line.
+constexpr std::size_t MaxArray = 4096;
+constexpr std::size_t MaxDepth = 4;
+// A request's whole body and its headers.
+constexpr std::size_t MaxText = 80U << 20;
+
+// The stream interface that msgpack::packer writes to.
+struct StringSink {
+  std::string Bytes;
+
+  void write(const char *Data, std::size_t Size) {
+    this->Bytes.append(Data, Size);
+  }
+};
+
+using Packer = msgpack::packer<StringSink>;
+
+// Fields are packed one after the other into one array; the reader takes them
+// in the same order.
+class FieldWriter {
+public:
+  explicit FieldWriter(Packer &Out) : Out(Out) {}
+
+  template <typename T> FieldWriter &operator<<(const T &Value) {
+    this->Out.pack(Value);
+    return *this;
+  }
+  FieldWriter &operator<<(Duration Value) {
+    this->Out.pack(static_cast<std::int64_t>(Value.count()));
+    return *this;
+  }
+  FieldWriter &operator<<(const std::vector<Header> &Headers) {
+    this->Out.pack_array(static_cast<std::uint32_t>(Headers.size() * 2));
+    for (const Header &Line : Headers) {
+      this->Out.pack(Line.Name);
+      this->Out.pack(Line.Value);
+    }
+    return *this;
+  }
+  FieldWriter &operator<<(const TargetStatus &Value) {
+    return *this << Value.Process << Value.Sequence << Value.Target.Instance << Value.Target.Born
+                 << Value.Target.Node << Value.Service
+                 << static_cast<std::uint8_t>(Value.State) << Value.Slots
+                 << Value.Running << Value.Queued << Value.ServiceTime
+                 << Value.FailureShare;
+  }
+
+private:
+  Packer &Out;
+};
+
+constexpr std::uint32_t StatusFields = 12;
+
+class FieldReader {
+public:
+  explicit FieldReader(const msgpack::object &Array) {
+    if (Array.type != msgpack::type::ARRAY)
+      throw std::out_of_range("not an array");
+    this->Next = Array.via.array.ptr;
+    this->End = this->Next + Array.via.array.size;
+  }
+
+  template <typename T> FieldReader &operator>>(T &Value) {
+    Value = this->take().as<T>();
+    return *this;
+  }
+  FieldReader &operator>>(Duration &Value) {
+    Value = Duration(this->take().as<std::int64_t>());
+    return *this;
+  }
+  FieldReader &operator>>(std::vector<Header> &Headers) {
+    const msgpack::object &Array = this->take();
+    if (Array.type != msgpack::type::ARRAY || Array.via.array.size % 2 != 0)
+      throw std::out_of_range("no list of headers");
+    for (std::uint32_t I = 0; I < Array.via.array.size; I += 2)
+      Headers.push_back({Array.via.array.ptr[I].as<std::string>(),
+                         Array.via.array.ptr[I + 1].as<std::string>()});
+    return *this;
+  }
+  FieldReader &operator>>(TargetState &Value) {
+    auto Number = this->take().as<std::uint8_t>();
+    if (Number > static_cast<std::uint8_t>(TargetState::Leaving))
+      throw std::out_of_range("unknown state");
+    Value = static_cast<TargetState>(Number);
+    return *this;
+  }
+  FieldReader &operator>>(Outcome &Value) {
+    auto Number = this->take().as<std::uint8_t>();
+    if (Number > static_cast<std::uint8_t>(Outcome::Lost))
+      throw std::out_of_range("unknown outcome");
+    Value = static_cast<Outcome>(Number);
+    return *this;
+  }
+  FieldReader &operator>>(TargetStatus &Value) {
+    return *this >> Value.Process >> Value.Sequence >> Value.Target.Instance >>
+           Value.Target.Born >> Value.Target.Node >> Value.Service >>
+           Value.State >> Value.Slots >> Value.Running >> Value.Queued >>
+           Value.ServiceTime >> Value.FailureShare;
+  }
+
+private:
+  const msgpack::object &take() {
+    if (this->Next == this->End)
+      throw std::out_of_range("field missing");
+    return *this->Next++;
+  }
+
+  const msgpack::object *Next;
+  const msgpack::object *End;
+};
+
+FieldWriter start(Packer &Out, const Message &Sent, std::uint32_t Fields) {
+  Out.pack_array(Fields + 1);
+  Out.pack(static_cast<std::uint8_t>(Sent.index()));
+  return FieldWriter(Out);
+}
+
+struct Encoder {
+  Packer &Out;
+  const Message &Sent;
+
+  void operator()(const Forward &Value) const {
+    start(this->Out, this->Sent, 16)
+        << Value.Id << Value.Process << Value.Service << Value.AttemptId
+        << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
+        << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
+        << Value.Content->Method << Value.Content->Target << Value.Content->Host
+        << Value.Content->Headers << Value.Content->Body;
+  }
+  void operator()(const ForwardResult &Value) const {
+    start(this->Out, this->Sent, 7 + StatusFields)
+        << Value.Id << static_cast<std::uint8_t>(Value.Ended) << Value.Detail
+        << Value.RetryAfter << Value.Answer.Status << Value.Answer.Headers
+        << Value.Answer.Body << Value.Status;
+  }
+  void operator()(const CancelForward &Value) const {
+    start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
+  }
+  void operator()(const StatusNotice &Value) const {
+    start(this->Out, this->Sent, StatusFields) << Value.Status;
+  }
+  void operator()(const CrashNotice &Value) const {
+    start(this->Out, this->Sent, 2) << Value.Digest << Value.Crashes;
+  }
+  void operator()(const KeyLoadNotice &Value) const {
+    start(this->Out, this->Sent, 7)
+        << Value.Service << Value.Target.Instance << Value.Target.Born
+        << Value.Target.Node << Value.Rate << Value.Capacity << Value.Quantiles;
+  }
+};
+
+Message decodeForward(FieldReader &In) {
+  Forward Value;
+  auto Content = std::make_shared<RequestContent>();
+  In >> Value.Id >> Value.Process >> Value.Service >> Value.AttemptId >>
+      Value.CallerService >> Value.TimeLeft >> Value.LatencyLeft >> Value.Key >>
+      Value.Priority >> Value.Idempotent >> Value.LastChoice >>
+      Content->Method >> Content->Target >> Content->Host >> Content->Headers >>
+      Content->Body;
+  Value.Content = std::move(Content);
+  return Value;
+}
+
+Message decodeResult(FieldReader &In) {
+  ForwardResult Value;
+  In >> Value.Id >> Value.Ended >> Value.Detail >> Value.RetryAfter >>
+      Value.Answer.Status >> Value.Answer.Headers >> Value.Answer.Body >>
+      Value.Status;
+  return Value;
+}
+
+Message decodeKeyLoad(FieldReader &In) {
+  KeyLoadNotice Value;
+  In >> Value.Service >> Value.Target.Instance >> Value.Target.Born >>
+      Value.Target.Node >> Value.Rate >> Value.Capacity >> Value.Quantiles;
+  return Value;
+}
+
+Message decodeFields(FieldReader &In) {
+  std::uint8_t Kind = 0;
+  In >> Kind;
+  switch (Kind) {
+  case 0:
+    return decodeForward(In);
+  case 1:
+    return decodeResult(In);
+  case 2: {
+    CancelForward Value;
+    In >> Value.Id >> Value.Process;
+    return Value;
+  }
+  case 3: {
+    StatusNotice Value;
+    In >> Value.Status;
+    return Value;
+  }
+  case 4: {
+    CrashNotice Value;
+    In >> Value.Digest >> Value.Crashes;
+    return Value;
+  }
+  case 5:
+    return decodeKeyLoad(In);
+  default:
+    throw std::out_of_range("unknown kind");
+  }
+}
+
+bool referenceAll(msgpack::type::object_type, std::size_t, void *) {
+  return true;
+}
+
+} // namespace
+
+std::string encodeMessage(const Message &Sent) {
+  StringSink Sink;
+  Packer Out(Sink);
+  std::visit(Encoder{Out, Sent}, Sent);
+  return std::move(Sink.Bytes);
+}
+
+absl::StatusOr<Message> decodeMessage(std::string_view Bytes) {
+  try {
+    msgpack::object_handle Parsed = msgpack::unpack(
+        Bytes.data(), Bytes.size(), referenceAll, nullptr,
+        msgpack::unpack_limit(MaxArray, 0, MaxText, 0, 0, MaxDepth));
+    FieldReader In(Parsed.get());
+    return decodeFields(In);
+  } catch (const std::exception &Error) {
+    return makeError(absl::StatusCode::kInvalidArgument, "decode message", "",
+                     Error.what());
+  }
+}
+
+} // namespace orioledoor::routing
--- /dev/null
+++ b/orioledoor/routing/message_codec.h
@@ -0,0 +1,23 @@
+// MessagePack form of the messages between nodes.
+//
+//   std::string Bytes = encodeMessage(CancelForward{.Id = 7});
+//   absl::StatusOr<Message> Back = decodeMessage(Bytes);
+#ifndef ORIOLEDOOR_ROUTING_MESSAGE_CODEC_H
+#define ORIOLEDOOR_ROUTING_MESSAGE_CODEC_H
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "orioledoor/routing/message.h"
+
+namespace orioledoor::routing {
+
+std::string encodeMessage(const Message &Sent);
+
+// Errors: kInvalidArgument for bytes that are no message.
+absl::StatusOr<Message> decodeMessage(std::string_view Bytes);
+
+} // namespace orioledoor::routing
+
+#endif // ORIOLEDOOR_ROUTING_MESSAGE_CODEC_H
--- /dev/null
+++ b/orioledoor/routing/retry_budget.cc
@@ -0,0 +1,51 @@
+// Tokens come from requests and, slowly, from time.
+#include "orioledoor/routing/retry_budget.h"
+
+#include <algorithm>
+
+namespace orioledoor::routing {
+namespace {
+
+// Tokens that requests may save up: a burst of retries after a loss must stay
+// below what the window allows.
+constexpr double MaxSavedTokens = 8;
+
+} // namespace
+
+RetryBudget::RetryBudget(RetryBudgetOptions Options)
+    : Options(Options), Tokens(Options.ExtraPerWindow),
+      Capacity(Options.ExtraPerWindow + MaxSavedTokens) {}
+
+void RetryBudget::noteRequest() {
+  this->Tokens =
+      std::min(this->Capacity, this->Tokens + this->Options.Ratio);
+}
+
+void RetryBudget::refill(Instant Now) {
+  if (Now <= this->RefilledAt)
+    return;
+  if (this->RefilledAt != Instant()) {
+    double Windows = static_cast<double>((Now - this->RefilledAt).count()) /
+                     static_cast<double>(this->Options.Window.count());
+    // Time alone fills no more than one window's constant.
+    double Limit = std::max(this->Tokens, this->Options.ExtraPerWindow);
+    this->Tokens = std::min(
+        Limit, this->Tokens + Windows * this->Options.ExtraPerWindow);
+  }
+  this->RefilledAt = Now;
+}
+
+bool RetryBudget::take(Instant Now) {
+  this->refill(Now);
+  if (this->Tokens < 1)
+    return false;
+  this->Tokens -= 1;
+  return true;
+}
+
+double RetryBudget::available(Instant Now) {
+  this->refill(Now);
+  return this->Tokens;
+}
+
+} // namespace orioledoor::routing
--- /dev/null
+++ b/orioledoor/routing/route_table.h
@@ -0,0 +1,91 @@
+// The operator's configuration as the request path uses it: routes by host and
+// path prefix, the services behind them and the limits for callers.
+//
+//   const Route *Found = Table.find("desk.example", "/licences/7?full=1");
+//   if (!Found) ... // 404
+#ifndef ORIOLEDOOR_ROUTING_ROUTE_TABLE_H
+#define ORIOLEDOOR_ROUTING_ROUTE_TABLE_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "orioledoor/base/instant.h"
+
+namespace orioledoor::routing {
+
+// A service and its share of a route's requests.
+struct WeightedService {
+  std::string Service{};
+  // Relative to the other parts of the route; above 0.
+  double Weight = 1;
+};
+
+// Requests of one host whose path starts with Prefix.
+struct Route {
+  std::string Name{};
+  std::string Host{};
+  // Begins and ends with a slash.
+  std::string Prefix{};
+  // Never empty.
+  std::vector<WeightedService> Services{};
+  // Requests may run more than once.
+  bool Idempotent = false;
+  // The longest time that a caller waits for its answer; 0: no limit.
+  Duration Timeout{0};
+  // An answer within this time has its full value; 0: not stated.
+  Duration TargetLatency{0};
+  // 0 is the most urgent.
+  int Priority = 0;
+  // Most targets that one attempt of a caller may be sent to; at least 1.
+  int Attempts = 1;
+};
+
+struct ServicePolicy {
+  std::string Name{};
+  std::string HealthPath{};
+  // Connections that a target accepts from all callers together; 0: no limit.
+  std::uint32_t MaxConnections = 0;
+  // Each key is served by one target only.
+  bool Partitioned = false;
+};
+
+// Bounds for what callers may send.
+struct CallerLimits {
+  std::size_t MaxHeaderBytes = 16U << 10;
+  std::size_t MaxBodyBytes = 64U << 20;
+  Duration HeaderTimeout = std::chrono::seconds(3);
+  Duration IdleTimeout = std::chrono::seconds(15);
+};
+
+// Immutable after finish(); shared by all requests that began under it.
+class RouteTable {
+public:
+  // Grows with every change by the operator; 0: none was received.
+  std::uint64_t Version = 0;
+  CallerLimits Limits;
+  std::map<std::string, ServicePolicy, std::less<>> Services;
+
+  // Adds a route. Call finish() after the last one.
+  void add(Route Added) { this->Routes.push_back(std::move(Added)); }
+  // Sorts the routes for find().
+  void finish();
+
+  // The route of Host (a port is ignored, case too) with the longest prefix
+  // that begins the path of Target; null if there is none. Logarithmic in the
+  // routes of the host, times the depth of the path.
+  const Route *find(std::string_view Host, std::string_view Target) const;
+  const std::vector<Route> &routes() const { return this->Routes; }
+  const ServicePolicy *service(std::string_view Name) const;
+
+private:
+  // Invariant after finish(): sorted by host, then by prefix.
+  std::vector<Route> Routes;
+};
+
+} // namespace orioledoor::routing
+
+#endif // ORIOLEDOOR_ROUTING_ROUTE_TABLE_H
--- /dev/null
+++ b/orioledoor/routing/target_directory.cc
@@ -0,0 +1,166 @@
+// Choice of a target by estimated time plus the price of distance.
+#include "orioledoor/routing/target_directory.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace orioledoor::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Round trips by distance; the sites state 1 to 1.4 ms between failure domains
+// and 8 ms between regions one way.
+constexpr Duration DomainRoundTrip = milliseconds(3);
+constexpr Duration RegionRoundTrip = milliseconds(16);
+// Price of a KiB that leaves the failure domain, as time that a caller may wait
+// longer instead: a 60 KiB upload stays until its own target is 150 ms behind.
+constexpr double TransferMsPerKiB = 2.5;
+// A status older than this says little of the load.
+constexpr Duration StatusLifetime = std::chrono::seconds(1);
+// Without a measurement, what a request is taken to hold a slot for.
+constexpr Duration DefaultServiceTime = milliseconds(100);
+// What a target that fails every request is behind a healthy one.
+constexpr double FailureCostMs = 1000;
+// Targets slow down before they are full; this share of the service time is
+// added at full use, with the square of the use.
+constexpr double UsePenalty = 0.5;
+// First and longest time for which an unreachable node is avoided.
+constexpr Duration FirstSuspicion = milliseconds(500);
+constexpr Duration LongestSuspicion = std::chrono::seconds(4);
+
+bool excluded(std::span<const std::string> Names, const std::string &Name) {
+  return std::ranges::find(Names, Name) != Names.end();
+}
+
+} // namespace
+
+TargetDirectory::TargetDirectory(Location Own, std::string OwnNode)
+    : Own(std::move(Own)), OwnNode(std::move(OwnNode)) {}
+
+void TargetDirectory::setNode(const std::string &Node, const Location &Place) {
+  this->Views[Node].Place = Place;
+}
+
+void TargetDirectory::removeNode(const std::string &Node) {
+  this->Views.erase(Node);
+}
+
+bool TargetDirectory::update(const TargetStatus &Status, Instant Now) {
+  auto Found = this->Views.find(Status.Target.Node);
+  if (Found == this->Views.end())
+    return false;
+  TargetView &View = Found->second;
+  if (Status.Process == View.Status.Process &&
+      Status.Sequence < View.Status.Sequence)
+    return false;
+  bool Changed = Status.State != View.Status.State ||
+                 Status.Target != View.Status.Target;
+  View.Status = Status;
+  View.StatusAt = Now;
+  View.SentSince = 0;
+  return Changed;
+}
+
+void TargetDirectory::noteSent(const std::string &Node) {
+  auto Found = this->Views.find(Node);
+  if (Found == this->Views.end())
+    return;
+  ++Found->second.Outstanding;
+  ++Found->second.SentSince;
+}
+
+void TargetDirectory::noteEnded(const std::string &Node) {
+  auto Found = this->Views.find(Node);
+  if (Found != this->Views.end() && Found->second.Outstanding > 0)
+    --Found->second.Outstanding;
+}
+
+void TargetDirectory::noteUnreachable(const std::string &Node, Instant Now) {
+  auto Found = this->Views.find(Node);
+  if (Found == this->Views.end())
+    return;
+  TargetView &View = Found->second;
+  // Several requests that fail at once are one failure.
+  if (Now < View.SuspectUntil)
+    return;
+  Duration Pause = std::min(
+      LongestSuspicion,
+      FirstSuspicion * (1 << std::min<std::uint32_t>(View.Failures, 3)));
+  ++View.Failures;
+  View.SuspectUntil = Now + Pause;
+}
+
+void TargetDirectory::noteReached(const std::string &Node) {
+  auto Found = this->Views.find(Node);
+  if (Found == this->Views.end())
+    return;
+  Found->second.Failures = 0;
+  Found->second.SuspectUntil = Instant();
+}
+
+Duration TargetDirectory::costOf(const std::string &Node,
+                                 const TargetView &View, std::size_t Bytes,
+                                 Instant Now) const {
+  const TargetStatus &Status = View.Status;
+  double Slots = std::max<std::uint32_t>(Status.Slots, 1);
+  Duration Service = Status.ServiceTime.count() > 0 ? Status.ServiceTime
+                                                    : DefaultServiceTime;
+  double Age = static_cast<double>((Now - View.StatusAt).count()) /
+               static_cast<double>(StatusLifetime.count());
+  double Reported = static_cast<double>(Status.Running + Status.Queued) *
+                    std::max(0.0, 1.0 - Age);
+  double Load = std::max<double>(View.Outstanding, Reported + View.SentSince);
+  double ServiceMicros = static_cast<double>(Service.count());
+  double Wait = std::max(0.0, Load + 1 - Slots) * ServiceMicros / Slots;
+  double Use = std::min(1.0, Load / Slots);
+  double Cost = ServiceMicros + Wait + UsePenalty * Use * Use * ServiceMicros +
+                Status.FailureShare * FailureCostMs * 1000;
+  if (Node != this->OwnNode && View.Place != this->Own) {
+    bool SameRegion = View.Place.Region == this->Own.Region;
+    Cost += static_cast<double>(
+        (SameRegion ? DomainRoundTrip : RegionRoundTrip).count());
+    if (View.Place.FailureDomain != this->Own.FailureDomain)
+      Cost += static_cast<double>(Bytes) / 1024 * TransferMsPerKiB * 1000;
+  }
+  return Duration(static_cast<std::int64_t>(Cost));
+}
+
+const std::string *TargetDirectory::choose(const ChoiceInput &Request,
+                                           Instant Now) const {
+  const std::string *Best = nullptr;
+  std::pair<bool, Duration> BestCost;
+  for (const auto &[Node, View] : this->Views) {
+    if (View.Status.State != TargetState::Ready ||
+        View.Status.Service != Request.Service ||
+        excluded(Request.Excluded, Node))
+      continue;
+    // An unreachable node is a last resort.
+    std::pair<bool, Duration> Cost(
+        Now < View.SuspectUntil, this->costOf(Node, View, Request.Bytes, Now));
+    if (!Best || Cost < BestCost) {
+      Best = &Node;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+std::size_t
+TargetDirectory::countReady(std::string_view Service,
+                            std::span<const std::string> Excluded) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Views, [&](const auto &Entry) {
+        return Entry.second.Status.State == TargetState::Ready &&
+               Entry.second.Status.Service == Service &&
+               !excluded(Excluded, Entry.first);
+      }));
+}
+
+const TargetView *TargetDirectory::find(const std::string &Node) const {
+  auto Found = this->Views.find(Node);
+  return Found == this->Views.end() ? nullptr : &Found->second;
+}
+
+} // namespace orioledoor::routing
--- /dev/null
+++ b/orioledoor/routing/target_directory.h
@@ -0,0 +1,90 @@
+// What an entry node believes of the targets of the fleet: where they are,
+// their load, and whether their nodes can be reached.
+//
+//   Directory.setNode("tcp://10.1.0.8:7620", {"bilbao", "cantabrico"});
+//   Directory.update(Status, Now);
+//   const TargetView *To = Directory.choose("licencias", Request, Now);
+#ifndef ORIOLEDOOR_ROUTING_TARGET_DIRECTORY_H
+#define ORIOLEDOOR_ROUTING_TARGET_DIRECTORY_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/routing/target_status.h"
+
+namespace orioledoor::routing {
+
+struct Location {
+  std::string FailureDomain;
+  std::string Region;
+
+  friend bool operator==(const Location &, const Location &) = default;
+};
+
+struct TargetView {
+  Location Place;
+  TargetStatus Status;
+  Instant StatusAt;
+  // Requests of this node that are open there.
+  std::uint32_t Outstanding = 0;
+  // Of these, sent after StatusAt.
+  std::uint32_t SentSince = 0;
+  // The node could not be reached; preferred again after this.
+  Instant SuspectUntil;
+  std::uint32_t Failures = 0;
+};
+
+// What matters of a request when its target is chosen.
+struct ChoiceInput {
+  std::string_view Service;
+  // Bytes that travel to the target and, by estimate, back.
+  std::size_t Bytes = 0;
+  // Nodes that the request has been at.
+  std::span<const std::string> Excluded;
+};
+
+// Not thread-safe. Choosing is linear in the targets of the service.
+class TargetDirectory {
+public:
+  explicit TargetDirectory(Location Own, std::string OwnNode);
+
+  // Adds a node or moves it to another place.
+  void setNode(const std::string &Node, const Location &Place);
+  void removeNode(const std::string &Node);
+  // Takes a status over if it is not older than the known one. Returns whether
+  // the state or the target changed.
+  bool update(const TargetStatus &Status, Instant Now);
+
+  void noteSent(const std::string &Node);
+  void noteEnded(const std::string &Node);
+  // The node could not be reached, for a time that doubles with each failure.
+  void noteUnreachable(const std::string &Node, Instant Now);
+  void noteReached(const std::string &Node);
+
+  // The best target of the service; null if none is ready.
+  const std::string *choose(const ChoiceInput &Request, Instant Now) const;
+  // Ready targets of the service outside of Excluded.
+  std::size_t countReady(std::string_view Service,
+                         std::span<const std::string> Excluded) const;
+
+  const TargetView *find(const std::string &Node) const;
+  const std::map<std::string, TargetView> &views() const { return this->Views; }
+
+  // Estimated cost of sending the request there, in time units.
+  Duration costOf(const std::string &Node, const TargetView &View,
+                  std::size_t Bytes, Instant Now) const;
+
+private:
+  Location Own;
+  std::string OwnNode;
+  std::map<std::string, TargetView> Views;
+};
+
+} // namespace orioledoor::routing
+
+#endif // ORIOLEDOOR_ROUTING_TARGET_DIRECTORY_H
--- /dev/null
+++ b/orioledoor/routing/target_gate.cc
@@ -0,0 +1,380 @@
+// Admission, slots and the life of one target.
+#include "orioledoor/routing/target_gate.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "orioledoor/routing/events.h"
+
+namespace orioledoor::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The clock of the target and the way of a request to it, before the end of
+// its drain time.
+constexpr Duration DrainMargin = milliseconds(250);
+// A request with less time left is not worth starting.
+constexpr Duration LeastTimeLeft = milliseconds(10);
+// A request whose target latency has passed may wait this share of what is
+// left of its time: it is worth less than one that is still in time.
+constexpr int LateWaitDivisor = 4;
+// While other targets may have room, a request waits at most this share of
+// the time that requests hold a slot.
+constexpr int EarlyWaitDivisor = 4;
+constexpr Duration DefaultServiceTime = milliseconds(100);
+// Bounds of the Retry-After that goes with Busy. Callers that come back sooner
+// meet the same queue; a second is about three target latencies.
+constexpr Duration LeastRetryAfter = milliseconds(150);
+constexpr Duration LongestRetryAfter = milliseconds(1000);
+// Weight of a new outcome in the share of failures: the last 30 calls count.
+constexpr float FailureWeight = 0.033F;
+// The answer travels back to the caller before its time is over.
+constexpr Duration AnswerMargin = milliseconds(15);
+
+LogField field(const char *Name, std::string Value) {
+  return {Name, std::move(Value)};
+}
+
+std::string millis(Duration Of) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(Of).count());
+}
+
+std::string_view nameOf(Outcome Why) {
+  switch (Why) {
+  case Outcome::Answered:
+    return "answered";
+  case Outcome::Busy:
+    return "busy";
+  case Outcome::NoTarget:
+    return "no-target";
+  case Outcome::NotOwner:
+    return "not-owner";
+  case Outcome::Refused:
+    return "refused";
+  case Outcome::Expired:
+    return "expired";
+  case Outcome::Quarantined:
+    return "quarantined";
+  case Outcome::Lost:
+    return "lost";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+TargetGate::TargetGate(TargetGateOptions Options)
+    : Options(std::move(Options)) {}
+
+ReportVerdict TargetGate::report(const TargetReport &Report, Instant Now,
+                                 Effects &Out) {
+  TargetRef Reported{Report.Instance, Report.Born, this->Options.Node};
+  bool Same = Reported == this->Target;
+  if ((Same && Report.Sequence <= this->Report.Sequence) ||
+      (!Same && this->Target && Report.Born < this->Target.Born)) {
+    Out.push_back(LogRecord{&events::ReportIgnored,
+                            {field("instance", Report.Instance),
+                             field("born", std::to_string(Report.Born)),
+                             field("sequence", std::to_string(Report.Sequence)),
+                             field("current", this->Target.Instance)}});
+    return ReportVerdict::Late;
+  }
+  this->LastReport = Now;
+  this->ConnectionRefused = false;
+  if (Same) {
+    this->Report = Report;
+    this->Queue.setSlots(Report.Slots);
+    if (this->State == TargetState::Absent && !this->Drained)
+      this->State = TargetState::Ready;
+    if (Report.Draining)
+      this->leaveAt(Now, Out);
+    this->startWaiting(Now, Out);
+    return ReportVerdict::Current;
+  }
+  if (this->Target)
+    for (const CrashNotice &Notice : this->Crashes.noteTargetEnded(Now)) {
+      Out.push_back(
+          LogRecord{&events::RequestQuarantined,
+                    {field("digest", std::to_string(Notice.Digest)),
+                     field("crashes", std::to_string(Notice.Crashes))}});
+      Out.push_back(SendMessage{"", Notice});
+    }
+  this->Target = Reported;
+  this->Report = Report;
+  this->State = TargetState::Ready;
+  this->Drained = false;
+  this->FailureShare = 0;
+  // Calls of the earlier life end with their connections.
+  this->Queue.setSlots(Report.Slots);
+  Out.push_back(LogRecord{&events::TargetReady,
+                          {field("instance", Report.Instance),
+                           field("born", std::to_string(Report.Born)),
+                           field("service", Report.Service),
+                           field("slots", std::to_string(Report.Slots))}});
+  if (Report.Draining)
+    this->leaveAt(Now, Out);
+  this->startWaiting(Now, Out);
+  return ReportVerdict::NewLife;
+}
+
+void TargetGate::leave(std::string_view Instance, Instant Now, Effects &Out) {
+  if (this->Target && this->Target.Instance == Instance)
+    this->leaveAt(Now, Out);
+}
+
+void TargetGate::leaveAt(Instant Now, Effects &Out) {
+  if (this->State == TargetState::Leaving || this->Drained)
+    return;
+  this->State = TargetState::Leaving;
+  this->DrainEnds = Now + this->Options.DrainTime - DrainMargin;
+  Out.push_back(LogRecord{&events::TargetLeaving,
+                          {field("instance", this->Target.Instance),
+                           field("waiting",
+                                 std::to_string(this->Queue.waiting())),
+                           field("running",
+                                 std::to_string(this->Queue.running()))}});
+}
+
+std::optional<Outcome> TargetGate::refusalOf(const Forward &Request,
+                                             KeyState Key, std::uint64_t Digest,
+                                             Instant Now) const {
+  if (this->Closed || this->State == TargetState::Absent || this->Drained ||
+      Request.Service != this->Report.Service)
+    return Outcome::NoTarget;
+  // Other targets of the service take what has no key.
+  if (this->State == TargetState::Leaving && Key == KeyState::NotKeyed &&
+      !Request.LastChoice)
+    return Outcome::NoTarget;
+  if (Key == KeyState::NotHeld)
+    return Outcome::NotOwner;
+  if (Request.TimeLeft < LeastTimeLeft)
+    return Outcome::Expired;
+  if (this->Crashes.isQuarantined(Digest, Now))
+    return Outcome::Quarantined;
+  return std::nullopt;
+}
+
+void TargetGate::refuse(const std::string &From, const Forward &Request,
+                        Outcome Why, Duration RetryAfter, Effects &Out) {
+  Out.push_back(LogRecord{
+      &events::CallRefused,
+      {field("request", Request.AttemptId), field("from", From),
+       field("why", std::string(nameOf(Why))),
+       field("instance", this->Target.Instance),
+       field("running", std::to_string(this->Queue.running())),
+       field("waiting", std::to_string(this->Queue.waiting())),
+       field("time_left_ms", millis(Request.TimeLeft)),
+       field("retry_after_ms", millis(RetryAfter))}});
+  ForwardResult Result{.Id = Request.Id, .Ended = Why};
+  Result.RetryAfter = RetryAfter;
+  Result.Status = this->status();
+  Out.push_back(SendMessage{From, std::move(Result)});
+}
+
+void TargetGate::forward(const std::string &From, Forward Request, KeyState Key,
+                         Instant Now, Effects &Out) {
+  std::uint64_t Digest = crashDigest(Request.CallerService, *Request.Content);
+  if (auto Why = this->refusalOf(Request, Key, Digest, Now)) {
+    this->refuse(From, Request, *Why, Duration(0), Out);
+    return;
+  }
+  Duration Service = this->Queue.serviceTime().count() > 0
+                         ? this->Queue.serviceTime()
+                         : DefaultServiceTime;
+  Duration Limit = std::max(Request.LatencyLeft - Service,
+                            (Request.TimeLeft - Service) / LateWaitDivisor);
+  if (!Request.LastChoice && Key == KeyState::NotKeyed)
+    Limit = std::min(Limit, Service / EarlyWaitDivisor);
+  Duration Wait = this->Queue.expectedWait(Request.Priority);
+  if (Wait > Limit && Wait > Duration(0)) {
+    this->refuse(From, Request, Outcome::Busy,
+                 std::clamp(Wait, LeastRetryAfter, LongestRetryAfter), Out);
+    return;
+  }
+  std::uint64_t Id = this->NextCall++;
+  Call &Added = this->Calls[Id];
+  Added.From = From;
+  Added.Deadline = Now + Request.TimeLeft - AnswerMargin;
+  Added.Digest = Digest;
+  Added.Request = std::move(Request);
+  this->ByForward[{Added.Request.Process, Added.Request.Id}] = Id;
+  if (this->Queue.tryStart()) {
+    this->start(Id, Now, Out);
+    return;
+  }
+  this->Queue.push({.Id = Id,
+                    .Priority = Added.Request.Priority,
+                    .StartBy = Now + std::max(Limit, Duration(0))});
+  // Somebody may wait although a slot is free, if all who wait are overdue.
+  this->startWaiting(Now, Out);
+}
+
+void TargetGate::start(std::uint64_t Id, Instant Now, Effects &Out) {
+  Call &Of = this->Calls.at(Id);
+  Of.Started = true;
+  Of.StartedAt = Now;
+  Out.push_back(StartCall{.Call = Id,
+                          .Instance = this->Target.Instance,
+                          .AttemptId = Of.Request.AttemptId,
+                          .CallerService = Of.Request.CallerService,
+                          .Key = Of.Request.Key,
+                          .TimeLeft = Of.Deadline - Now,
+                          .Idempotent = Of.Request.Idempotent,
+                          .Content = Of.Request.Content});
+}
+
+void TargetGate::startWaiting(Instant Now, Effects &Out) {
+  if (this->State == TargetState::Absent || this->Drained)
+    return;
+  while (auto Next = this->Queue.popStartable(Now)) {
+    const Call &Of = this->Calls.at(Next->Id);
+    if (Of.Deadline - Now >= LeastTimeLeft) {
+      this->start(Next->Id, Now, Out);
+      continue;
+    }
+    this->Queue.release();
+    this->end(Next->Id, {.Ended = Outcome::Expired}, Now, Out);
+  }
+}
+
+void TargetGate::end(std::uint64_t Id, ForwardResult Result, Instant,
+                     Effects &Out) {
+  auto Found = this->Calls.find(Id);
+  Call Of = std::move(Found->second);
+  this->Calls.erase(Found);
+  this->ByForward.erase({Of.Request.Process, Of.Request.Id});
+  Result.Id = Of.Request.Id;
+  Result.Status = this->status();
+  if (Result.Ended != Outcome::Answered)
+    Out.push_back(LogRecord{
+        Result.Ended == Outcome::Lost ? &events::CallFailed
+                                      : &events::CallRefused,
+        {field("request", Of.Request.AttemptId), field("from", Of.From),
+         field("why", std::string(nameOf(Result.Ended))),
+         field("detail", Result.Detail),
+         field("instance", this->Target.Instance),
+         field("running", std::to_string(this->Queue.running())),
+         field("waiting", std::to_string(this->Queue.waiting()))}});
+  Out.push_back(SendMessage{Of.From, std::move(Result)});
+}
+
+void TargetGate::noteOutcome(bool Failed) {
+  this->FailureShare +=
+      FailureWeight * ((Failed ? 1.0F : 0.0F) - this->FailureShare);
+}
+
+void TargetGate::answered(std::uint64_t Id, HttpAnswer Answer, bool NotRun,
+                          Instant Now, Effects &Out) {
+  auto Found = this->Calls.find(Id);
+  if (Found == this->Calls.end())
+    return;
+  this->ConnectionRefused = false;
+  Duration Held = Now - Found->second.StartedAt;
+  // A refusal takes no time at a slot and would make the target look fast.
+  if (NotRun || Answer.Status >= 500)
+    this->Queue.release();
+  else
+    this->Queue.release(Held);
+  this->noteOutcome(Answer.Status >= 500);
+  ForwardResult Result{.Ended = NotRun ? Outcome::Refused : Outcome::Answered};
+  // 421: the target does not hold the key, or another instance answered.
+  if (NotRun && Answer.Status == 421)
+    Result.Ended = Outcome::NotOwner;
+  Result.Answer = std::move(Answer);
+  this->end(Id, std::move(Result), Now, Out);
+  this->startWaiting(Now, Out);
+}
+
+void TargetGate::failed(std::uint64_t Id, CallFailure Failure,
+                        std::string_view Detail, Instant Now, Effects &Out) {
+  auto Found = this->Calls.find(Id);
+  if (Found == this->Calls.end())
+    return;
+  this->ConnectionRefused = Failure == CallFailure::NotSent;
+  if (Failure == CallFailure::Broken)
+    this->Crashes.noteBroken(Found->second.Digest, Now);
+  this->Queue.release();
+  this->noteOutcome(true);
+  ForwardResult Result{.Ended = Failure == CallFailure::NotSent
+                                    ? Outcome::NoTarget
+                                    : Outcome::Lost};
+  Result.Detail = Detail;
+  this->end(Id, std::move(Result), Now, Out);
+  this->startWaiting(Now, Out);
+}
+
+void TargetGate::cancel(const std::string &, const CancelForward &Cancelled,
+                        Instant Now, Effects &Out) {
+  auto Found = this->ByForward.find({Cancelled.Process, Cancelled.Id});
+  if (Found == this->ByForward.end())
+    return;
+  std::uint64_t Id = Found->second;
+  this->ByForward.erase(Found);
+  bool Started = this->Calls.at(Id).Started;
+  this->Calls.erase(Id);
+  if (!Started) {
+    this->Queue.remove(Id);
+    return;
+  }
+  this->Queue.release();
+  Out.push_back(CancelCall{Id});
+  this->startWaiting(Now, Out);
+}
+
+void TargetGate::noteCrash(const CrashNotice &Notice, Instant Now) {
+  this->Crashes.merge(Notice, Now);
+}
+
+void TargetGate::close(Instant Now, Effects &Out) {
+  this->Closed = true;
+  for (const WaitingRequest &Each : this->Queue.takeAll())
+    this->end(Each.Id, {.Ended = Outcome::NoTarget}, Now, Out);
+}
+
+void TargetGate::tick(Instant Now, Effects &Out) {
+  this->Crashes.tick(Now);
+  for (const WaitingRequest &Each : this->Queue.takeOverdue(Now)) {
+    ForwardResult Result{.Ended = Outcome::Busy};
+    Result.RetryAfter = std::clamp(this->Queue.expectedWait(Each.Priority),
+                                   LeastRetryAfter, LongestRetryAfter);
+    this->end(Each.Id, std::move(Result), Now, Out);
+  }
+  if (this->State == TargetState::Leaving && Now >= this->DrainEnds) {
+    this->State = TargetState::Absent;
+    this->Drained = true;
+    Out.push_back(LogRecord{&events::TargetDrained,
+                            {field("instance", this->Target.Instance),
+                             field("running",
+                                   std::to_string(this->Queue.running()))}});
+    for (const WaitingRequest &Each : this->Queue.takeAll())
+      this->end(Each.Id, {.Ended = Outcome::NoTarget}, Now, Out);
+  }
+  // Reports may be cut off while requests still reach the target.
+  if (this->State == TargetState::Ready && this->ConnectionRefused &&
+      Now - this->LastReport > this->Options.SilenceTime) {
+    this->State = TargetState::Absent;
+    Out.push_back(LogRecord{&events::TargetSilent,
+                            {field("instance", this->Target.Instance),
+                             field("silent_ms",
+                                   millis(Now - this->LastReport))}});
+    for (const WaitingRequest &Each : this->Queue.takeAll())
+      this->end(Each.Id, {.Ended = Outcome::NoTarget}, Now, Out);
+  }
+}
+
+TargetStatus TargetGate::status() const {
+  return {.Process = this->Options.Process,
+          .Sequence = this->NextSequence++,
+          .Target = {this->Target.Instance, this->Target.Born,
+                     this->Options.Node},
+          .Service = this->Report.Service,
+          .State = this->Closed ? TargetState::Absent : this->State,
+          .Slots = this->Queue.slots(),
+          .Running = this->Queue.running(),
+          .Queued = static_cast<std::uint32_t>(this->Queue.waiting()),
+          .ServiceTime = this->Queue.serviceTime(),
+          .FailureShare = this->FailureShare};
+}
+
+} // namespace orioledoor::routing
--- /dev/null
+++ b/orioledoor/routing/target_ref.h
@@ -0,0 +1,29 @@
+// One life of a target: the instance id that it announces, the time of its
+// start and the node beside it.
+//
+//   TargetRef Owner{"i-7f3a91c2", 1764828788000, "tcp://10.1.0.8:7620"};
+#ifndef ORIOLEDOOR_ROUTING_TARGET_REF_H
+#define ORIOLEDOOR_ROUTING_TARGET_REF_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace orioledoor::routing {
+
+struct TargetRef {
+  // Empty: no target.
+  std::string Instance;
+  // Unix milliseconds of its start by its own clock. Lives of one address are
+  // ordered by it.
+  std::int64_t Born = 0;
+  // Peer address of the node beside it.
+  std::string Node;
+
+  explicit operator bool() const { return !this->Instance.empty(); }
+  friend auto operator<=>(const TargetRef &, const TargetRef &) = default;
+};
+
+} // namespace orioledoor::routing
+
+#endif // ORIOLEDOOR_ROUTING_TARGET_REF_H
--- /dev/null
+++ b/orioledoor/sidecar/effect.h
@@ -0,0 +1,46 @@
+// What the reducer of a node asks of its shell, as data.
+#ifndef ORIOLEDOOR_SIDECAR_EFFECT_H
+#define ORIOLEDOOR_SIDECAR_EFFECT_H
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "orioledoor/routing/effect.h"
+#include "orioledoor/routing/target_report.h"
+#include "orioledoor/store/store_types.h"
+
+namespace orioledoor::sidecar {
+
+using routing::CancelCall;
+using routing::ReplyToCaller;
+using routing::SendMessage;
+using routing::StartCall;
+
+struct AnswerReport {
+  std::uint64_t Id = 0;
+  routing::ReportAnswer Answer{};
+};
+// StoreReplied follows with the id of the request.
+struct CallStore {
+  StoreRequest Request{};
+};
+// Watches the project's keys from Revision on; StoreWatched follows.
+struct WatchStore {
+  std::int64_t Revision = 0;
+};
+// Takes no new connections of callers; those that are open end with their
+// next answer.
+struct StopAccepting {};
+// Ends the process.
+struct Exit {};
+
+using Effect =
+    std::variant<ReplyToCaller, SendMessage, StartCall, CancelCall, LogRecord,
+                 AnswerReport, CallStore, WatchStore, StopAccepting, Exit>;
+using Effects = std::vector<Effect>;
+
+} // namespace orioledoor::sidecar
+
+#endif // ORIOLEDOOR_SIDECAR_EFFECT_H
--- /dev/null
+++ b/orioledoor/sidecar/events.h
@@ -0,0 +1,63 @@
+// Numbered log events of the node beside a target.
+#ifndef ORIOLEDOOR_SIDECAR_EVENTS_H
+#define ORIOLEDOOR_SIDECAR_EVENTS_H
+
+#include "orioledoor/telemetry/log_record.h"
+
+namespace orioledoor::sidecar::events {
+
+inline constexpr EventDefinition SidecarStarted{
+    4101, Severity::Info, "SIDECAR_STARTED", "the node listens"};
+inline constexpr EventDefinition SidecarStopping{
+    4102, Severity::Info, "SIDECAR_STOPPING", "a stop was asked for"};
+inline constexpr EventDefinition SidecarStopped{
+    4103, Severity::Info, "SIDECAR_STOPPED", "the node exits"};
+inline constexpr EventDefinition SettingsReloaded{
+    4104, Severity::Info, "SETTINGS_RELOADED", "the settings file was read again"};
+inline constexpr EventDefinition SettingsRefused{
+    4105, Severity::Error, "SETTINGS_REFUSED",
+    "the changed settings file is wrong; the earlier settings stay"};
+inline constexpr EventDefinition ConfigInForce{
+    4111, Severity::Info, "CONFIG_IN_FORCE", "a configuration is in force"};
+inline constexpr EventDefinition ConfigRefused{
+    4112, Severity::Error, "CONFIG_REFUSED",
+    "a configuration is unreadable or older than the one in force"};
+inline constexpr EventDefinition ReportUnreadable{
+    4113, Severity::Warn, "REPORT_UNREADABLE",
+    "a report of a target cannot be read"};
+inline constexpr EventDefinition EntryUnreadable{
+    4114, Severity::Warn, "ENTRY_UNREADABLE",
+    "an entry in the store cannot be read"};
+inline constexpr EventDefinition StoreLost{
+    4121, Severity::Warn, "STORE_LOST", "the store does not answer"};
+inline constexpr EventDefinition StoreRegained{
+    4122, Severity::Info, "STORE_REGAINED", "the store answers again"};
+inline constexpr EventDefinition LeaseEnded{
+    4123, Severity::Warn, "LEASE_ENDED",
+    "the lease of this node's entry ended; the entry is written again"};
+inline constexpr EventDefinition NodeJoined{
+    4124, Severity::Info, "NODE_JOINED", "the entry of another process appeared"};
+inline constexpr EventDefinition NodeGone{
+    4125, Severity::Info, "NODE_GONE", "the entry of a node stayed absent"};
+inline constexpr EventDefinition KeysPlanned{
+    4131, Severity::Info, "KEYS_PLANNED", "this node records new owners of keys"};
+inline constexpr EventDefinition KeysTransferred{
+    4132, Severity::Info, "KEYS_TRANSFERRED",
+    "keys that the target gave up are recorded for their next owner"};
+inline constexpr EventDefinition KeysRefused{
+    4133, Severity::Info, "KEYS_REFUSED",
+    "the store did not take a change of owners"};
+inline constexpr EventDefinition KeysGranted{
+    4134, Severity::Info, "KEYS_GRANTED", "the keys granted to the target changed"};
+inline constexpr EventDefinition PeerLost{
+    4141, Severity::Warn, "PEER_LOST", "the connection to another node broke"};
+inline constexpr EventDefinition MessageRefused{
+    4142, Severity::Warn, "MESSAGE_REFUSED",
+    "a message of another node cannot be read"};
+inline constexpr EventDefinition LogDropped{
+    4151, Severity::Warn, "LOG_DROPPED",
+    "log lines were dropped to bound their volume"};
+
+} // namespace orioledoor::sidecar::events
+
+#endif // ORIOLEDOOR_SIDECAR_EVENTS_H
--- /dev/null
+++ b/orioledoor/sidecar/membership.h
@@ -0,0 +1,142 @@
+// The node's own entry in the store and its view of the others'.
+//
+//   Membership Members(Self, Options);
+//   Members.start(Now, Out);              // lease, entry, read, watch
+//   Members.replied(Reply, Now, Out);
+//   Members.watched(Update, Now, Out);
+//
+// Works in steps: a lease is granted, the entry is written under it, all
+// entries and key maps are read, and a watch follows from there.
+#ifndef ORIOLEDOOR_SIDECAR_MEMBERSHIP_H
+#define ORIOLEDOOR_SIDECAR_MEMBERSHIP_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/keyspace/authority.h"
+#include "orioledoor/keyspace/key_map.h"
+#include "orioledoor/sidecar/node_entry.h"
+#include "orioledoor/store/store_types.h"
+#include "orioledoor/telemetry/log_record.h"
+
+namespace orioledoor::sidecar {
+
+// Keys of the project in the store.
+inline constexpr char StoreRoot[] = "oriole/";
+inline constexpr char NodePrefix[] = "oriole/nodes/";
+inline constexpr char KeysPrefix[] = "oriole/keys/";
+
+struct MembershipOptions {
+  // The entry vanishes this long after the last renewal.
+  std::chrono::seconds LeaseTime{3};
+  Duration RenewInterval = std::chrono::milliseconds(900);
+  // From the last proof of the entry to the end of every hold.
+  Duration AuthorityTime = std::chrono::milliseconds(8000);
+  // Pause before a failed step is tried again.
+  Duration RetryPause = std::chrono::milliseconds(250);
+  // An entry that is missing this long is gone: after an outage of the store
+  // nodes need up to two seconds to write theirs again.
+  Duration MissingGrace = std::chrono::milliseconds(2200);
+};
+
+// A key map with the store revision of its last change.
+struct StoredKeyMap {
+  keyspace::KeyMap Map;
+  std::int64_t Revision = 0;
+};
+
+// A node's entry with the store revision of its last change.
+struct StoredNode {
+  NodeEntry Entry;
+  std::int64_t Revision = 0;
+  // Set while the entry is absent: since when.
+  std::optional<Instant> MissingSince;
+};
+
+// What the shell and the reducer are to do.
+struct MembershipOutput {
+  std::vector<StoreRequest> Calls;
+  // Open the watch of StoreRoot after this revision; 0: no change.
+  std::int64_t WatchAfter = 0;
+  std::vector<LogRecord> Logs;
+  bool NodesChanged = false;
+  bool KeysChanged = false;
+  // Nodes whose process ended or was replaced.
+  std::vector<std::string> EndedNodes;
+};
+
+// Not thread-safe; no clock, socket or random source.
+class Membership {
+public:
+  Membership(NodeEntry Self, MembershipOptions Options);
+
+  void start(Instant Now, MembershipOutput &Out);
+  // The target or its state changed; the entry is written again.
+  void setSelf(const NodeEntry &Self, Instant Now, MembershipOutput &Out);
+  // Returns whether the reply belongs here.
+  bool replied(const StoreReply &Reply, Instant Now, MembershipOutput &Out);
+  void watched(const StoreWatchUpdate &Update, Instant Now,
+               MembershipOutput &Out);
+  void tick(Instant Now, MembershipOutput &Out);
+
+  const NodeEntry &self() const { return this->Self; }
+  // All nodes were read at least once.
+  bool known() const { return this->Known; }
+  // The store answered recently and the view follows it.
+  bool fresh(Instant Now) const;
+  const keyspace::Authority &authority() const { return this->Own; }
+  // By store key.
+  const std::map<std::string, StoredNode> &nodes() const { return this->Nodes; }
+  const std::map<std::string, StoredKeyMap, std::less<>> &keyMaps() const {
+    return this->KeyMaps;
+  }
+  // Store key of this node's entry.
+  const std::string &entryKey() const { return this->EntryKey; }
+
+private:
+  enum class Step { Idle, Granting, Writing, Reading, Live };
+
+  void grant(Instant Now, MembershipOutput &Out);
+  void write(Instant Now, MembershipOutput &Out);
+  void read(Instant Now, MembershipOutput &Out);
+  StoreRequest request(StoreRequestBody Body);
+  void noteStore(bool Answered, const absl::Status &Why, Instant Now,
+                 MembershipOutput &Out);
+  void replaceAll(const StoreReply &Reply, Instant Now, MembershipOutput &Out);
+  void apply(const StoreEntry &Entry, MembershipOutput &Out);
+  void remove(const std::string &Key, Instant Now);
+
+  NodeEntry Self;
+  MembershipOptions Options;
+  std::string EntryKey;
+  keyspace::Authority Own;
+  Step At = Step::Idle;
+  std::int64_t Lease = 0;
+  std::uint64_t NextId = 1;
+  // Open calls: 0 if there is none.
+  std::uint64_t StepCall = 0;
+  std::uint64_t RenewCall = 0;
+  Instant StepSentAt;
+  Instant RenewSentAt;
+  Instant RetryAt;
+  Instant RenewAt;
+  bool EntryChanged = false;
+  // The watch ended: everything is to be read again.
+  bool ReadNeeded = false;
+  bool Known = false;
+  bool StoreAnswers = true;
+  Instant LastAnswerAt;
+  // Since when the store answers without failures.
+  Instant FreshSince;
+  // Vanished entries stay for MissingGrace.
+  std::map<std::string, StoredNode> Nodes;
+  std::map<std::string, StoredKeyMap, std::less<>> KeyMaps;
+};
+
+} // namespace orioledoor::sidecar
+
+#endif // ORIOLEDOOR_SIDECAR_MEMBERSHIP_H
--- /dev/null
+++ b/orioledoor/sidecar/reducer.cc
@@ -0,0 +1,371 @@
+// Dispatch of events to the parts of a node.
+#include "orioledoor/sidecar/reducer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "orioledoor/sidecar/events.h"
+
+namespace orioledoor::sidecar {
+namespace {
+
+using routing::Message;
+using routing::TargetRef;
+using routing::TargetState;
+using std::chrono::milliseconds;
+
+// The platform asks once a second whether the node is ready and sends no new
+// callers after two answers that say no.
+constexpr Duration ReadinessLag = milliseconds(2300);
+// What is left of the grace when the process ends at the latest.
+constexpr Duration StopMargin = milliseconds(500);
+// After its last hold has ended, a target that stays silent holds nothing. The
+// margin covers a report that is on its way.
+constexpr Duration EndedMargin = milliseconds(300);
+// The share of the platform's retry allowance that the fleet plans to use: the
+// calls that retried requests make count as well.
+constexpr double RetryShare = 0.5;
+// Until the members are known, a node's part of the constant allowance.
+constexpr double UnknownFleet = 30;
+
+NodeEntry selfEntry(const SidecarOptions &Options) {
+  NodeEntry Entry;
+  Entry.Node = Options.Node;
+  Entry.Process = Options.Process;
+  Entry.Place = Options.Place;
+  Entry.Service = Options.Service;
+  return Entry;
+}
+
+} // namespace
+
+SidecarReducer::SidecarReducer(SidecarOptions Given)
+    : Options(std::move(Given)),
+      Directory(this->Options.Place, this->Options.Node),
+      Members(selfEntry(this->Options), this->Options.Members),
+      Keys(this->Options.Keys, this->Members),
+      Gate({.Node = this->Options.Node,
+            .DrainTime = this->Options.DrainTime,
+            .Process = this->Options.Process}),
+      Entry({.Node = this->Options.Node,
+             .Process = this->Options.Process,
+             .CallerService = this->Options.Service,
+             .Budget = {.Ratio = this->Options.RetryRatio * RetryShare,
+                        .ExtraPerWindow = this->Options.RetryExtra *
+                                          RetryShare / UnknownFleet,
+                        .Window = this->Options.RetryWindow}},
+            this->Directory,
+            [this](std::string_view Service, std::int32_t Key) {
+              return this->Keys.ownerOf(Service, Key);
+            }) {
+  this->Directory.setNode(this->Options.Node, this->Options.Place);
+}
+
+Effects SidecarReducer::handle(Event Happened, Instant Now) {
+  this->Out.clear();
+  std::visit([this, Now](auto &Each) { this->on(std::move(Each), Now); },
+             Happened);
+  this->settle(Now);
+  return std::exchange(this->Out, {});
+}
+
+bool SidecarReducer::ready() const {
+  return this->Entry.table() && this->Members.known() &&
+         this->StopAskedAt == Instant();
+}
+
+bool SidecarReducer::isPartitioned(std::string_view Service) const {
+  if (!this->Entry.table())
+    return false;
+  const routing::ServicePolicy *Policy = this->Entry.table()->service(Service);
+  return Policy && Policy->Partitioned;
+}
+
+void SidecarReducer::settle(Instant Now) {
+  while (!this->Path.empty()) {
+    for (routing::Effect &Each : std::exchange(this->Path, {})) {
+      auto *Sent = std::get_if<SendMessage>(&Each);
+      if (Sent && Sent->To == this->Options.Node) {
+        this->receive(this->Options.Node, std::move(Sent->Body), Now);
+        continue;
+      }
+      if (Sent && Sent->To.empty()) {
+        // To all others.
+        for (const auto &Entry : this->Directory.views())
+          if (Entry.first != this->Options.Node)
+            this->Out.push_back(SendMessage{Entry.first, Sent->Body});
+        continue;
+      }
+      std::visit(
+          [this](auto &Effect) { this->Out.push_back(std::move(Effect)); },
+          Each);
+    }
+  }
+}
+
+void SidecarReducer::take(MembershipOutput Output, Instant Now) {
+  for (LogRecord &Each : Output.Logs)
+    this->Out.push_back(std::move(Each));
+  for (StoreRequest &Each : Output.Calls)
+    this->Out.push_back(CallStore{std::move(Each)});
+  if (Output.WatchAfter != 0)
+    this->Out.push_back(WatchStore{Output.WatchAfter});
+  for (const std::string &Node : Output.EndedNodes)
+    if (Node != this->Options.Node)
+      this->Entry.nodeLost(Node, true, Now, this->Path);
+  if (Output.NodesChanged)
+    this->takeNodes(Now);
+  if (Output.NodesChanged || Output.KeysChanged)
+    this->Entry.ownersChanged(Now, this->Path);
+}
+
+void SidecarReducer::takeNodes(Instant Now) {
+  const auto &Nodes = this->Members.nodes();
+  std::vector<std::string> Gone;
+  for (const auto &[Node, View] : this->Directory.views())
+    if (Node != this->Options.Node &&
+        std::ranges::none_of(Nodes, [&Node](const auto &Each) {
+          return Each.second.Entry.Node == Node;
+        }))
+      Gone.push_back(Node);
+  for (const std::string &Node : Gone)
+    this->Directory.removeNode(Node);
+  for (const auto &[Key, Stored] : Nodes) {
+    const NodeEntry &Entry = Stored.Entry;
+    if (Entry.Node == this->Options.Node)
+      continue;
+    this->Directory.setNode(Entry.Node, Entry.Place);
+    const routing::TargetStatus &Known =
+        this->Directory.find(Entry.Node)->Status;
+    if (Known.Process == Entry.Process && Known.Sequence >= Entry.Sequence)
+      continue;
+    // The entry says nothing of the load.
+    bool Same = Known.Target == Entry.Target;
+    this->Directory.update(
+        {.Process = Entry.Process,
+         .Sequence = Entry.Sequence,
+         .Target = {Entry.Target.Instance, Entry.Target.Born, Entry.Node},
+         .Service = Entry.Service,
+         .State = Entry.State,
+         .Slots = Entry.Slots,
+         .ServiceTime = Same ? Known.ServiceTime : Duration(0)},
+        Now);
+  }
+}
+
+void SidecarReducer::publish(Instant Now) {
+  routing::TargetStatus Status = this->Gate.status();
+  this->Directory.update(Status, Now);
+  NodeEntry Self = this->Members.self();
+  if (Status.Target == this->PublishedTarget &&
+      Status.State == this->PublishedState && Self.Ended == this->Ended &&
+      Self.Slots == Status.Slots)
+    return;
+  this->PublishedTarget = Status.Target;
+  this->PublishedState = Status.State;
+  Self.Target = this->Gate.target();
+  if (!Status.Service.empty())
+    Self.Service = Status.Service;
+  Self.State = Status.State;
+  Self.Slots = Status.Slots;
+  Self.Sequence = Status.Sequence;
+  Self.Ended = this->Ended;
+  MembershipOutput Output;
+  this->Members.setSelf(Self, Now, Output);
+  this->take(std::move(Output), Now);
+  this->Path.push_back(SendMessage{"", routing::StatusNotice{Status}});
+}
+
+void SidecarReducer::on(Started, Instant Now) {
+  MembershipOutput Output;
+  this->Members.start(Now, Output);
+  this->take(std::move(Output), Now);
+}
+
+void SidecarReducer::on(CallerCame Came, Instant Now) {
+  if (!this->Members.known()) {
+    // Without the members no target but the own one could be chosen.
+    this->Path.push_back(ReplyToCaller{
+        Came.Request.Caller,
+        routing::ownAnswer(503, "find target", "the members are not known yet",
+                           milliseconds(500))});
+    return;
+  }
+  this->Directory.update(this->Gate.status(), Now);
+  this->Entry.request(std::move(Came.Request), Now, this->Path);
+}
+
+void SidecarReducer::on(CallerWent Went, Instant Now) {
+  this->Entry.callerGone(Went.Caller, Now, this->Path);
+}
+
+void SidecarReducer::on(PeerSpoke Spoke, Instant Now) {
+  this->receive(Spoke.From, std::move(Spoke.Body), Now);
+}
+
+void SidecarReducer::receive(const std::string &From, Message Body,
+                             Instant Now) {
+  if (auto *Request = std::get_if<routing::Forward>(&Body)) {
+    routing::KeyState Key = routing::KeyState::NotKeyed;
+    if (Request->Key != routing::NoKey) {
+      auto Number = static_cast<std::uint32_t>(Request->Key);
+      this->Keys.noteDemand(Number, Now);
+      Key = this->Keys.holds(Number, Now) ? routing::KeyState::Held
+                                          : routing::KeyState::NotHeld;
+    }
+    this->Gate.forward(From, std::move(*Request), Key, Now, this->Path);
+  } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
+    this->Directory.update(Result->Status, Now);
+    this->Entry.result(From, std::move(*Result), Now, this->Path);
+  } else if (auto *Cancel = std::get_if<routing::CancelForward>(&Body)) {
+    this->Gate.cancel(From, *Cancel, Now, this->Path);
+  } else if (auto *Notice = std::get_if<routing::StatusNotice>(&Body)) {
+    this->Directory.noteReached(From);
+    this->Directory.update(Notice->Status, Now);
+  } else if (auto *Crash = std::get_if<routing::CrashNotice>(&Body)) {
+    this->Gate.noteCrash(*Crash, Now);
+  } else if (auto *Load = std::get_if<routing::KeyLoadNotice>(&Body)) {
+    this->Keys.noteLoad(*Load, Now);
+  }
+}
+
+void SidecarReducer::on(ForwardNotSent NotSent, Instant Now) {
+  this->Entry.notSent(NotSent.To, NotSent.Id, Now, this->Path);
+}
+
+void SidecarReducer::on(PeerBroke Broke, Instant Now) {
+  this->Out.push_back(LogRecord{&events::PeerLost, {{"peer", Broke.Peer}}});
+  this->Entry.nodeLost(Broke.Peer, false, Now, this->Path);
+}
+
+void SidecarReducer::on(TargetAnswered Answered, Instant Now) {
+  this->Gate.answered(Answered.Call, std::move(Answered.Answer),
+                      Answered.NotRun, Now, this->Path);
+}
+
+void SidecarReducer::on(TargetFailed Failed, Instant Now) {
+  this->Gate.failed(Failed.Call, Failed.Failure, Failed.Detail, Now,
+                    this->Path);
+}
+
+void SidecarReducer::on(TargetReported Reported, Instant Now) {
+  const routing::TargetReport &Report = Reported.Report;
+  routing::ReportAnswer Answer;
+  routing::ReportVerdict Verdict = this->Gate.report(Report, Now, this->Path);
+  if (Verdict != routing::ReportVerdict::Late) {
+    this->ReportedAt = Now;
+    if (Verdict == routing::ReportVerdict::NewLife) {
+      this->Keys.newLife();
+      this->Entry.setCallerService(Report.Service);
+    }
+    this->Ended = {};
+    if (this->isPartitioned(Report.Service))
+      Answer = this->Keys.report(Report, this->Gate.target(), Now, this->Out);
+    this->publish(Now);
+  }
+  this->Out.push_back(AnswerReport{Reported.Id, std::move(Answer)});
+}
+
+void SidecarReducer::on(TargetLeft Left, Instant Now) {
+  this->Gate.leave(Left.Instance, Now, this->Path);
+  this->publish(Now);
+}
+
+void SidecarReducer::on(ConfigRead Read, Instant) {
+  const routing::SharedTable &Known = this->Entry.table();
+  if (Known && Read.Table->Version <= Known->Version) {
+    if (Read.Table->Version < Known->Version)
+      this->Out.push_back(
+          LogRecord{&events::ConfigRefused,
+                    {{"version", std::to_string(Read.Table->Version)},
+                     {"in_force", std::to_string(Known->Version)}}});
+    return;
+  }
+  this->Out.push_back(LogRecord{
+      &events::ConfigInForce,
+      {{"version", std::to_string(Read.Table->Version)},
+       {"before", std::to_string(Known ? Known->Version : 0)},
+       {"routes", std::to_string(Read.Table->routes().size())}}});
+  this->Entry.setTable(std::move(Read.Table));
+}
+
+void SidecarReducer::on(StoreReplied Replied, Instant Now) {
+  MembershipOutput Output;
+  if (this->Members.replied(Replied.Reply, Now, Output)) {
+    this->take(std::move(Output), Now);
+    return;
+  }
+  this->Keys.replied(Replied.Reply, Now, this->Out);
+}
+
+void SidecarReducer::on(StoreWatched Watched, Instant Now) {
+  MembershipOutput Output;
+  this->Members.watched(Watched.Update, Now, Output);
+  this->take(std::move(Output), Now);
+}
+
+void SidecarReducer::on(SettingsRead Read, Instant) {
+  this->Out.push_back(
+      LogRecord{&events::SettingsReloaded, {{"service", Read.Service}}});
+  if (!this->Gate.target())
+    this->Entry.setCallerService(Read.Service);
+}
+
+void SidecarReducer::on(StopAsked, Instant Now) {
+  if (this->StopAskedAt != Instant())
+    return;
+  this->StopAskedAt = Now;
+  this->Out.push_back(LogRecord{
+      &events::SidecarStopping,
+      {{"entry_open", std::to_string(this->Entry.openRequests())},
+       {"gate_open", std::to_string(this->Gate.openRequests())}}});
+}
+
+void SidecarReducer::stopStep(Instant Now) {
+  if (this->StopAskedAt == Instant() || this->Exited)
+    return;
+  Duration Since = Now - this->StopAskedAt;
+  if (Since >= ReadinessLag && !this->Closed) {
+    this->Closed = true;
+    this->Out.push_back(StopAccepting{});
+    this->Gate.close(Now, this->Path);
+    this->publish(Now);
+  }
+  bool Idle =
+      this->Entry.openRequests() == 0 && this->Gate.openRequests() == 0;
+  if ((this->Closed && Idle) || Since >= this->Options.StopGrace - StopMargin) {
+    this->Exited = true;
+    this->Out.push_back(LogRecord{
+        &events::SidecarStopped,
+        {{"entry_open", std::to_string(this->Entry.openRequests())},
+         {"gate_open", std::to_string(this->Gate.openRequests())}}});
+    this->Out.push_back(Exit{});
+  }
+}
+
+void SidecarReducer::on(Ticked, Instant Now) {
+  this->Gate.tick(Now, this->Path);
+  this->Entry.tick(Now, this->Path);
+  MembershipOutput Output;
+  this->Members.tick(Now, Output);
+  this->take(std::move(Output), Now);
+  const TargetRef &Target = this->Gate.target();
+  if (Target && this->isPartitioned(this->Gate.service())) {
+    if (Now > this->Keys.holdsEnd() + EndedMargin &&
+        Now - this->ReportedAt > this->Options.Keys.Grants.HoldTime)
+      this->Ended = Target;
+    const routing::AdmissionQueue &Queue = this->Gate.queue();
+    Duration Service = Queue.serviceTime().count() > 0 ? Queue.serviceTime()
+                                                       : milliseconds(150);
+    if (this->Gate.state() == TargetState::Ready)
+      this->Keys.reportLoad(this->Gate.service(), Target,
+                            Queue.slots() * 1e6 /
+                                static_cast<double>(Service.count()),
+                            Now, this->Out);
+  }
+  this->publish(Now);
+  this->Keys.tick(this->Entry.table(), Now, this->Out);
+  this->stopStep(Now);
+}
+
+} // namespace orioledoor::sidecar
--- /dev/null
+++ b/orioledoor/sidecar/reducer.h
@@ -0,0 +1,102 @@
+// The deterministic core of a node beside a target: one reducer over all
+// events, with effects as data. It composes the entry side and the gate of the
+// request path, the membership and the keys.
+//
+//   SidecarReducer Node(Options);
+//   for (Effect &Each : Node.handle(Started{}, Now)) ... // carry it out
+#ifndef ORIOLEDOOR_SIDECAR_REDUCER_H
+#define ORIOLEDOOR_SIDECAR_REDUCER_H
+
+#include <cstdint>
+#include <string>
+
+#include "orioledoor/routing/entry.h"
+#include "orioledoor/routing/target_directory.h"
+#include "orioledoor/routing/target_gate.h"
+#include "orioledoor/sidecar/effect.h"
+#include "orioledoor/sidecar/event.h"
+#include "orioledoor/sidecar/key_office.h"
+#include "orioledoor/sidecar/membership.h"
+
+namespace orioledoor::sidecar {
+
+struct SidecarOptions {
+  // Peer address of this node.
+  std::string Node;
+  // Differs between any two processes.
+  std::uint64_t Process = 0;
+  routing::Location Place;
+  // The service of the target on this VM, until the target reports.
+  std::string Service;
+  Duration DrainTime = std::chrono::seconds(2);
+  Duration StopGrace = std::chrono::seconds(6);
+  // Over the whole fleet, in one window.
+  double RetryRatio = 0.2;
+  double RetryExtra = 60;
+  Duration RetryWindow = std::chrono::seconds(10);
+  KeyOfficeOptions Keys;
+  MembershipOptions Members;
+};
+
+// Not thread-safe; no clock, socket or random source.
+class SidecarReducer {
+public:
+  explicit SidecarReducer(SidecarOptions Options);
+
+  Effects handle(Event Happened, Instant Now);
+
+  // Callers may send requests here.
+  bool ready() const;
+  const routing::TargetGate &gate() const { return this->Gate; }
+  const routing::EntryReducer &entry() const { return this->Entry; }
+  const Membership &membership() const { return this->Members; }
+
+private:
+  void on(Started, Instant Now);
+  void on(CallerCame Came, Instant Now);
+  void on(CallerWent Went, Instant Now);
+  void on(PeerSpoke Spoke, Instant Now);
+  void on(ForwardNotSent NotSent, Instant Now);
+  void on(PeerBroke Broke, Instant Now);
+  void on(TargetAnswered Answered, Instant Now);
+  void on(TargetFailed Failed, Instant Now);
+  void on(TargetReported Reported, Instant Now);
+  void on(TargetLeft Left, Instant Now);
+  void on(ConfigRead Read, Instant Now);
+  void on(StoreReplied Replied, Instant Now);
+  void on(StoreWatched Watched, Instant Now);
+  void on(SettingsRead Read, Instant Now);
+  void on(StopAsked, Instant Now);
+  void on(Ticked, Instant Now);
+
+  void receive(const std::string &From, routing::Message Body, Instant Now);
+  // Moves Path into Out, delivering messages of this node to itself.
+  void settle(Instant Now);
+  void take(MembershipOutput Output, Instant Now);
+  // Tells the fleet if the target or its state changed.
+  void publish(Instant Now);
+  void takeNodes(Instant Now);
+  void stopStep(Instant Now);
+  bool isPartitioned(std::string_view Service) const;
+
+  SidecarOptions Options;
+  routing::TargetDirectory Directory;
+  Membership Members;
+  KeyOffice Keys;
+  routing::TargetGate Gate;
+  routing::EntryReducer Entry;
+  // Of the event being handled.
+  Effects Out;
+  routing::Effects Path;
+  routing::TargetRef PublishedTarget;
+  routing::TargetState PublishedState = routing::TargetState::Absent;
+  routing::TargetRef Ended;
+  Instant ReportedAt;
+  Instant StopAskedAt;
+  bool Closed = false;
+  bool Exited = false;
+};
+
+} // namespace orioledoor::sidecar
+
+#endif // ORIOLEDOOR_SIDECAR_REDUCER_H
--- a/orioledoor/telemetry/logger.cc
+++ b/orioledoor/telemetry/logger.cc
@@ -43,12 +43,13 @@
   log4cxx::LoggerPtr Sink;
 };
 
-Logger::Logger(std::string_view NodeName, Severity Lowest)
+Logger::Logger(std::string_view NodeName, Severity Lowest, Stream To)
     : Backend(std::make_unique<Impl>()) {
   auto Layout = std::make_shared<log4cxx::PatternLayout>(
       "%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z %p %c %m%n");
   auto Appender = std::make_shared<log4cxx::ConsoleAppender>(
-      Layout, log4cxx::ConsoleAppender::getSystemErr());
+      Layout, To == Stream::Output ? log4cxx::ConsoleAppender::getSystemOut()
+                                   : log4cxx::ConsoleAppender::getSystemErr());
   this->Backend->Sink = log4cxx::Logger::getLogger(std::string(NodeName));
   this->Backend->Sink->removeAllAppenders();
   this->Backend->Sink->setAdditivity(false);
--- a/orioledoor/telemetry/logger.h
+++ b/orioledoor/telemetry/logger.h
@@ -16,8 +16,11 @@
 // Thread-safe after construction.
 class Logger {
 public:
-  // Logs to standard error. Records below Lowest are dropped.
-  explicit Logger(std::string_view NodeName, Severity Lowest = Severity::Info);
+  enum class Stream { Error, Output };
+
+  // Logs to the standard error or output. Records below Lowest are dropped.
+  explicit Logger(std::string_view NodeName, Severity Lowest = Severity::Info,
+                  Stream To = Stream::Error);
   ~Logger();
   Logger(const Logger &) = delete;
   Logger &operator=(const Logger &) = delete;
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -28,6 +28,11 @@
 // The store's largest value is 1 MB, a third more in base64; a watch event
 // carries two of them.
 constexpr std::size_t MaxAnswerBodyBytes = 8U << 20;
+// A change in the store must be in force within two seconds of its
+// acknowledgement; a watch whose connection went silent is noticed in time for
+// that by one-second probes.
+constexpr int KeepAliveSeconds = 1;
+constexpr int KeepAliveProbes = 2;
 constexpr std::size_t MaxIdlePerEndpoint = 256;
 // Shorter than the idle timeouts that servers commonly have (5 s and more), so
 // that a call is rarely written to a connection that is being closed.
@@ -81,6 +86,8 @@
     internal::EventPtr Timer;
     bool Fresh = false;
     bool Head = false;
+    // What the answer must repeat; see HttpCall::EchoHeader.
+    requests::Header Echo;
     // From evhttp's error callback.
     std::optional<evhttp_request_error> Error;
   };
@@ -149,10 +156,8 @@
         shutdown(Descriptor, SHUT_RDWR);
         return;
       }
-      int Enabled = 1;
       if (!std::exchange(On->Tuned, true))
-        setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &Enabled,
-                   sizeof Enabled);
+        tune(Descriptor);
     }
     // A reset also drains the buffer; it then counts as written, which errs on
     // the side of "unknown".
@@ -160,6 +165,19 @@
       On->Written = true;
   }
 
+  // Sends at once, and finds connections that went silent by keep-alive probes:
+  // KeepAliveProbes of them go unanswered.
+  static void tune(int Descriptor) {
+    auto Set = [Descriptor](int Level, int Name, int Value) {
+      setsockopt(Descriptor, Level, Name, &Value, sizeof Value);
+    };
+    Set(IPPROTO_TCP, TCP_NODELAY, 1);
+    Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+    Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
+    Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  }
+
   std::unique_ptr<Connection> openConnection(const Endpoint &To) {
     auto Added = std::make_unique<Connection>();
     Added->Client = this;
@@ -290,7 +308,8 @@
       return;
     }
     const char *Wish = evhttp_find_header(Headers, "Connection");
-    bool Reusable = !(Wish && internal::equalNames(Wish, "close"));
+    bool Reusable = !(Wish && internal::equalNames(Wish, "close")) &&
+                    !this->hasBytesLeft(On);
     this->finish(On.CallId, std::move(Result), Reusable);
   }
 
@@ -309,11 +328,21 @@
         std::string_view(Length) != std::to_string(Answer.Body.size()))
       return "the answer states " + std::string(Length) + " bytes and has " +
              std::to_string(Answer.Body.size());
+    const requests::Header &Echo = this->Calls.at(On.CallId).Echo;
+    const requests::Header *Echoed =
+        Echo.Name.empty() ? nullptr
+                          : internal::findHeader(Answer.Headers, Echo.Name);
+    if (Echoed && Echoed->Value != Echo.Value)
+      return "the answer belongs to another request";
+    return {};
+  }
+
+  // Bytes after a whole answer belong to no request; the connection is not
+  // used again.
+  static bool hasBytesLeft(const Connection &On) {
     evbuffer *Input =
         bufferevent_get_input(evhttp_connection_get_bufferevent(On.Http));
-    if (evbuffer_get_length(Input) != 0)
-      return "bytes follow the answer";
-    return {};
+    return evbuffer_get_length(Input) != 0;
   }
 
   void handleFailure(Connection &On,
@@ -345,6 +374,10 @@
     Open.Done = std::move(Done);
     Open.Fresh = Call.FreshConnection;
     Open.Head = Call.Method == "HEAD";
+    if (!Call.EchoHeader.empty())
+      if (const requests::Header *Sent =
+              internal::findHeader(Call.Headers, Call.EchoHeader))
+        Open.Echo = *Sent;
     std::optional<evhttp_cmd_type> Command = commandOf(Call.Method);
     if (!Command) {
       this->fail(Id, TargetFailure::NotSent, "the method is not supported");
@@ -371,7 +404,8 @@
     evhttp_request_set_error_cb(Request, onError);
     evhttp_request_set_header_cb(Request, onHead);
     evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
-    evhttp_add_header(Headers, "Host", On->Name.c_str());
+    evhttp_add_header(Headers, "Host",
+                      Call.Host.empty() ? On->Name.c_str() : Call.Host.c_str());
     internal::addHeaders(*Headers, Call.Headers);
     if (Call.FreshConnection)
       evhttp_add_header(Headers, "Connection", "close");
--- a/orioledoor/wire/http_client.h
+++ b/orioledoor/wire/http_client.h
@@ -32,13 +32,18 @@
   std::string Method;
   // Path and query.
   std::string Target;
-  std::vector<requests::Header> Headers;
+  // The Host header; empty: the address of To.
+  std::string Host{};
+  std::vector<requests::Header> Headers{};
+  // The answer must repeat this header of the request with its value, if it
+  // states it at all; another value marks the answer to another request.
+  std::string EchoHeader{};
   // Copied by call().
-  std::string_view Body;
+  std::string_view Body{};
   // The call is cancelled when this much time has passed.
   Duration Timeout = std::chrono::seconds(30);
   // No byte is written at or after this time; the call then fails as NotSent.
-  std::optional<Instant> NotAfter;
+  std::optional<Instant> NotAfter{};
   // Opens a connection of its own and closes it afterwards.
   bool FreshConnection = false;
 };
--- a/orioledoor/wire/http_server.cc
+++ b/orioledoor/wire/http_server.cc
@@ -97,6 +97,11 @@
   return Address->sa_family == AF_INET6 && IN6_IS_ADDR_LOOPBACK(&In->sin6_addr);
 }
 
+std::string hostOf(const evkeyvalq &Headers) {
+  const char *Host = evhttp_find_header(&Headers, "Host");
+  return Host ? Host : "";
+}
+
 // An answer to HEAD states the length that the answer to GET would have.
 void addLengthForHead(evkeyvalq &To, const requests::HttpAnswer &Answer) {
   const requests::Header *Stated =
@@ -289,6 +294,9 @@
     const evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
     if (internal::hasAmbiguousFraming(*Headers)) {
       ++this->Refusals;
+      // Where the request ends is not certain, so nothing after it is read.
+      evhttp_add_header(evhttp_request_get_output_headers(Request),
+                        "Connection", "close");
       this->reply(Of.Id, {400,
                           {{"Content-Type", "application/json"},
                            {"Oriole-Outcome", "not-run"}},
@@ -301,6 +309,7 @@
     IncomingRequest Incoming{
         .Method = methodName(evhttp_request_get_command(Request)),
         .Target = evhttp_request_get_uri(Request),
+        .Host = hostOf(*Headers),
         .Headers = internal::endToEndHeaders(*Headers),
         .Body = std::string(evbuffer_get_length(Body), '\0'),
         .FirstByteAt = Of.FirstByteAt,
@@ -416,6 +425,10 @@
   return this->Own->Refusals;
 }
 
+void HttpServer::setIdleTimeout(std::chrono::seconds Timeout) {
+  evhttp_set_timeout(this->Own->Server, static_cast<int>(Timeout.count()));
+}
+
 void HttpServer::stopAccepting() {
   this->Own->Stopping = true;
   if (auto *Listener = std::exchange(this->Own->Listener, nullptr))
--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -34,6 +34,8 @@
   std::string Method;
   // Path and query as sent.
   std::string Target;
+  // The Host header; empty if there is none.
+  std::string Host{};
   std::vector<requests::Header> Headers;
   std::string Body;
   Instant FirstByteAt;
@@ -81,6 +83,9 @@
   // Requests answered here because they could not be parsed.
   std::uint64_t refusedRequests() const;
 
+  // For connections that are accepted from now on.
+  void setIdleTimeout(std::chrono::seconds Timeout);
+
   // Ends listening and keep-alive; open requests are still answered.
   void stopAccepting();
 
--- a/orioledoor/wire/internal/http_headers.cc
+++ b/orioledoor/wire/internal/http_headers.cc
@@ -107,6 +107,8 @@
   int Codings = 0;
   bool Malformed = false;
   forEach(Headers, [&](std::string_view Name, std::string_view Value) {
+    // "Content-Length : 3" frames the message for parsers that drop the space.
+    Malformed |= !isToken(Name);
     if (equalNames(Name, "content-length")) {
       ++Lengths;
       Malformed |= Value.empty() || !std::ranges::all_of(Value, [](char C) {
