Write a node's entry under its last revision; wait out recorded marks only

Change: entries are written under their last known revision; only marks of the stored map start a wait; only a later start replaces a life.

Ruled out: the grants themselves; their authority was valid in all traces.

--- a/orioledoor/keyspace/key_planner.cc
+++ b/orioledoor/keyspace/key_planner.cc
@@ -23,7 +23,8 @@
 readyNodes(std::span<const PlannedNode> Nodes, std::string_view Service) {
   std::vector<const PlannedNode *> Ready;
   for (const PlannedNode &Each : Nodes)
-    if (Each.Ready && Each.Target && Each.Service == Service)
+    if (Each.Ready && Each.Target && Each.Target != Each.Ended &&
+        Each.Service == Service)
       Ready.push_back(&Each);
   return Ready;
 }
@@ -31,7 +32,8 @@
 bool isReady(std::span<const PlannedNode> Nodes, std::string_view Service,
              const TargetRef &Target) {
   const PlannedNode *At = nodeAt(Nodes, Target.Node);
-  return At && At->Ready && At->Target == Target && At->Service == Service;
+  return At && At->Ready && At->Target == Target && At->Ended != Target &&
+         At->Service == Service;
 }
 
 std::uint64_t keysOf(const KeyMap &Map, const TargetRef &Target) {
@@ -74,7 +76,8 @@
   const PlannedNode *At = nodeAt(Nodes, Owner.Node);
   if (!At)
     return OwnerState::Missing;
-  bool Replaced = At->Target && At->Target != Owner;
+  // An entry that was written late may name an earlier life.
+  bool Replaced = At->Target && At->Target.Born > Owner.Born;
   return Replaced || At->Ended == Owner ? OwnerState::Ended : OwnerState::Alive;
 }
 
@@ -154,13 +157,13 @@
                                   Instant Now) {
   KeyMap &Map = Plan.Map;
   std::vector<const PlannedNode *> Ready = readyNodes(Nodes, this->Service);
-  for (const LostTarget &Each : Map.Lost)
-    this->MarkSeenAt.try_emplace(Each.Mark, Now);
   bool Changed = false;
   for (KeyRow &Row : Map.Rows) {
     const LostTarget *Lost = Map.findLost(Row.Owner);
-    bool Over = Lost && Now - this->MarkSeenAt.at(Lost->Mark) >=
-                            this->Options.LostWait;
+    auto Seen = Lost ? this->MarkSeenAt.find(Lost->Mark)
+                     : this->MarkSeenAt.end();
+    bool Over = Seen != this->MarkSeenAt.end() &&
+                Now - Seen->second >= this->Options.LostWait;
     if (!Over && this->stateOf(Row.Owner, Nodes) != OwnerState::Ended)
       continue;
     // A new life on the same VM keeps the keys where they were.
@@ -282,6 +285,13 @@
   });
   if (!Map)
     return StoreFresh ? this->planFirst(Nodes, Now) : std::nullopt;
+  // Only marks that are recorded count: a planned one may never be written.
+  std::erase_if(this->MarkSeenAt, [Map](const auto &Entry) {
+    return std::ranges::find(Map->Lost, Entry.first, &LostTarget::Mark) ==
+           Map->Lost.end();
+  });
+  for (const LostTarget &Each : Map->Lost)
+    this->MarkSeenAt.try_emplace(Each.Mark, Now);
   KeyPlan Plan;
   Plan.Map = *Map;
   bool Changed = this->planMarks(Plan, Nodes, StoreFresh, Now);
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -44,6 +44,7 @@
   this->At = Step::Writing;
   this->EntryChanged = false;
   StoreTxn Txn;
+  Txn.Compares.push_back({this->EntryKey, this->EntryRevision});
   Txn.Puts.push_back({.Key = this->EntryKey,
                       .Value = encodeNodeEntry(this->Self),
                       .Lease = this->Lease});
@@ -132,6 +133,16 @@
     this->write(Now, Out);
     break;
   case Step::Writing:
+    if (!Reply.Succeeded) {
+      // Another write came first, of this process or of the one before it.
+      auto Found = std::ranges::find(Reply.Entries, this->EntryKey,
+                                     &StoreEntry::Key);
+      this->EntryRevision =
+          Found == Reply.Entries.end() ? 0 : Found->ModRevision;
+      this->write(Now, Out);
+      break;
+    }
+    this->EntryRevision = Reply.Revision;
     // A change of the entry under a live lease proves no more than a renewal
     // does, and nothing was missed in between.
     if (this->Own.current()) {
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -116,6 +116,9 @@
   keyspace::Authority Own;
   Step At = Step::Idle;
   std::int64_t Lease = 0;
+  // Last known store revision of the own entry; 0: absent. Every write is made
+  // under it, since one without an answer may be carried out seconds later.
+  std::int64_t EntryRevision = 0;
   std::uint64_t NextId = 1;
   // Open calls: 0 if there is none.
   std::uint64_t StepCall = 0;
--- /dev/null
+++ b/orioledoor/sidecar/testing/model_store.cc
@@ -0,0 +1,108 @@
+#include "orioledoor/sidecar/testing/model_store.h"
+
+#include <algorithm>
+
+namespace orioledoor::sidecar::testing {
+
+std::int64_t ModelStore::leaseOf(const std::string &Key) const {
+  auto Found = this->KeyLeases.find(Key);
+  return Found == this->KeyLeases.end() ? 0 : Found->second;
+}
+
+void ModelStore::put(const StorePut &Put) {
+  StoreEntry Entry{Put.Key, Put.Value, this->Revision};
+  this->Entries[Put.Key] = Entry;
+  this->KeyLeases[Put.Key] = Put.Lease;
+  this->History.push_back({Entry, false});
+}
+
+void ModelStore::erase(const std::string &Key) {
+  if (this->Entries.erase(Key) == 0)
+    return;
+  this->KeyLeases.erase(Key);
+  ++this->Revision;
+  this->History.push_back({{Key, "", this->Revision}, true});
+}
+
+StoreReply ModelStore::apply(const StoreRequest &Request, Instant Now) {
+  StoreReply Reply{.Id = Request.Id};
+  if (const auto *Range = std::get_if<StoreRange>(&Request.Body)) {
+    for (const auto &[Key, Entry] : this->Entries)
+      if (Key == Range->Key || (Range->Prefix && Key.starts_with(Range->Key)))
+        Reply.Entries.push_back(Entry);
+  } else if (const auto *Txn = std::get_if<StoreTxn>(&Request.Body)) {
+    for (const StorePut &Put : Txn->Puts)
+      if (Put.Lease != 0 && !this->Leases.contains(Put.Lease)) {
+        Reply.Status = absl::NotFoundError("no such lease");
+        return Reply;
+      }
+    Reply.Succeeded =
+        std::ranges::all_of(Txn->Compares, [this](const StoreCompare &Each) {
+          auto Found = this->Entries.find(Each.Key);
+          return (Found == this->Entries.end() ? 0
+                                               : Found->second.ModRevision) ==
+                 Each.ModRevision;
+        });
+    if (Reply.Succeeded) {
+      ++this->Revision;
+      for (const StorePut &Put : Txn->Puts)
+        this->put(Put);
+    } else {
+      for (const StoreCompare &Each : Txn->Compares)
+        if (auto Found = this->Entries.find(Each.Key);
+            Found != this->Entries.end())
+          Reply.Entries.push_back(Found->second);
+    }
+  } else if (const auto *Grant = std::get_if<StoreLeaseGrant>(&Request.Body)) {
+    Reply.Lease = this->NextLease++;
+    Reply.TimeToLive = Grant->TimeToLive;
+    this->Leases[Reply.Lease] = {Grant->TimeToLive, Now + Grant->TimeToLive};
+  } else if (const auto *Keep =
+                 std::get_if<StoreLeaseKeepAlive>(&Request.Body)) {
+    Reply.Lease = Keep->Lease;
+    if (auto Found = this->Leases.find(Keep->Lease);
+        Found != this->Leases.end()) {
+      Found->second.End = Now + Found->second.Time;
+      Reply.TimeToLive = std::chrono::seconds(1);
+    }
+  }
+  Reply.Revision = this->Revision;
+  return Reply;
+}
+
+void ModelStore::endLease(std::int64_t Lease) {
+  if (this->Leases.erase(Lease) == 0)
+    return;
+  std::vector<std::string> Keys;
+  for (const auto &[Key, Of] : this->KeyLeases)
+    if (Of == Lease)
+      Keys.push_back(Key);
+  for (const std::string &Key : Keys)
+    this->erase(Key);
+}
+
+void ModelStore::tick(Instant Now, bool LeasesPaused) {
+  Duration Passed = Now - this->LastTick;
+  this->LastTick = Now;
+  std::vector<std::int64_t> Ended;
+  for (auto &[Id, Of] : this->Leases) {
+    if (LeasesPaused)
+      Of.End = Of.End + Passed;
+    else if (Now >= Of.End)
+      Ended.push_back(Id);
+  }
+  for (std::int64_t Id : Ended)
+    this->endLease(Id);
+}
+
+std::vector<StoreChange>
+ModelStore::changesAfter(std::int64_t Revision) const {
+  std::vector<StoreChange> Changes;
+  std::ranges::copy_if(this->History, std::back_inserter(Changes),
+                       [Revision](const StoreChange &Each) {
+                         return Each.Entry.ModRevision > Revision;
+                       });
+  return Changes;
+}
+
+} // namespace orioledoor::sidecar::testing
