Admit by target latency; let distance decide how long to wait

Change: admission for 1.4 times the service time; callers that come back count their earlier wait; a request waits at a near target as long as that is better than the next one; bytes between regions weigh four times those between domains.

Ruled out: processor time (0.07 of a core at most).

--- a/orioledoor/keyspace/key_planner.h
+++ b/orioledoor/keyspace/key_planner.h
@@ -48,8 +48,8 @@
   Duration MissingGrace = std::chrono::milliseconds(2000);
   // The first owners are planned once no new target came for this long.
   Duration SettleTime = std::chrono::milliseconds(1500);
-  // Pause between two moves for balance.
-  Duration RestTime = std::chrono::milliseconds(1500);
+  // Pause between two moves for balance: the demand is measured over a second.
+  Duration RestTime = std::chrono::milliseconds(800);
 };
 
 // A node's entry that a plan rests on.
--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -70,6 +70,7 @@
 void EntryReducer::setTable(SharedTable Table) {
   this->Table = std::move(Table);
   this->Credits.clear();
+  this->LongestTimeLeft.clear();
 }
 
 void EntryReducer::setCallerService(std::string Service) {
@@ -132,6 +133,13 @@
   Added.LatencyEnd =
       Request.FirstByteAt +
       (Of->TargetLatency.count() > 0 ? Of->TargetLatency : Allowed);
+  // A caller that comes back has less time left than one that comes first. The
+  // calls of targets inherit what is left of their parents, but have no key.
+  if (Added.Partitioned && Request.TimeLeft) {
+    Duration &Longest = this->LongestTimeLeft[Of->Host + Of->Prefix];
+    Longest = std::max(Longest, *Request.TimeLeft);
+    Added.LatencyEnd = Added.LatencyEnd - (Longest - *Request.TimeLeft);
+  }
   Added.Request = std::move(Request);
   this->budgetOf(Added.Service).noteRequest();
   Pending &Kept = this->Open[Caller] = std::move(Added);
@@ -169,8 +177,8 @@
                     .Bytes = Of.Request.Content->Body.size() +
                              ExpectedAnswerBytes,
                     .Excluded = Of.Tried};
-  const std::string *To = this->Directory.choose(Input, Now);
-  if (!To) {
+  TargetChoice Choice = this->Directory.choose(Input, Now);
+  if (!Choice.Node) {
     if (Of.LastAnswer)
       this->finish(Of.Request.Caller, std::move(*Of.LastAnswer), Out);
     else if (Of.MayHaveRun)
@@ -184,11 +192,11 @@
   }
   bool LastChoice = Of.Bounces + 1 >= MaxBounces ||
                     this->Directory.countReady(Of.Service, Of.Tried) <= 1;
-  this->send(Of, *To, LastChoice, Now, Out);
+  this->send(Of, *Choice.Node, LastChoice, Now, Out, Choice.NextCostsMore);
 }
 
 void EntryReducer::send(Pending &Of, const std::string &To, bool LastChoice,
-                        Instant Now, Effects &Out) {
+                        Instant Now, Effects &Out, Duration WorthwhileWait) {
   Of.At = To;
   Of.ForwardId = this->NextForward++;
   Of.Tried.push_back(To);
@@ -207,6 +215,7 @@
                       std::clamp(Of.Of->Priority, 0, 255)),
                   .Idempotent = Of.Of->Idempotent,
                   .LastChoice = LastChoice,
+                  .WorthwhileWait = WorthwhileWait,
                   .Content = Of.Request.Content}});
 }
 
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -120,7 +120,7 @@
 
   void dispatch(Pending &Of, Instant Now, Effects &Out);
   void send(Pending &Of, const std::string &To, bool LastChoice, Instant Now,
-            Effects &Out);
+            Effects &Out, Duration WorthwhileWait = Duration(0));
   void park(Pending &Of, Instant Now, Effects &Out);
   // Ends the open Forward of Of, without a result.
   void leaveTarget(Pending &Of);
@@ -152,6 +152,8 @@
   std::map<std::string, RetryBudget> Budgets;
   // Smooth weighted round robin: what each part of a route is owed.
   std::map<std::string, std::vector<double>> Credits;
+  // The time that callers of a keyed route have when they come first.
+  std::map<std::string, Duration> LongestTimeLeft;
 };
 
 // An answer of the router's own; it has no signature of a target.
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -55,6 +55,8 @@
   // No other target is known to have room: queue the request if it can still
   // be served in time.
   bool LastChoice = false;
+  // Otherwise, how long it may wait here before another target is better.
+  Duration WorthwhileWait{0};
   // Never null.
   SharedContent Content{};
 };
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -135,11 +135,11 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 16)
+    start(this->Out, this->Sent, 17)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
-        << Value.Content->Method << Value.Content->Target << Value.Content->Host
+        << Value.WorthwhileWait << Value.Content->Method << Value.Content->Target << Value.Content->Host
         << Value.Content->Headers << Value.Content->Body;
   }
   void operator()(const ForwardResult &Value) const {
@@ -170,7 +170,7 @@
   In >> Value.Id >> Value.Process >> Value.Service >> Value.AttemptId >>
       Value.CallerService >> Value.TimeLeft >> Value.LatencyLeft >> Value.Key >>
       Value.Priority >> Value.Idempotent >> Value.LastChoice >>
-      Content->Method >> Content->Target >> Content->Host >> Content->Headers >>
+      Value.WorthwhileWait >> Content->Method >> Content->Target >> Content->Host >> Content->Headers >>
       Content->Body;
   Value.Content = std::move(Content);
   return Value;
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -14,9 +14,12 @@
 // and 8 ms between regions one way.
 constexpr Duration DomainRoundTrip = milliseconds(3);
 constexpr Duration RegionRoundTrip = milliseconds(16);
-// Price of a KiB that leaves the failure domain, as time that a caller may wait
-// longer instead: a 60 KiB upload stays until its own target is 150 ms behind.
-constexpr double TransferMsPerKiB = 2.5;
+// Price of a KiB that leaves the failure domain or the region, as time that a
+// caller may wait longer instead. Both users pay for the volume between
+// regions; a 60 KiB upload goes to another failure domain once its own target
+// is 150 ms behind, and to another region once both are 600 ms behind.
+constexpr double DomainMsPerKiB = 2.5;
+constexpr double RegionMsPerKiB = 10;
 // A status older than this says little of the load.
 constexpr Duration StatusLifetime = std::chrono::seconds(1);
 // Without a measurement, what a request is taken to hold a slot for.
@@ -121,16 +124,17 @@
     bool SameRegion = View.Place.Region == this->Own.Region;
     Cost += static_cast<double>(
         (SameRegion ? DomainRoundTrip : RegionRoundTrip).count());
-    if (View.Place.FailureDomain != this->Own.FailureDomain)
-      Cost += static_cast<double>(Bytes) / 1024 * TransferMsPerKiB * 1000;
+    Cost += static_cast<double>(Bytes) / 1024 * 1000 *
+            (SameRegion ? DomainMsPerKiB : RegionMsPerKiB);
   }
   return Duration(static_cast<std::int64_t>(Cost));
 }
 
-const std::string *TargetDirectory::choose(const ChoiceInput &Request,
-                                           Instant Now) const {
-  const std::string *Best = nullptr;
+TargetChoice TargetDirectory::choose(const ChoiceInput &Request,
+                                     Instant Now) const {
+  TargetChoice Best;
   std::pair<bool, Duration> BestCost;
+  std::optional<Duration> NextCost;
   for (const auto &[Node, View] : this->Views) {
     if (View.Status.State != TargetState::Ready ||
         View.Status.Service != Request.Service ||
@@ -139,11 +143,17 @@
     // An unreachable node is a last resort.
     std::pair<bool, Duration> Cost(
         Now < View.SuspectUntil, this->costOf(Node, View, Request.Bytes, Now));
-    if (!Best || Cost < BestCost) {
-      Best = &Node;
+    if (!Best.Node || Cost < BestCost) {
+      if (Best.Node)
+        NextCost = BestCost.second;
+      Best.Node = &Node;
       BestCost = Cost;
+    } else if (!NextCost || Cost.second < *NextCost) {
+      NextCost = Cost.second;
     }
   }
+  if (NextCost)
+    Best.NextCostsMore = std::max(*NextCost - BestCost.second, Duration(0));
   return Best;
 }
 
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -48,6 +48,13 @@
   std::span<const std::string> Excluded;
 };
 
+struct TargetChoice {
+  // Null if no target is ready; valid until nodes are added or removed.
+  const std::string *Node = nullptr;
+  // 0 if there is no other target.
+  Duration NextCostsMore{0};
+};
+
 // Not thread-safe. Choosing is linear in the targets of the service.
 class TargetDirectory {
 public:
@@ -66,8 +73,8 @@
   void noteUnreachable(const std::string &Node, Instant Now);
   void noteReached(const std::string &Node);
 
-  // The best target of the service; null if none is ready.
-  const std::string *choose(const ChoiceInput &Request, Instant Now) const;
+  // The best target of the service, and how much the next one costs beyond it.
+  TargetChoice choose(const ChoiceInput &Request, Instant Now) const;
   // Ready targets of the service outside of Excluded.
   std::size_t countReady(std::string_view Service,
                          std::span<const std::string> Excluded) const;
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -16,12 +16,15 @@
 constexpr Duration DrainMargin = milliseconds(250);
 // A request with less time left is not worth starting.
 constexpr Duration LeastTimeLeft = milliseconds(10);
-// A request whose target latency has passed may wait this share of what is
-// left of its time: it is worth less than one that is still in time.
+// A request is let in if it would be answered in time should it take this many
+// percent of the mean service time: most take less, and those that are let in
+// for the mean alone are late half of the time.
+constexpr int SlowRequestPercent = 140;
+// From the target's node back to the caller, across regions.
+constexpr Duration ReturnTime = milliseconds(15);
+// A request that cannot be in time any more waits at most this share of the
+// service time: a slot that it takes makes another request late.
 constexpr int LateWaitDivisor = 4;
-// While other targets may have room, a request waits at most this share of
-// the time that requests hold a slot.
-constexpr int EarlyWaitDivisor = 4;
 constexpr Duration DefaultServiceTime = milliseconds(100);
 // Bounds of the Retry-After that goes with Busy. Callers that come back sooner
 // meet the same queue; a second is about three target latencies.
@@ -182,10 +185,12 @@
   Duration Service = this->Queue.serviceTime().count() > 0
                          ? this->Queue.serviceTime()
                          : DefaultServiceTime;
-  Duration Limit = std::max(Request.LatencyLeft - Service,
-                            (Request.TimeLeft - Service) / LateWaitDivisor);
-  if (!Request.LastChoice && Key == KeyState::NotKeyed)
-    Limit = std::min(Limit, Service / EarlyWaitDivisor);
+  Duration Limit =
+      std::max(Request.LatencyLeft - Service * SlowRequestPercent / 100 -
+                   ReturnTime,
+               std::min(Service / LateWaitDivisor, Request.TimeLeft - Service));
+  if (!Request.LastChoice)
+    Limit = std::min(Limit, Request.WorthwhileWait);
   Duration Wait = this->Queue.expectedWait(Request.Priority);
   if (Wait > Limit && Wait > Duration(0)) {
     this->refuse(From, Request, Outcome::Busy,
--- a/orioledoor/sidecar/key_office.cc
+++ b/orioledoor/sidecar/key_office.cc
@@ -11,8 +11,8 @@
 
 using std::chrono::milliseconds;
 
-// Demand is measured over 1.5 s; a report every half second follows it.
-constexpr Duration LoadInterval = milliseconds(500);
+// Demand is measured over a second; a report every 300 ms follows it.
+constexpr Duration LoadInterval = milliseconds(300);
 constexpr Duration PlanInterval = milliseconds(100);
 // Pause after a refused change, and after one that was taken, until the watch
 // brings the present map.
