Grant nothing while the store may still say that a target has ended

Change: a target whose end this node may have stated gets keys only after the entry was rewritten under its revision and the maps were read again.

--- a/orioledoor/sidecar/key_office.cc
+++ b/orioledoor/sidecar/key_office.cc
@@ -35,11 +35,7 @@
                                         const routing::TargetRef &Target,
                                         Instant Now, Effects &Out) {
   const StoredKeyMap *Stored = this->mapOf(Report.Service);
-  // The word that this life has ended must be seen to be taken back before it
-  // gets keys again.
-  auto Own = this->Members.nodes().find(this->Members.entryKey());
-  bool SaidEnded = Own == this->Members.nodes().end() ||
-                   Own->second.Entry.Ended == Target;
+  bool SaidEnded = this->Members.saidEnded() == Target;
   keyspace::GrantDecision Decision = this->Grantor.answerReport(
       Report, Target, Stored && !SaidEnded ? &Stored->Map : nullptr,
       this->Members.authority().until(), Now);
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -43,6 +43,9 @@
 void Membership::write(Instant Now, MembershipOutput &Out) {
   this->At = Step::Writing;
   this->EntryChanged = false;
+  this->Written = this->Self;
+  if (this->Written.Ended)
+    this->SaidEnded = this->Written.Ended;
   StoreTxn Txn;
   Txn.Compares.push_back({this->EntryKey, this->EntryRevision});
   Txn.Puts.push_back({.Key = this->EntryKey,
@@ -150,7 +153,8 @@
       this->Own.renewed(this->StepSentAt);
       if (this->EntryChanged)
         this->write(Now, Out);
-      else if (this->ReadNeeded)
+      else if (this->ReadNeeded ||
+               (this->SaidEnded && !this->Written.Ended))
         this->read(Now, Out);
       break;
     }
@@ -161,6 +165,8 @@
     this->At = Step::Live;
     this->replaceAll(Reply, Now, Out);
     this->Own.recordRead();
+    if (!this->Written.Ended)
+      this->SaidEnded = {};
     Out.WatchAfter = Reply.Revision;
     if (this->EntryChanged)
       this->write(Now, Out);
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -94,6 +94,9 @@
   const std::map<std::string, StoredKeyMap, std::less<>> &keyMaps() const {
     return this->KeyMaps;
   }
+  // The store may say, or come to say, that this target has ended; its keys may
+  // get other owners until the entry was written anew and the maps were read.
+  const routing::TargetRef &saidEnded() const { return this->SaidEnded; }
   // Store key of this node's entry.
   const std::string &entryKey() const { return this->EntryKey; }
 
@@ -128,6 +131,9 @@
   Instant RetryAt;
   Instant RenewAt;
   bool EntryChanged = false;
+  // The entry as it was sent last.
+  NodeEntry Written;
+  routing::TargetRef SaidEnded;
   // The watch ended: everything is to be read again.
   bool ReadNeeded = false;
   bool Known = false;
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -68,6 +68,8 @@
   double Rate = 0.98 + 0.02 * static_cast<double>(this->Random() % 2);
   Of.Target = std::make_unique<ModelTarget>(Instance, Born, Rate);
   Of.NextReport = this->Now + this->upTo(870);
+  // The connections of the earlier life ended with it.
+  ++Of.ReportId;
 }
 
 void ModelFleet::deliver(Vm &To, Event Happened) {
