Tell other nodes of key maps instead of watching them

Change: the node whose write was taken tells all others; a node that answers for a key it does not hold tells the sender; a stale read every 3 s makes up for lost notices. Busy targets ask callers to come back after a second. Targets without a measurement count as average ones.

--- a/orioledoor/platform/store_codec.cc
+++ b/orioledoor/platform/store_codec.cc
@@ -65,6 +65,8 @@
     std::string Target = "/kv-range?pathPrefix=" + escaped(Range.Key);
     if (!this->After.empty())
       Target += "&after=" + escaped(this->After);
+    if (Range.MayBeStale)
+      Target += "&allowStale=1";
     return {"GET", Target, ""};
   }
   StoreCall operator()(const StoreTxn &Txn) const {
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -122,8 +122,17 @@
   std::vector<std::uint32_t> Quantiles{};
 };
 
-using Message = std::variant<Forward, ForwardResult, CancelForward,
-                             StatusNotice, CrashNotice, KeyLoadNotice>;
+// The owners of a service's keys as the store has them.
+struct KeyMapNotice {
+  // Store revision of the map.
+  std::int64_t Revision = 0;
+  // As encoded for the store.
+  std::string Map{};
+};
+
+using Message =
+    std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
+                 CrashNotice, KeyLoadNotice, KeyMapNotice>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -162,6 +162,9 @@
         << Value.Service << Value.Target.Instance << Value.Target.Born
         << Value.Target.Node << Value.Rate << Value.Capacity << Value.Quantiles;
   }
+  void operator()(const KeyMapNotice &Value) const {
+    start(this->Out, this->Sent, 2) << Value.Revision << Value.Map;
+  }
 };
 
 Message decodeForward(FieldReader &In) {
@@ -216,6 +219,11 @@
   }
   case 5:
     return decodeKeyLoad(In);
+  case 6: {
+    KeyMapNotice Value;
+    In >> Value.Revision >> Value.Map;
+    return Value;
+  }
   default:
     throw std::out_of_range("unknown kind");
   }
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -103,13 +103,27 @@
   Found->second.SuspectUntil = Instant();
 }
 
+Duration TargetDirectory::serviceTimeOf(const TargetStatus &Status) const {
+  if (Status.ServiceTime.count() > 0)
+    return Status.ServiceTime;
+  // A new target is taken for an average one, so that it is tried.
+  Duration Sum{0};
+  int Known = 0;
+  for (const auto &[Node, View] : this->Views)
+    if (View.Status.Service == Status.Service &&
+        View.Status.ServiceTime.count() > 0) {
+      Sum += View.Status.ServiceTime;
+      ++Known;
+    }
+  return Known > 0 ? Sum / Known : DefaultServiceTime;
+}
+
 Duration TargetDirectory::costOf(const std::string &Node,
                                  const TargetView &View, std::size_t Bytes,
                                  Instant Now) const {
   const TargetStatus &Status = View.Status;
   double Slots = std::max<std::uint32_t>(Status.Slots, 1);
-  Duration Service = Status.ServiceTime.count() > 0 ? Status.ServiceTime
-                                                    : DefaultServiceTime;
+  Duration Service = this->serviceTimeOf(Status);
   double Age = static_cast<double>((Now - View.StatusAt).count()) /
                static_cast<double>(StatusLifetime.count());
   double Reported = static_cast<double>(Status.Running + Status.Queued) *
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -87,6 +87,9 @@
                   std::size_t Bytes, Instant Now) const;
 
 private:
+  // Measured at the target, or the mean of its service.
+  Duration serviceTimeOf(const TargetStatus &Status) const;
+
   Location Own;
   std::string OwnNode;
   std::map<std::string, TargetView> Views;
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -26,10 +26,10 @@
 // service time: a slot that it takes makes another request late.
 constexpr int LateWaitDivisor = 4;
 constexpr Duration DefaultServiceTime = milliseconds(100);
-// Bounds of the Retry-After that goes with Busy. Callers that come back sooner
-// meet the same queue; a second is about three target latencies.
-constexpr Duration LeastRetryAfter = milliseconds(150);
-constexpr Duration LongestRetryAfter = milliseconds(1000);
+// Retry-After of a busy target, at least. A caller that is refused because it
+// would be late is late whenever it comes back; a second gives the load time to
+// fall and owners of hot keys time to share them out.
+constexpr Duration BusyRetryAfter = milliseconds(1000);
 // Weight of a new outcome in the share of failures: the last 30 calls count.
 constexpr float FailureWeight = 0.033F;
 // The answer travels back to the caller before its time is over.
@@ -194,7 +194,7 @@
   Duration Wait = this->Queue.expectedWait(Request.Priority);
   if (Wait > Limit && Wait > Duration(0)) {
     this->refuse(From, Request, Outcome::Busy,
-                 std::clamp(Wait, LeastRetryAfter, LongestRetryAfter), Out);
+                 std::max(Wait, BusyRetryAfter), Out);
     return;
   }
   std::uint64_t Id = this->NextCall++;
@@ -341,8 +341,7 @@
   this->Crashes.tick(Now);
   for (const WaitingRequest &Each : this->Queue.takeOverdue(Now)) {
     ForwardResult Result{.Ended = Outcome::Busy};
-    Result.RetryAfter = std::clamp(this->Queue.expectedWait(Each.Priority),
-                                   LeastRetryAfter, LongestRetryAfter);
+    Result.RetryAfter = BusyRetryAfter;
     this->end(Each.Id, std::move(Result), Now, Out);
   }
   if (this->State == TargetState::Leaving && Now >= this->DrainEnds) {
--- a/orioledoor/sidecar/effect.h
+++ b/orioledoor/sidecar/effect.h
@@ -26,7 +26,7 @@
 struct CallStore {
   StoreRequest Request{};
 };
-// Watches the project's keys from Revision on; StoreWatched follows.
+// Watches the entries of nodes from Revision on; StoreWatched follows.
 struct WatchStore {
   std::int64_t Revision = 0;
 };
--- a/orioledoor/sidecar/key_office.cc
+++ b/orioledoor/sidecar/key_office.cc
@@ -14,10 +14,13 @@
 // Demand is measured over a second; a report every 300 ms follows it.
 constexpr Duration LoadInterval = milliseconds(300);
 constexpr Duration PlanInterval = milliseconds(100);
-// Pause after a refused change, and after one that was taken, until the watch
-// brings the present map.
-constexpr Duration WriteRetry = milliseconds(200);
-constexpr Duration WatchTime = milliseconds(50);
+// Pause after a change that the store did not take or did not answer.
+constexpr Duration WriteRetry = milliseconds(100);
+// Nodes tell each other of new maps; a notice that was lost is made up for by
+// a read this often, at a tenth of a read's price.
+constexpr Duration MapReadInterval = milliseconds(3000);
+// Pause between two notices to a node that sends requests to former owners.
+constexpr Duration TellInterval = milliseconds(100);
 // An answer that does not come; the store client gives up after a second.
 constexpr Duration WriteTimeout = milliseconds(2500);
 
@@ -140,7 +143,7 @@
     Txn.Compares.push_back({Each.Key, Each.Revision});
   Txn.Puts.push_back({.Key = Key, .Value = keyspace::encodeKeyMap(Map)});
   OpenWrite &Open = this->Writes[Service];
-  Open = {this->NextId++, Now + WriteTimeout};
+  Open = {this->NextId++, Now + WriteTimeout, Map};
   Out.push_back(CallStore{{.Id = Open.Id, .Body = std::move(Txn)}});
 }
 
@@ -179,6 +182,10 @@
 void KeyOffice::tick(const routing::SharedTable &Table, Instant Now,
                      Effects &Out) {
   this->recordTransfers(Now, Out);
+  if (Now - this->MapsReadAt >= MapReadInterval && this->Members.known()) {
+    this->MapsReadAt = Now;
+    this->read(KeysPrefix, true, true, Out);
+  }
   if (!Table || Now - this->PlannedAt < PlanInterval)
     return;
   this->PlannedAt = Now;
@@ -209,21 +216,68 @@
   }
 }
 
+void KeyOffice::read(std::string Key, bool Prefix, bool MayBeStale,
+                     Effects &Out) {
+  Out.push_back(CallStore{{.Id = this->NextId++,
+                           .Body = StoreRange{.Key = std::move(Key),
+                                              .Prefix = Prefix,
+                                              .MayBeStale = MayBeStale}}});
+}
+
+bool KeyOffice::takeEntries(const StoreReply &Reply, Effects &Out) {
+  bool Changed = false;
+  for (const StoreEntry &Entry : Reply.Entries)
+    if (Entry.Key.starts_with(KeysPrefix))
+      Changed |= this->told({Entry.ModRevision, Entry.Value}, Out);
+  return Changed;
+}
+
+bool KeyOffice::told(const routing::KeyMapNotice &Notice, Effects &Out) {
+  absl::StatusOr<keyspace::KeyMap> Map = keyspace::decodeKeyMap(Notice.Map);
+  if (Map.ok())
+    return this->Members.takeKeyMap(*std::move(Map), Notice.Revision);
+  Out.push_back(LogRecord{&events::EntryUnreadable,
+                          {{"revision", std::to_string(Notice.Revision)},
+                           {"why", std::string(Map.status().message())}}});
+  return false;
+}
+
+void KeyOffice::tellOwners(const std::string &Node, std::string_view Service,
+                           Instant Now, Effects &Out) {
+  const StoredKeyMap *Stored = this->mapOf(Service);
+  Instant &Last = this->ToldAt[Node];
+  if (!Stored || Now - Last < TellInterval)
+    return;
+  Last = Now;
+  Out.push_back(SendMessage{
+      Node, routing::KeyMapNotice{Stored->Revision,
+                                  keyspace::encodeKeyMap(Stored->Map)}});
+}
+
 bool KeyOffice::replied(const StoreReply &Reply, Instant Now, Effects &Out) {
   auto Found = std::ranges::find_if(this->Writes, [&](const auto &Entry) {
     return Entry.second.Id == Reply.Id;
   });
   if (Found == this->Writes.end())
-    return false;
-  bool Taken = Reply.Status.ok() && Reply.Succeeded;
-  Found->second.NextAt = Now + (Taken ? WatchTime : WriteRetry);
-  if (!Taken)
-    Out.push_back(LogRecord{
-        &events::KeysRefused,
-        {{"service", Found->first},
-         {"why", Reply.Status.ok() ? std::string("another change came first")
-                                   : std::string(Reply.Status.message())}}});
-  return true;
+    return this->takeEntries(Reply, Out);
+  OpenWrite &Open = Found->second;
+  if (Reply.Status.ok() && Reply.Succeeded) {
+    Open.NextAt = Now;
+    Out.push_back(SendMessage{
+        "", routing::KeyMapNotice{Reply.Revision,
+                                  keyspace::encodeKeyMap(Open.Map)}});
+    return this->Members.takeKeyMap(std::move(Open.Map), Reply.Revision);
+  }
+  Open.NextAt = Now + WriteRetry;
+  Out.push_back(LogRecord{
+      &events::KeysRefused,
+      {{"service", Found->first},
+       {"why", Reply.Status.ok() ? std::string("another change came first")
+                                 : std::string(Reply.Status.message())}}});
+  // The change may have been made all the same.
+  if (!Reply.Status.ok())
+    this->read(KeysPrefix + Found->first, false, false, Out);
+  return this->takeEntries(Reply, Out);
 }
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/key_office.h
+++ b/orioledoor/sidecar/key_office.h
@@ -55,8 +55,15 @@
                   double Capacity, Instant Now, Effects &Out);
   // Plans if it is this node's turn, and records transfers.
   void tick(const routing::SharedTable &Table, Instant Now, Effects &Out);
-  // Returns whether the reply belongs here. The caller takes over Changed maps.
+  // A reply of the store to a write or read of key maps. Returns whether the
+  // known maps changed.
   bool replied(const StoreReply &Reply, Instant Now, Effects &Out);
+  // Another node tells of a map. Returns whether the known maps changed.
+  bool told(const routing::KeyMapNotice &Notice, Effects &Out);
+  // A node sent a request for a key that is not held here: it may not know the
+  // present owners.
+  void tellOwners(const std::string &Node, std::string_view Service,
+                  Instant Now, Effects &Out);
 
   // Peer address of the node that plans; empty if none is known.
   std::string planningNode() const;
@@ -66,6 +73,7 @@
   struct OpenWrite {
     std::uint64_t Id = 0;
     Instant NextAt;
+    keyspace::KeyMap Map;
   };
 
   std::vector<keyspace::PlannedNode> plannedNodes() const;
@@ -73,6 +81,8 @@
   void write(const std::string &Service, const keyspace::KeyMap &Map,
              const std::vector<keyspace::EntryCondition> &Conditions,
              Instant Now, Effects &Out);
+  void read(std::string Key, bool Prefix, bool MayBeStale, Effects &Out);
+  bool takeEntries(const StoreReply &Reply, Effects &Out);
   void recordTransfers(Instant Now, Effects &Out);
   bool mayWrite(const std::string &Service, Instant Now) const;
 
@@ -85,6 +95,9 @@
   std::map<std::string, keyspace::KeyPlanner, std::less<>> Planners;
   std::map<std::string, OpenWrite, std::less<>> Writes;
   std::uint64_t NextId = 1;
+  Instant MapsReadAt;
+  // When a node was last told of the owners.
+  std::map<std::string, Instant> ToldAt;
   // Of the target's last report; a grant is only made in answer to the next.
   std::string TransferService;
   routing::TargetRef TransferFrom;
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -202,11 +202,7 @@
                            {"why", std::string(Map.status().message())}}});
       return;
     }
-    StoredKeyMap &Kept = this->KeyMaps[Map->Service];
-    if (Entry.ModRevision <= Kept.Revision)
-      return;
-    Kept = {*std::move(Map), Entry.ModRevision};
-    Out.KeysChanged = true;
+    Out.KeysChanged |= this->takeKeyMap(*std::move(Map), Entry.ModRevision);
     return;
   }
   if (!Entry.Key.starts_with(NodePrefix))
@@ -233,6 +229,14 @@
   Out.NodesChanged = true;
 }
 
+bool Membership::takeKeyMap(keyspace::KeyMap Map, std::int64_t Revision) {
+  StoredKeyMap &Kept = this->KeyMaps[Map.Service];
+  if (Revision <= Kept.Revision)
+    return false;
+  Kept = {std::move(Map), Revision};
+  return true;
+}
+
 void Membership::remove(const std::string &Key, Instant Now) {
   auto Found = this->Nodes.find(Key);
   if (Key != this->EntryKey && Found != this->Nodes.end() &&
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -6,7 +6,9 @@
 //   Members.watched(Update, Now, Out);
 //
 // Works in steps: a lease is granted, the entry is written under it, all
-// entries and key maps are read, and a watch follows from there.
+// entries and key maps are read, and a watch of the entries follows from there.
+// Key maps change often; nodes tell each other of them, since every change would
+// end the watch of every node.
 #ifndef ORIOLEDOOR_SIDECAR_MEMBERSHIP_H
 #define ORIOLEDOOR_SIDECAR_MEMBERSHIP_H
 
@@ -60,7 +62,7 @@
 // What the shell and the reducer are to do.
 struct MembershipOutput {
   std::vector<StoreRequest> Calls;
-  // Open the watch of StoreRoot after this revision; 0: no change.
+  // Open the watch of NodePrefix after this revision; 0: no change.
   std::int64_t WatchAfter = 0;
   std::vector<LogRecord> Logs;
   bool NodesChanged = false;
@@ -83,6 +85,9 @@
                MembershipOutput &Out);
   void tick(Instant Now, MembershipOutput &Out);
 
+  // Takes a key map over unless a newer one is known. Returns whether it did.
+  bool takeKeyMap(keyspace::KeyMap Map, std::int64_t Revision);
+
   const NodeEntry &self() const { return this->Self; }
   // All nodes were read at least once.
   bool known() const { return this->Known; }
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -82,25 +82,31 @@
 }
 
 void SidecarReducer::settle(Instant Now) {
-  while (!this->Path.empty()) {
-    for (routing::Effect &Each : std::exchange(this->Path, {})) {
-      auto *Sent = std::get_if<SendMessage>(&Each);
-      if (Sent && Sent->To == this->Options.Node) {
-        this->receive(this->Options.Node, std::move(Sent->Body), Now);
-        continue;
-      }
-      if (Sent && Sent->To.empty()) {
-        // To all others.
-        for (const auto &Entry : this->Directory.views())
-          if (Entry.first != this->Options.Node)
-            this->Out.push_back(SendMessage{Entry.first, Sent->Body});
-        continue;
-      }
+  Effects Done;
+  while (!this->Path.empty() || !this->Out.empty()) {
+    for (Effect &Each : std::exchange(this->Out, {}))
+      this->route(std::move(Each), Now, Done);
+    for (routing::Effect &Each : std::exchange(this->Path, {}))
       std::visit(
-          [this](auto &Effect) { this->Out.push_back(std::move(Effect)); },
-          Each);
-    }
+          [&](auto &Asked) { this->route(std::move(Asked), Now, Done); }, Each);
+  }
+  this->Out = std::move(Done);
+}
+
+void SidecarReducer::route(Effect Asked, Instant Now, Effects &Done) {
+  auto *Sent = std::get_if<SendMessage>(&Asked);
+  if (!Sent || (!Sent->To.empty() && Sent->To != this->Options.Node)) {
+    Done.push_back(std::move(Asked));
+    return;
+  }
+  if (!Sent->To.empty()) {
+    this->receive(this->Options.Node, std::move(Sent->Body), Now);
+    return;
   }
+  // To all others.
+  for (const auto &Entry : this->Directory.views())
+    if (Entry.first != this->Options.Node)
+      Done.push_back(SendMessage{Entry.first, Sent->Body});
 }
 
 void SidecarReducer::take(MembershipOutput Output, Instant Now) {
@@ -212,6 +218,8 @@
       this->Keys.noteDemand(Number, Now);
       Key = this->Keys.holds(Number, Now) ? routing::KeyState::Held
                                           : routing::KeyState::NotHeld;
+      if (Key == routing::KeyState::NotHeld && From != this->Options.Node)
+        this->Keys.tellOwners(From, Request->Service, Now, this->Out);
     }
     this->Gate.forward(From, std::move(*Request), Key, Now, this->Path);
   } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
@@ -226,6 +234,9 @@
     this->Gate.noteCrash(*Crash, Now);
   } else if (auto *Load = std::get_if<routing::KeyLoadNotice>(&Body)) {
     this->Keys.noteLoad(*Load, Now);
+  } else if (auto *Owners = std::get_if<routing::KeyMapNotice>(&Body)) {
+    if (this->Keys.told(*Owners, this->Out))
+      this->Entry.ownersChanged(Now, this->Path);
   }
 }
 
@@ -295,7 +306,8 @@
     this->take(std::move(Output), Now);
     return;
   }
-  this->Keys.replied(Replied.Reply, Now, this->Out);
+  if (this->Keys.replied(Replied.Reply, Now, this->Out))
+    this->Entry.ownersChanged(Now, this->Path);
 }
 
 void SidecarReducer::on(StoreWatched Watched, Instant Now) {
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -70,8 +70,9 @@
   void on(Ticked, Instant Now);
 
   void receive(const std::string &From, routing::Message Body, Instant Now);
-  // Moves Path into Out, delivering messages of this node to itself.
+  // Joins Path and Out, delivering this node's messages to itself.
   void settle(Instant Now);
+  void route(Effect Asked, Instant Now, Effects &Done);
   void take(MembershipOutput Output, Instant Now);
   // Tells the fleet if the target or its state changed.
   void publish(Instant Now);
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -196,7 +196,7 @@
   }
 
   void carryOut(const WatchStore &Asked) {
-    this->Store.watch(StoreRoot, Asked.Revision,
+    this->Store.watch(NodePrefix, Asked.Revision,
                       [this](StoreWatchUpdate Update) {
                         this->feed(StoreWatched{std::move(Update)});
                       });
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -150,6 +150,9 @@
     StoreWatchUpdate Update;
     Update.Revision = this->Store.revision();
     Update.Changes = this->Store.changesAfter(Of->WatchAfter);
+    std::erase_if(Update.Changes, [](const StoreChange &Each) {
+      return !Each.Entry.Key.starts_with(NodePrefix);
+    });
     Of->WatchAfter = Update.Revision;
     this->Pending.emplace(this->Now + milliseconds(2) + this->upTo(20),
                           Later{Of->Index, Of->Process,
--- a/orioledoor/store/store_types.h
+++ b/orioledoor/store/store_types.h
@@ -33,6 +33,8 @@
   // 0 means no limit. With a limit and Descending the last keys come first.
   std::int64_t Limit = 0;
   bool Descending = false;
+  // The reply may be seconds old, if the store then charges less.
+  bool MayBeStale = false;
 };
 
 // Succeeds only if Key's last change has ModRevision; 0 means "absent".
