--- a/orioledoor/keyspace/key_planner.cc
+++ b/orioledoor/keyspace/key_planner.cc
@@ -246,7 +246,10 @@
   bool Busy = std::ranges::any_of(Map.Rows, [](const KeyRow &Row) {
     return static_cast<bool>(Row.Next);
   });
-  if (Busy || Now - this->BalancedAt < this->Options.RestTime)
+  // A move from a node that is cut off waits for that node's loss; the others
+  // must not wait with it.
+  if (Now - this->BalancedAt <
+      (Busy ? this->Options.StuckTime : this->Options.RestTime))
     return false;
   if (this->planNewcomer(Plan, Nodes)) {
     this->BalancedAt = Now;
--- a/orioledoor/keyspace/key_planner.h
+++ b/orioledoor/keyspace/key_planner.h
@@ -50,6 +50,9 @@
   Duration SettleTime = std::chrono::milliseconds(1500);
   // Pause between two moves for balance: the demand is measured over a second.
   Duration RestTime = std::chrono::milliseconds(800);
+  // A planned move that takes longer than this, two reports of the owner and
+  // one of the next one, no longer holds others back.
+  Duration StuckTime = std::chrono::milliseconds(2600);
 };
 
 // A node's entry that a plan rests on.
--- /dev/null
+++ b/orioledoor/routing/entry_test.cc
@@ -0,0 +1,344 @@
+// Guards the entry side: what is refused, retried and failed, and with which
+// promise to the caller.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+
+#include "orioledoor/routing/entry.h"
+
+namespace orioledoor::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char Own[] = "tcp://10.0.0.1:7100";
+constexpr char Near[] = "tcp://10.0.0.2:7100";
+constexpr char Far[] = "tcp://10.0.0.3:7100";
+
+SharedTable newTable() {
+  auto Table = std::make_shared<RouteTable>();
+  Table->Version = 7;
+  Table->Services["keyed"] = {"keyed", "/health", 0, true};
+  Table->Services["plain"] = {"plain", "/health", 0, false};
+  Route Read{.Name = "read", .Host = "h", .Prefix = "/read/"};
+  Read.Services = {{"plain", 1}};
+  Read.Idempotent = true;
+  Read.Timeout = milliseconds(1200);
+  Read.TargetLatency = milliseconds(400);
+  Read.Attempts = 2;
+  Route Write = Read;
+  Write.Name = "write";
+  Write.Prefix = "/write/";
+  Write.Idempotent = false;
+  Route Keyed = Read;
+  Keyed.Name = "keyed";
+  Keyed.Prefix = "/keyed/";
+  Keyed.Services = {{"keyed", 1}};
+  Route Split = Read;
+  Split.Prefix = "/split/";
+  Split.Services = {{"plain", 90}, {"keyed", 10}};
+  for (const Route &Each : {Read, Write, Keyed, Split})
+    Table->add(Each);
+  Table->finish();
+  return Table;
+}
+
+class Fixture {
+public:
+  Fixture()
+      : Directory({"d1", "r1"}, Own),
+        Entry({.Node = Own,
+               .Process = 1,
+               .CallerService = "mine",
+               .Budget = {.Ratio = 0, .ExtraPerWindow = 3}},
+              this->Directory,
+              [this](std::string_view, std::int32_t) { return this->Owner; }) {
+    this->Entry.setTable(newTable());
+    this->addTarget(Near, {"d1", "r1"});
+    this->addTarget(Far, {"d2", "r2"});
+    this->Owner.Node = Near;
+  }
+
+  void addTarget(const std::string &Node, const Location &Place) {
+    this->Directory.setNode(Node, Place);
+    this->Directory.update({.Process = 1,
+                            .Sequence = 1,
+                            .Target = {"i", 1, Node},
+                            .Service = "plain",
+                            .State = TargetState::Ready,
+                            .Slots = 4,
+                            .ServiceTime = milliseconds(50)},
+                           this->Now);
+  }
+
+  void ask(std::uint64_t Caller, const std::string &Target,
+           std::int32_t Key = NoKey) {
+    auto Content = std::make_shared<RequestContent>();
+    Content->Method = "GET";
+    Content->Host = "h";
+    Content->Target = Target;
+    this->Out.clear();
+    this->Entry.request({.Caller = Caller,
+                         .AttemptId = "a" + std::to_string(Caller),
+                         .TimeLeft = milliseconds(2500),
+                         .Key = Key,
+                         .FirstByteAt = this->Now,
+                         .Content = Content},
+                        this->Now, this->Out);
+  }
+
+  // The open Forward, and where it went.
+  const Forward *sent(std::string *To = nullptr) const {
+    for (const Effect &Each : this->Out)
+      if (const auto *Message = std::get_if<SendMessage>(&Each))
+        if (const auto *Found = std::get_if<Forward>(&Message->Body)) {
+          if (To)
+            *To = Message->To;
+          return Found;
+        }
+    return nullptr;
+  }
+  const HttpAnswer *reply() const {
+    for (const Effect &Each : this->Out)
+      if (const auto *Found = std::get_if<ReplyToCaller>(&Each))
+        return &Found->Answer;
+    return nullptr;
+  }
+  int status() const { return this->reply() ? this->reply()->Status : 0; }
+
+  void end(const std::string &From, Outcome How, int Status = 0) {
+    ForwardResult Result;
+    Result.Id = this->sent()->Id;
+    Result.Ended = How;
+    Result.Answer.Status = Status;
+    this->Out.clear();
+    this->Entry.result(From, Result, this->Now, this->Out);
+  }
+  void pass(Duration Time) {
+    this->Now = this->Now + Time;
+    this->Out.clear();
+    this->Entry.tick(this->Now, this->Out);
+  }
+
+  Instant Now{std::int64_t{1'000'000}};
+  TargetDirectory Directory;
+  KeyOwner Owner;
+  EntryReducer Entry;
+  Effects Out;
+};
+
+class EntryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryTest);
+  CPPUNIT_TEST(refusesWithoutConfiguration);
+  CPPUNIT_TEST(refusesUnknownRoutes);
+  CPPUNIT_TEST(prefersTheOwnDomain);
+  CPPUNIT_TEST(triesAnotherTargetWhenBusy);
+  CPPUNIT_TEST(repeatsOnlyIdempotentRequests);
+  CPPUNIT_TEST(stopsAtTheBudget);
+  CPPUNIT_TEST(neverPromisesNotRunAfterASend);
+  CPPUNIT_TEST(endsAtTheRouteTimeout);
+  CPPUNIT_TEST(parksWhileAKeyMoves);
+  CPPUNIT_TEST(refusesAKeyWithoutOwnerAtOnce);
+  CPPUNIT_TEST(cancelsWhenTheCallerLeaves);
+  CPPUNIT_TEST(ignoresResultsOfEarlierTries);
+  CPPUNIT_TEST(followsTheWeightsOfASplit);
+  CPPUNIT_TEST(countsTheEarlierWaitOfReturningCallers);
+  CPPUNIT_TEST(takesTheLossOfANode);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // A node that knows no routes must not say that there is none.
+  void refusesWithoutConfiguration() {
+    Fixture F;
+    F.Entry.setTable(nullptr);
+    F.ask(1, "/read/x");
+    CPPUNIT_ASSERT_EQUAL(503, F.status());
+    CPPUNIT_ASSERT_EQUAL(std::string("Retry-After"),
+                         F.reply()->Headers.at(1).Name);
+  }
+
+  void refusesUnknownRoutes() {
+    Fixture F;
+    F.ask(1, "/other/x");
+    CPPUNIT_ASSERT_EQUAL(404, F.status());
+    F.ask(2, "/read");
+    CPPUNIT_ASSERT_EQUAL(404, F.status());
+  }
+
+  void prefersTheOwnDomain() {
+    Fixture F;
+    std::string To;
+    F.ask(1, "/read/x");
+    CPPUNIT_ASSERT(F.sent(&To));
+    CPPUNIT_ASSERT_EQUAL(std::string(Near), To);
+    CPPUNIT_ASSERT_EQUAL(std::string("mine"), F.sent()->CallerService);
+    // The wait that makes the other region better travels along.
+    CPPUNIT_ASSERT(F.sent()->WorthwhileWait > milliseconds(10));
+    CPPUNIT_ASSERT(!F.sent()->LastChoice);
+  }
+
+  void triesAnotherTargetWhenBusy() {
+    Fixture F;
+    F.ask(1, "/write/x");
+    F.end(Near, Outcome::Busy);
+    std::string To;
+    CPPUNIT_ASSERT(F.sent(&To));
+    CPPUNIT_ASSERT_EQUAL(std::string(Far), To);
+    CPPUNIT_ASSERT(F.sent()->LastChoice);
+    F.end(Far, Outcome::Busy);
+    CPPUNIT_ASSERT_EQUAL(503, F.status());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, F.Entry.openRequests());
+  }
+
+  void repeatsOnlyIdempotentRequests() {
+    Fixture F;
+    F.ask(1, "/read/x");
+    F.end(Near, Outcome::Lost);
+    CPPUNIT_ASSERT(F.sent() && !F.reply());
+    F.end(Far, Outcome::Lost);
+    CPPUNIT_ASSERT_EQUAL(502, F.status());
+    F.ask(2, "/write/x");
+    F.end(Near, Outcome::Lost);
+    CPPUNIT_ASSERT_EQUAL(502, F.status());
+  }
+
+  void stopsAtTheBudget() {
+    Fixture F;
+    int Repeated = 0;
+    for (std::uint64_t Caller = 1; Caller <= 20; ++Caller) {
+      F.ask(Caller, "/read/x");
+      std::string To;
+      F.sent(&To);
+      F.end(To, Outcome::Lost);
+      Repeated += F.sent() != nullptr;
+    }
+    CPPUNIT_ASSERT_EQUAL(3, Repeated);
+  }
+
+  // 503 promises that the request never runs; after a send that may have
+  // arrived, only 502 and 504 are true.
+  void neverPromisesNotRunAfterASend() {
+    Fixture F;
+    F.ask(1, "/write/x");
+    F.pass(milliseconds(1201));
+    CPPUNIT_ASSERT_EQUAL(504, F.status());
+  }
+
+  void endsAtTheRouteTimeout() {
+    Fixture F;
+    F.ask(1, "/read/x");
+    F.pass(milliseconds(1100));
+    CPPUNIT_ASSERT_EQUAL(0, F.status());
+    F.pass(milliseconds(120));
+    CPPUNIT_ASSERT_EQUAL(504, F.status());
+    // The target is told to stop.
+    bool Cancelled = false;
+    for (const Effect &Each : F.Out)
+      if (const auto *Message = std::get_if<SendMessage>(&Each))
+        Cancelled |= std::holds_alternative<CancelForward>(Message->Body);
+    CPPUNIT_ASSERT(Cancelled);
+  }
+
+  void parksWhileAKeyMoves() {
+    Fixture F;
+    F.ask(1, "/keyed/x", 5);
+    F.end(Near, Outcome::NotOwner);
+    CPPUNIT_ASSERT(!F.reply() && !F.sent());
+    F.Owner.Node = Far;
+    F.Out.clear();
+    F.Entry.ownersChanged(F.Now, F.Out);
+    std::string To;
+    CPPUNIT_ASSERT(F.sent(&To));
+    CPPUNIT_ASSERT_EQUAL(std::string(Far), To);
+  }
+
+  void refusesAKeyWithoutOwnerAtOnce() {
+    Fixture F;
+    F.Owner.Node.clear();
+    F.ask(1, "/keyed/x", 5);
+    CPPUNIT_ASSERT_EQUAL(503, F.status());
+    F.ask(2, "/keyed/x");
+    CPPUNIT_ASSERT_EQUAL(400, F.status());
+  }
+
+  void cancelsWhenTheCallerLeaves() {
+    Fixture F;
+    F.ask(1, "/read/x");
+    F.Out.clear();
+    F.Entry.callerGone(1, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, F.Entry.openRequests());
+    const auto *Message = std::get_if<SendMessage>(&F.Out.back());
+    CPPUNIT_ASSERT(Message &&
+                   std::holds_alternative<CancelForward>(Message->Body));
+  }
+
+  // An answer that comes late must not reach the caller of a later request.
+  void ignoresResultsOfEarlierTries() {
+    Fixture F;
+    F.ask(1, "/read/x");
+    std::uint64_t First = F.sent()->Id;
+    F.end(Near, Outcome::Busy);
+    F.Out.clear();
+    ForwardResult Late;
+    Late.Id = First;
+    Late.Answer.Status = 200;
+    F.Entry.result(Near, Late, F.Now, F.Out);
+    CPPUNIT_ASSERT(F.Out.empty());
+  }
+
+  void followsTheWeightsOfASplit() {
+    Fixture F;
+    int Keyed = 0;
+    for (std::uint64_t Caller = 1; Caller <= 100; ++Caller) {
+      F.ask(Caller, "/split/x", 5);
+      Keyed += F.sent() && F.sent()->Service == "keyed";
+    }
+    CPPUNIT_ASSERT_EQUAL(10, Keyed);
+  }
+
+  // In overload those who can still be in time go first.
+  void countsTheEarlierWaitOfReturningCallers() {
+    Fixture F;
+    F.ask(1, "/keyed/x", 5);
+    CPPUNIT_ASSERT(F.sent()->LatencyLeft == milliseconds(400));
+    auto Content = std::make_shared<RequestContent>();
+    Content->Host = "h";
+    Content->Target = "/keyed/x";
+    F.Out.clear();
+    F.Entry.request({.Caller = 2,
+                     .AttemptId = "b",
+                     .TimeLeft = milliseconds(1700),
+                     .Key = 5,
+                     .FirstByteAt = F.Now,
+                     .Content = Content},
+                    F.Now, F.Out);
+    CPPUNIT_ASSERT(F.sent()->LatencyLeft == milliseconds(-400));
+  }
+
+  // After a broken connection an idempotent request goes elsewhere; another one
+  // waits for its answer as long as the node's process lives.
+  void takesTheLossOfANode() {
+    Fixture F;
+    F.ask(1, "/read/x");
+    F.Out.clear();
+    F.Entry.nodeLost(Near, false, F.Now, F.Out);
+    std::string To;
+    CPPUNIT_ASSERT(F.sent(&To));
+    CPPUNIT_ASSERT_EQUAL(std::string(Far), To);
+    F.end(Far, Outcome::Answered, 200);
+    CPPUNIT_ASSERT_EQUAL(200, F.status());
+    F.ask(2, "/write/x");
+    F.sent(&To);
+    F.Out.clear();
+    F.Entry.nodeLost(To, false, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(0, F.status());
+    F.Entry.nodeLost(To, true, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(502, F.status());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
+
+} // namespace
+} // namespace orioledoor::routing
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -41,11 +41,11 @@
 
 // What matters of a request when its target is chosen.
 struct ChoiceInput {
-  std::string_view Service;
+  std::string_view Service{};
   // Bytes that travel to the target and, by estimate, back.
   std::size_t Bytes = 0;
   // Nodes that the request has been at.
-  std::span<const std::string> Excluded;
+  std::span<const std::string> Excluded{};
 };
 
 struct TargetChoice {
--- /dev/null
+++ b/orioledoor/routing/target_gate_test.cc
@@ -0,0 +1,256 @@
+// Guards the gate before a target: slots, drain times, lives and crashes.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+
+#include "orioledoor/routing/target_gate.h"
+
+namespace orioledoor::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char Peer[] = "tcp://10.0.0.2:7100";
+
+class Fixture {
+public:
+  Fixture() : Gate({.Node = "tcp://10.0.0.1:7100", .Process = 1}) {
+    this->report(1);
+  }
+
+  TargetReport reportOf(std::int64_t Sequence, std::int64_t Born = 1) const {
+    TargetReport Report;
+    Report.Instance = "i-1";
+    Report.Service = "plain";
+    Report.Slots = 2;
+    Report.Born = Born;
+    Report.Sequence = Sequence;
+    return Report;
+  }
+  ReportVerdict report(std::int64_t Sequence, std::int64_t Born = 1,
+                       bool Draining = false) {
+    TargetReport Report = this->reportOf(Sequence, Born);
+    Report.Draining = Draining;
+    this->Out.clear();
+    return this->Gate.report(Report, this->Now, this->Out);
+  }
+  void forward(std::uint64_t Id, std::uint8_t Priority = 1,
+               bool LastChoice = true, Duration LatencyLeft = milliseconds(400),
+               KeyState Key = KeyState::NotKeyed) {
+    auto Content = std::make_shared<RequestContent>();
+    Content->Target = "/x/" + std::to_string(this->Path);
+    this->Out.clear();
+    this->Gate.forward(Peer,
+                       {.Id = Id,
+                        .Process = 9,
+                        .Service = "plain",
+                        .AttemptId = "a" + std::to_string(Id),
+                        .TimeLeft = milliseconds(2000),
+                        .LatencyLeft = LatencyLeft,
+                        .Priority = Priority,
+                        .LastChoice = LastChoice,
+                        .Content = Content},
+                       Key, this->Now, this->Out);
+  }
+  std::uint64_t started() const {
+    for (const Effect &Each : this->Out)
+      if (const auto *Found = std::get_if<StartCall>(&Each))
+        return Found->Call;
+    return 0;
+  }
+  const ForwardResult *result() const {
+    for (const Effect &Each : this->Out)
+      if (const auto *Message = std::get_if<SendMessage>(&Each))
+        if (const auto *Found = std::get_if<ForwardResult>(&Message->Body))
+          return Found;
+    return nullptr;
+  }
+  bool ended(Outcome How) const {
+    return this->result() && this->result()->Ended == How;
+  }
+  void answer(std::uint64_t Call, Duration After = milliseconds(100)) {
+    this->Now = this->Now + After;
+    this->Out.clear();
+    this->Gate.answered(Call, {200, {}, ""}, false, this->Now, this->Out);
+  }
+  void pass(Duration Time) {
+    this->Now = this->Now + Time;
+    this->Out.clear();
+    this->Gate.tick(this->Now, this->Out);
+  }
+
+  Instant Now{std::int64_t{1'000'000}};
+  TargetGate Gate;
+  Effects Out;
+  int Path = 0;
+};
+
+class TargetGateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetGateTest);
+  CPPUNIT_TEST(neverSendsMoreThanTheSlots);
+  CPPUNIT_TEST(startsUrgentRequestsFirst);
+  CPPUNIT_TEST(refusesWhatWouldBeLate);
+  CPPUNIT_TEST(keepsLateCallersFromTimelyOnes);
+  CPPUNIT_TEST(sendsNothingAfterTheDrainTime);
+  CPPUNIT_TEST(ignoresLateReports);
+  CPPUNIT_TEST(refusesKeysThatAreNotHeld);
+  CPPUNIT_TEST(quarantinesWhatCrashesTargets);
+  CPPUNIT_TEST(freesTheSlotOfACancelledCall);
+  CPPUNIT_TEST(servesWhileReportsAreCutOff);
+  CPPUNIT_TEST(refusesAllWhenClosed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void neverSendsMoreThanTheSlots() {
+    Fixture F;
+    F.forward(1);
+    CPPUNIT_ASSERT(F.started());
+    std::uint64_t First = F.started();
+    F.forward(2);
+    CPPUNIT_ASSERT(F.started());
+    F.forward(3);
+    CPPUNIT_ASSERT(!F.started() && !F.result());
+    F.answer(First);
+    CPPUNIT_ASSERT(F.ended(Outcome::Answered));
+    CPPUNIT_ASSERT(F.started());
+  }
+
+  void startsUrgentRequestsFirst() {
+    Fixture F;
+    F.forward(1);
+    std::uint64_t First = F.started();
+    F.forward(2);
+    F.forward(3, 2);
+    F.forward(4, 0);
+    F.answer(First);
+    for (const Effect &Each : F.Out)
+      if (const auto *Call = std::get_if<StartCall>(&Each))
+        CPPUNIT_ASSERT_EQUAL(std::string("a4"), Call->AttemptId);
+  }
+
+  // Pattern: a class with more load than its slots. A queue that is as long as
+  // the target latency makes every caller late.
+  void refusesWhatWouldBeLate() {
+    Fixture F;
+    std::uint64_t Id = 1;
+    for (; Id <= 2; ++Id)
+      F.forward(Id);
+    while (!F.result() && Id < 50)
+      F.forward(Id++);
+    CPPUNIT_ASSERT(F.ended(Outcome::Busy));
+    CPPUNIT_ASSERT(F.result()->RetryAfter >= milliseconds(1000));
+    // 100 ms a request, two slots: 245 ms of wait are at most five requests.
+    CPPUNIT_ASSERT(Id - 4 <= 5);
+    // While the choice is open a busy target says so at once.
+    F.forward(60, 1, false);
+    CPPUNIT_ASSERT(F.ended(Outcome::Busy));
+  }
+
+  // Pattern: refused callers that come back in an overload.
+  void keepsLateCallersFromTimelyOnes() {
+    Fixture F;
+    F.forward(1);
+    F.forward(2);
+    F.forward(3, 1, true, milliseconds(-200));
+    CPPUNIT_ASSERT(F.ended(Outcome::Busy));
+    F.forward(4, 1, true, milliseconds(400));
+    CPPUNIT_ASSERT(!F.result());
+  }
+
+  void sendsNothingAfterTheDrainTime() {
+    Fixture F;
+    F.forward(1);
+    F.forward(2);
+    F.forward(3);
+    F.report(2, 1, true);
+    F.forward(4, 1, false);
+    CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
+    F.pass(milliseconds(1800));
+    CPPUNIT_ASSERT(F.result());
+    CPPUNIT_ASSERT(F.Gate.state() == TargetState::Absent);
+    // A later report of the same life does not bring it back.
+    F.report(3, 1, false);
+    F.forward(5);
+    CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
+    F.report(1, 2, false);
+    F.forward(6);
+    CPPUNIT_ASSERT(!F.ended(Outcome::NoTarget));
+  }
+
+  void ignoresLateReports() {
+    Fixture F;
+    CPPUNIT_ASSERT(F.report(5) == ReportVerdict::Current);
+    CPPUNIT_ASSERT(F.report(4) == ReportVerdict::Late);
+    CPPUNIT_ASSERT(F.report(1, 2) == ReportVerdict::NewLife);
+    CPPUNIT_ASSERT(F.report(9, 1) == ReportVerdict::Late);
+  }
+
+  void refusesKeysThatAreNotHeld() {
+    Fixture F;
+    F.forward(1, 1, true, milliseconds(400), KeyState::NotHeld);
+    CPPUNIT_ASSERT(F.ended(Outcome::NotOwner));
+  }
+
+  // A request that ends each target which runs it is refused after the second
+  // time, also under another attempt id.
+  void quarantinesWhatCrashesTargets() {
+    Fixture F;
+    F.Path = 7;
+    for (std::int64_t Born = 2; Born <= 3; ++Born) {
+      F.forward(static_cast<std::uint64_t>(Born));
+      std::uint64_t Call = F.started();
+      CPPUNIT_ASSERT(Call);
+      F.Gate.failed(Call, CallFailure::Broken, "reset", F.Now, F.Out);
+      F.report(1, Born);
+    }
+    F.forward(10);
+    CPPUNIT_ASSERT(F.ended(Outcome::Quarantined));
+    F.Path = 8;
+    F.forward(11);
+    CPPUNIT_ASSERT(F.started());
+  }
+
+  void freesTheSlotOfACancelledCall() {
+    Fixture F;
+    F.forward(1);
+    F.forward(2);
+    F.forward(3);
+    F.Out.clear();
+    F.Gate.cancel(Peer, {.Id = 1, .Process = 9}, F.Now, F.Out);
+    CPPUNIT_ASSERT(std::holds_alternative<CancelCall>(F.Out.front()));
+    CPPUNIT_ASSERT(F.started());
+  }
+
+  void servesWhileReportsAreCutOff() {
+    Fixture F;
+    F.pass(std::chrono::seconds(10));
+    CPPUNIT_ASSERT(F.Gate.state() == TargetState::Ready);
+    F.forward(1);
+    std::uint64_t Call = F.started();
+    F.Gate.failed(Call, CallFailure::NotSent, "refused", F.Now, F.Out);
+    CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
+    F.pass(milliseconds(20));
+    CPPUNIT_ASSERT(F.Gate.state() == TargetState::Absent);
+    F.report(2);
+    CPPUNIT_ASSERT(F.Gate.state() == TargetState::Ready);
+  }
+
+  void refusesAllWhenClosed() {
+    Fixture F;
+    F.forward(1);
+    F.forward(2);
+    F.forward(3);
+    F.Out.clear();
+    F.Gate.close(F.Now, F.Out);
+    CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
+    F.forward(4);
+    CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, F.Gate.openRequests());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetGateTest);
+
+} // namespace
+} // namespace orioledoor::routing
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -334,6 +334,9 @@
                           : internal::findHeader(Answer.Headers, Echo.Name);
     if (Echoed && Echoed->Value != Echo.Value)
       return "the answer belongs to another request";
+    // Without the echo nothing shows which of the bytes are the answer.
+    if (!Echoed && hasBytesLeft(On))
+      return "bytes follow the answer";
     return {};
   }
 
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(endedPermissionIsNotSent);
   CPPUNIT_TEST(connectionLostAfterWriting);
   CPPUNIT_TEST(truncatedAnswersAreErrors);
+  CPPUNIT_TEST(answersOfOtherRequestsAreErrors);
+  CPPUNIT_TEST(bytesAfterAnEchoedAnswerEndTheConnection);
   CPPUNIT_TEST(timeoutAndCancel);
   CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +108,33 @@
     CPPUNIT_ASSERT(Result.Failure == TargetFailure::ConnectionLost);
   }
 
+  // A target may send a late second answer where the next one is due.
+  void answersOfOtherRequestsAreErrors() {
+    HttpCall Wanted;
+    Wanted.Headers = {{"Attempt-Id", "a1"}};
+    Wanted.EchoHeader = "Attempt-Id";
+    HttpResult Result = this->call("HTTP/1.1 200 OK\r\nAttempt-Id: "
+                                   "a0\r\nContent-Length: 2\r\n\r\nok",
+                                   false, Wanted);
+    CPPUNIT_ASSERT(Result.Failure == TargetFailure::Truncated);
+  }
+
+  // The echo proves the answer; what follows it belongs to no request and must
+  // not be taken for the next answer.
+  void bytesAfterAnEchoedAnswerEndTheConnection() {
+    HttpCall Wanted;
+    Wanted.Headers = {{"Attempt-Id", "a1"}};
+    Wanted.EchoHeader = "Attempt-Id";
+    HttpResult Result =
+        this->call("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: "
+                   "2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n",
+                   false, Wanted);
+    CPPUNIT_ASSERT(!Result.Failure);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Result.Answer.Body);
+    this->call("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
+    CPPUNIT_ASSERT_EQUAL(2, this->Accepted);
+  }
+
   // A part of an answer must not reach a caller as the whole one.
   void truncatedAnswersAreErrors() {
     for (std::string_view Script :
