Collect changes of entries for a second at nodes that do not plan

Change: nodes that do not plan open their watch again a second after changes came, the planning node after 100 ms. States and owners come from the nodes concerned in any case.

--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -1,6 +1,7 @@
 // Calls and watches over wire::HttpClient.
 #include "orioledoor/platform/platform_store.h"
 
+#include <algorithm>
 #include <iterator>
 #include <map>
 #include <utility>
@@ -51,6 +52,7 @@
   PlatformStoreCounters Counters;
   wire::HttpClient Client;
   std::map<std::string, std::unique_ptr<Watch>> Watches;
+  std::map<std::string, Duration> Pauses;
 
   Impl(event_base *Base, Endpoint Store, PlatformStoreLimits Limits)
       : Base(Base), Store(std::move(Store)),
@@ -128,17 +130,24 @@
       ++this->Counters.Failures;
     Duration Pause = !Update.Status.ok()       ? this->Limits.WatchRetry
                      : Update.Changes.empty() ? Duration(0)
-                                               : this->Limits.WatchPause;
+                                               : this->pauseOf(Of.Prefix);
     StoreWatchCallback OnUpdate = Of.OnUpdate;
     if (Ended) {
       this->Watches.erase(Of.Prefix);
     } else {
-      timeval After{0, static_cast<suseconds_t>(Pause.count())};
+      timeval After{static_cast<time_t>(Pause.count() / 1'000'000),
+                    static_cast<suseconds_t>(Pause.count() % 1'000'000)};
       evtimer_add(Of.Timer.get(), &After);
     }
     OnUpdate(std::move(Update));
   }
 
+  Duration pauseOf(const std::string &Prefix) const {
+    auto Found = this->Pauses.find(Prefix);
+    return Found == this->Pauses.end() ? this->Limits.WatchPause
+                                       : Found->second;
+  }
+
   static void onTimer(evutil_socket_t, short, void *Context) {
     auto *Of = static_cast<Watch *>(Context);
     if (Of->Call == 0)
@@ -170,6 +179,10 @@
   this->Own->open(*Kept);
 }
 
+void PlatformStore::setPause(const std::string &Prefix, Duration Pause) {
+  this->Own->Pauses[Prefix] = Pause;
+}
+
 const PlatformStoreCounters &PlatformStore::counters() const {
   return this->Own->Counters;
 }
--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -28,8 +28,7 @@
   std::chrono::milliseconds WatchWait{10'000};
   // Pause before a watch that failed is opened again.
   Duration WatchRetry = std::chrono::milliseconds(250);
-  // Pause before the next watch after changes came, so that a burst of changes
-  // costs one call.
+  // Pause before the next watch after changes came, until setPause().
   Duration WatchPause = std::chrono::milliseconds(20);
 };
 
@@ -58,6 +57,10 @@
   void watch(const std::string &Prefix, std::int64_t Revision,
              StoreWatchCallback OnUpdate);
 
+  // How long the watch of Prefix pauses after changes came. A burst of changes
+  // costs one call a pause and watcher; the changes arrive that much later.
+  void setPause(const std::string &Prefix, Duration Pause);
+
   const PlatformStoreCounters &counters() const;
 
 private:
--- a/orioledoor/sidecar/effect.h
+++ b/orioledoor/sidecar/effect.h
@@ -30,6 +30,10 @@
 struct WatchStore {
   std::int64_t Revision = 0;
 };
+// How long the watch pauses after changes came.
+struct PaceWatch {
+  Duration Pause{0};
+};
 // Takes no new connections of callers; those that are open end with their
 // next answer.
 struct StopAccepting {};
@@ -38,7 +42,8 @@
 
 using Effect =
     std::variant<ReplyToCaller, SendMessage, StartCall, CancelCall, LogRecord,
-                 AnswerReport, CallStore, WatchStore, StopAccepting, Exit>;
+                 AnswerReport, CallStore, WatchStore, PaceWatch, StopAccepting,
+                 Exit>;
 using Effects = std::vector<Effect>;
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -25,6 +25,11 @@
 // The share of the platform's retry allowance that the fleet plans to use: the
 // calls that retried requests make count as well.
 constexpr double RetryShare = 0.5;
+// Each change of an entry ends the watch of every node, so most nodes collect
+// changes for a second: they hear of states and owners from the nodes
+// concerned. The planning node acts on entries and collects for less.
+constexpr Duration PlannerWatchPause = milliseconds(100);
+constexpr Duration OtherWatchPause = milliseconds(1000);
 // Until the members are known, a node's part of the constant allowance.
 constexpr double UnknownFleet = 30;
 
@@ -355,6 +360,15 @@
   }
 }
 
+void SidecarReducer::paceWatch() {
+  bool Plans = this->Keys.planningNode() == this->Options.Node;
+  Duration Pause = Plans ? PlannerWatchPause : OtherWatchPause;
+  if (Pause == this->WatchPause)
+    return;
+  this->WatchPause = Pause;
+  this->Out.push_back(PaceWatch{Pause});
+}
+
 void SidecarReducer::on(Ticked, Instant Now) {
   this->Gate.tick(Now, this->Path);
   this->Entry.tick(Now, this->Path);
@@ -377,6 +391,7 @@
   }
   this->publish(Now);
   this->Keys.tick(this->Entry.table(), Now, this->Out);
+  this->paceWatch();
   this->stopStep(Now);
 }
 
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -78,6 +78,7 @@
   void publish(Instant Now);
   void takeNodes(Instant Now);
   void stopStep(Instant Now);
+  void paceWatch();
   bool isPartitioned(std::string_view Service) const;
 
   SidecarOptions Options;
@@ -94,6 +95,8 @@
   routing::TargetRef Ended;
   Instant ReportedAt;
   Instant StopAskedAt;
+  // The pace that the shell was told last.
+  Duration WatchPause{0};
   bool Closed = false;
   bool Exited = false;
 };
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -202,6 +202,10 @@
                       });
   }
 
+  void carryOut(const PaceWatch &Asked) {
+    this->Store.setPause(NodePrefix, Asked.Pause);
+  }
+
   void carryOut(StopAccepting) { this->Outbound->stopAccepting(); }
 
   void carryOut(Exit) { event_base_loopbreak(this->Base); }
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -131,8 +131,11 @@
                    false, Wanted);
     CPPUNIT_ASSERT(!Result.Failure);
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), Result.Answer.Body);
+    close(this->Server);
+    this->Server = -1;
     this->call("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
     CPPUNIT_ASSERT_EQUAL(2, this->Accepted);
+    CPPUNIT_ASSERT(this->Client.counters().Connections == 2);
   }
 
   // A part of an answer must not reach a caller as the whole one.
