Ask what became of a request when a connection between nodes breaks

A broken connection between the nodes counted as a lost request at once, and the retry of the keyed request was refused because its owner counted as unreachable.

Change: the entry asks the node beside the target over a new connection; that node sends a kept result again, says that the request never came and refuses it should it come late, or is silent while it runs. A request that may have run is never refused with 503.

--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -70,15 +70,17 @@
     return Call;
   }
 
-  // Reads one page; Before holds the entries of the earlier ones.
+  // Reads one page; Before holds the entries of the earlier ones. Pages are no
+  // snapshot, so the reply has the revision of the first one, At: a watch from
+  // there misses no change.
   void callPage(StoreRequest Request, std::vector<StoreEntry> Before,
-                StoreReplyCallback OnReply) {
+                std::int64_t At, StoreReplyCallback OnReply) {
     ++this->Counters.Calls;
     StoreCall Sent = encodeCall(
         Request.Body, Before.empty() ? std::string_view() : Before.back().Key);
     this->Client.call(
         this->httpCall(Sent, this->Limits.Call),
-        [this, Request = std::move(Request), Before = std::move(Before),
+        [this, Request = std::move(Request), Before = std::move(Before), At,
          OnReply = std::move(OnReply)](wire::HttpResult Result) mutable {
           if (Result.Failure) {
             ++this->Counters.Failures;
@@ -94,9 +96,11 @@
           if (!Reply.Status.ok())
             ++this->Counters.Failures;
           std::ranges::move(Reply.Entries, std::back_inserter(Before));
+          if (At != 0)
+            Reply.Revision = At;
           if (Reply.Status.ok() && More && !Before.empty()) {
             this->callPage(std::move(Request), std::move(Before),
-                           std::move(OnReply));
+                           Reply.Revision, std::move(OnReply));
             return;
           }
           Reply.Entries = std::move(Before);
@@ -162,7 +166,7 @@
 PlatformStore::~PlatformStore() = default;
 
 void PlatformStore::call(StoreRequest Request, StoreReplyCallback OnReply) {
-  this->Own->callPage(std::move(Request), {}, std::move(OnReply));
+  this->Own->callPage(std::move(Request), {}, 0, std::move(OnReply));
 }
 
 void PlatformStore::watch(const std::string &Prefix, std::int64_t Revision,
--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -20,8 +20,10 @@
 // A try with less time left cannot be answered: a message crosses regions and
 // back in 16 ms, and the shortest work takes about as long.
 constexpr Duration LeastTryTime = milliseconds(30);
-// A planned move of a key ends within two report intervals of the targets.
-constexpr Duration MaxParkTime = milliseconds(1800);
+// A planned move interrupts a key until its next owner has answered for it, half
+// a report interval of the targets on average. No request waits longer than
+// half of its time, so that its caller can still come back.
+constexpr Duration MaxParkTime = milliseconds(1000);
 // A parked request asks again this often, if no change of the owners comes
 // first: the new owner's target learns of its keys with its next report.
 constexpr Duration AskAgainTime = milliseconds(100);
@@ -199,6 +201,7 @@
                         Instant Now, Effects &Out, Duration WorthwhileWait) {
   Of.At = To;
   Of.ForwardId = this->NextForward++;
+  Of.Resumed = false;
   Of.Tried.push_back(To);
   this->ByForward[Of.ForwardId] = Of.Request.Caller;
   this->Directory.noteSent(To);
@@ -222,7 +225,7 @@
 void EntryReducer::park(Pending &Of, Instant Now, Effects &Out) {
   Of.AskAt = Now + AskAgainTime;
   if (Of.ParkUntil == Instant()) {
-    Of.ParkUntil = std::min(Now + MaxParkTime, Of.Deadline - LeastTryTime);
+    Of.ParkUntil = Now + std::min(MaxParkTime, (Of.Deadline - Now) / 2);
     Out.push_back(LogRecord{&events::RequestParked,
                             {{"request", Of.Request.AttemptId},
                              {"key", std::to_string(Of.Request.Key)},
@@ -361,25 +364,42 @@
   if (Found == this->ByForward.end())
     return;
   Pending &Of = this->Open.at(Found->second);
+  if (Of.Resumed) {
+    // Nobody knows whether it runs. One that must not run twice waits on.
+    if (Of.Of->Idempotent) {
+      this->leaveTarget(Of);
+      this->handleLost(Of, "the target's node is unreachable", Now, Out);
+    }
+    return;
+  }
   this->leaveTarget(Of);
   Out.push_back(LogRecord{
-      &events::PeerUnreachable,
+      &events::ForwardNotSent,
       {{"request", Of.Request.AttemptId}, {"peer", Node}}});
   this->handleNotRun(Of, {.Ended = Outcome::NoTarget}, Now, Out);
 }
 
 void EntryReducer::nodeLost(const std::string &Node, bool Ended, Instant Now,
                             Effects &Out) {
-  this->Directory.noteUnreachable(Node, Now);
   std::vector<std::uint64_t> Affected;
   for (const auto &[Caller, Of] : this->Open)
-    // The answer to a request that must not run twice may still come over a
-    // new connection, as long as the node's process lives.
-    if (Of.At == Node && (Ended || Of.Of->Idempotent))
+    if (Of.At == Node)
       Affected.push_back(Caller);
   std::ranges::sort(Affected);
+  if (Ended)
+    this->Directory.noteUnreachable(Node, Now);
   for (std::uint64_t Caller : Affected) {
     Pending &Of = this->Open.at(Caller);
+    if (!Ended && !Of.Resumed) {
+      Of.Resumed = true;
+      Out.push_back(SendMessage{
+          Node, ResumeForward{Of.ForwardId, this->Options.Process}});
+      continue;
+    }
+    // The answer to a request that must not run twice may still come over a
+    // new connection, as long as the node's process lives.
+    if (!Ended && !Of.Of->Idempotent)
+      continue;
     Out.push_back(SendMessage{
         Node, CancelForward{Of.ForwardId, this->Options.Process}});
     this->leaveTarget(Of);
@@ -454,6 +474,11 @@
 
 void EntryReducer::refuse(Pending &Of, std::string_view Why,
                           Duration RetryAfter, Instant Now, Effects &Out) {
+  // 503 would say that no target has run it.
+  if (Of.MayHaveRun) {
+    this->fail(Of, 502, Why, Now, Out);
+    return;
+  }
   Out.push_back(LogRecord{
       &events::RequestRefused,
       {{"request", Of.Request.AttemptId},
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -76,7 +76,8 @@
   void callerGone(std::uint64_t Caller, Instant Now, Effects &Out);
   void result(const std::string &From, ForwardResult Result, Instant Now,
               Effects &Out);
-  // A Forward to Node certainly did not leave.
+  // A Forward to Node certainly did not leave, or the question what became of
+  // it did not.
   void notSent(const std::string &Node, std::uint64_t Id, Instant Now,
                Effects &Out);
   // The connection to Node broke or its process ended: what was forwarded
@@ -104,6 +105,8 @@
     // The node of the open Forward; empty while parked.
     std::string At;
     std::uint64_t ForwardId = 0;
+    // The connection broke, and the node was asked what became of the request.
+    bool Resumed = false;
     std::vector<std::string> Tried;
     // Targets that may have seen the request.
     int Sends = 0;
--- a/orioledoor/routing/entry_test.cc
+++ b/orioledoor/routing/entry_test.cc
@@ -145,6 +145,7 @@
   CPPUNIT_TEST(followsTheWeightsOfASplit);
   CPPUNIT_TEST(countsTheEarlierWaitOfReturningCallers);
   CPPUNIT_TEST(takesTheLossOfANode);
+  CPPUNIT_TEST(neverSays503AfterALostTry);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -316,13 +317,20 @@
     CPPUNIT_ASSERT(F.sent()->LatencyLeft == milliseconds(-400));
   }
 
-  // After a broken connection an idempotent request goes elsewhere; another one
-  // waits for its answer as long as the node's process lives.
+  // After a broken connection the node is asked what became of the request;
+  // only when it cannot be asked an idempotent one goes elsewhere, and another
+  // one waits for its answer as long as the node's process lives.
   void takesTheLossOfANode() {
     Fixture F;
     F.ask(1, "/read/x");
+    std::uint64_t Id = F.sent()->Id;
     F.Out.clear();
     F.Entry.nodeLost(Near, false, F.Now, F.Out);
+    const auto *Asked = std::get_if<SendMessage>(&F.Out.at(0));
+    CPPUNIT_ASSERT(Asked &&
+                   std::holds_alternative<ResumeForward>(Asked->Body));
+    F.Out.clear();
+    F.Entry.notSent(Near, Id, F.Now, F.Out);
     std::string To;
     CPPUNIT_ASSERT(F.sent(&To));
     CPPUNIT_ASSERT_EQUAL(std::string(Far), To);
@@ -332,10 +340,21 @@
     F.sent(&To);
     F.Out.clear();
     F.Entry.nodeLost(To, false, F.Now, F.Out);
+    F.Entry.nodeLost(To, false, F.Now, F.Out);
     CPPUNIT_ASSERT_EQUAL(0, F.status());
     F.Entry.nodeLost(To, true, F.Now, F.Out);
     CPPUNIT_ASSERT_EQUAL(502, F.status());
   }
+
+  // 503 says that no target has run the request; that must be true for
+  // idempotent requests too.
+  void neverSays503AfterALostTry() {
+    Fixture F;
+    F.ask(1, "/keyed/x", 5);
+    F.Owner.Node.clear();
+    F.end(Near, Outcome::Lost);
+    CPPUNIT_ASSERT_EQUAL(502, F.status());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -45,9 +45,9 @@
 inline constexpr EventDefinition RequestQuarantined{
     2226, Severity::Warn, "REQUEST_QUARANTINED",
     "a request ended the targets that ran it"};
-inline constexpr EventDefinition PeerUnreachable{
-    2227, Severity::Warn, "PEER_UNREACHABLE",
-    "a message to another node could not be sent"};
+inline constexpr EventDefinition ForwardNotSent{
+    2227, Severity::Warn, "FORWARD_NOT_SENT",
+    "a request could not be sent to the node beside its target"};
 
 } // namespace orioledoor::routing::events
 
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -99,6 +99,14 @@
   std::uint64_t Process = 0;
 };
 
+// The connection broke while a request was open. The node beside the target
+// sends the result again if it ended, says NoTarget if the request never came
+// and is silent while it runs.
+struct ResumeForward {
+  std::uint64_t Id = 0;
+  std::uint64_t Process = 0;
+};
+
 // The target's state changed.
 struct StatusNotice {
   TargetStatus Status{};
@@ -132,7 +140,7 @@
 
 using Message =
     std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
-                 CrashNotice, KeyLoadNotice, KeyMapNotice>;
+                 CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -165,6 +165,9 @@
   void operator()(const KeyMapNotice &Value) const {
     start(this->Out, this->Sent, 2) << Value.Revision << Value.Map;
   }
+  void operator()(const ResumeForward &Value) const {
+    start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
+  }
 };
 
 Message decodeForward(FieldReader &In) {
@@ -224,6 +227,11 @@
     In >> Value.Revision >> Value.Map;
     return Value;
   }
+  case 7: {
+    ResumeForward Value;
+    In >> Value.Id >> Value.Process;
+    return Value;
+  }
   default:
     throw std::out_of_range("unknown kind");
   }
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -30,6 +30,14 @@
 // would be late is late whenever it comes back; a second gives the load time to
 // fall and owners of hot keys time to share them out.
 constexpr Duration BusyRetryAfter = milliseconds(1000);
+// Results are kept for a sender whose connection broke: it notices within
+// 550 ms and asks over a new one.
+constexpr Duration KeepTime = milliseconds(2000);
+// Bounds the kept results; at 30 KB an answer 8 MB.
+constexpr std::size_t MaxKept = 256;
+// A request that its sender was told never came must not run when it comes
+// late: longer than any caller waits.
+constexpr Duration DisownTime = std::chrono::seconds(60);
 // Weight of a new outcome in the share of failures: the last 30 calls count.
 constexpr float FailureWeight = 0.033F;
 // The answer travels back to the caller before its time is over.
@@ -177,6 +185,8 @@
 
 void TargetGate::forward(const std::string &From, Forward Request, KeyState Key,
                          Instant Now, Effects &Out) {
+  if (this->Disowned.contains({Request.Process, Request.Id}))
+    return;
   std::uint64_t Digest = crashDigest(Request.CallerService, *Request.Content);
   if (auto Why = this->refusalOf(Request, Key, Digest, Now)) {
     this->refuse(From, Request, *Why, Duration(0), Out);
@@ -243,7 +253,7 @@
   }
 }
 
-void TargetGate::end(std::uint64_t Id, ForwardResult Result, Instant,
+void TargetGate::end(std::uint64_t Id, ForwardResult Result, Instant Now,
                      Effects &Out) {
   auto Found = this->Calls.find(Id);
   Call Of = std::move(Found->second);
@@ -261,9 +271,31 @@
          field("instance", this->Target.Instance),
          field("running", std::to_string(this->Queue.running())),
          field("waiting", std::to_string(this->Queue.waiting()))}});
+  if (this->Recent.size() < MaxKept && Of.From != this->Options.Node)
+    this->Recent[{Of.Request.Process, Of.Request.Id}] = {Now, Result};
   Out.push_back(SendMessage{Of.From, std::move(Result)});
 }
 
+void TargetGate::resume(const std::string &From, const ResumeForward &Resumed,
+                        Instant Now, Effects &Out) {
+  ForwardKey Key(Resumed.Process, Resumed.Id);
+  if (this->ByForward.contains(Key))
+    return;
+  if (auto Found = this->Recent.find(Key); Found != this->Recent.end()) {
+    Out.push_back(SendMessage{From, Found->second.Result});
+    return;
+  }
+  // Results are dropped early when there are too many.
+  bool Known = this->Recent.size() < MaxKept;
+  if (Known)
+    this->Disowned[Key] = Now;
+  ForwardResult Result{.Id = Resumed.Id,
+                       .Ended = Known ? Outcome::NoTarget : Outcome::Lost,
+                       .Detail = "lost with the connection between the nodes"};
+  Result.Status = this->status();
+  Out.push_back(SendMessage{From, std::move(Result)});
+}
+
 void TargetGate::noteOutcome(bool Failed) {
   this->FailureShare +=
       FailureWeight * ((Failed ? 1.0F : 0.0F) - this->FailureShare);
@@ -339,6 +371,12 @@
 
 void TargetGate::tick(Instant Now, Effects &Out) {
   this->Crashes.tick(Now);
+  std::erase_if(this->Recent, [Now](const auto &Entry) {
+    return Now - Entry.second.At > KeepTime;
+  });
+  std::erase_if(this->Disowned, [Now](const auto &Entry) {
+    return Now - Entry.second > DisownTime;
+  });
   for (const WaitingRequest &Each : this->Queue.takeOverdue(Now)) {
     ForwardResult Result{.Ended = Outcome::Busy};
     Result.RetryAfter = BusyRetryAfter;
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -66,6 +66,9 @@
                Instant Now, Effects &Out);
   void cancel(const std::string &From, const CancelForward &Cancelled,
               Instant Now, Effects &Out);
+  // The sender's connection broke while the request was open.
+  void resume(const std::string &From, const ResumeForward &Resumed,
+              Instant Now, Effects &Out);
   void answered(std::uint64_t Call, HttpAnswer Answer, bool NotRun, Instant Now,
                 Effects &Out);
   void failed(std::uint64_t Call, CallFailure Failure, std::string_view Detail,
@@ -97,6 +100,14 @@
     Instant StartedAt;
   };
 
+  // A result that its sender may not have got.
+  struct Ended {
+    Instant At;
+    ForwardResult Result;
+  };
+  // Names a request among those of all senders: process and id.
+  using ForwardKey = std::pair<std::uint64_t, std::uint64_t>;
+
   // The outcome that refuses Request at once, if any.
   std::optional<Outcome> refusalOf(const Forward &Request, KeyState Key,
                                    std::uint64_t Digest, Instant Now) const;
@@ -126,7 +137,11 @@
   mutable std::uint64_t NextSequence = 1;
   // Invariant: a call is in Queue as waiting or holds one of its slots.
   std::map<std::uint64_t, Call> Calls;
-  std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint64_t> ByForward;
+  std::map<ForwardKey, std::uint64_t> ByForward;
+  // Results of the last KeepTime; and, without a result, requests that their
+  // senders were told never came.
+  std::map<ForwardKey, Ended> Recent;
+  std::map<ForwardKey, Instant> Disowned;
 };
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -99,6 +99,7 @@
   CPPUNIT_TEST(freesTheSlotOfACancelledCall);
   CPPUNIT_TEST(servesWhileReportsAreCutOff);
   CPPUNIT_TEST(refusesAllWhenClosed);
+  CPPUNIT_TEST(tellsWhatBecameOfARequest);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -248,6 +249,27 @@
     CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, F.Gate.openRequests());
   }
+
+  // A connection between nodes that breaks must not turn an answer that is
+  // there into a failure, nor a request that never came into an unknown one.
+  void tellsWhatBecameOfARequest() {
+    Fixture F;
+    F.forward(1);
+    std::uint64_t Call = F.started();
+    F.Out.clear();
+    F.Gate.resume(Peer, {.Id = 1, .Process = 9}, F.Now, F.Out);
+    CPPUNIT_ASSERT(!F.result());
+    F.answer(Call);
+    F.Out.clear();
+    F.Gate.resume(Peer, {.Id = 1, .Process = 9}, F.Now, F.Out);
+    CPPUNIT_ASSERT(F.ended(Outcome::Answered));
+    F.Out.clear();
+    F.Gate.resume(Peer, {.Id = 2, .Process = 9}, F.Now, F.Out);
+    CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
+    // It must not run when it comes late.
+    F.forward(2);
+    CPPUNIT_ASSERT(!F.started() && !F.result());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetGateTest);
--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -51,8 +51,8 @@
     4134, Severity::Info, "KEYS_GRANTED", "the keys granted to the target changed"};
 inline constexpr EventDefinition PeerLost{
     4141, Severity::Warn, "PEER_LOST", "the connection to another node broke"};
-inline constexpr EventDefinition MessageRefused{
-    4142, Severity::Warn, "MESSAGE_REFUSED",
+inline constexpr EventDefinition NodeMessageRefused{
+    4142, Severity::Warn, "NODE_MESSAGE_REFUSED",
     "a message of another node cannot be read"};
 inline constexpr EventDefinition LogDropped{
     4151, Severity::Warn, "LOG_DROPPED",
--- a/orioledoor/sidecar/key_office.cc
+++ b/orioledoor/sidecar/key_office.cc
@@ -66,6 +66,23 @@
   return Decision.Answer;
 }
 
+bool KeyOffice::expectsKeys(std::string_view Service,
+                            const routing::TargetRef &Target) const {
+  const StoredKeyMap *Stored = this->mapOf(Service);
+  if (!Stored || Stored->Map.findLost(Target))
+    return false;
+  bool Owns = false;
+  bool Comes = false;
+  for (const keyspace::KeyRow &Row : Stored->Map.Rows) {
+    if (Row.Owner == Target && Row.Next)
+      return false;
+    Owns |= Row.Owner == Target;
+    Comes |= Row.Next == Target;
+  }
+  // A target without keys is new and will get some.
+  return Comes || !Owns;
+}
+
 routing::KeyOwner KeyOffice::ownerOf(std::string_view Service,
                                      std::int32_t Key) const {
   const StoredKeyMap *Stored = this->mapOf(Service);
--- a/orioledoor/sidecar/key_office.h
+++ b/orioledoor/sidecar/key_office.h
@@ -36,6 +36,10 @@
   routing::ReportAnswer report(const routing::TargetReport &Report,
                                const routing::TargetRef &Target, Instant Now,
                                Effects &Out);
+  // Keys are about to come to Target, and none are to leave it: the answer to
+  // its report is worth holding back for a moment.
+  bool expectsKeys(std::string_view Service,
+                   const routing::TargetRef &Target) const;
   // A new life of the target reported.
   void newLife() { this->Grantor.reset(); }
   bool holds(std::uint32_t Key, Instant Now) const {
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -185,7 +185,7 @@
         Reply.Entries.end())
       Absent.push_back(Entry.first);
   for (const std::string &Key : Absent)
-    this->remove(Key, Now);
+    this->remove(Key, Reply.Revision, Now);
   for (const StoreEntry &Entry : Reply.Entries)
     this->apply(Entry, Out);
   this->Known = true;
@@ -215,6 +215,9 @@
     return;
   }
   auto Found = this->Nodes.find(Entry.Key);
+  // A read and the watch may bring changes in another order than they were made.
+  if (Found != this->Nodes.end() && Entry.ModRevision < Found->second.Revision)
+    return;
   bool Other = Found == this->Nodes.end() ||
                Found->second.Entry.Process != Read->Process;
   if (Other) {
@@ -237,10 +240,11 @@
   return true;
 }
 
-void Membership::remove(const std::string &Key, Instant Now) {
+void Membership::remove(const std::string &Key, std::int64_t Revision,
+                        Instant Now) {
   auto Found = this->Nodes.find(Key);
   if (Key != this->EntryKey && Found != this->Nodes.end() &&
-      !Found->second.MissingSince)
+      Revision >= Found->second.Revision && !Found->second.MissingSince)
     Found->second.MissingSince = Now;
 }
 
@@ -257,7 +261,7 @@
     return;
   for (const StoreChange &Change : Update.Changes)
     if (Change.Deleted)
-      this->remove(Change.Entry.Key, Now);
+      this->remove(Change.Entry.Key, Change.Entry.ModRevision, Now);
     else
       this->apply(Change.Entry, Out);
 }
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -116,7 +116,7 @@
                  MembershipOutput &Out);
   void replaceAll(const StoreReply &Reply, Instant Now, MembershipOutput &Out);
   void apply(const StoreEntry &Entry, MembershipOutput &Out);
-  void remove(const std::string &Key, Instant Now);
+  void remove(const std::string &Key, std::int64_t Revision, Instant Now);
 
   NodeEntry Self;
   MembershipOptions Options;
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -30,6 +30,10 @@
 // concerned. The planning node acts on entries and collects for less.
 constexpr Duration PlannerWatchPause = milliseconds(100);
 constexpr Duration OtherWatchPause = milliseconds(1000);
+// A target takes keys with the answer to its report only, and counts an answer
+// within a second. One that keys are coming to is answered when they are there,
+// at the latest after this: otherwise they wait for its next report.
+constexpr Duration HoldBackTime = milliseconds(600);
 // Until the members are known, a node's part of the constant allowance.
 constexpr double UnknownFleet = 30;
 
@@ -127,7 +131,13 @@
   if (Output.NodesChanged)
     this->takeNodes(Now);
   if (Output.NodesChanged || Output.KeysChanged)
-    this->Entry.ownersChanged(Now, this->Path);
+    this->ownersChanged(Now);
+}
+
+void SidecarReducer::ownersChanged(Instant Now) {
+  // The target first, so that it holds what the requests are for.
+  this->answerHeldReport(Now);
+  this->Entry.ownersChanged(Now, this->Path);
 }
 
 void SidecarReducer::takeNodes(Instant Now) {
@@ -232,6 +242,8 @@
     this->Entry.result(From, std::move(*Result), Now, this->Path);
   } else if (auto *Cancel = std::get_if<routing::CancelForward>(&Body)) {
     this->Gate.cancel(From, *Cancel, Now, this->Path);
+  } else if (auto *Resumed = std::get_if<routing::ResumeForward>(&Body)) {
+    this->Gate.resume(From, *Resumed, Now, this->Path);
   } else if (auto *Notice = std::get_if<routing::StatusNotice>(&Body)) {
     this->Directory.noteReached(From);
     this->Directory.update(Notice->Status, Now);
@@ -241,7 +253,7 @@
     this->Keys.noteLoad(*Load, Now);
   } else if (auto *Owners = std::get_if<routing::KeyMapNotice>(&Body)) {
     if (this->Keys.told(*Owners, this->Out))
-      this->Entry.ownersChanged(Now, this->Path);
+      this->ownersChanged(Now);
   }
 }
 
@@ -266,20 +278,39 @@
 
 void SidecarReducer::on(TargetReported Reported, Instant Now) {
   const routing::TargetReport &Report = Reported.Report;
-  routing::ReportAnswer Answer;
   routing::ReportVerdict Verdict = this->Gate.report(Report, Now, this->Path);
-  if (Verdict != routing::ReportVerdict::Late) {
-    this->ReportedAt = Now;
-    if (Verdict == routing::ReportVerdict::NewLife) {
-      this->Keys.newLife();
-      this->Entry.setCallerService(Report.Service);
-    }
-    this->Ended = {};
-    if (this->isPartitioned(Report.Service))
-      Answer = this->Keys.report(Report, this->Gate.target(), Now, this->Out);
-    this->publish(Now);
+  if (Verdict == routing::ReportVerdict::Late) {
+    this->Out.push_back(AnswerReport{Reported.Id, {}});
+    return;
+  }
+  this->ReportedAt = Now;
+  if (Verdict == routing::ReportVerdict::NewLife) {
+    this->Keys.newLife();
+    this->Entry.setCallerService(Report.Service);
   }
-  this->Out.push_back(AnswerReport{Reported.Id, std::move(Answer)});
+  this->Ended = {};
+  this->publish(Now);
+  if (this->Held)
+    this->Out.push_back(AnswerReport{this->Held->Report.Id, {}});
+  bool Expects = this->isPartitioned(Report.Service) &&
+                 this->Gate.state() == TargetState::Ready &&
+                 this->Keys.expectsKeys(Report.Service, this->Gate.target());
+  this->Held = {std::move(Reported), Expects ? Now + HoldBackTime : Now};
+  this->answerHeldReport(Now);
+}
+
+void SidecarReducer::answerHeldReport(Instant Now) {
+  if (!this->Held)
+    return;
+  const routing::TargetReport &Report = this->Held->Report.Report;
+  if (Now < this->Held->Until && this->Gate.state() == TargetState::Ready &&
+      this->Keys.expectsKeys(Report.Service, this->Gate.target()))
+    return;
+  routing::ReportAnswer Answer;
+  if (this->isPartitioned(Report.Service))
+    Answer = this->Keys.report(Report, this->Gate.target(), Now, this->Out);
+  this->Out.push_back(AnswerReport{this->Held->Report.Id, std::move(Answer)});
+  this->Held.reset();
 }
 
 void SidecarReducer::on(TargetLeft Left, Instant Now) {
@@ -312,7 +343,7 @@
     return;
   }
   if (this->Keys.replied(Replied.Reply, Now, this->Out))
-    this->Entry.ownersChanged(Now, this->Path);
+    this->ownersChanged(Now);
 }
 
 void SidecarReducer::on(StoreWatched Watched, Instant Now) {
@@ -375,6 +406,7 @@
   MembershipOutput Output;
   this->Members.tick(Now, Output);
   this->take(std::move(Output), Now);
+  this->answerHeldReport(Now);
   const TargetRef &Target = this->Gate.target();
   if (Target && this->isPartitioned(this->Gate.service())) {
     if (Now > this->Keys.holdsEnd() + EndedMargin &&
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -8,6 +8,7 @@
 #define ORIOLEDOOR_SIDECAR_REDUCER_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "orioledoor/routing/entry.h"
@@ -52,6 +53,12 @@
   const Membership &membership() const { return this->Members; }
 
 private:
+  // A report whose answer waits for keys that are on their way.
+  struct HeldReport {
+    TargetReported Report;
+    Instant Until;
+  };
+
   void on(Started, Instant Now);
   void on(CallerCame Came, Instant Now);
   void on(CallerWent Went, Instant Now);
@@ -76,7 +83,10 @@
   void take(MembershipOutput Output, Instant Now);
   // Tells the fleet if the target or its state changed.
   void publish(Instant Now);
+  void ownersChanged(Instant Now);
   void takeNodes(Instant Now);
+  // Answers the report that is held back if there is no more reason to.
+  void answerHeldReport(Instant Now);
   void stopStep(Instant Now);
   void paceWatch();
   bool isPartitioned(std::string_view Service) const;
@@ -94,6 +104,7 @@
   routing::TargetState PublishedState = routing::TargetState::Absent;
   routing::TargetRef Ended;
   Instant ReportedAt;
+  std::optional<HeldReport> Held;
   Instant StopAskedAt;
   // The pace that the shell was told last.
   Duration WatchPause{0};
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -148,6 +148,9 @@
     if (const auto *Sent = std::get_if<routing::Forward>(&Asked.Body)) {
       Tag.Id = Sent->Id;
       this->Peers->awaitAnswer(Asked.To, readClock() + Sent->TimeLeft);
+    } else if (const auto *Resumed =
+                   std::get_if<routing::ResumeForward>(&Asked.Body)) {
+      Tag.Id = Resumed->Id;
     }
     this->Peers->send(Asked.To, wire::Channel::Requests,
                       routing::encodeMessage(Asked.Body), Tag);
@@ -350,7 +353,7 @@
   void peerSpoke(std::string_view From, std::string_view Payload) {
     absl::StatusOr<routing::Message> Body = routing::decodeMessage(Payload);
     if (!Body.ok()) {
-      this->write({&events::MessageRefused,
+      this->write({&events::NodeMessageRefused,
                    {{"peer", std::string(From)},
                     {"why", std::string(Body.status().message())}}});
       return;
