Do not give up requests that a restarted node runs

Change: when a node has a new process its senders ask it; it vouches only for what was sent to itself and says that anything else may have run.

Ruled out: the connection between the nodes, which held.

--- a/orioledoor/keyspace/key_balance.cc
+++ b/orioledoor/keyspace/key_balance.cc
@@ -108,6 +108,7 @@
   }
   double Mean = Rate / Capacity;
   std::vector<std::vector<Piece>> Pieces;
+  Pieces.reserve(Left.size());
   for (const TargetLoad &Each : Left)
     Pieces.push_back(piecesOf(Map, Each));
   auto UseOf = [](const TargetLoad &Each) { return Each.Rate / Each.Capacity; };
--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -81,7 +81,7 @@
     this->Client.call(
         this->httpCall(Sent, this->Limits.Call),
         [this, Request = std::move(Request), Before = std::move(Before), At,
-         OnReply = std::move(OnReply)](wire::HttpResult Result) mutable {
+         OnReply = std::move(OnReply)](const wire::HttpResult &Result) mutable {
           if (Result.Failure) {
             ++this->Counters.Failures;
             // Whatever silenced one connection may have silenced them all.
--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -146,7 +146,6 @@
   this->budgetOf(Added.Service).noteRequest();
   Pending &Kept = this->Open[Caller] = std::move(Added);
   if (Kept.Partitioned && Kept.Request.Key == NoKey) {
-    std::string AttemptId = Kept.Request.AttemptId;
     this->finish(Caller, ownAnswer(400, "find owner", "no key is stated"), Out);
     return;
   }
@@ -202,6 +201,8 @@
   Of.At = To;
   Of.ForwardId = this->NextForward++;
   Of.Resumed = false;
+  const TargetView *Known = this->Directory.find(To);
+  Of.Receiver = Known ? Known->Status.Process : 0;
   Of.Tried.push_back(To);
   this->ByForward[Of.ForwardId] = Of.Request.Caller;
   this->Directory.noteSent(To);
@@ -259,7 +260,7 @@
     this->handleLost(Of, Result.Detail, Now, Out);
     return;
   default:
-    this->handleNotRun(Of, std::move(Result), Now, Out);
+    this->handleNotRun(Of, Result, Now, Out);
   }
 }
 
@@ -288,8 +289,8 @@
   this->finish(Of.Request.Caller, std::move(Result.Answer), Out);
 }
 
-void EntryReducer::handleNotRun(Pending &Of, ForwardResult Result, Instant Now,
-                                Effects &Out) {
+void EntryReducer::handleNotRun(Pending &Of, const ForwardResult &Result,
+                                Instant Now, Effects &Out) {
   Of.RetryAfter = std::max(Of.RetryAfter, Result.RetryAfter);
   bool Again = false;
   switch (Result.Ended) {
@@ -390,8 +391,9 @@
     Pending &Of = this->Open.at(Caller);
     if (!Ended && !Of.Resumed) {
       Of.Resumed = true;
-      Out.push_back(SendMessage{
-          Node, ResumeForward{Of.ForwardId, this->Options.Process}});
+      Out.push_back(
+          SendMessage{Node, ResumeForward{Of.ForwardId, this->Options.Process,
+                                          Of.Receiver}});
       continue;
     }
     // The answer to a request that must not run twice may still come over a
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -105,6 +105,8 @@
     // The node of the open Forward; empty while parked.
     std::string At;
     std::uint64_t ForwardId = 0;
+    // The process that the Forward went to, as far as known.
+    std::uint64_t Receiver = 0;
     // The connection broke, and the node was asked what became of the request.
     bool Resumed = false;
     std::vector<std::string> Tried;
@@ -128,7 +130,7 @@
   // Ends the open Forward of Of, without a result.
   void leaveTarget(Pending &Of);
   bool mayRetry(const Pending &Of, Instant Now);
-  void handleNotRun(Pending &Of, ForwardResult Result, Instant Now,
+  void handleNotRun(Pending &Of, const ForwardResult &Result, Instant Now,
                     Effects &Out);
   void handleLost(Pending &Of, std::string_view Detail, Instant Now,
                   Effects &Out);
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -100,11 +100,14 @@
 };
 
 // The connection broke while a request was open. The node beside the target
-// sends the result again if it ended, says NoTarget if the request never came
-// and is silent while it runs.
+// sends the result again if it ended and is silent while it runs. Otherwise it
+// says NoTarget, as the request never came, or Lost if it is not the process
+// that the request was sent to.
 struct ResumeForward {
   std::uint64_t Id = 0;
   std::uint64_t Process = 0;
+  // The process that the request was sent to; 0: not known.
+  std::uint64_t Receiver = 0;
 };
 
 // The target's state changed.
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -167,7 +167,8 @@
     start(this->Out, this->Sent, 2) << Value.Revision << Value.Map;
   }
   void operator()(const ResumeForward &Value) const {
-    start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
+    start(this->Out, this->Sent, 3)
+        << Value.Id << Value.Process << Value.Receiver;
   }
 };
 
@@ -230,7 +231,7 @@
   }
   case 7: {
     ResumeForward Value;
-    In >> Value.Id >> Value.Process;
+    In >> Value.Id >> Value.Process >> Value.Receiver;
     return Value;
   }
   default:
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -283,8 +283,10 @@
     Out.push_back(SendMessage{From, Found->second.Result});
     return;
   }
-  // Results are dropped early when there are too many.
-  bool Known = this->Recent.size() < MaxKept;
+  // An earlier process may have run it. Results are dropped early when there
+  // are too many.
+  bool Known = Resumed.Receiver == this->Options.Process &&
+               this->Recent.size() < MaxKept;
   if (Known)
     this->Disowned[Key] = Now;
   ForwardResult Result{.Id = Resumed.Id,
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -264,7 +264,11 @@
     F.Gate.resume(Peer, {.Id = 1, .Process = 9}, F.Now, F.Out);
     CPPUNIT_ASSERT(F.ended(Outcome::Answered));
     F.Out.clear();
-    F.Gate.resume(Peer, {.Id = 2, .Process = 9}, F.Now, F.Out);
+    // An earlier process of this node may have run it.
+    F.Gate.resume(Peer, {.Id = 2, .Process = 9, .Receiver = 7}, F.Now, F.Out);
+    CPPUNIT_ASSERT(F.ended(Outcome::Lost));
+    F.Out.clear();
+    F.Gate.resume(Peer, {.Id = 2, .Process = 9, .Receiver = 1}, F.Now, F.Out);
     CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
     // It must not run when it comes late.
     F.forward(2);
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -221,7 +221,7 @@
                Found->second.Entry.Process != Read->Process;
   if (Other) {
     if (Found != this->Nodes.end())
-      Out.EndedNodes.push_back(Read->Node);
+      Out.ReplacedNodes.push_back(Read->Node);
     Out.Logs.push_back({&events::NodeJoined,
                         {{"node", Read->Node},
                          {"service", Read->Service},
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -67,8 +67,10 @@
   std::vector<LogRecord> Logs;
   bool NodesChanged = false;
   bool KeysChanged = false;
-  // Nodes whose process ended or was replaced.
+  // Nodes that are gone.
   std::vector<std::string> EndedNodes;
+  // Nodes with a new process. It may have been there for a while.
+  std::vector<std::string> ReplacedNodes;
 };
 
 // Not thread-safe; no clock, socket or random source.
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -131,6 +131,9 @@
   for (const std::string &Node : Output.EndedNodes)
     if (Node != this->Options.Node)
       this->Entry.nodeLost(Node, true, Now, this->Path);
+  for (const std::string &Node : Output.ReplacedNodes)
+    if (Node != this->Options.Node)
+      this->Entry.nodeLost(Node, false, Now, this->Path);
   if (Output.NodesChanged)
     this->takeNodes(Now);
   if (Output.NodesChanged || Output.KeysChanged)
@@ -260,7 +263,7 @@
   }
 }
 
-void SidecarReducer::on(ForwardNotSent NotSent, Instant Now) {
+void SidecarReducer::on(const ForwardNotSent &NotSent, Instant Now) {
   this->Entry.notSent(NotSent.To, NotSent.Id, Now, this->Path);
 }
 
@@ -274,7 +277,7 @@
                       Answered.NotRun, Now, this->Path);
 }
 
-void SidecarReducer::on(TargetFailed Failed, Instant Now) {
+void SidecarReducer::on(const TargetFailed &Failed, Instant Now) {
   this->Gate.failed(Failed.Call, Failed.Failure, Failed.Detail, Now,
                     this->Path);
 }
@@ -316,7 +319,7 @@
   this->Held.reset();
 }
 
-void SidecarReducer::on(TargetLeft Left, Instant Now) {
+void SidecarReducer::on(const TargetLeft &Left, Instant Now) {
   this->Gate.leave(Left.Instance, Now, this->Path);
   this->publish(Now);
 }
@@ -339,7 +342,7 @@
   this->Entry.setTable(std::move(Read.Table));
 }
 
-void SidecarReducer::on(StoreReplied Replied, Instant Now) {
+void SidecarReducer::on(const StoreReplied &Replied, Instant Now) {
   MembershipOutput Output;
   if (this->Members.replied(Replied.Reply, Now, Output)) {
     this->take(std::move(Output), Now);
@@ -349,7 +352,7 @@
     this->ownersChanged(Now);
 }
 
-void SidecarReducer::on(StoreWatched Watched, Instant Now) {
+void SidecarReducer::on(const StoreWatched &Watched, Instant Now) {
   MembershipOutput Output;
   this->Members.watched(Watched.Update, Now, Output);
   this->take(std::move(Output), Now);
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -133,7 +133,7 @@
     this->Handling = false;
   }
 
-  void carryOut(ReplyToCaller Asked) {
+  void carryOut(const ReplyToCaller &Asked) {
     auto Took = this->Outbound->reply(Asked.Caller, Asked.Answer);
     if (!Took)
       return;
@@ -373,9 +373,10 @@
       wire::HttpServerOptions Options{.Listen = At};
       Options.MaxBodyBytes = MaxForwardBody;
       auto Opened = Server::open(this->Base, Options, std::move(Callbacks));
-      if (Opened.ok())
-        Kept = *std::move(Opened);
-      return Opened.status();
+      if (!Opened.ok())
+        return Opened.status();
+      Kept = *std::move(Opened);
+      return absl::OkStatus();
     };
     auto Ignore = [](std::uint64_t) {};
     if (auto Done = Open(
--- a/orioledoor/sidecar/sidecar_node.h
+++ b/orioledoor/sidecar/sidecar_node.h
@@ -15,7 +15,7 @@
 
 namespace orioledoor {
 class Logger;
-}
+} // namespace orioledoor
 
 namespace orioledoor::sidecar {
 
