--- a/orioledoor/wire/http_server_test.cc
+++ b/orioledoor/wire/http_server_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(largeHeadersGet431);
   CPPUNIT_TEST(malformedRequestsGet400);
   CPPUNIT_TEST(ambiguousFramingGets400);
+  CPPUNIT_TEST(nothingIsReadAfterAmbiguousFraming);
   CPPUNIT_TEST(callerThatLeavesIsReported);
   CPPUNIT_TEST_SUITE_END();
 
@@ -157,6 +158,26 @@
     CPPUNIT_ASSERT_EQUAL(0, this->Received);
   }
 
+  // What follows a request of uncertain length could be a part of its body: a
+  // caller could smuggle a request past the router's checks.
+  void nothingIsReadAfterAmbiguousFraming() {
+    // Longer than any length stated below.
+    constexpr char Hidden[] =
+        "GET /hidden HTTP/1.1\r\nHost: h\r\nX: 0123456789\r\n\r\n";
+    for (std::string Head :
+         {"Content-Length: 0\r\nContent-Length: 40", "Content-Length : 40",
+          "Transfer-Encoding: xchunked", "Transfer-Encoding : chunked",
+          "Content-Length: +40", "Content-Length: 40, 40", "Content-Length: ",
+          "Content-Length: 0x28", "Transfer-Encoding: chunked, identity"}) {
+      std::string Answer = this->exchange(
+          "POST /a HTTP/1.1\r\nHost: h\r\n" + Head + "\r\n\r\n" + Hidden, true);
+      CPPUNIT_ASSERT_MESSAGE(Head + "\n" + Answer, isError(Answer, "400"));
+      CPPUNIT_ASSERT_MESSAGE(Head + "\n" + Answer,
+                             Answer.find("/hidden") == std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, this->Received);
+  }
+
   // Work for a caller that left would hold a slot until its deadline.
   void callerThatLeavesIsReported() {
     int Caller = testing::connectTo(Port);
