--- a/orioledoor/wire/http_server_test.cc
+++ b/orioledoor/wire/http_server_test.cc
@@ -171,8 +171,10 @@
           "Content-Length: 0x28", "Transfer-Encoding: chunked, identity"}) {
       std::string Answer = this->exchange(
           "POST /a HTTP/1.1\r\nHost: h\r\n" + Head + "\r\n\r\n" + Hidden, true);
-      CPPUNIT_ASSERT_MESSAGE(Head + "\n" + Answer, isError(Answer, "400"));
-      CPPUNIT_ASSERT_MESSAGE(Head + "\n" + Answer,
+      std::string Message = Head;
+      Message.append("\n").append(Answer);
+      CPPUNIT_ASSERT_MESSAGE(Message, isError(Answer, "400"));
+      CPPUNIT_ASSERT_MESSAGE(Message,
                              Answer.find("/hidden") == std::string::npos);
     }
     CPPUNIT_ASSERT_EQUAL(0, this->Received);
