Use the platform's store as the one store protocol

Cause: two store clients stood side by side: one of the etcd v3 gateway for the stand-alone mode, oriolectl and the stand-in store, one of the platform's protocol for the node beside a target. Nobody runs the first protocol.

Change: the stand-alone node and oriolectl use platform::PlatformStore; the stand-in store serves the platform's protocol through platform/store_service_codec, the server's side of the same codec. The client gets stopWatching(), newest-first ranges (read page by page, since the store knows no order), a limit for a watch that went silent, and it drops kept connections when a watch fails.

Tests: every case of store_test is in platform_store_test. The two cases of the watch's probe ask for the same outcome without it: a silent watch is reported and the missed change arrives. New cases: pages, refused keys.

Ruled out: keeping the probe of quiet watches. A waiting read is answered every 1.5 s at the latest, which shows a silent connection as soon.

--- a/orioledoor/catalogue/internal/yaml_reader.cc
+++ b/orioledoor/catalogue/internal/yaml_reader.cc
@@ -11,8 +11,8 @@
 namespace orioledoor::internal {
 namespace {
 
-// A change writes the text twice in one transaction, etcd accepts transactions
-// of up to 1.5 MiB by default, and JSON escapes can double the text.
+// A change writes the text twice in one transaction. JSON escapes can double
+// the text, and base64 adds a third: 1.4 MiB in one call.
 constexpr std::size_t MaxDocumentBytes = 256 << 10;
 
 std::string kindOf(const YAML::Node &Node) {
--- a/orioledoor/daemon/node.cc
+++ b/orioledoor/daemon/node.cc
@@ -24,9 +24,10 @@
 #include "orioledoor/daemon/target_monitor.h"
 #include "orioledoor/ownership/message_codec.h"
 #include "orioledoor/ownership/ownership_reducer.h"
+#include "orioledoor/platform/platform_store.h"
 #include "orioledoor/requests/message_codec.h"
 #include "orioledoor/requests/request_reducer.h"
-#include "orioledoor/store/etcd_client.h"
+#include "orioledoor/store/keys.h"
 #include "orioledoor/telemetry/logger.h"
 #include "orioledoor/telemetry/metrics.h"
 #include "orioledoor/wire/caller_request.h"
@@ -45,6 +46,11 @@
 // Longest time a stopping process waits for requests in flight after its
 // duties are handed over; the longest deadline of a service.
 constexpr Duration DrainLimit = std::chrono::seconds(30);
+// A change is to be in force everywhere within 5 s. A watch that went silent is
+// noticed after 2.5 s, so half of the time remains for the change itself.
+constexpr platform::PlatformStoreLimits StoreLimits{
+    .Call = std::chrono::seconds(2),
+    .WatchWait = std::chrono::milliseconds(1500)};
 
 } // namespace
 
@@ -57,7 +63,7 @@
   std::string Address;
   Ownership Members;
   Requests Routing;
-  EtcdClient Store;
+  platform::PlatformStore Store;
   wire::HttpClient Client;
   TargetMonitor Target;
   std::unique_ptr<wire::HttpServer> Server;
@@ -87,11 +93,7 @@
       : Base(Base), Own(Own), Log(Log), Address(peerAddress(Own.Peer)),
         Members(localNode(Own)),
         Routing({.PeerAddress = Address, .Seed = randomNumber()}),
-        Store(Base, Own.Store.Host, Own.Store.Port,
-              [this](const LogRecord &Record) { // NOLINT
-                this->Log.write(Record);
-              }),
-        Client(Base),
+        Store(Base, Own.Store, StoreLimits), Client(Base),
         Target(Client,
                {.Changed =
                     [this](TargetChange Change, const Announcement &Of) {
@@ -183,13 +185,20 @@
     });
   }
   void carryOut(const ownership::WatchStore &E) {
-    this->Store.watch(E.FromRevision, [this](StoreWatchUpdate Update) {
-      this->dispatch(ownership::Event(
-          ownership::StoreWatched{std::move(Update.Status),
-                                  std::move(Update.Changes), Update.Revision}));
-    });
+    this->Store.watch(keys::Root, E.FromRevision - 1,
+                      [this](StoreWatchUpdate Update) {
+                        // The reducer reads the keys anew after a failure and
+                        // asks again.
+                        if (!Update.Status.ok())
+                          this->Store.stopWatching(keys::Root);
+                        this->dispatch(ownership::Event(ownership::StoreWatched{
+                            std::move(Update.Status), std::move(Update.Changes),
+                            Update.Revision}));
+                      });
+  }
+  void carryOut(const ownership::StopWatching &) {
+    this->Store.stopWatching(keys::Root);
   }
-  void carryOut(const ownership::StopWatching &) { this->Store.stopWatching(); }
   void carryOut(const ownership::CatalogueInForce &E) {
     absl::StatusOr<Catalogue> Parsed = parseCatalogue(
         E.Text, "catalogue revision " + std::to_string(E.Revision));
--- a/orioledoor/oriolectl/catalogue_apply_test.cc
+++ b/orioledoor/oriolectl/catalogue_apply_test.cc
@@ -3,12 +3,16 @@
 // the fault matters.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <deque>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <thread>
+#include <variant>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -21,6 +25,7 @@
 #include "orioledoor/oriolectl/event_loop.h"
 #include "orioledoor/oriolectl/store_session.h"
 #include "orioledoor/ownership/assignment.h"
+#include "orioledoor/platform/store_service_codec.h"
 #include "orioledoor/standins/loop.h"
 #include "orioledoor/standins/store_server.h"
 #include "orioledoor/store/keys.h"
@@ -31,7 +36,7 @@
 using namespace std::chrono_literals;
 using absl::StatusCode;
 
-constexpr EtcdClientLimits CallLimits{500ms, 500ms, 500ms};
+constexpr platform::PlatformStoreLimits CallLimits{.Call = 500ms};
 constexpr ApplyLimits ShortLimits{1s, 300ms, 20ms};
 
 // A valid catalogue with one service.
@@ -77,38 +82,52 @@
 
 private:
   void serve(standins::Exchange &Call) {
-    nlohmann::json Body = nlohmann::json::parse(Call.body());
-    if (Call.path() != "/v3/kv/txn")
-      return Call.reply(200, this->read(Body).dump());
+    auto Served = platform::decodeCall(Call.method(), Call.path(), Call.query(),
+                                       Call.body());
+    CPPUNIT_ASSERT(Served.ok());
+    const auto *Txn = std::get_if<StoreTxn>(&*Served);
+    if (!Txn)
+      return this->send(Call, *Served, this->read(*Served));
     ++this->Transactions;
     Answer Next = this->Script.empty() ? Answer::Drop : this->Script.front();
     if (!this->Script.empty())
       this->Script.pop_front();
-    if (Next == Answer::Late)
-      this->Events.after(100ms, [this, Body] {
-        for (const nlohmann::json &Write : Body.at("success"))
-          this->Written.push_back(Write.at("request_put"));
+    StoreReply Reply{.Succeeded = true, .Revision = 2};
+    switch (Next) {
+    case Answer::Late:
+      this->Events.after(100ms, [this, Puts = Txn->Puts] {
+        for (const StorePut &Put : Puts)
+          this->Written.push_back({Put.Key, Put.Value, 2});
       });
-    if (Next == Answer::Reject)
-      return Call.reply(429, R"({"code":8,"message":"too many requests"})");
-    if (Next == Answer::Succeed)
-      return Call.reply(200, R"({"header":{"revision":"2"},"succeeded":true})");
-    Call.drop();
+      return Call.drop();
+    case Answer::Reject:
+      Reply.Status = absl::ResourceExhaustedError("too many requests");
+      return this->send(Call, *Served, Reply);
+    case Answer::Succeed:
+      return this->send(Call, *Served, Reply);
+    case Answer::Drop:
+      return Call.drop();
+    }
+  }
+
+  static void send(standins::Exchange &Call, const platform::ServedCall &Served,
+                   const StoreReply &Reply) {
+    platform::StoreAnswer Answer = platform::encodeReply(Served, Reply);
+    Call.reply(Answer.Status, Answer.Body);
   }
 
-  nlohmann::json read(const nlohmann::json &Range) const {
-    nlohmann::json Reply = {{"header", {{"revision", "1"}}}};
-    for (nlohmann::json Entry : this->Written)
-      if (Entry.at("key") == Range.at("key")) {
-        Entry["mod_revision"] = "2";
-        Reply["kvs"].push_back(std::move(Entry));
-      }
+  StoreReply read(const platform::ServedCall &Served) const {
+    StoreReply Reply{.Revision = 1};
+    const StoreRange &Range = std::get<platform::ServedRange>(Served).Range;
+    std::ranges::copy_if(
+        this->Written, std::back_inserter(Reply.Entries),
+        [&](const StoreEntry &Each) { return Each.Key == Range.Key; });
     return Reply;
   }
 
   standins::Loop &Events;
-  // Puts of late writes: key and value in base64.
-  std::vector<nlohmann::json> Written;
+  // What late writes have put.
+  std::vector<StoreEntry> Written;
   standins::HttpServer Http;
 };
 
--- a/orioledoor/oriolectl/store_session.cc
+++ b/orioledoor/oriolectl/store_session.cc
@@ -18,9 +18,9 @@
 } // namespace
 
 StoreSession::StoreSession(EventLoop &Loop, const Endpoint &Address,
-                           EtcdClientLimits Limits)
+                           platform::PlatformStoreLimits Limits)
     : Loop(Loop), Peer(formatEndpoint(Address)), Limits(Limits),
-      Client(Loop.base(), Address.Host, Address.Port, nullptr, Limits) {}
+      Client(Loop.base(), Address, Limits) {}
 
 StoreReply StoreSession::call(StoreRequestBody Body) {
   // Shared with the callback, which may run after this call gave up.
--- a/orioledoor/oriolectl/store_session.h
+++ b/orioledoor/oriolectl/store_session.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "orioledoor/store/etcd_client.h"
+#include "orioledoor/platform/platform_store.h"
 #include "orioledoor/store/store_types.h"
 
 namespace orioledoor {
@@ -23,12 +23,16 @@
 
 class EventLoop;
 
+// An operator rather waits than repeats a command.
+inline constexpr platform::PlatformStoreLimits DefaultStoreLimits{
+    .Call = std::chrono::seconds(2)};
+
 // Not thread-safe.
 class StoreSession {
 public:
   // Loop must outlive the session.
   StoreSession(EventLoop &Loop, const Endpoint &Address,
-               EtcdClientLimits Limits = {});
+               platform::PlatformStoreLimits Limits = DefaultStoreLimits);
 
   // One call; its status is as documented at StoreReply.
   StoreReply call(StoreRequestBody Body);
@@ -48,8 +52,8 @@
 private:
   EventLoop &Loop;
   std::string Peer;
-  EtcdClientLimits Limits;
-  EtcdClient Client;
+  platform::PlatformStoreLimits Limits;
+  platform::PlatformStore Client;
   std::uint64_t LastId = 0;
 };
 
--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -15,26 +15,35 @@
 namespace orioledoor::platform {
 namespace {
 
-// A waiting watch is given up this long after it should have been answered.
-constexpr Duration WatchSlack = std::chrono::milliseconds(1000);
-
 struct EventDeleter {
   void operator()(event *Owned) const { event_free(Owned); }
 };
 using EventPtr = std::unique_ptr<event, EventDeleter>;
 
-absl::Status statusOf(const wire::HttpResult &Result, std::string_view Peer) {
+// IsRead: whether it was carried out makes no difference.
+absl::Status statusOf(const wire::HttpResult &Result, bool IsRead,
+                      std::string_view Peer) {
   using requests::TargetFailure;
   absl::StatusCode Code = absl::StatusCode::kUnknown;
-  if (*Result.Failure == TargetFailure::NotSent)
+  if (*Result.Failure == TargetFailure::NotSent || IsRead)
     Code = absl::StatusCode::kUnavailable;
   else if (*Result.Failure == TargetFailure::TimedOut)
     Code = absl::StatusCode::kDeadlineExceeded;
   return makeError(Code, "call store", Peer, Result.Detail);
 }
 
+// Keeps what Range asked for of all entries in the order of their keys.
+void selectEntries(const StoreRange &Range, std::vector<StoreEntry> &Entries) {
+  if (Range.Limit > 0 && Range.Descending)
+    std::ranges::reverse(Entries);
+  if (Range.Limit > 0 && std::ssize(Entries) > Range.Limit)
+    Entries.resize(static_cast<std::size_t>(Range.Limit));
+}
+
 } // namespace
 
+static_assert(StoreClient<PlatformStore>);
+
 struct PlatformStore::Impl {
   struct Watch {
     Impl *Owner = nullptr;
@@ -86,7 +95,9 @@
             ++this->Counters.Failures;
             // Whatever silenced one connection may have silenced them all.
             this->Client.dropIdle(this->Store);
-            OnReply({.Id = Request.Id, .Status = statusOf(Result, this->Peer)});
+            bool IsRead = std::holds_alternative<StoreRange>(Request.Body);
+            OnReply({.Id = Request.Id,
+                     .Status = statusOf(Result, IsRead, this->Peer)});
             return;
           }
           bool More = false;
@@ -103,6 +114,8 @@
             return;
           }
           Reply.Entries = std::move(Before);
+          if (const auto *Range = std::get_if<StoreRange>(&Request.Body))
+            selectEntries(*Range, Reply.Entries);
           OnReply(std::move(Reply));
         });
   }
@@ -112,7 +125,7 @@
     StoreCall Sent{
         "GET", encodeWatch(Of.Prefix, Of.Revision, this->Limits.WatchWait), ""};
     Of.Call = this->Client.call(
-        this->httpCall(Sent, this->Limits.WatchWait + WatchSlack),
+        this->httpCall(Sent, this->Limits.WatchWait + this->Limits.WatchSlack),
         [this, &Of](const wire::HttpResult &Result) {
           Of.Call = 0;
           this->watched(Of, Result);
@@ -121,16 +134,20 @@
 
   void watched(Watch &Of, const wire::HttpResult &Result) {
     StoreWatchUpdate Update;
-    if (Result.Failure)
-      Update.Status = statusOf(Result, this->Peer);
-    else
+    if (Result.Failure) {
+      Update.Status = statusOf(Result, true, this->Peer);
+      // Whatever silenced this connection may have silenced them all.
+      this->Client.dropIdle(this->Store);
+    } else {
       Update =
           decodeWatch(Result.Answer.Status, Result.Answer.Body, this->Peer);
+    }
     bool Ended = absl::IsOutOfRange(Update.Status);
     if (Update.Status.ok())
       Of.Revision = std::max(Of.Revision, Update.Revision);
     else
       ++this->Counters.Failures;
+    Update.Revision = Of.Revision;
     Duration Pause = !Update.Status.ok()      ? this->Limits.WatchRetry
                      : Update.Changes.empty() ? Duration(0)
                                               : this->pauseOf(Of.Prefix);
@@ -182,6 +199,15 @@
   this->Own->open(*Kept);
 }
 
+void PlatformStore::stopWatching(const std::string &Prefix) {
+  auto Found = this->Own->Watches.find(Prefix);
+  if (Found == this->Own->Watches.end())
+    return;
+  if (Found->second->Call != 0)
+    this->Own->Client.cancel(Found->second->Call);
+  this->Own->Watches.erase(Found);
+}
+
 void PlatformStore::setPause(const std::string &Prefix, Duration Pause) {
   this->Own->Pauses[Prefix] = Pause;
 }
--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -23,9 +23,11 @@
   // From call() to the reply. The platform slows its store down to 240 ms an
   // answer; after a second a fresh connection is the better try.
   Duration Call = std::chrono::milliseconds(1000);
-  // How long one watch waits at the store. Each costs a read, and a connection
-  // that went silent is noticed no sooner than its keep-alive probes do.
+  // How long one watch waits at the store. Each costs a read.
   std::chrono::milliseconds WatchWait{10'000};
+  // A waiting watch is given up this long after it should have been answered;
+  // a connection that went silent is noticed no later.
+  Duration WatchSlack = std::chrono::milliseconds(1000);
   // Pause before a watch that failed is opened again.
   Duration WatchRetry = std::chrono::milliseconds(250);
   // Pause before the next watch after changes came, until setPause().
@@ -48,15 +50,20 @@
   PlatformStore &operator=(const PlatformStore &) = delete;
 
   // The status of the reply is as documented at StoreReply. A range is read
-  // page by page.
+  // page by page; Limit and Descending are applied to what was read, since the
+  // store knows neither.
   void call(StoreRequest Request, StoreReplyCallback OnReply);
 
   // Reports changes of keys that start with Prefix after Revision, until an
   // update says kOutOfRange. Failed watches are reported with their status and
-  // opened again. Replaces an earlier watch of the prefix.
+  // opened again. Replaces an earlier watch of the prefix. OnUpdate may call
+  // any method.
   void watch(const std::string &Prefix, std::int64_t Revision,
              StoreWatchCallback OnUpdate);
 
+  // Ends the watch of Prefix, if any; its callback is not invoked again.
+  void stopWatching(const std::string &Prefix);
+
   // How long the watch of Prefix pauses after changes came. A burst of changes
   // costs one call a pause and watcher; the changes arrive that much later.
   void setPause(const std::string &Prefix, Duration Pause);
--- a/orioledoor/store/store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -1,24 +1,26 @@
-// Runs EtcdClient against the stand-in store in one event loop.
+// Runs PlatformStore against the stand-in store in one event loop.
 #include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "orioledoor/platform/platform_store.h"
 #include "orioledoor/standins/loop.h"
 #include "orioledoor/standins/relay_link.h"
 #include "orioledoor/standins/store_server.h"
-#include "orioledoor/store/etcd_client.h"
 #include "orioledoor/store/keys.h"
 
-namespace orioledoor {
+namespace orioledoor::platform {
 namespace {
 
 using namespace std::chrono_literals;
@@ -31,19 +33,21 @@
           .Puts = {{.Key = keys::Assignment, .Value = std::move(Value)}}};
 }
 
-class StoreTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(StoreTest);
+class PlatformStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformStoreTest);
   CPPUNIT_TEST(valuesKeepEveryByte);
   CPPUNIT_TEST(conflictShowsTheCurrentEntry);
   CPPUNIT_TEST(descendingRangeStartsAtTheLastKey);
   CPPUNIT_TEST(lostAnswerIsUnknownAndReadBack);
+  CPPUNIT_TEST(longRangeIsReadPageByPage);
   CPPUNIT_TEST(refusalsAreNotApplied);
+  CPPUNIT_TEST(foreignKeysAreRefused);
   CPPUNIT_TEST(silentStoreEndsInTime);
   CPPUNIT_TEST(leaseEndsWithItsKeys);
   CPPUNIT_TEST(watchResumesAtARevision);
   CPPUNIT_TEST(watchReportsCompaction);
   CPPUNIT_TEST(silentWatchIsReported);
-  CPPUNIT_TEST(silentWatchMissingADeleteIsReported);
+  CPPUNIT_TEST(silentWatchStillReportsADelete);
   CPPUNIT_TEST(silentConnectionsDoNotDelayTheReport);
   CPPUNIT_TEST(replacedWatchIsNotInvokedAgain);
   CPPUNIT_TEST_SUITE_END();
@@ -51,9 +55,7 @@
 public:
   void setUp() override {
     this->Server.emplace(this->Events, 0);
-    this->Client = std::make_unique<EtcdClient>(
-        this->Events.base(), "127.0.0.1", this->Server->port(), nullptr,
-        EtcdClientLimits{300ms, 100ms, 100ms});
+    this->Client = this->clientOf(this->Server->port(), 300ms);
   }
 
   // Guards against text that JSON or base64 would alter.
@@ -95,6 +97,30 @@
                          Reply.Entries[1].Key);
   }
 
+  // Guards against entries beyond the first page that nobody sees.
+  void longRangeIsReadPageByPage() {
+    constexpr int Entries = 1201;
+    StoreTxn Txn;
+    for (int I = 0; I < Entries; ++I) {
+      Txn.Puts.push_back(
+          {.Key = "orioledoor/many/" + std::to_string(10'000 + I),
+           .Value = "v"});
+      if (Txn.Puts.size() == MaxTxnEntries || I + 1 == Entries)
+        CPPUNIT_ASSERT(this->call(std::exchange(Txn, {})).Succeeded);
+    }
+    StoreReply Reply =
+        this->call(StoreRange{.Key = "orioledoor/many/", .Prefix = true});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{Entries}, Reply.Entries.size());
+    CPPUNIT_ASSERT(std::ranges::is_sorted(Reply.Entries, {}, &StoreEntry::Key));
+  }
+
+  // Guards against a write to the operator's keys that seems to have worked.
+  void foreignKeysAreRefused() {
+    CPPUNIT_ASSERT(this->codeOf(StoreTxn{.Puts = {{.Key = "op/config"}}}) ==
+                   StatusCode::kInvalidArgument);
+    CPPUNIT_ASSERT(this->call(StoreRange{.Key = "op/config"}).Entries.empty());
+  }
+
   // Guards against an applied write that is taken as not applied.
   void lostAnswerIsUnknownAndReadBack() {
     this->Server->setFaults({{"lose_answers", 1}});
@@ -115,8 +141,7 @@
                    StatusCode::kNotFound);
     CPPUNIT_ASSERT(this->call(StoreRange{.Key = keys::Root, .Prefix = true})
                        .Entries.empty());
-    this->Client = std::make_unique<EtcdClient>(
-        this->Events.base(), "127.0.0.1", closedPort(), nullptr);
+    this->Client = this->clientOf(closedPort(), 300ms);
     CPPUNIT_ASSERT(this->codeOf(writeOf(0, "a")) == StatusCode::kUnavailable);
   }
 
@@ -162,18 +187,19 @@
     std::int64_t First = this->call(writeOf(0, "a")).Revision;
     this->call(StoreTxn{.Puts = {{.Key = "other/key", .Value = "x"}}});
     std::int64_t Third = this->call(writeOf(First, "b")).Revision;
-    this->watch(First + 1);
+    this->watch(First);
     this->waitForChanges(1);
     this->call(StoreTxn{.Deletes = {keys::Assignment}});
     this->waitForChanges(2);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), this->Changes[0].Entry.Value);
     CPPUNIT_ASSERT_EQUAL(Third, this->Changes[0].Entry.ModRevision);
     CPPUNIT_ASSERT(this->Changes[1].Deleted);
+    this->waitForOpenWatch();
     this->Server->setFaults({{"close_watches", true}});
     this->waitForEnd(StatusCode::kUnavailable);
     CPPUNIT_ASSERT_EQUAL(Third + 1, this->LastRevision);
     this->call(writeOf(0, "c"));
-    this->watch(this->LastRevision + 1);
+    this->watch(this->LastRevision);
     this->waitForChanges(3);
     CPPUNIT_ASSERT_EQUAL(std::string("c"), this->Changes[2].Entry.Value);
   }
@@ -182,42 +208,41 @@
   void watchReportsCompaction() {
     this->call(writeOf(0, "a"));
     this->Server->setFaults({{"compact", 10}});
-    this->watch(2);
+    this->watch(1);
     this->waitForEnd(StatusCode::kOutOfRange);
   }
 
-  // Guards against a connection that stays open but no longer delivers.
+  // Guards against a connection that stays open but no longer delivers, and
+  // against a quiet watch that is taken for a silent one.
   void silentWatchIsReported() {
-    this->watch(1);
+    this->watch(0);
     std::int64_t First = this->call(writeOf(0, "a")).Revision;
     this->waitForChanges(1);
-    this->Server->setFaults({{"silence_watches", true}});
-    // Without changes silence is normal.
     CPPUNIT_ASSERT(
         !this->Events.runUntil([&] { return this->Ended.has_value(); }, 600ms));
+    this->silenceWatch();
     this->call(writeOf(First, "b"));
     this->waitForEnd(StatusCode::kUnavailable);
-    this->watch(this->LastRevision + 1);
     this->waitForChanges(2);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), this->Changes[1].Entry.Value);
   }
 
-  // Guards against a lapsed coordinator key that nobody notices, and against
-  // a watch that is ended because of a delete that it did deliver.
-  void silentWatchMissingADeleteIsReported() {
+  // Guards against a lapsed key that nobody notices because its watch went
+  // silent before, and against a watch that ends because of a delete.
+  void silentWatchStillReportsADelete() {
     this->call(StoreTxn{.Puts = {{keys::Coordinator, "7"}}});
     this->call(StoreTxn{.Puts = {{keys::Assignment, "a"}}});
-    this->watch(1);
+    this->watch(0);
     this->waitForChanges(2);
-    this->Events.runUntil([] { return false; }, 300ms);
     this->call(StoreTxn{.Deletes = {keys::Assignment}});
     this->waitForChanges(3);
     CPPUNIT_ASSERT(
         !this->Events.runUntil([&] { return this->Ended.has_value(); }, 600ms));
-    this->Server->setFaults({{"silence_watches", true}});
-    this->Events.runUntil([] { return false; }, 300ms);
+    this->silenceWatch();
     this->call(StoreTxn{.Deletes = {keys::Coordinator}});
     this->waitForEnd(StatusCode::kUnavailable);
+    this->waitForChanges(4);
+    CPPUNIT_ASSERT(this->Changes[3].Deleted);
   }
 
   // Guards against a check of the watch, and a read after its end, that wait
@@ -225,9 +250,7 @@
   void silentConnectionsDoNotDelayTheReport() {
     standins::RelayLink Link(
         this->Events, 0, "127.0.0.1:" + std::to_string(this->Server->port()));
-    this->Client = std::make_unique<EtcdClient>(
-        this->Events.base(), "127.0.0.1", Link.port(), nullptr,
-        EtcdClientLimits{5s, 100ms, 100ms});
+    this->Client = this->clientOf(Link.port(), 5s);
     this->call(writeOf(0, "a"));
     this->watch(1);
     this->waitForChanges(1);
@@ -245,11 +268,12 @@
   // Guards against updates of an earlier watch that reach its successor.
   void replacedWatchIsNotInvokedAgain() {
     int Earlier = 0;
-    this->Client->watch(1, [&](const StoreWatchUpdate &) { ++Earlier; });
+    this->Client->watch(keys::Root, 0,
+                        [&](const StoreWatchUpdate &) { ++Earlier; });
     this->watch(1);
     this->call(writeOf(0, "a"));
     this->waitForChanges(1);
-    this->Client->stopWatching();
+    this->Client->stopWatching(keys::Root);
     this->call(StoreTxn{.Deletes = {keys::Assignment}});
     this->Events.runUntil([] { return false; }, 50ms);
     CPPUNIT_ASSERT_EQUAL(0, Earlier);
@@ -257,6 +281,26 @@
   }
 
 private:
+  std::unique_ptr<PlatformStore> clientOf(std::uint16_t Port, Duration Call) {
+    return std::make_unique<PlatformStore>(
+        this->Events.base(), Endpoint{"127.0.0.1", Port},
+        PlatformStoreLimits{.Call = Call,
+                            .WatchWait = 100ms,
+                            .WatchSlack = 200ms,
+                            .WatchRetry = 50ms});
+  }
+
+  void waitForOpenWatch() {
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return this->Server->counters().at("open_watches") == 1; },
+        TestLimit));
+  }
+
+  void silenceWatch() {
+    this->waitForOpenWatch();
+    this->Server->setFaults({{"silence_watches", true}});
+  }
+
   StoreReply call(StoreRequestBody Body) {
     std::optional<StoreReply> Reply;
     this->Client->call({.Id = 7, .Body = std::move(Body)},
@@ -272,9 +316,9 @@
     return this->call(std::move(Body)).Status.code();
   }
 
-  void watch(std::int64_t From) {
+  void watch(std::int64_t After) {
     this->Ended.reset();
-    this->Client->watch(From, [this](StoreWatchUpdate Update) {
+    this->Client->watch(keys::Root, After, [this](StoreWatchUpdate Update) {
       this->LastRevision = Update.Revision;
       if (!Update.Status.ok())
         this->Ended = Update.Status;
@@ -311,13 +355,13 @@
 
   standins::Loop Events;
   std::optional<standins::StoreServer> Server;
-  std::unique_ptr<EtcdClient> Client;
+  std::unique_ptr<PlatformStore> Client;
   std::vector<StoreChange> Changes;
   std::optional<absl::Status> Ended;
   std::int64_t LastRevision = 0;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(StoreTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStoreTest);
 
 } // namespace
-} // namespace orioledoor
+} // namespace orioledoor::platform
--- a/orioledoor/standins/store_model.cc
+++ b/orioledoor/standins/store_model.cc
@@ -15,6 +15,14 @@
   return Key >= From && (End == std::string_view("\0", 1) || Key < End);
 }
 
+std::string endOfPrefix(std::string_view Prefix) {
+  if (Prefix.empty())
+    return std::string(1, '\0');
+  std::string End(Prefix);
+  ++End.back();
+  return End;
+}
+
 std::vector<StoredKey> StoreModel::range(std::string_view Key,
                                          std::string_view End) const {
   std::vector<StoredKey> Found;
--- a/orioledoor/standins/store_model.h
+++ b/orioledoor/standins/store_model.h
@@ -100,6 +100,9 @@
 // Whether Key lies in [From, End) as understood by StoreModel::range.
 bool inRange(std::string_view Key, std::string_view From, std::string_view End);
 
+// The End of the range of all keys that start with Prefix.
+std::string endOfPrefix(std::string_view Prefix);
+
 } // namespace orioledoor::standins
 
 #endif // ORIOLEDOOR_STANDINS_STORE_MODEL_H
--- a/orioledoor/standins/store_server.cc
+++ b/orioledoor/standins/store_server.cc
@@ -2,12 +2,15 @@
 #include "orioledoor/standins/store_server.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
+#include <variant>
 
-#include "orioledoor/standins/gateway_json.h"
 #include "orioledoor/standins/loop.h"
+#include "orioledoor/standins/store_execution.h"
 
 namespace orioledoor::standins {
 namespace {
@@ -15,12 +18,21 @@
 using Json = nlohmann::json;
 using Milliseconds = std::chrono::milliseconds;
 
-constexpr int GrpcInvalidArgument = 3;
-constexpr int GrpcResourceExhausted = 8;
 constexpr Milliseconds LeaseCheckPeriod(50);
 
-bool isWrite(std::string_view Kind) {
-  return Kind != "range" && Kind != "watch";
+// Names of the counters, in the order of the alternatives of ServedCall.
+constexpr std::array<std::string_view,
+                     std::variant_size_v<platform::ServedCall>>
+    Kinds{"range",           "txn",          "lease_grant",
+          "lease_keepalive", "lease_revoke", "watch"};
+
+std::string_view kindOf(const platform::ServedCall &Call) {
+  return Kinds.at(Call.index());
+}
+
+bool isWrite(const platform::ServedCall &Call) {
+  return !std::holds_alternative<platform::ServedRange>(Call) &&
+         !std::holds_alternative<platform::ServedWatch>(Call);
 }
 
 } // namespace
@@ -66,7 +78,7 @@
       Open.Silenced = true;
   if (Faults.value("close_watches", false) || this->Outage == "closed")
     for (const Watch &Open : this->Watches)
-      Open.Stream->drop();
+      Open.Request->drop();
 }
 
 Json StoreServer::counters() const {
@@ -89,83 +101,105 @@
       return Request->reply(400, Json{{"error", Error.what()}}.dump());
     }
   }
-  std::string_view Kind = kindOf(Request->path());
-  if (Kind.empty())
-    return Request->reply(404, "{}");
-  ++this->Counters[std::string(Kind)];
-  (isWrite(Kind) ? this->Writes : this->Reads).count();
+  absl::StatusOr<platform::ServedCall> Served = platform::decodeCall(
+      Request->method(), Request->path(), Request->query(), Request->body());
+  if (!Served.ok()) {
+    StoreReply Refused;
+    Refused.Status = Served.status();
+    return this->reply(Request, platform::encodeReply({}, Refused));
+  }
+  ++this->Counters[std::string(kindOf(*Served))];
+  (isWrite(*Served) ? this->Writes : this->Reads).count();
   if (this->Latency == Duration(0))
-    return this->execute(Request, Kind);
+    return this->execute(Request, *Served);
   this->Events.after(this->Latency,
-                     [this, Request, Kind] { this->execute(Request, Kind); });
+                     [this, Request, Served = *std::move(Served)] {
+                       this->execute(Request, Served);
+                     });
 }
 
-void StoreServer::execute(const Call &Request, std::string_view Kind) {
+void StoreServer::execute(const Call &Request,
+                          const platform::ServedCall &Served) {
   if (this->Outage == "closed")
     return Request->drop();
   if (this->Outage == "silent")
     return this->Held.push_back(Request);
-  GatewayAnswer Answer;
   if (useUp(this->Reject)) {
     ++this->Counters["rejected"];
-    Answer = gatewayError(429, GrpcResourceExhausted,
-                          "etcdserver: too many requests");
-  } else {
-    try {
-      Json Body = Json::parse(Request->body());
-      if (Kind == "watch")
-        return this->openWatch(Request, Body.at("create_request"));
-      Answer = executeGateway(this->Model, Kind, Body, readClock());
-    } catch (const Json::exception &Error) {
-      Answer = gatewayError(400, GrpcInvalidArgument, Error.what());
-    }
-    if (isWrite(Kind) && useUp(this->LoseAnswers)) {
-      ++this->Counters["answers_lost"];
-      return Request->drop();
-    }
+    StoreReply Rejected;
+    Rejected.Status = absl::ResourceExhaustedError("too many calls");
+    return this->reply(Request, platform::encodeReply(Served, Rejected));
   }
+  if (const auto *Watched = std::get_if<platform::ServedWatch>(&Served))
+    return this->openWatch(Request, *Watched);
+  platform::StoreAnswer Answer = executeCall(this->Model, Served, readClock());
+  if (isWrite(Served) && useUp(this->LoseAnswers)) {
+    ++this->Counters["answers_lost"];
+    return Request->drop();
+  }
+  this->reply(Request, Answer);
+}
+
+void StoreServer::reply(const Call &Request,
+                        const platform::StoreAnswer &Answer) {
+  auto Send = [Request, Answer] {
+    Request->reply(Answer.Status, Answer.Body,
+                   {{"Content-Type", "application/json"}});
+  };
   if (this->AnswerLatency == Duration(0))
-    return Request->reply(Answer.Code, Answer.Body);
-  this->Events.after(this->AnswerLatency, [Request, Answer] {
-    Request->reply(Answer.Code, Answer.Body);
-  });
+    return Send();
+  this->Events.after(this->AnswerLatency, Send);
 }
 
-void StoreServer::openWatch(const Call &Request, const Json &Body) {
-  Watch Opened{Request, bytesOf(Body, "key"), bytesOf(Body, "range_end")};
-  std::int64_t From = integerOf(Body, "start_revision");
-  std::int64_t Now = this->Model.revision();
-  Request->startStream();
-  Request->sendChunk(watchLine(Now, {}, {{"created", true}}));
-  auto Missed = this->Model.changesFrom(From > 0 ? From : Now + 1, Opened.Key,
-                                        Opened.End);
-  if (!Missed) {
-    Request->sendChunk(watchLine(
-        Now, {},
-        {{"canceled", true},
-         {"compact_revision", std::to_string(this->Model.compactRevision())}}));
-    return Request->endStream();
-  }
-  this->send(Opened, *Missed);
-  auto At = this->Watches.insert(this->Watches.end(), std::move(Opened));
-  Request->onClosed([this, At] { this->Watches.erase(At); });
+void StoreServer::openWatch(const Call &Request,
+                            const platform::ServedWatch &Asked) {
+  StoreWatchUpdate Update;
+  Update.Revision = this->Model.revision();
+  std::optional<std::vector<StoredChange>> Missed = this->Model.changesFrom(
+      Asked.Revision + 1, Asked.Prefix, endOfPrefix(Asked.Prefix));
+  if (!Missed)
+    Update.Status = absl::OutOfRangeError("history is gone");
+  else
+    Update.Changes = changesOf(*Missed);
+  if (!Update.Status.ok() || !Update.Changes.empty())
+    return this->reply(Request, platform::encodeWatchAnswer(Update));
+  std::uint64_t Id = ++this->LastWatch;
+  this->Watches.push_back({Id, Request, Asked.Prefix});
+  Request->onClosed([this, Id] {
+    std::erase_if(this->Watches,
+                  [Id](const Watch &Each) { return Each.Id == Id; });
+  });
+  this->Events.after(Asked.Wait, [this, Id] {
+    StoreWatchUpdate Nothing;
+    Nothing.Revision = this->Model.revision();
+    this->endWatch(Id, Nothing);
+  });
 }
 
 void StoreServer::publish(const std::vector<StoredChange> &Changes) {
-  for (const Watch &Open : this->Watches)
-    this->send(Open, Changes);
+  std::vector<std::pair<std::uint64_t, StoreWatchUpdate>> Ready;
+  for (const Watch &Open : this->Watches) {
+    std::vector<StoredChange> Wanted;
+    std::ranges::copy_if(Changes, std::back_inserter(Wanted),
+                         [&](const StoredChange &Change) {
+                           return Change.After.Key.starts_with(Open.Prefix);
+                         });
+    if (!Wanted.empty())
+      Ready.push_back(
+          {Open.Id,
+           {.Changes = changesOf(Wanted), .Revision = this->Model.revision()}});
+  }
+  for (const auto &[Id, Update] : Ready)
+    this->endWatch(Id, Update);
 }
 
-void StoreServer::send(const Watch &To,
-                       const std::vector<StoredChange> &Changes) {
-  std::vector<StoredChange> Wanted;
-  std::ranges::copy_if(Changes, std::back_inserter(Wanted),
-                       [&](const StoredChange &Change) {
-                         return inRange(Change.After.Key, To.Key, To.End);
-                       });
-  if (!Wanted.empty() && !To.Silenced)
-    To.Stream->sendChunk(
-        watchLine(this->Model.revision(), Wanted, Json::object()));
+void StoreServer::endWatch(std::uint64_t Id, const StoreWatchUpdate &Update) {
+  auto Found = std::ranges::find(this->Watches, Id, &Watch::Id);
+  if (Found == this->Watches.end() || Found->Silenced)
+    return;
+  Call Request = Found->Request;
+  this->Watches.erase(Found);
+  this->reply(Request, platform::encodeWatchAnswer(Update));
 }
 
 } // namespace orioledoor::standins
--- a/orioledoor/standins/store_server.h
+++ b/orioledoor/standins/store_server.h
@@ -1,5 +1,5 @@
-// The stand-in store: a StoreModel behind the JSON gateway of the etcd v3
-// interface, with faults that a trial switches on.
+// The stand-in store: a StoreModel behind the protocol of the platform's
+// store, with faults that a trial switches on.
 //
 //   StoreServer Store(Events, 22000);
 //   Store.setFaults({{"lose_answers", 1}});
@@ -13,7 +13,7 @@
 //                   negative: all
 //   reject          the next N calls are refused before they take effect;
 //                   negative: all
-//   silence_watches true: watches that are open now never send again
+//   silence_watches true: watches that wait now are never answered
 //   close_watches   true: closes the watches that are open now
 //   compact         drops the history below this revision
 // GET /standin/counters returns the calls by kind and the highest number of
@@ -31,6 +31,7 @@
 #include <vector>
 
 #include "orioledoor/base/instant.h"
+#include "orioledoor/platform/store_service_codec.h"
 #include "orioledoor/standins/http_server.h"
 #include "orioledoor/standins/store_model.h"
 
@@ -51,10 +52,11 @@
 private:
   using Call = std::shared_ptr<Exchange>;
 
+  // A watch that waits for its first change.
   struct Watch {
-    Call Stream;
-    std::string Key;
-    std::string End;
+    std::uint64_t Id = 0;
+    Call Request;
+    std::string Prefix;
     bool Silenced = false;
   };
 
@@ -69,10 +71,12 @@
   };
 
   void serve(const Call &Request);
-  void execute(const Call &Request, std::string_view Kind);
-  void openWatch(const Call &Request, const nlohmann::json &Body);
+  void execute(const Call &Request, const platform::ServedCall &Served);
+  void reply(const Call &Request, const platform::StoreAnswer &Answer);
+  void openWatch(const Call &Request, const platform::ServedWatch &Asked);
   void publish(const std::vector<StoredChange> &Changes);
-  void send(const Watch &To, const std::vector<StoredChange> &Changes);
+  // Answers the watch, if it still waits and is not silenced.
+  void endWatch(std::uint64_t Id, const StoreWatchUpdate &Update);
   // Uses up one of Remaining; a negative number is never used up.
   static bool useUp(std::int64_t &Remaining);
 
@@ -82,6 +86,7 @@
   Rate Reads;
   Rate Writes;
   std::list<Watch> Watches;
+  std::uint64_t LastWatch = 0;
   // Requests that are held without an answer.
   std::vector<Call> Held;
   std::string Outage = "none";
--- a/orioledoor/standins/store_standin.cc
+++ b/orioledoor/standins/store_standin.cc
@@ -1,5 +1,5 @@
-// store_standin: an in-memory store that speaks the JSON gateway of the etcd
-// v3 interface on 127.0.0.1, for trials.
+// store_standin: an in-memory store that speaks the protocol of the platform's
+// store on 127.0.0.1, for trials.
 //
 //   store_standin --port 22000
 #include <boost/program_options.hpp>
--- a/orioledoor/store/store_client.h
+++ b/orioledoor/store/store_client.h
@@ -1,6 +1,6 @@
-// The concept of a client of the platform's key-value service. The shell of a
+// The concept of a client of the platform's key-value store. The shell of a
 // node and the command line are written against it, so that tests can put a
-// model in the place of EtcdClient.
+// model in the place of the client.
 //
 //   template <StoreClient Client> class StoreShell { ... };
 #ifndef ORIOLEDOOR_STORE_STORE_CLIENT_H
@@ -9,6 +9,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <string>
 
 #include "orioledoor/store/store_types.h"
 
@@ -18,15 +19,18 @@
 using StoreWatchCallback = std::function<void(StoreWatchUpdate)>;
 
 // call() invokes its callback exactly once and never before it returns.
-// watch() replaces an earlier watch, whose callback is not invoked again, and
-// invokes its callback until an update has a Status that is not OK.
+// watch() reports changes of keys that start with Prefix after a revision; it
+// replaces an earlier watch of Prefix, whose callback is not invoked again. A
+// watch that failed reports its status and continues where it was, until an
+// update says kOutOfRange.
 template <typename T>
 concept StoreClient =
     requires(T &Client, StoreRequest Request, StoreReplyCallback OnReply,
-             std::int64_t FromRevision, StoreWatchCallback OnUpdate) {
+             std::string Prefix, std::int64_t Revision,
+             StoreWatchCallback OnUpdate) {
       { Client.call(Request, OnReply) } -> std::same_as<void>;
-      { Client.watch(FromRevision, OnUpdate) } -> std::same_as<void>;
-      { Client.stopWatching() } -> std::same_as<void>;
+      { Client.watch(Prefix, Revision, OnUpdate) } -> std::same_as<void>;
+      { Client.stopWatching(Prefix) } -> std::same_as<void>;
     };
 
 } // namespace orioledoor
--- a/orioledoor/store/store_types.h
+++ b/orioledoor/store/store_types.h
@@ -105,15 +105,15 @@
   bool Deleted = false;
 };
 
-// What a watch delivered. If Status is not OK the watch has ended and is to be
-// opened again; kOutOfRange: the revision asked for has been compacted away,
-// so the keys must be read first.
+// What a watch delivered. kOutOfRange: the revision asked for has been
+// compacted away, so the watch has ended and the keys must be read first. Any
+// other code: the watch was interrupted and continues by itself.
 struct StoreWatchUpdate {
   absl::Status Status{};
   // In the order of the store. Empty for a notice of progress.
   std::vector<StoreChange> Changes{};
   // All changes up to this revision have been delivered; a new watch continues
-  // at Revision + 1.
+  // after it.
   std::int64_t Revision = 0;
 };
 
