Measure a target's time by kind of work

A target's time was one mean over 30 ms calls and 160 ms requests, so a target that ran only calls looked five times as fast as its neighbours and drew the work of all. A new target that was measured while cold was never tried again.

Change: WorkTimes measures by route at the gate, the status carries the means, and the directory compares targets by the work in question. A target without a recent measurement (4 s) is taken for a good one: the baseline of the work, which is the least mean seen and rises slowly. Failures of a target that is not used any more fade over 8 s. The gate admits by the expected time of the work.

Ruled out: balance of the keys (refusals were spread evenly over all owners); a shared mean of the service as the estimate of new targets, which a target that is slow for all its callers raises with it.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -175,6 +175,7 @@
     return;
   }
   ChoiceInput Input{.Service = Of.Service,
+                    .Work = workOf(Of.Service, *Of.Of),
                     .Bytes =
                         Of.Request.Content->Body.size() + ExpectedAnswerBytes,
                     .Excluded = Of.Tried};
@@ -220,6 +221,7 @@
                               .Idempotent = Of.Of->Idempotent,
                               .LastChoice = LastChoice,
                               .WorthwhileWait = WorthwhileWait,
+                              .Work = workOf(Of.Service, *Of.Of),
                               .Content = Of.Request.Content}});
 }
 
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -57,6 +57,7 @@
   bool LastChoice = false;
   // Otherwise, how long it may wait here before another target is better.
   Duration WorthwhileWait{0};
+  WorkId Work = 0;
   // Never null.
   SharedContent Content{};
 };
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -57,14 +57,22 @@
                  << Value.Target.Born << Value.Target.Node << Value.Service
                  << static_cast<std::uint8_t>(Value.State) << Value.Slots
                  << Value.Running << Value.Queued << Value.ServiceTime
-                 << Value.FailureShare;
+                 << Value.Times << Value.FailureShare;
+  }
+  FieldWriter &operator<<(const std::vector<WorkTime> &Times) {
+    this->Out.pack_array(static_cast<std::uint32_t>(Times.size() * 2));
+    for (const WorkTime &Each : Times) {
+      this->Out.pack(Each.Work);
+      *this << Each.Mean;
+    }
+    return *this;
   }
 
 private:
   Packer &Out;
 };
 
-constexpr std::uint32_t StatusFields = 12;
+constexpr std::uint32_t StatusFields = 13;
 
 class FieldReader {
 public:
@@ -110,7 +118,17 @@
     return *this >> Value.Process >> Value.Sequence >> Value.Target.Instance >>
            Value.Target.Born >> Value.Target.Node >> Value.Service >>
            Value.State >> Value.Slots >> Value.Running >> Value.Queued >>
-           Value.ServiceTime >> Value.FailureShare;
+           Value.ServiceTime >> Value.Times >> Value.FailureShare;
+  }
+  FieldReader &operator>>(std::vector<WorkTime> &Times) {
+    const msgpack::object &Array = this->take();
+    if (Array.type != msgpack::type::ARRAY || Array.via.array.size % 2 != 0)
+      throw std::out_of_range("no list of times");
+    for (std::uint32_t I = 0; I < Array.via.array.size; I += 2)
+      Times.push_back(
+          {Array.via.array.ptr[I].as<WorkId>(),
+           Duration(Array.via.array.ptr[I + 1].as<std::int64_t>())});
+    return *this;
   }
 
 private:
@@ -135,11 +153,11 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 17)
+    start(this->Out, this->Sent, 18)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
-        << Value.WorthwhileWait << Value.Content->Method
+        << Value.WorthwhileWait << Value.Work << Value.Content->Method
         << Value.Content->Target << Value.Content->Host
         << Value.Content->Headers << Value.Content->Body;
   }
@@ -178,8 +196,8 @@
   In >> Value.Id >> Value.Process >> Value.Service >> Value.AttemptId >>
       Value.CallerService >> Value.TimeLeft >> Value.LatencyLeft >> Value.Key >>
       Value.Priority >> Value.Idempotent >> Value.LastChoice >>
-      Value.WorthwhileWait >> Content->Method >> Content->Target >>
-      Content->Host >> Content->Headers >> Content->Body;
+      Value.WorthwhileWait >> Value.Work >> Content->Method >>
+      Content->Target >> Content->Host >> Content->Headers >> Content->Body;
   Value.Content = std::move(Content);
   return Value;
 }
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -16,6 +16,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr WorkId Call = 1;
+constexpr WorkId Long = 2;
+
 TargetStatus statusOf(const std::string &Node, std::uint32_t Running,
                       std::uint64_t Sequence = 1) {
   return {.Process = 1,
@@ -36,6 +39,11 @@
   CPPUNIT_TEST(uploadsStayNear);
   CPPUNIT_TEST(avoidsUnreachableNodes);
   CPPUNIT_TEST(triesNewTargets);
+  CPPUNIT_TEST(tellsShortWorkFromAFastTarget);
+  CPPUNIT_TEST(usesNewTargetsOnAQuietDay);
+  CPPUNIT_TEST(triesSlowTargetsAgain);
+  CPPUNIT_TEST(leavesANearTargetThatTurnsSlow);
+  CPPUNIT_TEST(measuresWorkByKind);
   CPPUNIT_TEST(ignoresLateStatus);
   CPPUNIT_TEST_SUITE_END();
 
@@ -64,7 +72,10 @@
 
     ForwardResult Result{.Id = 7, .Ended = Outcome::Busy};
     Result.Status = statusOf("n", 3);
+    Result.Status.Times = {{Call, milliseconds(30)}, {Long, milliseconds(160)}};
     Back = decodeMessage(encodeMessage(Result));
+    CPPUNIT_ASSERT(std::get<ForwardResult>(*Back).Status.Times ==
+                   Result.Status.Times);
     CPPUNIT_ASSERT(std::get<ForwardResult>(*Back).Status.Running == 3);
     KeyLoadNotice Load{.Service = "s", .Rate = 1.5, .Quantiles = {1, 2, 2}};
     Back = decodeMessage(encodeMessage(Load));
@@ -155,6 +166,114 @@
                          *Directory.choose({.Service = "plain"}, Now).Node);
   }
 
+  // Pattern: short calls beside long requests. A target that ran only calls
+  // has a low mean over all work and must not draw the long requests of all.
+  void tellsShortWorkFromAFastTarget() {
+    TargetDirectory Directory({"d1", "r1"}, "own");
+    Instant Now{std::int64_t{1'000'000}};
+    Directory.setNode("calls", {"d1", "r1"});
+    Directory.setNode("mixed", {"d1", "r1"});
+    TargetStatus Calls = statusOf("calls", 6);
+    Calls.ServiceTime = milliseconds(40);
+    Calls.Times = {{Call, milliseconds(40)}};
+    TargetStatus Mixed = statusOf("mixed", 5);
+    Mixed.ServiceTime = milliseconds(120);
+    Mixed.Times = {{Call, milliseconds(30)}, {Long, milliseconds(160)}};
+    Directory.update(Calls, Now);
+    Directory.update(Mixed, Now);
+    for (WorkId Work : {Call, Long})
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("mixed"),
+          *Directory.choose({.Service = "plain", .Work = Work}, Now).Node);
+  }
+
+  // Pattern: quiet day, one target added. Its node's neighbours have a target
+  // that is fast enough; the new one gets a share all the same.
+  void usesNewTargetsOnAQuietDay() {
+    TargetDirectory Directory({"d1", "r1"}, "own");
+    Instant Now{std::int64_t{1'000'000}};
+    Directory.setNode("known", {"d1", "r1"});
+    Directory.setNode("new", {"d1", "r1"});
+    TargetStatus Known = statusOf("known", 1);
+    Known.Times = {{Long, milliseconds(100)}};
+    Directory.update(Known, Now);
+    Known.Sequence = 2;
+    Known.Times = {{Long, milliseconds(110)}};
+    Directory.update(Known, Now);
+    TargetStatus New = statusOf("new", 0);
+    New.ServiceTime = Duration(0);
+    Directory.update(New, Now);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("new"),
+        *Directory.choose({.Service = "plain", .Work = Long}, Now).Node);
+  }
+
+  // Pattern: a target was cold or slow when it was used last. Without another
+  // try it would never be used again.
+  void triesSlowTargetsAgain() {
+    TargetDirectory Directory({"d1", "r1"}, "own");
+    Instant Now{std::int64_t{1'000'000}};
+    Directory.setNode("slow", {"d1", "r1"});
+    Directory.setNode("usual", {"d1", "r1"});
+    TargetStatus Slow = statusOf("slow", 0);
+    Slow.Times = {{Long, milliseconds(300)}};
+    Slow.FailureShare = 0.5;
+    Directory.update(Slow, Now);
+    ChoiceInput Input{.Service = "plain", .Work = Long};
+    std::uint64_t Sequence = 1;
+    auto Chosen = [&] {
+      TargetStatus Usual = statusOf("usual", 4, ++Sequence);
+      Usual.Times = {{Long, milliseconds(100)}};
+      Directory.update(Usual, Now);
+      return *Directory.choose(Input, Now).Node;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("usual"), Chosen());
+    Now = Now + seconds(3);
+    CPPUNIT_ASSERT_EQUAL(std::string("usual"), Chosen());
+    Now = Now + seconds(6);
+    CPPUNIT_ASSERT_EQUAL(std::string("slow"), Chosen());
+  }
+
+  // Pattern: the near target is the only one used and turns slow. Its own times
+  // must not pass for what others take.
+  void leavesANearTargetThatTurnsSlow() {
+    TargetDirectory Directory({"d1", "r1"}, "own");
+    Instant Now{std::int64_t{1'000'000}};
+    Directory.setNode("near", {"d1", "r1"});
+    Directory.setNode("far", {"d2", "r2"});
+    Directory.update(statusOf("far", 0), Now);
+    auto Report = [&](std::uint64_t Sequence, Duration Takes) {
+      TargetStatus Near = statusOf("near", 1, Sequence);
+      Near.Times = {{Long, Takes}};
+      Directory.update(Near, Now);
+      return *Directory.choose({.Service = "plain", .Work = Long}, Now).Node;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), Report(2, milliseconds(100)));
+    CPPUNIT_ASSERT_EQUAL(std::string("far"), Report(3, milliseconds(200)));
+  }
+
+  void measuresWorkByKind() {
+    WorkTimes Times;
+    Instant Now{std::int64_t{1'000'000}};
+    CPPUNIT_ASSERT(Times.of(Long, Now) == Duration(0));
+    for (int I = 0; I < 50; ++I) {
+      Times.note(Long, milliseconds(150), Now);
+      Times.note(Call, milliseconds(30), Now);
+    }
+    CPPUNIT_ASSERT(Times.of(Long, Now) == milliseconds(150));
+    CPPUNIT_ASSERT(Times.of(Call, Now) == milliseconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Times.recent(Now).size());
+    Now = Now + seconds(5);
+    CPPUNIT_ASSERT(Times.recent(Now).empty());
+    // The first sample after a pause counts in full.
+    Times.note(Long, milliseconds(90), Now);
+    CPPUNIT_ASSERT(Times.of(Long, Now) == milliseconds(90));
+    // Routes that come and go do not fill the memory.
+    for (WorkId Work = 100; Work < 200; ++Work)
+      Times.note(Work, milliseconds(1), Now);
+    CPPUNIT_ASSERT(Times.recent(Now).size() <= 8);
+  }
+
   void ignoresLateStatus() {
     TargetDirectory Directory({"d1", "r1"}, "own");
     Instant Now{std::int64_t{1'000'000}};
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -22,6 +22,17 @@
 constexpr double RegionMsPerKiB = 10;
 // A status older than this says little of the load.
 constexpr Duration StatusLifetime = std::chrono::seconds(1);
+// Measured times older than this say little of the target as it is now: cold
+// starts last 3 s, disruptions 5 to 10 s.
+constexpr Duration TimesLifetime = std::chrono::seconds(4);
+// Failures of a target that is not used any more count less and less, so that
+// it is tried again.
+constexpr Duration FailureLifetime = std::chrono::seconds(8);
+// The share of the distance by which a baseline follows a slower target with
+// each status: some 500 answers, ten seconds at 50 requests/s.
+constexpr double BaselineRise = 0.002;
+// Bounds the memory for routes that come and go.
+constexpr std::size_t MaxBaselines = 1024;
 // Without a measurement, what a request is taken to hold a slot for.
 constexpr Duration DefaultServiceTime = milliseconds(100);
 // What a target that fails every request is behind a healthy one.
@@ -62,6 +73,7 @@
       Status.State != View.Status.State || Status.Target != View.Status.Target;
   View.Status = Status;
   View.StatusAt = Now;
+  this->noteTimes(Status);
   View.SentSince = 0;
   return Changed;
 }
@@ -103,42 +115,78 @@
   Found->second.SuspectUntil = Instant();
 }
 
-Duration TargetDirectory::serviceTimeOf(const TargetStatus &Status) const {
-  if (Status.ServiceTime.count() > 0)
-    return Status.ServiceTime;
-  // A new target is taken for an average one, so that it is tried.
-  Duration Sum{0};
-  int Known = 0;
-  for (const auto &[Node, View] : this->Views)
-    if (View.Status.Service == Status.Service &&
-        View.Status.ServiceTime.count() > 0) {
-      Sum += View.Status.ServiceTime;
-      ++Known;
-    }
-  return Known > 0 ? Sum / Known : DefaultServiceTime;
+void TargetDirectory::noteTimes(const TargetStatus &Status) {
+  for (const WorkTime &Each : Status.Times) {
+    auto Mean = static_cast<double>(Each.Mean.count());
+    auto [At, Added] = this->Baselines.try_emplace(Each.Work, Mean);
+    if (Mean < At->second)
+      At->second = Mean;
+    else
+      At->second += (Mean - At->second) * BaselineRise;
+  }
+  if (this->Baselines.size() > MaxBaselines)
+    this->Baselines.clear();
+}
+
+double TargetDirectory::baselineOf(WorkId Work) const {
+  auto Found = this->Baselines.find(Work);
+  return Found == this->Baselines.end() ? 0 : Found->second;
+}
+
+Duration TargetDirectory::expectedTime(const TargetView &View, WorkId Work,
+                                       Instant Now) const {
+  const TargetStatus &Status = View.Status;
+  double Baseline = this->baselineOf(Work);
+  // One that was not measured lately is taken for a good one, so that it is
+  // tried: a new target, and one that was slow or cold when it was used last.
+  if (Now - View.StatusAt < TimesLifetime) {
+    auto Found = std::ranges::find(Status.Times, Work, &WorkTime::Work);
+    if (Found != Status.Times.end())
+      return Found->Mean;
+    double Slowdown = 0;
+    int Known = 0;
+    for (const WorkTime &Each : Status.Times)
+      if (double Other = this->baselineOf(Each.Work); Other > 0) {
+        Slowdown += static_cast<double>(Each.Mean.count()) / Other;
+        ++Known;
+      }
+    if (Known > 0 && Baseline > 0)
+      return Duration(static_cast<std::int64_t>(Baseline * Slowdown / Known));
+  }
+  return Baseline > 0 ? Duration(static_cast<std::int64_t>(Baseline))
+                      : DefaultServiceTime;
 }
 
 Duration TargetDirectory::costOf(const std::string &Node,
-                                 const TargetView &View, std::size_t Bytes,
+                                 const TargetView &View,
+                                 const ChoiceInput &Request,
                                  Instant Now) const {
   const TargetStatus &Status = View.Status;
   double Slots = std::max<std::uint32_t>(Status.Slots, 1);
-  Duration Service = this->serviceTimeOf(Status);
-  double Age = static_cast<double>((Now - View.StatusAt).count()) /
+  Duration Service = this->expectedTime(View, Request.Work, Now);
+  // What others hold the slots for.
+  Duration Held = Status.ServiceTime.count() > 0 ? Status.ServiceTime : Service;
+  Duration StatusAge = Now - View.StatusAt;
+  double Age = static_cast<double>(StatusAge.count()) /
                static_cast<double>(StatusLifetime.count());
+  double Failures =
+      Status.FailureShare *
+      std::max(0.0, 1.0 - static_cast<double>(StatusAge.count()) /
+                              static_cast<double>(FailureLifetime.count()));
   double Reported = static_cast<double>(Status.Running + Status.Queued) *
                     std::max(0.0, 1.0 - Age);
   double Load = std::max<double>(View.Outstanding, Reported + View.SentSince);
   double ServiceMicros = static_cast<double>(Service.count());
-  double Wait = std::max(0.0, Load + 1 - Slots) * ServiceMicros / Slots;
+  double Wait = std::max(0.0, Load + 1 - Slots) *
+                static_cast<double>(Held.count()) / Slots;
   double Use = std::min(1.0, Load / Slots);
   double Cost = ServiceMicros + Wait + UsePenalty * Use * Use * ServiceMicros +
-                Status.FailureShare * FailureCostMs * 1000;
+                Failures * FailureCostMs * 1000;
   if (Node != this->OwnNode && View.Place != this->Own) {
     bool SameRegion = View.Place.Region == this->Own.Region;
     Cost += static_cast<double>(
         (SameRegion ? DomainRoundTrip : RegionRoundTrip).count());
-    Cost += static_cast<double>(Bytes) / 1024 * 1000 *
+    Cost += static_cast<double>(Request.Bytes) / 1024 * 1000 *
             (SameRegion ? DomainMsPerKiB : RegionMsPerKiB);
   }
   return Duration(static_cast<std::int64_t>(Cost));
@@ -155,8 +203,8 @@
         excluded(Request.Excluded, Node))
       continue;
     // An unreachable node is a last resort.
-    std::pair<bool, Duration> Cost(
-        Now < View.SuspectUntil, this->costOf(Node, View, Request.Bytes, Now));
+    std::pair<bool, Duration> Cost(Now < View.SuspectUntil,
+                                   this->costOf(Node, View, Request, Now));
     if (!Best.Node || Cost < BestCost) {
       if (Best.Node)
         NextCost = BestCost.second;
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -42,6 +42,7 @@
 // What matters of a request when its target is chosen.
 struct ChoiceInput {
   std::string_view Service{};
+  WorkId Work = 0;
   // Bytes that travel to the target and, by estimate, back.
   std::size_t Bytes = 0;
   // Nodes that the request has been at.
@@ -84,15 +85,21 @@
 
   // Estimated cost of sending the request there, in time units.
   Duration costOf(const std::string &Node, const TargetView &View,
-                  std::size_t Bytes, Instant Now) const;
+                  const ChoiceInput &Request, Instant Now) const;
 
 private:
-  // Measured at the target, or the mean of its service.
-  Duration serviceTimeOf(const TargetStatus &Status) const;
+  // How long the work is expected to hold a slot there.
+  Duration expectedTime(const TargetView &View, WorkId Work, Instant Now) const;
+  // How long it takes at good targets; 0 if it was never measured.
+  double baselineOf(WorkId Work) const;
+  void noteTimes(const TargetStatus &Status);
 
   Location Own;
   std::string OwnNode;
   std::map<std::string, TargetView> Views;
+  // By kind of work, in microseconds: the least mean of any target, rising
+  // slowly while all are slower.
+  std::map<WorkId, double> Baselines;
 };
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -94,6 +94,10 @@
   this->LastReport = Now;
   this->ConnectionRefused = false;
   if (Same) {
+    // What was measured while it was cold no longer holds.
+    if (this->Report.ColdRemaining.count() > 0 &&
+        Report.ColdRemaining.count() == 0)
+      this->Times.clear();
     this->Report = Report;
     this->Queue.setSlots(Report.Slots);
     if (this->State == TargetState::Absent && !this->Drained)
@@ -116,6 +120,7 @@
   this->State = TargetState::Ready;
   this->Drained = false;
   this->FailureShare = 0;
+  this->Times.clear();
   // Calls of the earlier life end with their connections.
   this->Queue.setSlots(Report.Slots);
   Out.push_back(LogRecord{&events::TargetReady,
@@ -166,7 +171,8 @@
 }
 
 void TargetGate::refuse(const std::string &From, const Forward &Request,
-                        Outcome Why, Duration RetryAfter, Effects &Out) {
+                        Outcome Why, Duration RetryAfter, Instant Now,
+                        Effects &Out) {
   Out.push_back(
       LogRecord{&events::CallRefused,
                 {field("request", Request.AttemptId), field("from", From),
@@ -178,22 +184,27 @@
                  field("retry_after_ms", millis(RetryAfter))}});
   ForwardResult Result{.Id = Request.Id, .Ended = Why};
   Result.RetryAfter = RetryAfter;
-  Result.Status = this->status();
+  Result.Status = this->status(Now);
   Out.push_back(SendMessage{From, std::move(Result)});
 }
 
+Duration TargetGate::expectedTime(WorkId Work, Instant Now) const {
+  if (Duration Measured = this->Times.of(Work, Now); Measured.count() > 0)
+    return Measured;
+  return this->Queue.serviceTime().count() > 0 ? this->Queue.serviceTime()
+                                               : DefaultServiceTime;
+}
+
 void TargetGate::forward(const std::string &From, Forward Request, KeyState Key,
                          Instant Now, Effects &Out) {
   if (this->Disowned.contains({Request.Process, Request.Id}))
     return;
   std::uint64_t Digest = crashDigest(Request.CallerService, *Request.Content);
   if (auto Why = this->refusalOf(Request, Key, Digest, Now)) {
-    this->refuse(From, Request, *Why, Duration(0), Out);
+    this->refuse(From, Request, *Why, Duration(0), Now, Out);
     return;
   }
-  Duration Service = this->Queue.serviceTime().count() > 0
-                         ? this->Queue.serviceTime()
-                         : DefaultServiceTime;
+  Duration Service = this->expectedTime(Request.Work, Now);
   Duration Limit = std::max(
       Request.LatencyLeft - Service * SlowRequestPercent / 100 - ReturnTime,
       std::min(Service / LateWaitDivisor, Request.TimeLeft - Service));
@@ -202,7 +213,7 @@
   Duration Wait = this->Queue.expectedWait(Request.Priority);
   if (Wait > Limit && Wait > Duration(0)) {
     this->refuse(From, Request, Outcome::Busy, std::max(Wait, BusyRetryAfter),
-                 Out);
+                 Now, Out);
     return;
   }
   std::uint64_t Id = this->NextCall++;
@@ -258,7 +269,7 @@
   this->Calls.erase(Found);
   this->ByForward.erase({Of.Request.Process, Of.Request.Id});
   Result.Id = Of.Request.Id;
-  Result.Status = this->status();
+  Result.Status = this->status(Now);
   if (Result.Ended != Outcome::Answered)
     Out.push_back(LogRecord{
         Result.Ended == Outcome::Lost ? &events::CallFailed
@@ -292,7 +303,7 @@
   ForwardResult Result{.Id = Resumed.Id,
                        .Ended = Known ? Outcome::NoTarget : Outcome::Lost,
                        .Detail = "lost with the connection between the nodes"};
-  Result.Status = this->status();
+  Result.Status = this->status(Now);
   Out.push_back(SendMessage{From, std::move(Result)});
 }
 
@@ -309,10 +320,12 @@
   this->ConnectionRefused = false;
   Duration Held = Now - Found->second.StartedAt;
   // A refusal takes no time at a slot and would make the target look fast.
-  if (NotRun || Answer.Status >= 500)
+  if (NotRun || Answer.Status >= 500) {
     this->Queue.release();
-  else
+  } else {
     this->Queue.release(Held);
+    this->Times.note(Found->second.Request.Work, Held, Now);
+  }
   this->noteOutcome(Answer.Status >= 500);
   ForwardResult Result{.Ended = NotRun ? Outcome::Refused : Outcome::Answered};
   // 421: the target does not hold the key, or another instance answered.
@@ -405,7 +418,7 @@
   }
 }
 
-TargetStatus TargetGate::status() const {
+TargetStatus TargetGate::status(Instant Now) const {
   return {
       .Process = this->Options.Process,
       .Sequence = this->NextSequence++,
@@ -416,6 +429,7 @@
       .Running = this->Queue.running(),
       .Queued = static_cast<std::uint32_t>(this->Queue.waiting()),
       .ServiceTime = this->Queue.serviceTime(),
+      .Times = this->Times.recent(Now),
       .FailureShare = this->FailureShare};
 }
 
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -81,7 +81,7 @@
   void tick(Instant Now, Effects &Out);
 
   // As sent to other nodes.
-  TargetStatus status() const;
+  TargetStatus status(Instant Now) const;
   // The target's life; empty if none reported.
   const TargetRef &target() const { return this->Target; }
   TargetState state() const { return this->State; }
@@ -115,9 +115,11 @@
   void startWaiting(Instant Now, Effects &Out);
   void end(std::uint64_t Id, ForwardResult Result, Instant Now, Effects &Out);
   void refuse(const std::string &From, const Forward &Request, Outcome Why,
-              Duration RetryAfter, Effects &Out);
+              Duration RetryAfter, Instant Now, Effects &Out);
   void leaveAt(Instant Now, Effects &Out);
   void noteOutcome(bool Failed);
+  // How long a request of this work is expected to hold a slot.
+  Duration expectedTime(WorkId Work, Instant Now) const;
 
   TargetGateOptions Options;
   TargetRef Target;
@@ -131,6 +133,7 @@
   bool ConnectionRefused = false;
   bool Closed = false;
   AdmissionQueue Queue;
+  WorkTimes Times;
   CrashGuard Crashes;
   float FailureShare = 0;
   std::uint64_t NextCall = 1;
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -37,7 +37,7 @@
   }
   void forward(std::uint64_t Id, std::uint8_t Priority = 1,
                bool LastChoice = true, Duration LatencyLeft = milliseconds(400),
-               KeyState Key = KeyState::NotKeyed) {
+               KeyState Key = KeyState::NotKeyed, WorkId Work = 0) {
     auto Content = std::make_shared<RequestContent>();
     Content->Target = "/x/" + std::to_string(this->Path);
     this->Out.clear();
@@ -50,6 +50,7 @@
                         .LatencyLeft = LatencyLeft,
                         .Priority = Priority,
                         .LastChoice = LastChoice,
+                        .Work = Work,
                         .Content = Content},
                        Key, this->Now, this->Out);
   }
@@ -92,6 +93,7 @@
   CPPUNIT_TEST(startsUrgentRequestsFirst);
   CPPUNIT_TEST(refusesWhatWouldBeLate);
   CPPUNIT_TEST(keepsLateCallersFromTimelyOnes);
+  CPPUNIT_TEST(admitsShortWorkBesideLongWork);
   CPPUNIT_TEST(sendsNothingAfterTheDrainTime);
   CPPUNIT_TEST(ignoresLateReports);
   CPPUNIT_TEST(refusesKeysThatAreNotHeld);
@@ -159,6 +161,25 @@
     CPPUNIT_ASSERT(!F.result());
   }
 
+  // Pattern: short calls beside long requests. A call that takes 30 ms is in
+  // time after a wait for one slot, whatever the other work takes.
+  void admitsShortWorkBesideLongWork() {
+    constexpr WorkId Call = 1;
+    constexpr WorkId Long = 2;
+    Fixture F;
+    for (std::uint64_t Id = 1; Id <= 20; ++Id) {
+      F.forward(Id, 1, true, milliseconds(500), KeyState::NotKeyed,
+                Id % 2 == 0 ? Long : Call);
+      F.answer(F.started(), milliseconds(Id % 2 == 0 ? 160 : 30));
+    }
+    F.forward(21, 1, true, milliseconds(500), KeyState::NotKeyed, Long);
+    F.forward(22, 1, true, milliseconds(500), KeyState::NotKeyed, Long);
+    F.forward(23, 1, true, milliseconds(120), KeyState::NotKeyed, Call);
+    CPPUNIT_ASSERT(!F.result());
+    F.forward(24, 1, true, milliseconds(120), KeyState::NotKeyed, Long);
+    CPPUNIT_ASSERT(F.ended(Outcome::Busy));
+  }
+
   void sendsNothingAfterTheDrainTime() {
     Fixture F;
     F.forward(1);
--- a/orioledoor/routing/target_status.h
+++ b/orioledoor/routing/target_status.h
@@ -5,9 +5,11 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "orioledoor/base/instant.h"
 #include "orioledoor/routing/target_ref.h"
+#include "orioledoor/routing/work_times.h"
 
 namespace orioledoor::routing {
 
@@ -30,8 +32,10 @@
   std::uint32_t Slots = 1;
   std::uint32_t Running = 0;
   std::uint32_t Queued = 0;
-  // Mean time that a request holds a slot, recently.
+  // Mean time that a request of any kind holds a slot, recently.
   Duration ServiceTime{0};
+  // The same by kind of work, as far as measured.
+  std::vector<WorkTime> Times{};
   // Share of recent calls that the target failed, 0 to 1.
   float FailureShare = 0;
 };
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -181,7 +181,7 @@
 }
 
 void SidecarReducer::publish(Instant Now) {
-  routing::TargetStatus Status = this->Gate.status();
+  routing::TargetStatus Status = this->Gate.status(Now);
   this->Directory.update(Status, Now);
   NodeEntry Self = this->Members.self();
   if (Status.Target == this->PublishedTarget &&
@@ -218,7 +218,7 @@
                            milliseconds(500))});
     return;
   }
-  this->Directory.update(this->Gate.status(), Now);
+  this->Directory.update(this->Gate.status(Now), Now);
   this->Entry.request(std::move(Came.Request), Now, this->Path);
 }
 
