Ask for bodies when the target's link has room, and judge connections by progress

Nodes sent bodies at once, so links held seconds of queue.

Change: a body that would hold the target's link for 8 ms or more stays at the entry until the gate asks for it; the gate bounds the bodies on their way to 80 ms of its link and refuses what would be late before any byte is sent. The link's rate is a setting (link_mbps) and part of the status, and bodies queued there count when a target is chosen. A connection is lost when a ping goes unanswered longer than the bytes before it may take, or without progress; large batches are acknowledged at once. RecentResults remembers for 12 s that a request came, its answer for 4 s, and vouches only within 8 s of the sending and if nothing was forgotten early. Nodes that do not plan collect changes of entries for 20 ms a node longer (3 s at most).

Ruled out: processor time (0.03 of 0.1 cores), memory (17 of 160 MB); a longer ping timeout alone, since a queue of seconds fails every deadline all the same.

--- a/orioledoor/catalogue/parse_sidecar_settings.cc
+++ b/orioledoor/catalogue/parse_sidecar_settings.cc
@@ -40,7 +40,8 @@
                  {"node_name", "region", "failure_domain", "outbound",
                   "control", "ready", "metrics", "peer", "target", "service",
                   "store", "drain_ms", "stop_grace_s", "max_hold_ms",
-                  "retry_ratio", "retry_extra", "retry_window_s", "log_level"});
+                  "retry_ratio", "retry_extra", "retry_window_s", "link_mbps",
+                  "log_level"});
   SidecarSettings Result;
   Result.NodeName = internal::readText(In.require("node_name"));
   Result.Region = internal::readText(In.require("region"));
@@ -72,6 +73,8 @@
     Result.RetryRatio = internal::readNumber(*Ratio, 0, 10);
   if (auto Extra = In.find("retry_extra"))
     Result.RetryExtra = internal::readNumber(*Extra, 0, 1e9);
+  if (auto Link = In.find("link_mbps"))
+    Result.LinkMbps = internal::readNumber(*Link, 0, 1e6);
   if (auto Level = In.find("log_level")) {
     constexpr std::array Levels{"debug", "info", "warn", "error"};
     Result.LogLevel = Levels.at(
--- a/orioledoor/catalogue/sidecar_settings.h
+++ b/orioledoor/catalogue/sidecar_settings.h
@@ -46,6 +46,8 @@
   double RetryRatio = 0.2;
   double RetryExtra = 60;
   std::chrono::milliseconds RetryWindow{10000};
+  // The link of this VM, in Mbit/s; 0: not known.
+  double LinkMbps = 0;
   // One of debug, info, warn, error.
   std::string LogLevel = "info";
 };
--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -37,6 +37,12 @@
 // Answers of ready targets are of about this size.
 constexpr std::size_t ExpectedAnswerBytes = 2048;
 
+// A body is sent when the gate asks for it, if it would hold the target's link
+// for longer than the question takes between failure domains. Small ones are
+// not worth a question on any link.
+constexpr Duration LeastWithheldTime = milliseconds(8);
+constexpr std::size_t LeastWithheldBytes = 8 << 10;
+
 std::string millis(Duration Of) {
   return std::to_string(std::chrono::duration_cast<milliseconds>(Of).count());
 }
@@ -48,6 +54,15 @@
   return Text;
 }
 
+SharedContent withoutBody(const RequestContent &Of) {
+  auto Head = std::make_shared<RequestContent>();
+  Head->Method = Of.Method;
+  Head->Target = Of.Target;
+  Head->Host = Of.Host;
+  Head->Headers = Of.Headers;
+  return Head;
+}
+
 bool isOwnFailure(int Status) { return Status == 500 || Status == 503; }
 
 } // namespace
@@ -202,27 +217,34 @@
   Of.At = To;
   Of.ForwardId = this->NextForward++;
   Of.Resumed = false;
+  Of.SentAt = Now;
   const TargetView *Known = this->Directory.find(To);
   Of.Receiver = Known ? Known->Status.Process : 0;
+  std::size_t BodyBytes = Of.Request.Content->Body.size();
+  Of.BodyWithheld = Known && To != this->Options.Node &&
+                    BodyBytes >= LeastWithheldBytes &&
+                    Known->transferTime(BodyBytes) >= LeastWithheldTime;
   Of.Tried.push_back(To);
   this->ByForward[Of.ForwardId] = Of.Request.Caller;
   this->Directory.noteSent(To);
-  Out.push_back(
-      SendMessage{To, Forward{.Id = Of.ForwardId,
-                              .Process = this->Options.Process,
-                              .Service = Of.Service,
-                              .AttemptId = Of.Request.AttemptId,
-                              .CallerService = this->Options.CallerService,
-                              .TimeLeft = Of.Deadline - Now,
-                              .LatencyLeft = Of.LatencyEnd - Now,
-                              .Key = Of.Partitioned ? Of.Request.Key : NoKey,
-                              .Priority = static_cast<std::uint8_t>(
-                                  std::clamp(Of.Of->Priority, 0, 255)),
-                              .Idempotent = Of.Of->Idempotent,
-                              .LastChoice = LastChoice,
-                              .WorthwhileWait = WorthwhileWait,
-                              .Work = workOf(Of.Service, *Of.Of),
-                              .Content = Of.Request.Content}});
+  Out.push_back(SendMessage{
+      To, Forward{.Id = Of.ForwardId,
+                  .Process = this->Options.Process,
+                  .Service = Of.Service,
+                  .AttemptId = Of.Request.AttemptId,
+                  .CallerService = this->Options.CallerService,
+                  .TimeLeft = Of.Deadline - Now,
+                  .LatencyLeft = Of.LatencyEnd - Now,
+                  .Key = Of.Partitioned ? Of.Request.Key : NoKey,
+                  .Priority = static_cast<std::uint8_t>(
+                      std::clamp(Of.Of->Priority, 0, 255)),
+                  .Idempotent = Of.Of->Idempotent,
+                  .LastChoice = LastChoice,
+                  .WorthwhileWait = WorthwhileWait,
+                  .Work = workOf(Of.Service, *Of.Of),
+                  .WithheldBytes = Of.BodyWithheld ? BodyBytes : 0,
+                  .Content = Of.BodyWithheld ? withoutBody(*Of.Request.Content)
+                                             : Of.Request.Content}});
 }
 
 void EntryReducer::park(Pending &Of, Instant Now, Effects &Out) {
@@ -359,6 +381,22 @@
   this->fail(Of, 502, Detail, Now, Out);
 }
 
+void EntryReducer::fetchBody(const std::string &Node, const FetchBody &Asked,
+                             Instant Now, Effects &Out) {
+  auto Found = this->ByForward.find(Asked.Id);
+  if (Found == this->ByForward.end() || Asked.Process != this->Options.Process)
+    return;
+  Pending &Of = this->Open.at(Found->second);
+  if (Of.At != Node || !Of.BodyWithheld)
+    return;
+  Of.BodyWithheld = false;
+  Of.SentAt = Now;
+  Out.push_back(
+      SendMessage{Node, ForwardBody{.Id = Asked.Id,
+                                    .Process = Asked.Process,
+                                    .Body = Of.Request.Content->Body}});
+}
+
 void EntryReducer::notSent(const std::string &Node, std::uint64_t Id,
                            Instant Now, Effects &Out) {
   this->Directory.noteUnreachable(Node, Now);
@@ -391,11 +429,20 @@
     this->Directory.noteUnreachable(Node, Now);
   for (std::uint64_t Caller : Affected) {
     Pending &Of = this->Open.at(Caller);
+    if (Of.BodyWithheld) {
+      Out.push_back(SendMessage{
+          Node, CancelForward{Of.ForwardId, this->Options.Process}});
+      this->leaveTarget(Of);
+      this->handleNotRun(Of, {.Ended = Outcome::NoTarget}, Now, Out);
+      continue;
+    }
     if (!Ended && !Of.Resumed) {
       Of.Resumed = true;
       Out.push_back(
-          SendMessage{Node, ResumeForward{Of.ForwardId, this->Options.Process,
-                                          Of.Receiver}});
+          SendMessage{Node, ResumeForward{.Id = Of.ForwardId,
+                                          .Process = this->Options.Process,
+                                          .Receiver = Of.Receiver,
+                                          .SentAgo = Now - Of.SentAt}});
       continue;
     }
     // The answer to a request that must not run twice may still come over a
@@ -434,7 +481,7 @@
     if (!Of.At.empty()) {
       Out.push_back(SendMessage{
           Of.At, CancelForward{Of.ForwardId, this->Options.Process}});
-      Of.MayHaveRun = true;
+      Of.MayHaveRun |= !Of.BodyWithheld;
     }
     if (Of.MayHaveRun)
       this->fail(Of, 504, "no answer in time", Now, Out);
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -76,6 +76,9 @@
   void callerGone(std::uint64_t Caller, Instant Now, Effects &Out);
   void result(const std::string &From, ForwardResult Result, Instant Now,
               Effects &Out);
+  // Node has room for a request whose body was withheld.
+  void fetchBody(const std::string &Node, const FetchBody &Asked, Instant Now,
+                 Effects &Out);
   // A Forward to Node certainly did not leave, or the question what became of
   // it did not.
   void notSent(const std::string &Node, std::uint64_t Id, Instant Now,
@@ -107,6 +110,9 @@
     std::uint64_t ForwardId = 0;
     // The process that the Forward went to, as far as known.
     std::uint64_t Receiver = 0;
+    Instant SentAt;
+    // The node was not sent the body yet, so nothing has run.
+    bool BodyWithheld = false;
     // The connection broke, and the node was asked what became of the request.
     bool Resumed = false;
     std::vector<std::string> Tried;
--- a/orioledoor/routing/entry_test.cc
+++ b/orioledoor/routing/entry_test.cc
@@ -14,6 +14,7 @@
 
 constexpr char Own[] = "tcp://10.0.0.1:7100";
 constexpr char Near[] = "tcp://10.0.0.2:7100";
+constexpr std::size_t BodyBytes = 60'000;
 constexpr char Far[] = "tcp://10.0.0.3:7100";
 
 SharedTable newTable() {
@@ -88,6 +89,28 @@
                         this->Now, this->Out);
   }
 
+  void setLink(const std::string &Node, std::uint64_t BytesPerSecond) {
+    TargetStatus Status = this->Directory.find(Node)->Status;
+    ++Status.Sequence;
+    Status.LinkBytesPerSecond = BytesPerSecond;
+    this->Directory.update(Status, this->Now);
+  }
+
+  void upload(std::uint64_t Caller) {
+    auto Content = std::make_shared<RequestContent>();
+    Content->Method = "POST";
+    Content->Host = "h";
+    Content->Target = "/write/x";
+    Content->Body = std::string(BodyBytes, 'x');
+    this->Out.clear();
+    this->Entry.request({.Caller = Caller,
+                         .AttemptId = "u" + std::to_string(Caller),
+                         .TimeLeft = milliseconds(2500),
+                         .FirstByteAt = this->Now,
+                         .Content = Content},
+                        this->Now, this->Out);
+  }
+
   // The open Forward, and where it went.
   const Forward *sent(std::string *To = nullptr) const {
     for (const Effect &Each : this->Out)
@@ -146,6 +169,8 @@
   CPPUNIT_TEST(countsTheEarlierWaitOfReturningCallers);
   CPPUNIT_TEST(takesTheLossOfANode);
   CPPUNIT_TEST(neverSays503AfterALostTry);
+  CPPUNIT_TEST(withholdsBodiesFromSlowLinks);
+  CPPUNIT_TEST(sendsAnUnsentBodyElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -345,6 +370,54 @@
     CPPUNIT_ASSERT_EQUAL(502, F.status());
   }
 
+  // Pattern: uploads to small VMs. A body that would hold the target's link for
+  // long is sent when the gate asks for it.
+  void withholdsBodiesFromSlowLinks() {
+    Fixture F;
+    F.setLink(Near, 125'000'000);
+    F.upload(1);
+    CPPUNIT_ASSERT(F.sent()->WithheldBytes == 0);
+    CPPUNIT_ASSERT_EQUAL(BodyBytes, F.sent()->Content->Body.size());
+    F.setLink(Near, 1'250'000);
+    F.upload(2);
+    CPPUNIT_ASSERT(F.sent()->WithheldBytes == BodyBytes);
+    CPPUNIT_ASSERT(F.sent()->Content->Body.empty());
+    FetchBody Asked{.Id = F.sent()->Id, .Process = 1};
+    F.Out.clear();
+    F.Entry.fetchBody(Far, Asked, F.Now, F.Out);
+    CPPUNIT_ASSERT(F.Out.empty());
+    F.Entry.fetchBody(Near, Asked, F.Now, F.Out);
+    const auto *Sent = std::get_if<SendMessage>(&F.Out.at(0));
+    CPPUNIT_ASSERT(Sent && Sent->To == Near);
+    CPPUNIT_ASSERT_EQUAL(BodyBytes,
+                         std::get<ForwardBody>(Sent->Body).Body.size());
+  }
+
+  // Without its body a request has not run, whatever became of the node; with
+  // it, one that must not run twice may have.
+  void sendsAnUnsentBodyElsewhere() {
+    Fixture F;
+    F.setLink(Near, 1'250'000);
+    F.upload(1);
+    FetchBody Asked{.Id = F.sent()->Id, .Process = 1};
+    F.Out.clear();
+    F.Entry.nodeLost(Near, true, F.Now, F.Out);
+    std::string To;
+    CPPUNIT_ASSERT(F.sent(&To));
+    CPPUNIT_ASSERT_EQUAL(std::string(Far), To);
+    F.Out.clear();
+    F.Entry.fetchBody(Near, Asked, F.Now, F.Out);
+    CPPUNIT_ASSERT(F.Out.empty());
+    Fixture Late;
+    Late.setLink(Near, 1'250'000);
+    Late.upload(2);
+    Asked.Id = Late.sent()->Id;
+    Late.Entry.fetchBody(Near, Asked, Late.Now, Late.Out);
+    Late.Out.clear();
+    Late.Entry.nodeLost(Near, true, Late.Now, Late.Out);
+    CPPUNIT_ASSERT_EQUAL(502, Late.status());
+  }
+
   // 503 says that no target has run the request; that must be true for
   // idempotent requests too.
   void neverSays503AfterALostTry() {
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -58,6 +58,8 @@
   // Otherwise, how long it may wait here before another target is better.
   Duration WorthwhileWait{0};
   WorkId Work = 0;
+  // Not 0: Content has no body; one of this size follows when it is asked for.
+  std::uint64_t WithheldBytes = 0;
   // Never null.
   SharedContent Content{};
 };
@@ -109,6 +111,21 @@
   std::uint64_t Process = 0;
   // The process that the request was sent to; 0: not known.
   std::uint64_t Receiver = 0;
+  // How long ago the request was sent.
+  Duration SentAgo{0};
+};
+
+// The gate has room for a request whose body was withheld.
+struct FetchBody {
+  std::uint64_t Id = 0;
+  std::uint64_t Process = 0;
+};
+
+// The body that was withheld.
+struct ForwardBody {
+  std::uint64_t Id = 0;
+  std::uint64_t Process = 0;
+  std::string Body{};
 };
 
 // The target's state changed.
@@ -144,7 +161,8 @@
 
 using Message =
     std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
-                 CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward>;
+                 CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward,
+                 FetchBody, ForwardBody>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -57,7 +57,8 @@
                  << Value.Target.Born << Value.Target.Node << Value.Service
                  << static_cast<std::uint8_t>(Value.State) << Value.Slots
                  << Value.Running << Value.Queued << Value.ServiceTime
-                 << Value.Times << Value.FailureShare;
+                 << Value.Times << Value.FailureShare
+                 << Value.LinkBytesPerSecond << Value.LinkQueuedBytes;
   }
   FieldWriter &operator<<(const std::vector<WorkTime> &Times) {
     this->Out.pack_array(static_cast<std::uint32_t>(Times.size() * 2));
@@ -72,7 +73,7 @@
   Packer &Out;
 };
 
-constexpr std::uint32_t StatusFields = 13;
+constexpr std::uint32_t StatusFields = 15;
 
 class FieldReader {
 public:
@@ -118,7 +119,8 @@
     return *this >> Value.Process >> Value.Sequence >> Value.Target.Instance >>
            Value.Target.Born >> Value.Target.Node >> Value.Service >>
            Value.State >> Value.Slots >> Value.Running >> Value.Queued >>
-           Value.ServiceTime >> Value.Times >> Value.FailureShare;
+           Value.ServiceTime >> Value.Times >> Value.FailureShare >>
+           Value.LinkBytesPerSecond >> Value.LinkQueuedBytes;
   }
   FieldReader &operator>>(std::vector<WorkTime> &Times) {
     const msgpack::object &Array = this->take();
@@ -153,12 +155,12 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 18)
+    start(this->Out, this->Sent, 19)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
-        << Value.WorthwhileWait << Value.Work << Value.Content->Method
-        << Value.Content->Target << Value.Content->Host
+        << Value.WorthwhileWait << Value.Work << Value.WithheldBytes
+        << Value.Content->Method << Value.Content->Target << Value.Content->Host
         << Value.Content->Headers << Value.Content->Body;
   }
   void operator()(const ForwardResult &Value) const {
@@ -185,8 +187,14 @@
     start(this->Out, this->Sent, 2) << Value.Revision << Value.Map;
   }
   void operator()(const ResumeForward &Value) const {
-    start(this->Out, this->Sent, 3)
-        << Value.Id << Value.Process << Value.Receiver;
+    start(this->Out, this->Sent, 4)
+        << Value.Id << Value.Process << Value.Receiver << Value.SentAgo;
+  }
+  void operator()(const FetchBody &Value) const {
+    start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
+  }
+  void operator()(const ForwardBody &Value) const {
+    start(this->Out, this->Sent, 3) << Value.Id << Value.Process << Value.Body;
   }
 };
 
@@ -196,8 +204,9 @@
   In >> Value.Id >> Value.Process >> Value.Service >> Value.AttemptId >>
       Value.CallerService >> Value.TimeLeft >> Value.LatencyLeft >> Value.Key >>
       Value.Priority >> Value.Idempotent >> Value.LastChoice >>
-      Value.WorthwhileWait >> Value.Work >> Content->Method >>
-      Content->Target >> Content->Host >> Content->Headers >> Content->Body;
+      Value.WorthwhileWait >> Value.Work >> Value.WithheldBytes >>
+      Content->Method >> Content->Target >> Content->Host >> Content->Headers >>
+      Content->Body;
   Value.Content = std::move(Content);
   return Value;
 }
@@ -249,7 +258,17 @@
   }
   case 7: {
     ResumeForward Value;
-    In >> Value.Id >> Value.Process >> Value.Receiver;
+    In >> Value.Id >> Value.Process >> Value.Receiver >> Value.SentAgo;
+    return Value;
+  }
+  case 8: {
+    FetchBody Value;
+    In >> Value.Id >> Value.Process;
+    return Value;
+  }
+  case 9: {
+    ForwardBody Value;
+    In >> Value.Id >> Value.Process >> Value.Body;
     return Value;
   }
   default:
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -80,6 +80,13 @@
     KeyLoadNotice Load{.Service = "s", .Rate = 1.5, .Quantiles = {1, 2, 2}};
     Back = decodeMessage(encodeMessage(Load));
     CPPUNIT_ASSERT(std::get<KeyLoadNotice>(*Back).Quantiles == Load.Quantiles);
+    Back = decodeMessage(encodeMessage(ForwardBody{7, 8, Content->Body}));
+    CPPUNIT_ASSERT(std::get<ForwardBody>(*Back).Body == Content->Body);
+    Back = decodeMessage(encodeMessage(FetchBody{7, 8}));
+    CPPUNIT_ASSERT(std::get<FetchBody>(*Back).Id == 7);
+    Back =
+        decodeMessage(encodeMessage(ResumeForward{7, 8, 9, milliseconds(700)}));
+    CPPUNIT_ASSERT(std::get<ResumeForward>(*Back).SentAgo == milliseconds(700));
     Back = decodeMessage(encodeMessage(KeyMapNotice{9, "{}"}));
     CPPUNIT_ASSERT(std::get<KeyMapNotice>(*Back).Revision == 9);
   }
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -189,6 +189,15 @@
     Cost += static_cast<double>(Request.Bytes) / 1024 * 1000 *
             (SameRegion ? DomainMsPerKiB : RegionMsPerKiB);
   }
+  if (Node != this->OwnNode) {
+    // Bodies wait for each other at the target's link; everything is slowed by
+    // those that are on their way.
+    double Queued =
+        static_cast<double>(Status.LinkQueuedBytes) * std::max(0.0, 1.0 - Age);
+    Cost += static_cast<double>(
+        View.transferTime(Request.Bytes + static_cast<std::uint64_t>(Queued))
+            .count());
+  }
   return Duration(static_cast<std::int64_t>(Cost));
 }
 
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -37,6 +37,13 @@
   // The node could not be reached; preferred again after this.
   Instant SuspectUntil;
   std::uint32_t Failures = 0;
+
+  // How long bytes to the target hold its link; 0 if the link is not known.
+  Duration transferTime(std::uint64_t Bytes) const {
+    std::uint64_t Rate = this->Status.LinkBytesPerSecond;
+    return Duration(
+        Rate == 0 ? 0 : static_cast<std::int64_t>(Bytes * 1'000'000 / Rate));
+  }
 };
 
 // What matters of a request when its target is chosen.
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -30,11 +30,11 @@
 // would be late is late whenever it comes back; a second gives the load time to
 // fall and owners of hot keys time to share them out.
 constexpr Duration BusyRetryAfter = milliseconds(1000);
-// Results are kept for a sender whose connection broke: it notices within
-// 550 ms and asks over a new one.
-constexpr Duration KeepTime = milliseconds(2000);
-// Bounds the kept results; at 30 KB an answer 8 MB.
-constexpr std::size_t MaxKept = 256;
+// A body that was asked for and does not come: longer than a connection that
+// still lives can take for it.
+constexpr Duration FetchTimeout = milliseconds(3500);
+// The question for a body and its way, across regions.
+constexpr Duration FetchTime = milliseconds(30);
 // A request that its sender was told never came must not run when it comes
 // late: longer than any caller waits.
 constexpr Duration DisownTime = std::chrono::seconds(60);
@@ -76,7 +76,7 @@
 } // namespace
 
 TargetGate::TargetGate(TargetGateOptions Options)
-    : Options(std::move(Options)) {}
+    : Options(std::move(Options)), Intake(this->Options.LinkBytesPerSecond) {}
 
 ReportVerdict TargetGate::report(const TargetReport &Report, Instant Now,
                                  Effects &Out) {
@@ -199,18 +199,26 @@
                          Instant Now, Effects &Out) {
   if (this->Disowned.contains({Request.Process, Request.Id}))
     return;
-  std::uint64_t Digest = crashDigest(Request.CallerService, *Request.Content);
+  bool Withheld = Request.WithheldBytes > 0;
+  std::uint64_t Digest =
+      Withheld ? 0 : crashDigest(Request.CallerService, *Request.Content);
   if (auto Why = this->refusalOf(Request, Key, Digest, Now)) {
     this->refuse(From, Request, *Why, Duration(0), Now, Out);
     return;
   }
   Duration Service = this->expectedTime(Request.Work, Now);
-  Duration Limit = std::max(
-      Request.LatencyLeft - Service * SlowRequestPercent / 100 - ReturnTime,
-      std::min(Service / LateWaitDivisor, Request.TimeLeft - Service));
+  Duration Wait = this->Queue.expectedWait(Request.Priority);
+  Duration Transfer(0);
+  if (Withheld) {
+    Wait = std::max(Wait, this->Intake.expectedWait());
+    Transfer = this->Intake.transferTime(Request.WithheldBytes) + FetchTime;
+  }
+  Duration Limit = std::max(Request.LatencyLeft - Transfer -
+                                Service * SlowRequestPercent / 100 - ReturnTime,
+                            std::min(Service / LateWaitDivisor,
+                                     Request.TimeLeft - Transfer - Service));
   if (!Request.LastChoice)
     Limit = std::min(Limit, Request.WorthwhileWait);
-  Duration Wait = this->Queue.expectedWait(Request.Priority);
   if (Wait > Limit && Wait > Duration(0)) {
     this->refuse(From, Request, Outcome::Busy, std::max(Wait, BusyRetryAfter),
                  Now, Out);
@@ -220,20 +228,94 @@
   Call &Added = this->Calls[Id];
   Added.From = From;
   Added.Deadline = Now + Request.TimeLeft - AnswerMargin;
+  Added.StartBy = Now + std::max(Limit, Duration(0));
   Added.Digest = Digest;
   Added.Request = std::move(Request);
   this->ByForward[{Added.Request.Process, Added.Request.Id}] = Id;
+  if (!Withheld) {
+    this->admit(Id, Now, Out);
+    return;
+  }
+  Added.Fetching = true;
+  this->Intake.push(Id, Added.Request.WithheldBytes, Added.StartBy);
+  this->fetchBodies(Now, Out);
+}
+
+void TargetGate::admit(std::uint64_t Id, Instant Now, Effects &Out) {
   if (this->Queue.tryStart()) {
     this->start(Id, Now, Out);
     return;
   }
-  this->Queue.push({.Id = Id,
-                    .Priority = Added.Request.Priority,
-                    .StartBy = Now + std::max(Limit, Duration(0))});
+  const Call &Of = this->Calls.at(Id);
+  this->Queue.push(
+      {.Id = Id, .Priority = Of.Request.Priority, .StartBy = Of.StartBy});
   // Somebody may wait although a slot is free, if all who wait are overdue.
   this->startWaiting(Now, Out);
 }
 
+void TargetGate::fetchBodies(Instant Now, Effects &Out) {
+  while (auto Id = this->Intake.popNext(Now)) {
+    Call &Of = this->Calls.at(*Id);
+    Of.FetchedAt = Now;
+    Out.push_back(
+        SendMessage{Of.From, FetchBody{Of.Request.Id, Of.Request.Process}});
+  }
+}
+
+void TargetGate::receiveBody(ForwardBody Received, Instant Now, Effects &Out) {
+  auto Found = this->ByForward.find({Received.Process, Received.Id});
+  if (Found == this->ByForward.end())
+    return;
+  std::uint64_t Id = Found->second;
+  Call &Of = this->Calls.at(Id);
+  if (!Of.Fetching)
+    return;
+  Of.Fetching = false;
+  this->Intake.end(Id);
+  auto Content = std::make_shared<RequestContent>(*Of.Request.Content);
+  Content->Body = std::move(Received.Body);
+  Of.Request.Content = std::move(Content);
+  Of.Digest = crashDigest(Of.Request.CallerService, *Of.Request.Content);
+  Of.Request.TimeLeft = Of.Deadline - Now;
+  // Its bytes are here: one more turn of the slots is worth waiting for.
+  Of.StartBy =
+      std::max(Of.StartBy, Now + this->expectedTime(Of.Request.Work, Now) /
+                                     LateWaitDivisor);
+  if (auto Why =
+          this->refusalOf(Of.Request, KeyState::NotKeyed, Of.Digest, Now))
+    this->end(Id, {.Ended = *Why}, Now, Out);
+  else
+    this->admit(Id, Now, Out);
+  this->fetchBodies(Now, Out);
+}
+
+void TargetGate::endStuckFetches(Instant Now, Effects &Out) {
+  for (std::uint64_t Id : this->Intake.takeOverdue(Now)) {
+    ForwardResult Result{.Ended = Outcome::Busy};
+    Result.RetryAfter = std::max(this->Intake.expectedWait(), BusyRetryAfter);
+    this->end(Id, std::move(Result), Now, Out);
+  }
+  std::vector<std::uint64_t> Stuck;
+  for (const auto &[Id, Of] : this->Calls)
+    if (Of.Fetching && Of.FetchedAt != Instant() &&
+        Now - Of.FetchedAt > FetchTimeout)
+      Stuck.push_back(Id);
+  for (std::uint64_t Id : Stuck)
+    this->end(Id, {.Ended = Outcome::NoTarget}, Now, Out);
+  this->fetchBodies(Now, Out);
+}
+
+void TargetGate::refuseWaiting(Instant Now, Effects &Out) {
+  std::vector<std::uint64_t> Fetching;
+  for (const auto &[Id, Of] : this->Calls)
+    if (Of.Fetching)
+      Fetching.push_back(Id);
+  for (std::uint64_t Id : Fetching)
+    this->end(Id, {.Ended = Outcome::NoTarget}, Now, Out);
+  for (const WaitingRequest &Each : this->Queue.takeAll())
+    this->end(Each.Id, {.Ended = Outcome::NoTarget}, Now, Out);
+}
+
 void TargetGate::start(std::uint64_t Id, Instant Now, Effects &Out) {
   Call &Of = this->Calls.at(Id);
   Of.Started = true;
@@ -268,6 +350,8 @@
   Call Of = std::move(Found->second);
   this->Calls.erase(Found);
   this->ByForward.erase({Of.Request.Process, Of.Request.Id});
+  if (Of.Fetching)
+    this->Intake.end(Id);
   Result.Id = Of.Request.Id;
   Result.Status = this->status(Now);
   if (Result.Ended != Outcome::Answered)
@@ -280,24 +364,27 @@
          field("instance", this->Target.Instance),
          field("running", std::to_string(this->Queue.running())),
          field("waiting", std::to_string(this->Queue.waiting()))}});
-  if (this->Recent.size() < MaxKept && Of.From != this->Options.Node)
-    this->Recent[{Of.Request.Process, Of.Request.Id}] = {Now, Result};
+  if (Of.From != this->Options.Node)
+    this->Recent.add({Of.Request.Process, Of.Request.Id}, Result, Now);
   Out.push_back(SendMessage{Of.From, std::move(Result)});
 }
 
 void TargetGate::resume(const std::string &From, const ResumeForward &Resumed,
                         Instant Now, Effects &Out) {
   ForwardKey Key(Resumed.Process, Resumed.Id);
-  if (this->ByForward.contains(Key))
+  if (auto Found = this->ByForward.find(Key); Found != this->ByForward.end()) {
+    // The body, or the question for it, was lost with the connection.
+    if (this->Calls.at(Found->second).Fetching)
+      this->end(Found->second, {.Ended = Outcome::NoTarget}, Now, Out);
     return;
-  if (auto Found = this->Recent.find(Key); Found != this->Recent.end()) {
-    Out.push_back(SendMessage{From, Found->second.Result});
+  }
+  if (const ForwardResult *Kept = this->Recent.find(Key)) {
+    Out.push_back(SendMessage{From, *Kept});
     return;
   }
-  // An earlier process may have run it. Results are dropped early when there
-  // are too many.
+  // An earlier process may have run it, or its result was forgotten.
   bool Known = Resumed.Receiver == this->Options.Process &&
-               this->Recent.size() < MaxKept;
+               this->Recent.vouches(Resumed.SentAgo, Now);
   if (Known)
     this->Disowned[Key] = Now;
   ForwardResult Result{.Id = Resumed.Id,
@@ -362,7 +449,13 @@
   std::uint64_t Id = Found->second;
   this->ByForward.erase(Found);
   bool Started = this->Calls.at(Id).Started;
+  bool Fetching = this->Calls.at(Id).Fetching;
   this->Calls.erase(Id);
+  if (Fetching) {
+    this->Intake.end(Id);
+    this->fetchBodies(Now, Out);
+    return;
+  }
   if (!Started) {
     this->Queue.remove(Id);
     return;
@@ -378,15 +471,13 @@
 
 void TargetGate::close(Instant Now, Effects &Out) {
   this->Closed = true;
-  for (const WaitingRequest &Each : this->Queue.takeAll())
-    this->end(Each.Id, {.Ended = Outcome::NoTarget}, Now, Out);
+  this->refuseWaiting(Now, Out);
 }
 
 void TargetGate::tick(Instant Now, Effects &Out) {
   this->Crashes.tick(Now);
-  std::erase_if(this->Recent, [Now](const auto &Entry) {
-    return Now - Entry.second.At > KeepTime;
-  });
+  this->Recent.tick(Now);
+  this->endStuckFetches(Now, Out);
   std::erase_if(this->Disowned, [Now](const auto &Entry) {
     return Now - Entry.second > DisownTime;
   });
@@ -402,8 +493,7 @@
         LogRecord{&events::TargetDrained,
                   {field("instance", this->Target.Instance),
                    field("running", std::to_string(this->Queue.running()))}});
-    for (const WaitingRequest &Each : this->Queue.takeAll())
-      this->end(Each.Id, {.Ended = Outcome::NoTarget}, Now, Out);
+    this->refuseWaiting(Now, Out);
   }
   // Reports may be cut off while requests still reach the target.
   if (this->State == TargetState::Ready && this->ConnectionRefused &&
@@ -413,8 +503,7 @@
         LogRecord{&events::TargetSilent,
                   {field("instance", this->Target.Instance),
                    field("silent_ms", millis(Now - this->LastReport))}});
-    for (const WaitingRequest &Each : this->Queue.takeAll())
-      this->end(Each.Id, {.Ended = Outcome::NoTarget}, Now, Out);
+    this->refuseWaiting(Now, Out);
   }
 }
 
@@ -430,7 +519,10 @@
       .Queued = static_cast<std::uint32_t>(this->Queue.waiting()),
       .ServiceTime = this->Queue.serviceTime(),
       .Times = this->Times.recent(Now),
-      .FailureShare = this->FailureShare};
+      .FailureShare = this->FailureShare,
+      .LinkBytesPerSecond =
+          static_cast<std::uint64_t>(this->Intake.bytesPerSecond()),
+      .LinkQueuedBytes = this->Intake.queuedBytes()};
 }
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -19,8 +19,10 @@
 #include <utility>
 
 #include "orioledoor/routing/admission_queue.h"
+#include "orioledoor/routing/body_intake.h"
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
+#include "orioledoor/routing/recent_results.h"
 
 namespace orioledoor::routing {
 
@@ -34,6 +36,8 @@
   Duration SilenceTime = std::chrono::milliseconds(1800);
   // Identifies this process in what it tells other nodes.
   std::uint64_t Process = 0;
+  // The link of this VM; 0: not known.
+  double LinkBytesPerSecond = 0;
 };
 
 enum class ReportVerdict { Current, NewLife, Late };
@@ -64,6 +68,8 @@
   // From is the peer address of the sender.
   void forward(const std::string &From, Forward Request, KeyState Key,
                Instant Now, Effects &Out);
+  // The body that was asked for has come.
+  void receiveBody(ForwardBody Received, Instant Now, Effects &Out);
   void cancel(const std::string &From, const CancelForward &Cancelled,
               Instant Now, Effects &Out);
   // The sender's connection broke while the request was open.
@@ -96,23 +102,27 @@
     // When the sender's time is over.
     Instant Deadline;
     std::uint64_t Digest = 0;
+    // While the body is withheld; then when it was asked for.
+    bool Fetching = false;
+    Instant FetchedAt;
+    // Not worth starting after this.
+    Instant StartBy;
     bool Started = false;
     Instant StartedAt;
   };
 
-  // A result that its sender may not have got.
-  struct Ended {
-    Instant At;
-    ForwardResult Result;
-  };
-  // Names a request among those of all senders: process and id.
-  using ForwardKey = std::pair<std::uint64_t, std::uint64_t>;
-
   // The outcome that refuses Request at once, if any.
   std::optional<Outcome> refusalOf(const Forward &Request, KeyState Key,
                                    std::uint64_t Digest, Instant Now) const;
   void start(std::uint64_t Id, Instant Now, Effects &Out);
   void startWaiting(Instant Now, Effects &Out);
+  // Starts a call that is complete, or lets it wait for a slot.
+  void admit(std::uint64_t Id, Instant Now, Effects &Out);
+  // Asks for bodies that the link has room for.
+  void fetchBodies(Instant Now, Effects &Out);
+  void endStuckFetches(Instant Now, Effects &Out);
+  // Ends all calls that did not start.
+  void refuseWaiting(Instant Now, Effects &Out);
   void end(std::uint64_t Id, ForwardResult Result, Instant Now, Effects &Out);
   void refuse(const std::string &From, const Forward &Request, Outcome Why,
               Duration RetryAfter, Instant Now, Effects &Out);
@@ -133,17 +143,17 @@
   bool ConnectionRefused = false;
   bool Closed = false;
   AdmissionQueue Queue;
+  BodyIntake Intake;
   WorkTimes Times;
   CrashGuard Crashes;
   float FailureShare = 0;
   std::uint64_t NextCall = 1;
   mutable std::uint64_t NextSequence = 1;
-  // Invariant: a call is in Queue as waiting or holds one of its slots.
+  // Invariant: a call is in Intake, in Queue as waiting, or holds a slot.
   std::map<std::uint64_t, Call> Calls;
   std::map<ForwardKey, std::uint64_t> ByForward;
-  // Results of the last KeepTime; and, without a result, requests that their
-  // senders were told never came.
-  std::map<ForwardKey, Ended> Recent;
+  RecentResults Recent;
+  // Requests that their senders were told never came.
   std::map<ForwardKey, Instant> Disowned;
 };
 
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -12,10 +12,15 @@
 using std::chrono::milliseconds;
 
 constexpr char Peer[] = "tcp://10.0.0.2:7100";
+constexpr std::uint64_t BodyBytes = 60'000;
 
 class Fixture {
 public:
-  Fixture() : Gate({.Node = "tcp://10.0.0.1:7100", .Process = 1}) {
+  // The link carries a body of 60 KB in 48 ms.
+  explicit Fixture(double LinkBytesPerSecond = 0)
+      : Gate({.Node = "tcp://10.0.0.1:7100",
+              .Process = 1,
+              .LinkBytesPerSecond = LinkBytesPerSecond}) {
     this->report(1);
   }
 
@@ -54,6 +59,36 @@
                         .Content = Content},
                        Key, this->Now, this->Out);
   }
+  // A request whose body waits at its sender.
+  void offer(std::uint64_t Id) {
+    auto Content = std::make_shared<RequestContent>();
+    this->Out.clear();
+    this->Gate.forward(Peer,
+                       {.Id = Id,
+                        .Process = 9,
+                        .Service = "plain",
+                        .AttemptId = "a" + std::to_string(Id),
+                        .TimeLeft = milliseconds(2000),
+                        .LatencyLeft = milliseconds(400),
+                        .LastChoice = true,
+                        .WithheldBytes = BodyBytes,
+                        .Content = Content},
+                       KeyState::NotKeyed, this->Now, this->Out);
+  }
+  void deliver(std::uint64_t Id) {
+    this->Out.clear();
+    this->Gate.receiveBody(
+        {.Id = Id, .Process = 9, .Body = std::string(BodyBytes, 'x')},
+        this->Now, this->Out);
+  }
+  // The request whose body was asked for; 0 if none was.
+  std::uint64_t fetched() const {
+    for (const Effect &Each : this->Out)
+      if (const auto *Message = std::get_if<SendMessage>(&Each))
+        if (const auto *Found = std::get_if<FetchBody>(&Message->Body))
+          return Found->Id;
+    return 0;
+  }
   std::uint64_t started() const {
     for (const Effect &Each : this->Out)
       if (const auto *Found = std::get_if<StartCall>(&Each))
@@ -102,6 +137,10 @@
   CPPUNIT_TEST(servesWhileReportsAreCutOff);
   CPPUNIT_TEST(refusesAllWhenClosed);
   CPPUNIT_TEST(tellsWhatBecameOfARequest);
+  CPPUNIT_TEST(neverDisownsWhatItForgot);
+  CPPUNIT_TEST(asksForBodiesThatTheLinkHasRoomFor);
+  CPPUNIT_TEST(refusesBodiesThatWouldBeLate);
+  CPPUNIT_TEST(endsFetchesThatWereLost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -295,6 +334,84 @@
     F.forward(2);
     CPPUNIT_ASSERT(!F.started() && !F.result());
   }
+
+  // Guards against a request that runs twice: its first run was forgotten, the
+  // sender is told that it never came, and sends it to another target.
+  void neverDisownsWhatItForgot() {
+    Fixture F;
+    constexpr std::uint64_t Many = 10'000;
+    for (std::uint64_t Id = 1; Id <= Many; ++Id) {
+      F.forward(Id);
+      F.answer(F.started(), milliseconds(1));
+    }
+    auto Asked = [&](std::uint64_t Id, Duration SentAgo) {
+      F.Out.clear();
+      F.Gate.resume(Peer,
+                    {.Id = Id, .Process = 9, .Receiver = 1, .SentAgo = SentAgo},
+                    F.Now, F.Out);
+      return F.result()->Ended;
+    };
+    CPPUNIT_ASSERT(Asked(Many, milliseconds(1)) == Outcome::Answered);
+    CPPUNIT_ASSERT(Asked(Many / 2, milliseconds(5000)) == Outcome::Lost);
+    CPPUNIT_ASSERT(Asked(1, milliseconds(5000)) == Outcome::Lost);
+    F.pass(milliseconds(5000));
+    CPPUNIT_ASSERT(Asked(Many, milliseconds(5000)) == Outcome::Lost);
+    F.pass(milliseconds(20'000));
+    // Sent longer ago than anything is remembered.
+    CPPUNIT_ASSERT(Asked(Many, milliseconds(25'000)) == Outcome::Lost);
+    CPPUNIT_ASSERT(Asked(Many + 1, milliseconds(700)) == Outcome::NoTarget);
+  }
+
+  // Pattern: uploads to a small VM. Bodies that are all sent at once fill its
+  // link for seconds; answers and calls wait behind them.
+  void asksForBodiesThatTheLinkHasRoomFor() {
+    Fixture F(1'250'000);
+    F.offer(1);
+    CPPUNIT_ASSERT(F.fetched() == 1 && !F.started());
+    F.offer(2);
+    CPPUNIT_ASSERT(F.fetched() == 0);
+    F.deliver(1);
+    CPPUNIT_ASSERT(F.started());
+    CPPUNIT_ASSERT(F.fetched() == 2);
+    // A caller that leaves makes room.
+    F.offer(3);
+    F.Out.clear();
+    F.Gate.cancel(Peer, {.Id = 2, .Process = 9}, F.Now, F.Out);
+    CPPUNIT_ASSERT(F.fetched() == 3);
+    CPPUNIT_ASSERT(F.Gate.status(F.Now).LinkQueuedBytes == BodyBytes);
+    F.deliver(3);
+    CPPUNIT_ASSERT(F.Gate.status(F.Now).LinkQueuedBytes == 0);
+  }
+
+  // Pattern: more uploads than the link carries. What cannot be here in time is
+  // refused before its bytes are sent.
+  void refusesBodiesThatWouldBeLate() {
+    Fixture F(1'250'000);
+    std::uint64_t Id = 1;
+    while (Id < 50) {
+      F.offer(Id++);
+      if (F.result())
+        break;
+    }
+    CPPUNIT_ASSERT(F.ended(Outcome::Busy));
+    // 400 ms less the work, the way and 140 ms: four bodies of 48 ms.
+    CPPUNIT_ASSERT(Id >= 3 && Id <= 6);
+  }
+
+  void endsFetchesThatWereLost() {
+    Fixture F(1'250'000);
+    F.offer(1);
+    F.Out.clear();
+    F.Gate.resume(Peer, {.Id = 1, .Process = 9, .Receiver = 1}, F.Now, F.Out);
+    CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
+    F.deliver(1);
+    CPPUNIT_ASSERT(!F.started());
+    F.offer(2);
+    CPPUNIT_ASSERT(F.fetched() == 2);
+    F.pass(milliseconds(4000));
+    CPPUNIT_ASSERT(F.ended(Outcome::NoTarget));
+    CPPUNIT_ASSERT(F.Gate.openRequests() == 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetGateTest);
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -33,6 +33,9 @@
 // concerned. The planning node acts on entries and collects for less.
 constexpr Duration PlannerWatchPause = milliseconds(100);
 constexpr Duration OtherWatchPause = milliseconds(1000);
+// Changes come in proportion to the nodes, and each costs every node a call.
+constexpr Duration WatchPausePerNode = milliseconds(20);
+constexpr Duration LongestWatchPause = milliseconds(3000);
 // A target takes keys with the answer to its report only, and counts an answer
 // within a second. One that keys are coming to is answered when they are there,
 // at the latest after this: otherwise they wait for its next report.
@@ -58,7 +61,8 @@
       Keys(this->Options.Keys, this->Members),
       Gate({.Node = this->Options.Node,
             .DrainTime = this->Options.DrainTime,
-            .Process = this->Options.Process}),
+            .Process = this->Options.Process,
+            .LinkBytesPerSecond = this->Options.LinkBytesPerSecond}),
       Entry({.Node = this->Options.Node,
              .Process = this->Options.Process,
              .CallerService = this->Options.Service,
@@ -175,7 +179,8 @@
          .Service = Entry.Service,
          .State = Entry.State,
          .Slots = Entry.Slots,
-         .ServiceTime = Same ? Known.ServiceTime : Duration(0)},
+         .ServiceTime = Same ? Known.ServiceTime : Duration(0),
+         .LinkBytesPerSecond = Known.LinkBytesPerSecond},
         Now);
   }
 }
@@ -246,6 +251,10 @@
   } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
     this->Directory.update(Result->Status, Now);
     this->Entry.result(From, std::move(*Result), Now, this->Path);
+  } else if (auto *Asked = std::get_if<routing::FetchBody>(&Body)) {
+    this->Entry.fetchBody(From, *Asked, Now, this->Path);
+  } else if (auto *Content = std::get_if<routing::ForwardBody>(&Body)) {
+    this->Gate.receiveBody(std::move(*Content), Now, this->Path);
   } else if (auto *Cancel = std::get_if<routing::CancelForward>(&Body)) {
     this->Gate.cancel(From, *Cancel, Now, this->Path);
   } else if (auto *Resumed = std::get_if<routing::ResumeForward>(&Body)) {
@@ -401,7 +410,11 @@
 
 void SidecarReducer::paceWatch() {
   bool Plans = this->Keys.planningNode() == this->Options.Node;
-  Duration Pause = Plans ? PlannerWatchPause : OtherWatchPause;
+  auto Nodes = static_cast<int>(this->Members.nodes().size());
+  Duration Pause = Plans
+                       ? PlannerWatchPause
+                       : std::min(LongestWatchPause,
+                                  OtherWatchPause + WatchPausePerNode * Nodes);
   if (Pause == this->WatchPause)
     return;
   this->WatchPause = Pause;
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -31,6 +31,8 @@
   std::string Service;
   Duration DrainTime = std::chrono::seconds(2);
   Duration StopGrace = std::chrono::seconds(6);
+  // The link of this VM; 0: not known.
+  double LinkBytesPerSecond = 0;
   // Over the whole fleet, in one window.
   double RetryRatio = 0.2;
   double RetryExtra = 60;
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -67,6 +67,9 @@
   }
 }
 
+// Per second; bits to bytes.
+constexpr double BytesPerMbit = 1e6 / 8;
+
 SidecarOptions optionsOf(const SidecarSettings &Settings) {
   SidecarOptions Options;
   Options.Node = peerAddress(Settings.Peer);
@@ -75,6 +78,7 @@
   Options.Service = Settings.Service;
   Options.DrainTime = Settings.DrainTime;
   Options.StopGrace = Settings.StopGrace;
+  Options.LinkBytesPerSecond = Settings.LinkMbps * BytesPerMbit;
   Options.RetryRatio = Settings.RetryRatio;
   Options.RetryExtra = Settings.RetryExtra;
   Options.RetryWindow = Settings.RetryWindow;
@@ -152,6 +156,9 @@
     } else if (const auto *Resumed =
                    std::get_if<routing::ResumeForward>(&Asked.Body)) {
       Tag.Id = Resumed->Id;
+    } else if (const auto *Content =
+                   std::get_if<routing::ForwardBody>(&Asked.Body)) {
+      Tag.Id = Content->Id;
     }
     this->Peers->send(Asked.To, wire::Channel::Requests,
                       routing::encodeMessage(Asked.Body), Tag);
--- a/orioledoor/wire/internal/peer.h
+++ b/orioledoor/wire/internal/peer.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +23,18 @@
   std::size_t Bytes;
 };
 
+// A batch that was handed to the connection.
+struct SentBatch {
+  std::uint32_t Sequence = 0;
+  std::size_t Bytes = 0;
+};
+
+// The slowest way of a batch to a live peer. The smallest VMs have links of
+// 10 Mbit/s, shared by up to 20 nodes that send bodies at once.
+inline constexpr double SlowestBytesPerSecond = 64 * 1024;
+// A silent connection is found this much later at most, whatever was sent.
+inline constexpr Duration MaxTransferTime = std::chrono::seconds(3);
+
 struct Peer {
   std::string Address;
   std::optional<nng_socket> Socket;
@@ -52,11 +65,61 @@
   Instant AwaitUntil;
   Instant LastHeard;
   Instant LastUsed;
+  // Batches that were not acknowledged, oldest first, and their bytes.
+  std::deque<SentBatch> InFlight;
+  std::size_t BytesInFlight = 0;
   std::uint32_t ReceivedEpoch = 0;
   std::uint32_t ReceivedSequence = 0;
   std::uint32_t PreviousEpoch = 0;
   std::uint32_t ReceivedPipe = 0;
 
+  // The next batch was handed over.
+  void noteSent(std::size_t Bytes) {
+    ++this->Sequence;
+    this->InFlight.push_back({this->Sequence, Bytes});
+    this->BytesInFlight += Bytes;
+  }
+
+  // The peer has received everything up to a sequence number.
+  void noteAcknowledged(std::uint32_t UpTo, Instant Now) {
+    // A ping waits its turn behind batches that are on their way; as long as
+    // they arrive, the connection lives.
+    bool Progress = UpTo != this->Acknowledged;
+    while (!this->InFlight.empty() && this->InFlight.front().Sequence <= UpTo) {
+      this->BytesInFlight -= this->InFlight.front().Bytes;
+      this->InFlight.pop_front();
+    }
+    this->Acknowledged = UpTo;
+    this->UnacknowledgedSince = Now;
+    if (!this->PingedAt)
+      return;
+    if (UpTo >= this->PingSequence)
+      this->PingedAt.reset();
+    else if (Progress)
+      this->PingedAt = Now;
+  }
+
+  // A new connection: what the earlier one carried no longer counts.
+  void noteDialled(std::uint32_t NewEpoch, Instant Now) {
+    this->DialledAt = Now;
+    this->Epoch = NewEpoch;
+    this->Sequence = this->Acknowledged = this->LastWithFrames = 0;
+    this->InFlight.clear();
+    this->BytesInFlight = 0;
+  }
+
+  // Whether a ping was left unanswered for Timeout, and for the time that the
+  // bytes before it may take.
+  bool pingTimedOut(Instant Now, Duration Timeout) const {
+    if (!this->PingedAt)
+      return false;
+    auto Transfer = Duration(
+        static_cast<std::int64_t>(static_cast<double>(this->BytesInFlight) /
+                                  SlowestBytesPerSecond * 1e6));
+    return Now - *this->PingedAt >=
+           Timeout + std::min(Transfer, MaxTransferTime);
+  }
+
   // Whether a batch or an answer is outstanding for Limit or longer.
   bool isOverdue(Instant Now, Duration Limit) const {
     if (this->Acknowledged < this->LastWithFrames &&
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -36,6 +36,9 @@
 // Bounds what one turn of the loop receives, so that timers and callers get
 // their turn under load.
 constexpr int ReceivesPerTurn = 256;
+// A batch of this size is acknowledged at once, so that its sender sees that
+// the connection carries large batches, only slowly.
+constexpr std::size_t AckedBatchBytes = 16U << 10;
 // Frames that wait for one peer's connection.
 constexpr std::size_t MaxWaitingFrames = 4096;
 // Two thirds of a ping's timeout: a longer gap between ticks means that this
@@ -167,11 +170,7 @@
       return false;
     }
     To.Socket = Socket;
-    To.DialledAt = readClock();
-    To.Epoch = this->NextEpoch++;
-    To.Sequence = 0;
-    To.Acknowledged = 0;
-    To.LastWithFrames = 0;
+    To.noteDialled(this->NextEpoch++, readClock());
     this->BySocket[nng_socket_id(Socket)] = &To;
     return true;
   }
@@ -186,14 +185,15 @@
                        .Sequence = To.Sequence + 1,
                        .AckEpoch = To.ReceivedEpoch,
                        .AckSequence = To.ReceivedSequence,
-                       .WantsAck = To.PingDue};
+                       .WantsAck =
+                           To.PingDue || To.Batch.size() >= AckedBatchBytes};
     sealBatch(To.Batch, Header);
     if (!this->Port.send(*To.Socket, To.Batch)) {
       this->refuseQueued(To);
       To.Batch.clear();
       return;
     }
-    ++To.Sequence;
+    To.noteSent(To.Batch.size());
     if (!To.Frames.empty()) {
       if (To.Acknowledged >= To.LastWithFrames)
         To.UnacknowledgedSince = Now;
@@ -312,10 +312,7 @@
     if (Header.AckEpoch == From->Epoch &&
         Header.AckSequence - From->Acknowledged <=
             From->Sequence - From->Acknowledged) {
-      From->Acknowledged = Header.AckSequence;
-      From->UnacknowledgedSince = From->LastHeard;
-      if (From->PingedAt && From->Acknowledged >= From->PingSequence)
-        From->PingedAt.reset();
+      From->noteAcknowledged(Header.AckSequence, From->LastHeard);
     }
     if (Header.WantsAck) {
       From->AckDue = true;
@@ -370,7 +367,7 @@
     if (Of.PingedAt && Paused)
       Of.PingedAt = Now;
     if (Of.PingedAt)
-      return Now - *Of.PingedAt >= this->Options.PingTimeout;
+      return Of.pingTimedOut(Now, this->Options.PingTimeout);
     if (!Of.PingDue && Of.isOverdue(Now, this->Options.OverdueAfter)) {
       Of.PingDue = true;
       this->schedule(Of);
--- a/orioledoor/wire/peer_transport.h
+++ b/orioledoor/wire/peer_transport.h
@@ -10,8 +10,9 @@
 // acknowledges the newest one received from its receiver, so a connection that
 // swallows data is noticed: a peer that left a batch unacknowledged for
 // OverdueAfter, or from which an answer is awaited and nothing was heard for
-// that time, is pinged; without an acknowledgement within PingTimeout the
-// socket is closed, reported as lost and dialled afresh with the next send.
+// that time, is pinged; without an acknowledgement within PingTimeout, and the
+// time that the bytes on their way take over a slow link, the socket is closed,
+// reported as lost and dialled afresh with the next send.
 #ifndef ORIOLEDOOR_WIRE_PEER_TRANSPORT_H
 #define ORIOLEDOOR_WIRE_PEER_TRANSPORT_H
 
