Follow the configuration from the read's revision; pause when history is gone

The watch of the configuration began at the revision of its last change. Once the store drops its history (platform_compact), that revision is refused with 410, the node reads again, and watches from the same revision: a loop of every node without a pause. Entries were read again at once after each 410 as well.

Change: ConfigFollower (read, watch from the reply's own revision, pause of 300 ms) takes the place of the shell's logic; Membership reads entries again after 500 ms. Three seconds after the signal a stopping node answers 503.

--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -153,7 +153,7 @@
       this->Own.renewed(this->StepSentAt);
       if (this->EntryChanged)
         this->write(Now, Out);
-      else if (this->ReadNeeded || (this->SaidEnded && !this->Written.Ended))
+      else if (this->SaidEnded && !this->Written.Ended)
         this->read(Now, Out);
       break;
     }
@@ -252,8 +252,7 @@
   if (absl::IsOutOfRange(Update.Status)) {
     // The history is gone: everything is read again.
     this->ReadNeeded = true;
-    if (this->At == Step::Live && this->StepCall == 0)
-      this->read(Now, Out);
+    this->ReadAt = Now + this->Options.HistoryPause;
     return;
   }
   if (!Update.Status.ok())
@@ -280,6 +279,9 @@
     else
       this->read(Now, Out);
   }
+  if (this->At == Step::Live && this->StepCall == 0 && this->ReadNeeded &&
+      Now >= this->ReadAt)
+    this->read(Now, Out);
   if (this->Lease != 0 && this->RenewCall == 0 && Now >= this->RenewAt) {
     StoreRequest Sent =
         this->request(StoreLeaseKeepAlive{.Lease = this->Lease});
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -40,6 +40,9 @@
   Duration AuthorityTime = std::chrono::milliseconds(8000);
   // Pause before a failed step is tried again.
   Duration RetryPause = std::chrono::milliseconds(250);
+  // Pause before entries are read again because history was lost. A store that
+  // keeps none costs each node a read and a watch a pause.
+  Duration HistoryPause = std::chrono::milliseconds(500);
   // An entry that is missing this long is gone: after an outage of the store
   // nodes need up to two seconds to write theirs again.
   Duration MissingGrace = std::chrono::milliseconds(2200);
@@ -141,8 +144,9 @@
   // The entry as it was sent last.
   NodeEntry Written;
   routing::TargetRef SaidEnded;
-  // The watch ended: everything is to be read again.
+  // The watch ended: everything is to be read again, at this time or later.
   bool ReadNeeded = false;
+  Instant ReadAt;
   bool Known = false;
   bool StoreAnswers = true;
   Instant LastAnswerAt;
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -17,6 +17,11 @@
 // The platform asks once a second whether the node is ready and sends no new
 // callers after two answers that say no.
 constexpr Duration ReadinessLag = milliseconds(2600);
+// Requests that come over kept connections later than this after the signal may
+// not be answered before the process ends.
+constexpr Duration LastAcceptTime = milliseconds(3000);
+// Another node of the failure domain takes the caller at once.
+constexpr Duration StoppedRetryAfter = milliseconds(100);
 // After its last answer a stopping process runs on for this long: answers leave
 // its buffers, and requests that crossed the refusal of new work are answered.
 constexpr Duration QuietTime = milliseconds(400);
@@ -223,6 +228,14 @@
                            milliseconds(500))});
     return;
   }
+  if (this->StopAskedAt != Instant() &&
+      Now - this->StopAskedAt >= LastAcceptTime) {
+    this->Path.push_back(
+        ReplyToCaller{Came.Request.Caller,
+                      routing::ownAnswer(503, "take request", "the node stops",
+                                         StoppedRetryAfter)});
+    return;
+  }
   this->Directory.update(this->Gate.status(Now), Now);
   this->Entry.request(std::move(Came.Request), Now, this->Path);
 }
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -106,6 +106,7 @@
   CPPUNIT_TEST_SUITE(ReducerTest);
   CPPUNIT_TEST(isReadyOnceItKnowsRoutesAndMembers);
   CPPUNIT_TEST(answersOpenRequestsBeforeItExits);
+  CPPUNIT_TEST(refusesWhatComesLateInTheStop);
   CPPUNIT_TEST(holdsAnAnswerBackForKeys);
   CPPUNIT_TEST(neverGoesBackToAnOlderConfiguration);
   CPPUNIT_TEST_SUITE_END();
@@ -142,6 +143,28 @@
     CPPUNIT_ASSERT(F.find<Exit>());
   }
 
+  // Guards against requests over kept connections that are taken seconds after
+  // the signal and given up when the process ends.
+  void refusesWhatComesLateInTheStop() {
+    Fixture F;
+    F.join();
+    F.feed(StopAsked{});
+    auto Content = std::make_shared<routing::RequestContent>();
+    auto StatusAfter = [&](Duration Time) {
+      F.pass(Time);
+      F.feed(CallerCame{{.Caller = 1,
+                         .AttemptId = "a",
+                         .FirstByteAt = F.Now,
+                         .Content = Content}});
+      const auto *Reply = F.find<ReplyToCaller>();
+      CPPUNIT_ASSERT(Reply);
+      return Reply->Answer.Status;
+    };
+    // No route matches; the answer shows that the request was taken.
+    CPPUNIT_ASSERT_EQUAL(404, StatusAfter(milliseconds(2900)));
+    CPPUNIT_ASSERT_EQUAL(503, StatusAfter(milliseconds(100)));
+  }
+
   // Pattern: hot keys that change hands. Without this they wait for the next
   // report of their new owner, 435 ms on average.
   void holdsAnAnswerBackForKeys() {
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -16,6 +16,7 @@
 #include "orioledoor/platform/report_codec.h"
 #include "orioledoor/platform/request_codec.h"
 #include "orioledoor/routing/message_codec.h"
+#include "orioledoor/sidecar/config_follower.h"
 #include "orioledoor/sidecar/events.h"
 #include "orioledoor/sidecar/log_limiter.h"
 #include "orioledoor/sidecar/reducer.h"
@@ -35,8 +36,6 @@
 constexpr Duration TickInterval = milliseconds(20);
 // The target answers at its deadline; its answer may take this much longer.
 constexpr Duration TargetSlack = milliseconds(40);
-// Pause before the configuration is read again after a failure.
-constexpr Duration ConfigRetry = milliseconds(250);
 // Pause between two lines about dropped log lines.
 constexpr Duration DropReportInterval = std::chrono::seconds(5);
 // A frame between nodes holds a body and its headers.
@@ -96,6 +95,7 @@
   MetricsRegistry Metrics;
   SidecarReducer Reducer;
   platform::PlatformStore Store;
+  ConfigFollower Config{platform::names::ConfigKey};
   wire::HttpClient TargetClient;
   std::unique_ptr<wire::PeerTransport> Peers;
   std::unique_ptr<wire::HttpServer> Outbound;
@@ -105,7 +105,6 @@
   // Open calls of the target: the reducer's number to the client's.
   std::unordered_map<std::uint64_t, std::uint64_t> TargetCalls;
   EventPtr Ticker;
-  EventPtr ConfigTimer;
   Instant DropsReportedAt;
   // Events that happen while another one is being handled.
   std::vector<Event> Waiting;
@@ -252,31 +251,20 @@
   // Configuration
   // --------------------------------------------------------------
 
-  void readConfig() {
-    StoreRequest Request{.Body = StoreRange{.Key = platform::names::ConfigKey}};
-    this->Store.call(std::move(Request), [this](const StoreReply &Reply) {
-      if (!Reply.Status.ok() || Reply.Entries.empty()) {
-        // Without an entry the operator has not configured anything yet.
-        timeval After{0, static_cast<suseconds_t>(ConfigRetry.count())};
-        evtimer_add(this->ConfigTimer.get(), &After);
-        return;
-      }
-      this->takeConfig(Reply.Entries.front());
-      this->watchConfig(Reply.Entries.front().ModRevision);
-    });
-  }
-
-  void watchConfig(std::int64_t Revision) {
-    this->Store.watch(platform::names::ConfigKey, Revision,
-                      [this](const StoreWatchUpdate &Update) {
-                        if (absl::IsOutOfRange(Update.Status)) {
-                          this->readConfig();
-                          return;
-                        }
-                        for (const StoreChange &Change : Update.Changes)
-                          if (!Change.Deleted)
-                            this->takeConfig(Change.Entry);
-                      });
+  void carryOut(ConfigStep Step) {
+    for (const StoreEntry &Entry : Step.Taken)
+      this->takeConfig(Entry);
+    if (Step.Read)
+      this->Store.call(
+          {.Body = *std::move(Step.Read)}, [this](const StoreReply &Reply) {
+            this->carryOut(this->Config.replied(Reply, readClock()));
+          });
+    if (Step.WatchAfter)
+      this->Store.watch(platform::names::ConfigKey, *Step.WatchAfter,
+                        [this](const StoreWatchUpdate &Update) {
+                          this->carryOut(
+                              this->Config.watched(Update, readClock()));
+                        });
   }
 
   void takeConfig(const StoreEntry &Entry) {
@@ -302,6 +290,7 @@
   void tick() {
     Instant Now = readClock();
     this->feed(Ticked{});
+    this->carryOut(this->Config.tick(Now));
     this->Peers->tick(Now);
     if (Now - this->DropsReportedAt < DropReportInterval)
       return;
@@ -428,12 +417,6 @@
   absl::Status start() {
     if (absl::Status Done = this->listen(); !Done.ok())
       return Done;
-    this->ConfigTimer.reset(evtimer_new(
-        this->Base,
-        [](evutil_socket_t, short, void *Self) {
-          static_cast<Impl *>(Self)->readConfig();
-        },
-        this));
     this->Ticker.reset(event_new(
         this->Base, -1, EV_PERSIST,
         [](evutil_socket_t, short, void *Self) {
@@ -447,7 +430,7 @@
                   {"failure_domain", this->Settings.FailureDomain},
                   {"service", this->Settings.Service}}});
     this->feed(Started{});
-    this->readConfig();
+    this->carryOut(this->Config.start());
     return absl::OkStatus();
   }
 };
