Order the queue by priority, then by when the answer is due

Calls have the priority of the requests that they compete with and waited behind a full queue of them, though their answers are due three to five times sooner. A failed call wastes the slot of its parent, and the parent comes again.

Change: QueueRank is the priority and the time at which the answer is due; a request that cannot be in time any more ranks by the end of its caller's time. The expected wait counts what ranks before the request. The log line of a refusal has the priority and what is left of the target latency.

Ruled out: telling calls by their connection: callers and targets come from the same address; by priority: calls have 1, as licences and uploads do.

--- a/orioledoor/routing/admission_queue.cc
+++ b/orioledoor/routing/admission_queue.cc
@@ -2,6 +2,7 @@
 #include "orioledoor/routing/admission_queue.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace orioledoor::routing {
@@ -23,7 +24,7 @@
 }
 
 void AdmissionQueue::push(const WaitingRequest &Added) {
-  this->Waiting.emplace(std::pair(Added.Priority, this->NextOrder++), Added);
+  this->Waiting.emplace(Added.Rank, Added);
 }
 
 void AdmissionQueue::release(Duration HeldFor) {
@@ -81,10 +82,9 @@
   return All;
 }
 
-Duration AdmissionQueue::expectedWait(std::uint8_t Priority) const {
-  auto Ahead = std::ranges::count_if(this->Waiting, [&](const auto &Entry) {
-    return Entry.first.first <= Priority;
-  });
+Duration AdmissionQueue::expectedWait(const QueueRank &Rank) const {
+  auto Ahead =
+      std::distance(this->Waiting.begin(), this->Waiting.upper_bound(Rank));
   if (this->Running < this->Slots && Ahead == 0)
     return Duration(0);
   Duration Service =
@@ -92,10 +92,4 @@
   return Service * (Ahead + 1) / this->Slots;
 }
 
-void AdmissionQueue::reset(std::uint32_t Slots) {
-  this->setSlots(Slots);
-  this->Running = 0;
-  this->ServiceTime = Duration(0);
-}
-
 } // namespace orioledoor::routing
--- a/orioledoor/routing/admission_queue.h
+++ b/orioledoor/routing/admission_queue.h
@@ -2,34 +2,44 @@
 //
 //   AdmissionQueue Queue(18);
 //   if (Queue.tryStart()) ... // a slot was free
-//   else Queue.push({.Id = 7, .Priority = 1, .StartBy = Limit});
+//   else Queue.push({.Id = 7, .Rank = {1, DueAt}, .StartBy = Limit});
 //   Queue.release(HeldFor);
 //   while (auto Next = Queue.popStartable(Now)) ...
 #ifndef ORIOLEDOOR_ROUTING_ADMISSION_QUEUE_H
 #define ORIOLEDOOR_ROUTING_ADMISSION_QUEUE_H
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "orioledoor/base/instant.h"
 
 namespace orioledoor::routing {
 
-struct WaitingRequest {
-  std::uint64_t Id = 0;
+// The place of a request among those that wait: by priority, then by when its
+// answer is due. Calls that targets make for requests that hold slots elsewhere
+// are due long before new requests, so they go first.
+struct QueueRank {
   // 0 is the most urgent.
   std::uint8_t Priority = 0;
+  Instant DueAt{};
+
+  friend auto operator<=>(const QueueRank &, const QueueRank &) = default;
+};
+
+struct WaitingRequest {
+  std::uint64_t Id = 0;
+  QueueRank Rank{};
   // Not worth starting after this.
-  Instant StartBy;
+  Instant StartBy{};
 };
 
-// Urgent requests start first, equal ones in the order of their arrival. Not
-// thread-safe; logarithmic in the waiting requests but for remove() and
-// takeOverdue(), which are linear.
+// Requests start by rank, equal ones in the order of their arrival. Not
+// thread-safe; logarithmic in the waiting requests but for remove(),
+// takeOverdue() and expectedWait(), which are linear.
 class AdmissionQueue {
 public:
   explicit AdmissionQueue(std::uint32_t Slots = 1) : Slots(Slots) {}
@@ -56,20 +66,17 @@
   // Takes out all requests.
   std::vector<WaitingRequest> takeAll();
 
-  // How long a new request of this priority would wait for a slot.
-  Duration expectedWait(std::uint8_t Priority) const;
+  // How long a new request of this rank would wait for a slot.
+  Duration expectedWait(const QueueRank &Rank) const;
   // Mean holding time of a slot, recently.
   Duration serviceTime() const { return this->ServiceTime; }
-  // Forgets running requests and measurements, for a new life of the target.
-  void reset(std::uint32_t Slots);
 
 private:
   std::uint32_t Slots;
   std::uint32_t Running = 0;
   Duration ServiceTime{0};
-  std::uint64_t NextOrder = 0;
-  // By priority, then by order of arrival.
-  std::map<std::pair<std::uint8_t, std::uint64_t>, WaitingRequest> Waiting;
+  // Equal ranks stay in the order of their arrival.
+  std::multimap<QueueRank, WaitingRequest> Waiting;
 };
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -180,7 +180,9 @@
                  field("instance", this->Target.Instance),
                  field("running", std::to_string(this->Queue.running())),
                  field("waiting", std::to_string(this->Queue.waiting())),
+                 field("priority", std::to_string(Request.Priority)),
                  field("time_left_ms", millis(Request.TimeLeft)),
+                 field("latency_left_ms", millis(Request.LatencyLeft)),
                  field("retry_after_ms", millis(RetryAfter))}});
   ForwardResult Result{.Id = Request.Id, .Ended = Why};
   Result.RetryAfter = RetryAfter;
@@ -207,7 +209,11 @@
     return;
   }
   Duration Service = this->expectedTime(Request.Work, Now);
-  Duration Wait = this->Queue.expectedWait(Request.Priority);
+  // A request that cannot be in time goes behind those that still can.
+  bool Timely = Request.LatencyLeft > Service;
+  QueueRank Rank{Request.Priority,
+                 Now + (Timely ? Request.LatencyLeft : Request.TimeLeft)};
+  Duration Wait = this->Queue.expectedWait(Rank);
   Duration Transfer(0);
   if (Withheld) {
     Wait = std::max(Wait, this->Intake.expectedWait());
@@ -228,6 +234,7 @@
   Call &Added = this->Calls[Id];
   Added.From = From;
   Added.Deadline = Now + Request.TimeLeft - AnswerMargin;
+  Added.Rank = Rank;
   Added.StartBy = Now + std::max(Limit, Duration(0));
   Added.Digest = Digest;
   Added.Request = std::move(Request);
@@ -247,8 +254,7 @@
     return;
   }
   const Call &Of = this->Calls.at(Id);
-  this->Queue.push(
-      {.Id = Id, .Priority = Of.Request.Priority, .StartBy = Of.StartBy});
+  this->Queue.push({.Id = Id, .Rank = Of.Rank, .StartBy = Of.StartBy});
   // Somebody may wait although a slot is free, if all who wait are overdue.
   this->startWaiting(Now, Out);
 }
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -105,7 +105,8 @@
     // While the body is withheld; then when it was asked for.
     bool Fetching = false;
     Instant FetchedAt;
-    // Not worth starting after this.
+    // Its place in the queue, and when starting it is not worth it any more.
+    QueueRank Rank;
     Instant StartBy;
     bool Started = false;
     Instant StartedAt;
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -95,6 +95,12 @@
         return Found->Call;
     return 0;
   }
+  std::string startedAttempt() const {
+    for (const Effect &Each : this->Out)
+      if (const auto *Found = std::get_if<StartCall>(&Each))
+        return Found->AttemptId;
+    return {};
+  }
   const ForwardResult *result() const {
     for (const Effect &Each : this->Out)
       if (const auto *Message = std::get_if<SendMessage>(&Each))
@@ -129,6 +135,8 @@
   CPPUNIT_TEST(refusesWhatWouldBeLate);
   CPPUNIT_TEST(keepsLateCallersFromTimelyOnes);
   CPPUNIT_TEST(admitsShortWorkBesideLongWork);
+  CPPUNIT_TEST(startsCallsBeforeNewRequests);
+  CPPUNIT_TEST(keepsLateRequestsBehindTimelyOnes);
   CPPUNIT_TEST(sendsNothingAfterTheDrainTime);
   CPPUNIT_TEST(ignoresLateReports);
   CPPUNIT_TEST(refusesKeysThatAreNotHeld);
@@ -219,6 +227,36 @@
     CPPUNIT_ASSERT(F.ended(Outcome::Busy));
   }
 
+  // Pattern: a crowd of new requests and the calls of those that run elsewhere.
+  // A call that is refused or late fails its parent, whose slot was held for
+  // nothing; the more fail, the more come again.
+  void startsCallsBeforeNewRequests() {
+    Fixture F;
+    F.forward(1);
+    std::uint64_t First = F.started();
+    F.forward(2);
+    // The queue fills up until new requests are refused.
+    std::uint64_t Id = 3;
+    for (; !F.result() && Id < 50; ++Id)
+      F.forward(Id, 1, true, milliseconds(500));
+    CPPUNIT_ASSERT(F.ended(Outcome::Busy));
+    F.forward(60, 1, true, milliseconds(250));
+    CPPUNIT_ASSERT(!F.result());
+    F.answer(First, milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::string("a60"), F.startedAttempt());
+  }
+
+  void keepsLateRequestsBehindTimelyOnes() {
+    Fixture F;
+    F.forward(1);
+    std::uint64_t First = F.started();
+    F.forward(2);
+    F.forward(3, 1, true, milliseconds(400));
+    F.forward(4, 1, true, milliseconds(-300));
+    F.answer(First, milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::string("a3"), F.startedAttempt());
+  }
+
   void sendsNothingAfterTheDrainTime() {
     Fixture F;
     F.forward(1);
