Try unknown and unreachable targets with one request at a time

Cause: a target without a recent measurement passes for a good one, and a node whose pause after a failure is over for a reachable one.

Change: while the target is not measured, each open request there adds its whole time to the cost; after an unreachable pause a single request goes first.

Ruled out: longer pauses, which keep a node out that has come back.

--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(usesNewTargetsOnAQuietDay);
   CPPUNIT_TEST(triesSlowTargetsAgain);
   CPPUNIT_TEST(leavesANearTargetThatTurnsSlow);
+  CPPUNIT_TEST(triesAnUnknownTargetWithOneRequest);
   CPPUNIT_TEST(measuresWorkByKind);
   CPPUNIT_TEST(ignoresLateStatus);
   CPPUNIT_TEST_SUITE_END();
@@ -259,6 +260,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string("far"), Report(3, milliseconds(200)));
   }
 
+  // Pattern: a target joins, or its node was unreachable, under load. All nodes
+  // would send it everything until its first answers are back.
+  void triesAnUnknownTargetWithOneRequest() {
+    TargetDirectory Directory({"d1", "r1"}, "own");
+    Instant Now{std::int64_t{1'000'000}};
+    for (const char *Node : {"known", "new"})
+      Directory.setNode(Node, {"d1", "r1"});
+    TargetStatus Known = statusOf("known", 4);
+    Known.Times = {{Long, milliseconds(100)}};
+    Directory.update(Known, Now);
+    TargetStatus New = statusOf("new", 0);
+    Directory.update(New, Now);
+    ChoiceInput Input{.Service = "plain", .Work = Long};
+    auto Chosen = [&] {
+      std::string Node = *Directory.choose(Input, Now).Node;
+      Directory.noteSent(Node);
+      return Node;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), Chosen());
+    CPPUNIT_ASSERT_EQUAL(std::string("known"), Chosen());
+    Directory.noteEnded("new");
+    Directory.noteUnreachable("new", Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("known"), Chosen());
+    Now = Now + milliseconds(600);
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), Chosen());
+    CPPUNIT_ASSERT_EQUAL(std::string("known"), Chosen());
+  }
+
   void measuresWorkByKind() {
     WorkTimes Times;
     Instant Now{std::int64_t{1'000'000}};
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -133,6 +133,12 @@
   return Found == this->Baselines.end() ? 0 : Found->second;
 }
 
+bool TargetDirectory::isMeasured(const TargetView &View, WorkId Work,
+                                 Instant Now) const {
+  return this->baselineOf(Work) == 0 ||
+         (Now - View.StatusAt < TimesLifetime && !View.Status.Times.empty());
+}
+
 Duration TargetDirectory::expectedTime(const TargetView &View, WorkId Work,
                                        Instant Now) const {
   const TargetStatus &Status = View.Status;
@@ -180,7 +186,12 @@
   double Wait = std::max(0.0, Load + 1 - Slots) *
                 static_cast<double>(Held.count()) / Slots;
   double Use = std::min(1.0, Load / Slots);
-  double Cost = ServiceMicros + Wait + UsePenalty * Use * Use * ServiceMicros +
+  // One request at a time finds out what a target is like.
+  double Trial = this->isMeasured(View, Request.Work, Now)
+                     ? 0.0
+                     : ServiceMicros * View.Outstanding;
+  double Cost = ServiceMicros + Wait + Trial +
+                UsePenalty * Use * Use * ServiceMicros +
                 Failures * FailureCostMs * 1000;
   if (Node != this->OwnNode && View.Place != this->Own) {
     bool SameRegion = View.Place.Region == this->Own.Region;
@@ -211,8 +222,11 @@
         View.Status.Service != Request.Service ||
         excluded(Request.Excluded, Node))
       continue;
-    // An unreachable node is a last resort.
-    std::pair<bool, Duration> Cost(Now < View.SuspectUntil,
+    // An unreachable node is a last resort; after the pause one request shows
+    // whether it is reachable again.
+    bool Suspect =
+        Now < View.SuspectUntil || (View.Failures > 0 && View.Outstanding > 0);
+    std::pair<bool, Duration> Cost(Suspect,
                                    this->costOf(Node, View, Request, Now));
     if (!Best.Node || Cost < BestCost) {
       if (Best.Node)
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -95,6 +95,9 @@
                   const ChoiceInput &Request, Instant Now) const;
 
 private:
+  // Whether expectedTime() rests on a recent measurement of this target, or
+  // nothing is known of any.
+  bool isMeasured(const TargetView &View, WorkId Work, Instant Now) const;
   // How long the work is expected to hold a slot there.
   Duration expectedTime(const TargetView &View, WorkId Work, Instant Now) const;
   // How long it takes at good targets; 0 if it was never measured.
