Split entry and gate by task; ask a node's new process for open requests

Ruled out: giving such requests up at the first failed question, since a frozen node may still deliver an answer that is ready.

Measured: test asksTheNewProcessOfANode fails without the change.

--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -86,6 +86,9 @@
   // The connection to Node broke or its process ended: what was forwarded
   // there may be lost.
   void nodeLost(const std::string &Node, bool Ended, Instant Now, Effects &Out);
+  // Node runs a new process. It may have been there for a while, and says what
+  // became of the requests that it knows.
+  void nodeReplaced(const std::string &Node, Instant Now, Effects &Out);
   // Owners of keys changed.
   void ownersChanged(Instant Now, Effects &Out);
   // Ends overdue requests. Call every 20 ms.
--- a/orioledoor/routing/entry_test.cc
+++ b/orioledoor/routing/entry_test.cc
@@ -168,6 +168,7 @@
   CPPUNIT_TEST(followsTheWeightsOfASplit);
   CPPUNIT_TEST(countsTheEarlierWaitOfReturningCallers);
   CPPUNIT_TEST(takesTheLossOfANode);
+  CPPUNIT_TEST(asksTheNewProcessOfANode);
   CPPUNIT_TEST(neverSays503AfterALostTry);
   CPPUNIT_TEST(withholdsBodiesFromSlowLinks);
   CPPUNIT_TEST(sendsAnUnsentBodyElsewhere);
@@ -370,6 +371,27 @@
     CPPUNIT_ASSERT_EQUAL(502, F.status());
   }
 
+  // Pattern: nodes lose power and are back after seconds. A request that must
+  // not run twice waited for its answer until its time was over, though nobody
+  // was left to send one.
+  void asksTheNewProcessOfANode() {
+    Fixture F;
+    F.ask(1, "/write/x");
+    std::uint64_t Id = F.sent()->Id;
+    F.Out.clear();
+    F.Entry.nodeLost(Near, false, F.Now, F.Out);
+    F.Entry.notSent(Near, Id, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(0, F.status());
+    F.Out.clear();
+    F.Entry.nodeReplaced(Near, F.Now, F.Out);
+    const auto *Asked = std::get_if<SendMessage>(&F.Out.at(0));
+    CPPUNIT_ASSERT(Asked && std::holds_alternative<ResumeForward>(Asked->Body));
+    ForwardResult Result{.Id = Id, .Ended = Outcome::Lost};
+    F.Out.clear();
+    F.Entry.result(Near, Result, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(502, F.status());
+  }
+
   // Pattern: uploads to small VMs. A body that would hold the target's link for
   // long is sent when the gate asks for it.
   void withholdsBodiesFromSlowLinks() {
--- /dev/null
+++ b/orioledoor/routing/internal/log_text.h
@@ -0,0 +1,25 @@
+// Values as log fields show them.
+#ifndef ORIOLEDOOR_ROUTING_INTERNAL_LOG_TEXT_H
+#define ORIOLEDOOR_ROUTING_INTERNAL_LOG_TEXT_H
+
+#include <string>
+#include <utility>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/telemetry/log_record.h"
+
+namespace orioledoor::routing::internal {
+
+// Whole milliseconds.
+inline std::string millis(Duration Of) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Of).count());
+}
+
+inline LogField field(const char *Name, std::string Value) {
+  return {Name, std::move(Value)};
+}
+
+} // namespace orioledoor::routing::internal
+
+#endif // ORIOLEDOOR_ROUTING_INTERNAL_LOG_TEXT_H
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -1,77 +1,23 @@
-// Admission, slots and the life of one target.
-#include "orioledoor/routing/target_gate.h"
-
-#include <algorithm>
-#include <vector>
+// The life of the target: reports, leaving, silence, and what nodes are told.
+#include <utility>
 
 #include "orioledoor/routing/events.h"
+#include "orioledoor/routing/internal/log_text.h"
+#include "orioledoor/routing/target_gate.h"
 
 namespace orioledoor::routing {
 namespace {
 
+using internal::field;
+using internal::millis;
 using std::chrono::milliseconds;
 
 // The clock of the target and the way of a request to it, before the end of
 // its drain time.
 constexpr Duration DrainMargin = milliseconds(250);
-// A request with less time left is not worth starting.
-constexpr Duration LeastTimeLeft = milliseconds(10);
-// A request is let in if it would be answered in time should it take this many
-// percent of the mean service time: most take less, and those that are let in
-// for the mean alone are late half of the time.
-constexpr int SlowRequestPercent = 140;
-// From the target's node back to the caller, across regions.
-constexpr Duration ReturnTime = milliseconds(15);
-// A request that cannot be in time any more waits at most this share of the
-// service time: a slot that it takes makes another request late.
-constexpr int LateWaitDivisor = 4;
-constexpr Duration DefaultServiceTime = milliseconds(100);
-// Retry-After of a busy target, at least. A caller that is refused because it
-// would be late is late whenever it comes back; a second gives the load time to
-// fall and owners of hot keys time to share them out.
-constexpr Duration BusyRetryAfter = milliseconds(1000);
-// A body that was asked for and does not come: longer than a connection that
-// still lives can take for it.
-constexpr Duration FetchTimeout = milliseconds(3500);
-// The question for a body and its way, across regions.
-constexpr Duration FetchTime = milliseconds(30);
 // A request that its sender was told never came must not run when it comes
 // late: longer than any caller waits.
 constexpr Duration DisownTime = std::chrono::seconds(60);
-// Weight of a new outcome in the share of failures: the last 30 calls count.
-constexpr float FailureWeight = 0.033F;
-// The answer travels back to the caller before its time is over.
-constexpr Duration AnswerMargin = milliseconds(15);
-
-LogField field(const char *Name, std::string Value) {
-  return {Name, std::move(Value)};
-}
-
-std::string millis(Duration Of) {
-  return std::to_string(std::chrono::duration_cast<milliseconds>(Of).count());
-}
-
-std::string_view nameOf(Outcome Why) {
-  switch (Why) {
-  case Outcome::Answered:
-    return "answered";
-  case Outcome::Busy:
-    return "busy";
-  case Outcome::NoTarget:
-    return "no-target";
-  case Outcome::NotOwner:
-    return "not-owner";
-  case Outcome::Refused:
-    return "refused";
-  case Outcome::Expired:
-    return "expired";
-  case Outcome::Quarantined:
-    return "quarantined";
-  case Outcome::Lost:
-    return "lost";
-  }
-  return "unknown";
-}
 
 } // namespace
 
@@ -151,166 +97,6 @@
                  field("running", std::to_string(this->Queue.running()))}});
 }
 
-std::optional<Outcome> TargetGate::refusalOf(const Forward &Request,
-                                             KeyState Key, std::uint64_t Digest,
-                                             Instant Now) const {
-  if (this->Closed || this->State == TargetState::Absent || this->Drained ||
-      Request.Service != this->Report.Service)
-    return Outcome::NoTarget;
-  // Other targets of the service take what has no key.
-  if (this->State == TargetState::Leaving && Key == KeyState::NotKeyed &&
-      !Request.LastChoice)
-    return Outcome::NoTarget;
-  if (Key == KeyState::NotHeld)
-    return Outcome::NotOwner;
-  if (Request.TimeLeft < LeastTimeLeft)
-    return Outcome::Expired;
-  if (this->Crashes.isQuarantined(Digest, Now))
-    return Outcome::Quarantined;
-  return std::nullopt;
-}
-
-void TargetGate::refuse(const std::string &From, const Forward &Request,
-                        Outcome Why, Duration RetryAfter, Instant Now,
-                        Effects &Out) {
-  Out.push_back(
-      LogRecord{&events::CallRefused,
-                {field("request", Request.AttemptId), field("from", From),
-                 field("why", std::string(nameOf(Why))),
-                 field("instance", this->Target.Instance),
-                 field("running", std::to_string(this->Queue.running())),
-                 field("waiting", std::to_string(this->Queue.waiting())),
-                 field("priority", std::to_string(Request.Priority)),
-                 field("time_left_ms", millis(Request.TimeLeft)),
-                 field("latency_left_ms", millis(Request.LatencyLeft)),
-                 field("retry_after_ms", millis(RetryAfter))}});
-  ForwardResult Result{.Id = Request.Id, .Ended = Why};
-  Result.RetryAfter = RetryAfter;
-  Result.Status = this->status(Now);
-  Out.push_back(SendMessage{From, std::move(Result)});
-}
-
-Duration TargetGate::expectedTime(WorkId Work, Instant Now) const {
-  if (Duration Measured = this->Times.of(Work, Now); Measured.count() > 0)
-    return Measured;
-  return this->Queue.serviceTime().count() > 0 ? this->Queue.serviceTime()
-                                               : DefaultServiceTime;
-}
-
-void TargetGate::forward(const std::string &From, Forward Request, KeyState Key,
-                         Instant Now, Effects &Out) {
-  if (this->Disowned.contains({Request.Process, Request.Id}))
-    return;
-  bool Withheld = Request.WithheldBytes > 0;
-  std::uint64_t Digest =
-      Withheld ? 0 : crashDigest(Request.CallerService, *Request.Content);
-  if (auto Why = this->refusalOf(Request, Key, Digest, Now)) {
-    this->refuse(From, Request, *Why, Duration(0), Now, Out);
-    return;
-  }
-  Duration Service = this->expectedTime(Request.Work, Now);
-  // A request that cannot be in time goes behind those that still can.
-  bool Timely = Request.LatencyLeft > Service;
-  QueueRank Rank{Request.Priority,
-                 Now + (Timely ? Request.LatencyLeft : Request.TimeLeft)};
-  Duration Wait = this->Queue.expectedWait(Rank);
-  Duration Transfer(0);
-  if (Withheld) {
-    Wait = std::max(Wait, this->Intake.expectedWait());
-    Transfer = this->Intake.transferTime(Request.WithheldBytes) + FetchTime;
-  }
-  Duration Limit = std::max(Request.LatencyLeft - Transfer -
-                                Service * SlowRequestPercent / 100 - ReturnTime,
-                            std::min(Service / LateWaitDivisor,
-                                     Request.TimeLeft - Transfer - Service));
-  if (!Request.LastChoice)
-    Limit = std::min(Limit, Request.WorthwhileWait);
-  if (Wait > Limit && Wait > Duration(0)) {
-    this->refuse(From, Request, Outcome::Busy, std::max(Wait, BusyRetryAfter),
-                 Now, Out);
-    return;
-  }
-  std::uint64_t Id = this->NextCall++;
-  Call &Added = this->Calls[Id];
-  Added.From = From;
-  Added.Deadline = Now + Request.TimeLeft - AnswerMargin;
-  Added.Rank = Rank;
-  Added.StartBy = Now + std::max(Limit, Duration(0));
-  Added.Digest = Digest;
-  Added.Request = std::move(Request);
-  this->ByForward[{Added.Request.Process, Added.Request.Id}] = Id;
-  if (!Withheld) {
-    this->admit(Id, Now, Out);
-    return;
-  }
-  Added.Fetching = true;
-  this->Intake.push(Id, Added.Request.WithheldBytes, Added.StartBy);
-  this->fetchBodies(Now, Out);
-}
-
-void TargetGate::admit(std::uint64_t Id, Instant Now, Effects &Out) {
-  if (this->Queue.tryStart()) {
-    this->start(Id, Now, Out);
-    return;
-  }
-  const Call &Of = this->Calls.at(Id);
-  this->Queue.push({.Id = Id, .Rank = Of.Rank, .StartBy = Of.StartBy});
-  // Somebody may wait although a slot is free, if all who wait are overdue.
-  this->startWaiting(Now, Out);
-}
-
-void TargetGate::fetchBodies(Instant Now, Effects &Out) {
-  while (auto Id = this->Intake.popNext(Now)) {
-    Call &Of = this->Calls.at(*Id);
-    Of.FetchedAt = Now;
-    Out.push_back(
-        SendMessage{Of.From, FetchBody{Of.Request.Id, Of.Request.Process}});
-  }
-}
-
-void TargetGate::receiveBody(ForwardBody Received, Instant Now, Effects &Out) {
-  auto Found = this->ByForward.find({Received.Process, Received.Id});
-  if (Found == this->ByForward.end())
-    return;
-  std::uint64_t Id = Found->second;
-  Call &Of = this->Calls.at(Id);
-  if (!Of.Fetching)
-    return;
-  Of.Fetching = false;
-  this->Intake.end(Id);
-  auto Content = std::make_shared<RequestContent>(*Of.Request.Content);
-  Content->Body = std::move(Received.Body);
-  Of.Request.Content = std::move(Content);
-  Of.Digest = crashDigest(Of.Request.CallerService, *Of.Request.Content);
-  Of.Request.TimeLeft = Of.Deadline - Now;
-  // Its bytes are here: one more turn of the slots is worth waiting for.
-  Of.StartBy =
-      std::max(Of.StartBy, Now + this->expectedTime(Of.Request.Work, Now) /
-                                     LateWaitDivisor);
-  if (auto Why =
-          this->refusalOf(Of.Request, KeyState::NotKeyed, Of.Digest, Now))
-    this->end(Id, {.Ended = *Why}, Now, Out);
-  else
-    this->admit(Id, Now, Out);
-  this->fetchBodies(Now, Out);
-}
-
-void TargetGate::endStuckFetches(Instant Now, Effects &Out) {
-  for (std::uint64_t Id : this->Intake.takeOverdue(Now)) {
-    ForwardResult Result{.Ended = Outcome::Busy};
-    Result.RetryAfter = std::max(this->Intake.expectedWait(), BusyRetryAfter);
-    this->end(Id, std::move(Result), Now, Out);
-  }
-  std::vector<std::uint64_t> Stuck;
-  for (const auto &[Id, Of] : this->Calls)
-    if (Of.Fetching && Of.FetchedAt != Instant() &&
-        Now - Of.FetchedAt > FetchTimeout)
-      Stuck.push_back(Id);
-  for (std::uint64_t Id : Stuck)
-    this->end(Id, {.Ended = Outcome::NoTarget}, Now, Out);
-  this->fetchBodies(Now, Out);
-}
-
 void TargetGate::refuseWaiting(Instant Now, Effects &Out) {
   std::vector<std::uint64_t> Fetching;
   for (const auto &[Id, Of] : this->Calls)
@@ -322,155 +108,6 @@
     this->end(Each.Id, {.Ended = Outcome::NoTarget}, Now, Out);
 }
 
-void TargetGate::start(std::uint64_t Id, Instant Now, Effects &Out) {
-  Call &Of = this->Calls.at(Id);
-  Of.Started = true;
-  Of.StartedAt = Now;
-  Out.push_back(StartCall{.Call = Id,
-                          .Instance = this->Target.Instance,
-                          .AttemptId = Of.Request.AttemptId,
-                          .CallerService = Of.Request.CallerService,
-                          .Key = Of.Request.Key,
-                          .TimeLeft = Of.Deadline - Now,
-                          .Idempotent = Of.Request.Idempotent,
-                          .Content = Of.Request.Content});
-}
-
-void TargetGate::startWaiting(Instant Now, Effects &Out) {
-  if (this->State == TargetState::Absent || this->Drained)
-    return;
-  while (auto Next = this->Queue.popStartable(Now)) {
-    const Call &Of = this->Calls.at(Next->Id);
-    if (Of.Deadline - Now >= LeastTimeLeft) {
-      this->start(Next->Id, Now, Out);
-      continue;
-    }
-    this->Queue.release();
-    this->end(Next->Id, {.Ended = Outcome::Expired}, Now, Out);
-  }
-}
-
-void TargetGate::end(std::uint64_t Id, ForwardResult Result, Instant Now,
-                     Effects &Out) {
-  auto Found = this->Calls.find(Id);
-  Call Of = std::move(Found->second);
-  this->Calls.erase(Found);
-  this->ByForward.erase({Of.Request.Process, Of.Request.Id});
-  if (Of.Fetching)
-    this->Intake.end(Id);
-  Result.Id = Of.Request.Id;
-  Result.Status = this->status(Now);
-  if (Result.Ended != Outcome::Answered)
-    Out.push_back(LogRecord{
-        Result.Ended == Outcome::Lost ? &events::CallFailed
-                                      : &events::CallRefused,
-        {field("request", Of.Request.AttemptId), field("from", Of.From),
-         field("why", std::string(nameOf(Result.Ended))),
-         field("detail", Result.Detail),
-         field("instance", this->Target.Instance),
-         field("running", std::to_string(this->Queue.running())),
-         field("waiting", std::to_string(this->Queue.waiting()))}});
-  if (Of.From != this->Options.Node)
-    this->Recent.add({Of.Request.Process, Of.Request.Id}, Result, Now);
-  Out.push_back(SendMessage{Of.From, std::move(Result)});
-}
-
-void TargetGate::resume(const std::string &From, const ResumeForward &Resumed,
-                        Instant Now, Effects &Out) {
-  ForwardKey Key(Resumed.Process, Resumed.Id);
-  if (auto Found = this->ByForward.find(Key); Found != this->ByForward.end()) {
-    // The body, or the question for it, was lost with the connection.
-    if (this->Calls.at(Found->second).Fetching)
-      this->end(Found->second, {.Ended = Outcome::NoTarget}, Now, Out);
-    return;
-  }
-  if (const ForwardResult *Kept = this->Recent.find(Key)) {
-    Out.push_back(SendMessage{From, *Kept});
-    return;
-  }
-  // An earlier process may have run it, or its result was forgotten.
-  bool Known = Resumed.Receiver == this->Options.Process &&
-               this->Recent.vouches(Resumed.SentAgo, Now);
-  if (Known)
-    this->Disowned[Key] = Now;
-  ForwardResult Result{.Id = Resumed.Id,
-                       .Ended = Known ? Outcome::NoTarget : Outcome::Lost,
-                       .Detail = "lost with the connection between the nodes"};
-  Result.Status = this->status(Now);
-  Out.push_back(SendMessage{From, std::move(Result)});
-}
-
-void TargetGate::noteOutcome(bool Failed) {
-  this->FailureShare +=
-      FailureWeight * ((Failed ? 1.0F : 0.0F) - this->FailureShare);
-}
-
-void TargetGate::answered(std::uint64_t Id, HttpAnswer Answer, bool NotRun,
-                          Instant Now, Effects &Out) {
-  auto Found = this->Calls.find(Id);
-  if (Found == this->Calls.end())
-    return;
-  this->ConnectionRefused = false;
-  Duration Held = Now - Found->second.StartedAt;
-  // A refusal takes no time at a slot and would make the target look fast.
-  if (NotRun || Answer.Status >= 500) {
-    this->Queue.release();
-  } else {
-    this->Queue.release(Held);
-    this->Times.note(Found->second.Request.Work, Held, Now);
-  }
-  this->noteOutcome(Answer.Status >= 500);
-  ForwardResult Result{.Ended = NotRun ? Outcome::Refused : Outcome::Answered};
-  // 421: the target does not hold the key, or another instance answered.
-  if (NotRun && Answer.Status == 421)
-    Result.Ended = Outcome::NotOwner;
-  Result.Answer = std::move(Answer);
-  this->end(Id, std::move(Result), Now, Out);
-  this->startWaiting(Now, Out);
-}
-
-void TargetGate::failed(std::uint64_t Id, CallFailure Failure,
-                        std::string_view Detail, Instant Now, Effects &Out) {
-  auto Found = this->Calls.find(Id);
-  if (Found == this->Calls.end())
-    return;
-  this->ConnectionRefused = Failure == CallFailure::NotSent;
-  if (Failure == CallFailure::Broken)
-    this->Crashes.noteBroken(Found->second.Digest, Now);
-  this->Queue.release();
-  this->noteOutcome(true);
-  ForwardResult Result{.Ended = Failure == CallFailure::NotSent
-                                    ? Outcome::NoTarget
-                                    : Outcome::Lost};
-  Result.Detail = Detail;
-  this->end(Id, std::move(Result), Now, Out);
-  this->startWaiting(Now, Out);
-}
-
-void TargetGate::cancel(const std::string &, const CancelForward &Cancelled,
-                        Instant Now, Effects &Out) {
-  auto Found = this->ByForward.find({Cancelled.Process, Cancelled.Id});
-  if (Found == this->ByForward.end())
-    return;
-  std::uint64_t Id = Found->second;
-  this->ByForward.erase(Found);
-  bool Started = this->Calls.at(Id).Started;
-  bool Fetching = this->Calls.at(Id).Fetching;
-  this->Calls.erase(Id);
-  if (Fetching) {
-    this->Intake.end(Id);
-    this->fetchBodies(Now, Out);
-    return;
-  }
-  if (!Started) {
-    this->Queue.remove(Id);
-    return;
-  }
-  this->Queue.release();
-  Out.push_back(CancelCall{Id});
-  this->startWaiting(Now, Out);
-}
-
 void TargetGate::noteCrash(const CrashNotice &Notice, Instant Now) {
   this->Crashes.merge(Notice, Now);
 }
@@ -483,15 +120,10 @@
 void TargetGate::tick(Instant Now, Effects &Out) {
   this->Crashes.tick(Now);
   this->Recent.tick(Now);
-  this->endStuckFetches(Now, Out);
+  this->endOverdue(Now, Out);
   std::erase_if(this->Disowned, [Now](const auto &Entry) {
     return Now - Entry.second > DisownTime;
   });
-  for (const WaitingRequest &Each : this->Queue.takeOverdue(Now)) {
-    ForwardResult Result{.Ended = Outcome::Busy};
-    Result.RetryAfter = BusyRetryAfter;
-    this->end(Each.Id, std::move(Result), Now, Out);
-  }
   if (this->State == TargetState::Leaving && Now >= this->DrainEnds) {
     this->State = TargetState::Absent;
     this->Drained = true;
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -121,7 +121,8 @@
   void admit(std::uint64_t Id, Instant Now, Effects &Out);
   // Asks for bodies that the link has room for.
   void fetchBodies(Instant Now, Effects &Out);
-  void endStuckFetches(Instant Now, Effects &Out);
+  // Ends calls that waited too long for a slot or for their bodies.
+  void endOverdue(Instant Now, Effects &Out);
   // Ends all calls that did not start.
   void refuseWaiting(Instant Now, Effects &Out);
   void end(std::uint64_t Id, ForwardResult Result, Instant Now, Effects &Out);
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -144,7 +144,7 @@
       this->Entry.nodeLost(Node, true, Now, this->Path);
   for (const std::string &Node : Output.ReplacedNodes)
     if (Node != this->Options.Node)
-      this->Entry.nodeLost(Node, false, Now, this->Path);
+      this->Entry.nodeReplaced(Node, Now, this->Path);
   if (Output.NodesChanged)
     this->takeNodes(Now);
   if (Output.NodesChanged || Output.KeysChanged)
