--- a/orioledoor/routing/crash_guard.cc
+++ b/orioledoor/routing/crash_guard.cc
@@ -15,6 +15,11 @@
 // tolerates three crashes.
 constexpr std::uint32_t QuarantineAt = 2;
 
+// Answers are remembered for one to two turns.
+constexpr Duration AnsweredTurn = std::chrono::seconds(30);
+// Digests of one turn; more end it early. 32 bytes each.
+constexpr std::size_t MaxAnswered = 4096;
+
 } // namespace
 
 std::uint64_t crashDigest(std::string_view Caller, const RequestContent &Of) {
@@ -28,10 +33,24 @@
   this->Broken.emplace_back(Digest, Now);
 }
 
+void CrashGuard::noteAnswered(std::uint64_t Digest, Instant Now) {
+  if (Now - this->TurnedAt > AnsweredTurn ||
+      this->Answered.size() >= MaxAnswered) {
+    this->AnsweredBefore = std::exchange(this->Answered, {});
+    this->TurnedAt = Now;
+  }
+  this->Answered.insert(Digest);
+}
+
+bool CrashGuard::answeredLately(std::uint64_t Digest) const {
+  return this->Answered.contains(Digest) ||
+         this->AnsweredBefore.contains(Digest);
+}
+
 std::vector<CrashNotice> CrashGuard::noteTargetEnded(Instant Now) {
   std::vector<CrashNotice> Notices;
   for (const auto &[Digest, At] : std::exchange(this->Broken, {})) {
-    if (Now - At > EvidenceTime)
+    if (Now - At > EvidenceTime || this->answeredLately(Digest))
       continue;
     Record &Of = this->Records[Digest];
     ++Of.Crashes;
@@ -52,6 +71,7 @@
   auto Found = this->Records.find(Digest);
   return Found != this->Records.end() &&
          Found->second.Crashes >= QuarantineAt &&
+         !this->answeredLately(Digest) &&
          Now - Found->second.Last < QuarantineTime;
 }
 
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -328,6 +328,8 @@
     this->Times.note(Found->second.Request.Work, Held, Now);
   }
   this->noteOutcome(Answer.Status >= 500);
+  if (!NotRun)
+    this->Crashes.noteAnswered(Found->second.Digest, Now);
   ForwardResult Result{.Ended = NotRun ? Outcome::Refused : Outcome::Answered};
   // 421: the target does not hold the key, or another instance answered.
   if (NotRun && Answer.Status == 421)
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -141,6 +141,7 @@
   CPPUNIT_TEST(ignoresLateReports);
   CPPUNIT_TEST(refusesKeysThatAreNotHeld);
   CPPUNIT_TEST(quarantinesWhatCrashesTargets);
+  CPPUNIT_TEST(keepsWhatTargetsAnswer);
   CPPUNIT_TEST(freesTheSlotOfACancelledCall);
   CPPUNIT_TEST(servesWhileReportsAreCutOff);
   CPPUNIT_TEST(refusesAllWhenClosed);
@@ -310,6 +311,24 @@
     CPPUNIT_ASSERT(F.started());
   }
 
+  // Pattern: a path that many callers ask for. Some of its requests are open
+  // whenever a target ends; quarantining it stopped a whole service.
+  void keepsWhatTargetsAnswer() {
+    Fixture F;
+    F.Path = 7;
+    F.forward(1);
+    F.answer(F.started());
+    for (std::int64_t Born = 2; Born <= 4; ++Born) {
+      F.forward(static_cast<std::uint64_t>(Born));
+      std::uint64_t Call = F.started();
+      CPPUNIT_ASSERT(Call);
+      F.Gate.failed(Call, CallFailure::Broken, "reset", F.Now, F.Out);
+      F.report(1, Born);
+    }
+    F.forward(10);
+    CPPUNIT_ASSERT(F.started());
+  }
+
   void freesTheSlotOfACancelledCall() {
     Fixture F;
     F.forward(1);
