Close peer sockets off the event loop; end a process whose loop stands still

Change: SocketCloser closes sockets on threads of its own, with another thread for each that is stuck. A stopped sidecar process leaves by _Exit, since nng's shutdown may wait in the same way.

Ruled out: SIGSTOP and SIGCONT (the hung nodes were hit by them or not), the log's stream (non-blocking), the store's faults.

A channel on the libevent loop stays to be compared with nng.

--- a/orioledoor/daemon/main.cc
+++ b/orioledoor/daemon/main.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/program_options.hpp>
 #include <event2/event.h>
@@ -17,6 +18,7 @@
 #include "orioledoor/catalogue/parse_catalogue.h"
 #include "orioledoor/catalogue/settings.h"
 #include "orioledoor/catalogue/sidecar_settings.h"
+#include "orioledoor/daemon/loop_watchdog.h"
 #include "orioledoor/daemon/node.h"
 #include "orioledoor/platform/names.h"
 #include "orioledoor/sidecar/sidecar_node.h"
@@ -123,8 +125,28 @@
       },
       &Reload));
   event_add(OnHangup.get(), nullptr);
+  LoopWatchdog Guard({.OnStall = [] {
+    // The logger may be what blocks.
+    constexpr std::string_view Line =
+        "orioledoor: the event loop stands still; ending the process\n";
+    [[maybe_unused]] ssize_t Written =
+        write(STDERR_FILENO, Line.data(), Line.size());
+    std::_Exit(EXIT_FAILURE);
+  }});
+  EventPtr Turn(event_new(
+      Base.get(), -1, EV_PERSIST,
+      [](evutil_socket_t, short, void *Context) {
+        static_cast<LoopWatchdog *>(Context)->touch();
+      },
+      &Guard));
+  constexpr timeval TurnInterval{1, 0};
+  evtimer_add(Turn.get(), &TurnInterval);
   event_base_dispatch(Base.get());
-  return EXIT_SUCCESS;
+  // The shutdown of nng may wait for good for a connection that is being set
+  // up. Nothing here has to last: callers have their answers, and the store
+  // the rest.
+  std::cout.flush();
+  std::_Exit(EXIT_SUCCESS);
 }
 
 // Checks the settings and runs the node that they describe.
--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -7,10 +7,12 @@
 // logs of the nodes stay in --directory. Exit status 1: something was violated.
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdint>
 #include <filesystem>
 #include <iostream>
+#include <ranges>
 #include <string>
 
 #include "orioledoor/soak/soak_faults.h"
@@ -36,6 +38,8 @@
 // What is judged after the recovery.
 constexpr Duration SampleTime = seconds(3);
 constexpr double LeastServed = 0.95;
+// Violations of one kind follow each other; the first ones tell the cause.
+constexpr std::size_t MaxPrinted = 30;
 
 struct SoakOptions {
   soak::SoakFleetOptions Fleet;
@@ -61,6 +65,7 @@
     this->Events.runUntil([] { return false; }, Length);
     soak::SoakCounts Under = this->Load.counts();
     this->recover();
+    this->Fleet.end();
     this->report(Under);
     return this->Judge.violations().empty() ? 0 : 1;
   }
@@ -113,7 +118,8 @@
       return;
     for (const std::string &Each : this->Faults.history())
       std::cout << "  fault at " << Each << "\n";
-    for (const soak::Violation &Each : this->Judge.violations())
+    for (const soak::Violation &Each :
+         this->Judge.violations() | std::views::take(MaxPrinted))
       std::cout << "  " << Each.Rule << ": " << Each.Detail << " (clock "
                 << Each.At.micros() << ")\n";
   }
--- a/orioledoor/soak/node_process.cc
+++ b/orioledoor/soak/node_process.cc
@@ -30,6 +30,8 @@
   posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, this->Log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
+  // Listeners of the relays must not live on in the node.
+  posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
   std::string Option = "--settings";
   std::array<char *, 4> Arguments{this->Program.data(), Option.data(),
                                   this->Settings.data(), nullptr};
--- a/orioledoor/soak/soak_fleet.cc
+++ b/orioledoor/soak/soak_fleet.cc
@@ -194,6 +194,11 @@
                          {"reject", 0}});
 }
 
+void SoakFleet::end() {
+  for (auto &Each : this->Nodes)
+    Each->Process.reset();
+}
+
 void SoakFleet::probeReady() {
   this->ReadyNodes = 0;
   for (std::size_t Index = 0; Index < this->Nodes.size(); ++Index) {
--- a/orioledoor/soak/soak_fleet.h
+++ b/orioledoor/soak/soak_fleet.h
@@ -67,6 +67,8 @@
   void configure();
   // Ends all faults and starts whatever is down.
   void heal();
+  // Kills all processes.
+  void end();
   // All processes run and say that they are ready.
   void probeReady();
   bool ready() const { return this->ReadyNodes == this->Nodes.size(); }
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -22,6 +22,7 @@
 #include "orioledoor/wire/internal/message_port.h"
 #include "orioledoor/wire/internal/peer.h"
 #include "orioledoor/wire/internal/pipe_notifier.h"
+#include "orioledoor/wire/internal/socket_closer.h"
 
 namespace orioledoor::wire {
 namespace {
@@ -75,6 +76,8 @@
   PeerTransportCallbacks Callbacks;
   TransportCounters Counters;
   internal::PipeNotifier Notifier;
+  // After the notifier, which hears of the sockets that it closes.
+  internal::SocketCloser Closer;
   internal::MessagePort Port;
   std::optional<nng_socket> Inbound;
   internal::EventPtr ReceiveEvent;
@@ -142,7 +145,7 @@
     if (!Of.Socket)
       return;
     this->BySocket.erase(nng_socket_id(*Of.Socket));
-    nng_close(*Of.Socket);
+    this->Closer.close(*Of.Socket);
     Of.Socket.reset();
     Of.Connected = false;
     Of.PingedAt.reset();
