Log and count interruptions of the store's watches

STORE_WATCH_INTERRUPTED and STORE_WATCH_RESUMED state what is followed, how long it was unanswered, how long the call was open and how long its connection took; oriole_store_watch_interruptions_total counts. HttpResult says when the first byte was written. No behaviour changes.

--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 
 #include "orioledoor/base/error.h"
+#include "orioledoor/platform/events.h"
 #include "orioledoor/platform/store_codec.h"
 #include "orioledoor/wire/http_client.h"
 
@@ -32,6 +33,8 @@
   return makeError(Code, "call store", Peer, Result.Detail);
 }
 
+std::string millis(Duration Of) { return std::to_string(Of.count() / 1000); }
+
 // Keeps what Range asked for of all entries in the order of their keys.
 void selectEntries(const StoreRange &Range, std::vector<StoreEntry> &Entries) {
   if (Range.Limit > 0 && Range.Descending)
@@ -52,6 +55,11 @@
     StoreWatchCallback OnUpdate;
     std::uint64_t Call = 0;
     EventPtr Timer;
+    Instant OpenedAt;
+    // The last time at which the view was known to be complete.
+    Instant AnsweredAt;
+    // The newest call ended without an answer.
+    bool Interrupted = false;
   };
 
   event_base *Base;
@@ -62,11 +70,13 @@
   wire::HttpClient Client;
   std::map<std::string, std::unique_ptr<Watch>> Watches;
   std::map<std::string, Duration> Pauses;
+  std::function<void(const LogRecord &)> OnLog;
 
-  Impl(event_base *Base, Endpoint Store, PlatformStoreLimits Limits)
+  Impl(event_base *Base, Endpoint Store, PlatformStoreLimits Limits,
+       std::function<void(const LogRecord &)> OnLog)
       : Base(Base), Store(std::move(Store)),
         Peer(this->Store.Host + ":" + std::to_string(this->Store.Port)),
-        Limits(Limits), Client(Base) {}
+        Limits(Limits), Client(Base), OnLog(std::move(OnLog)) {}
 
   wire::HttpCall httpCall(const StoreCall &Sent, Duration Timeout) const {
     wire::HttpCall Call{.To = this->Store,
@@ -122,6 +132,7 @@
 
   void open(Watch &Of) {
     ++this->Counters.Calls;
+    Of.OpenedAt = readClock();
     StoreCall Sent{
         "GET", encodeWatch(Of.Prefix, Of.Revision, this->Limits.WatchWait), ""};
     Of.Call = this->Client.call(
@@ -132,6 +143,32 @@
         });
   }
 
+  // Logs the begin and the end of each time without answers, not every try.
+  void noteWatch(Watch &Of, const wire::HttpResult &Result,
+                 const absl::Status &Status) {
+    Instant Now = readClock();
+    bool Answered = Status.ok() || absl::IsOutOfRange(Status);
+    if (!Answered)
+      ++this->Counters.WatchInterruptions;
+    if (Answered == Of.Interrupted && this->OnLog) {
+      LogRecord Record{Answered ? &events::StoreWatchResumed
+                                : &events::StoreWatchInterrupted,
+                       {{"prefix", Of.Prefix},
+                        {"after", std::to_string(Of.Revision)},
+                        {"unanswered_ms", millis(Now - Of.AnsweredAt)},
+                        {"open_ms", millis(Now - Of.OpenedAt)},
+                        {"sent_after_ms", Result.SentAfter
+                                              ? millis(*Result.SentAfter)
+                                              : "never"}}};
+      if (!Answered)
+        Record.Fields.push_back({"why", std::string(Status.message())});
+      this->OnLog(Record);
+    }
+    Of.Interrupted = !Answered;
+    if (Answered)
+      Of.AnsweredAt = Now;
+  }
+
   void watched(Watch &Of, const wire::HttpResult &Result) {
     StoreWatchUpdate Update;
     if (Result.Failure) {
@@ -142,6 +179,7 @@
       Update =
           decodeWatch(Result.Answer.Status, Result.Answer.Body, this->Peer);
     }
+    this->noteWatch(Of, Result, Update.Status);
     bool Ended = absl::IsOutOfRange(Update.Status);
     if (Update.Status.ok())
       Of.Revision = std::max(Of.Revision, Update.Revision);
@@ -176,8 +214,10 @@
 };
 
 PlatformStore::PlatformStore(event_base *Base, Endpoint Store,
-                             PlatformStoreLimits Limits)
-    : Own(std::make_unique<Impl>(Base, std::move(Store), Limits)) {}
+                             PlatformStoreLimits Limits,
+                             std::function<void(const LogRecord &)> OnLog)
+    : Own(std::make_unique<Impl>(Base, std::move(Store), Limits,
+                                 std::move(OnLog))) {}
 
 PlatformStore::~PlatformStore() = default;
 
@@ -195,6 +235,7 @@
   Kept->Prefix = Prefix;
   Kept->Revision = Revision;
   Kept->OnUpdate = std::move(OnUpdate);
+  Kept->AnsweredAt = readClock();
   Kept->Timer.reset(evtimer_new(this->Own->Base, Impl::onTimer, Kept.get()));
   this->Own->open(*Kept);
 }
--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -14,6 +14,7 @@
 
 #include "orioledoor/catalogue/settings.h"
 #include "orioledoor/store/store_client.h"
+#include "orioledoor/telemetry/log_record.h"
 
 struct event_base;
 
@@ -37,13 +38,17 @@
 struct PlatformStoreCounters {
   std::uint64_t Calls = 0;
   std::uint64_t Failures = 0;
+  // Watches that ended without an answer.
+  std::uint64_t WatchInterruptions = 0;
 };
 
 // Not thread-safe; lives on its loop's thread. Callbacks run from the loop.
 class PlatformStore {
 public:
+  // OnLog, if not empty, receives the records of platform/events.h.
   PlatformStore(event_base *Base, Endpoint Store,
-                PlatformStoreLimits Limits = {});
+                PlatformStoreLimits Limits = {},
+                std::function<void(const LogRecord &)> OnLog = {});
   // Drops open calls and watches without their callbacks.
   ~PlatformStore();
   PlatformStore(const PlatformStore &) = delete;
--- a/orioledoor/platform/platform_store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "orioledoor/platform/events.h"
 #include "orioledoor/platform/platform_store.h"
 #include "orioledoor/standins/loop.h"
 #include "orioledoor/standins/relay_link.h"
@@ -49,6 +50,7 @@
   CPPUNIT_TEST(silentWatchIsReported);
   CPPUNIT_TEST(silentWatchStillReportsADelete);
   CPPUNIT_TEST(silentConnectionsDoNotDelayTheReport);
+  CPPUNIT_TEST(interruptionsOfWatchesAreLogged);
   CPPUNIT_TEST(replacedWatchIsNotInvokedAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -265,6 +267,24 @@
     this->Client.reset();
   }
 
+  // Guards against a node that misses changes and shows it nowhere: the log
+  // must tell whether a watch had a connection and how long it was unanswered.
+  void interruptionsOfWatchesAreLogged() {
+    this->watch(0);
+    this->silenceWatch();
+    this->waitForEnd(StatusCode::kUnavailable);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Logged.size());
+    CPPUNIT_ASSERT(this->Logged[0].Event == &events::StoreWatchInterrupted);
+    CPPUNIT_ASSERT(fieldOf(this->Logged[0], "sent_after_ms") != "never");
+    CPPUNIT_ASSERT(std::stoi(fieldOf(this->Logged[0], "open_ms")) >= 200);
+    this->Server->setFaults({{"silence_watches", false}});
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return this->Logged.size() == 2; }, TestLimit));
+    CPPUNIT_ASSERT(this->Logged[1].Event == &events::StoreWatchResumed);
+    CPPUNIT_ASSERT(std::stoi(fieldOf(this->Logged[1], "unanswered_ms")) >= 200);
+    CPPUNIT_ASSERT(this->Client->counters().WatchInterruptions >= 1);
+  }
+
   // Guards against updates of an earlier watch that reach its successor.
   void replacedWatchIsNotInvokedAgain() {
     int Earlier = 0;
@@ -287,7 +307,13 @@
         PlatformStoreLimits{.Call = Call,
                             .WatchWait = 100ms,
                             .WatchSlack = 200ms,
-                            .WatchRetry = 50ms});
+                            .WatchRetry = 50ms},
+        [this](const LogRecord &Record) { this->Logged.push_back(Record); });
+  }
+
+  static std::string fieldOf(const LogRecord &Record, std::string_view Name) {
+    auto Found = std::ranges::find(Record.Fields, Name, &LogField::Name);
+    return Found == Record.Fields.end() ? "" : Found->Value;
   }
 
   void waitForOpenWatch() {
@@ -358,6 +384,7 @@
   std::unique_ptr<PlatformStore> Client;
   std::vector<StoreChange> Changes;
   std::optional<absl::Status> Ended;
+  std::vector<LogRecord> Logged;
   std::int64_t LastRevision = 0;
 };
 
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -114,7 +114,9 @@
 
   Impl(event_base *Base, const SidecarSettings &Settings, Logger &Log)
       : Base(Base), Settings(Settings), Log(Log), Reducer(optionsOf(Settings)),
-        Store(Base, Settings.Store), TargetClient(Base) {}
+        Store(Base, Settings.Store, {},
+              [this](const LogRecord &Record) { this->write(Record); }),
+        TargetClient(Base) {}
 
   void write(const LogRecord &Record) {
     if (this->Limiter.allow(Record.Event->Number, readClock()))
@@ -312,6 +314,8 @@
         .set(this->Store.counters().Calls);
     this->Metrics.counter("oriole_store_failures_total")
         .set(this->Store.counters().Failures);
+    this->Metrics.counter("oriole_store_watch_interruptions_total")
+        .set(this->Store.counters().WatchInterruptions);
     this->Metrics.counter("oriole_peer_connections_lost_total")
         .set(this->Peers->counters().ConnectionsLost);
     this->Metrics.counter("oriole_target_connections_total")
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -77,6 +77,9 @@
     // The head of the answer came.
     bool Answering = false;
     std::optional<Instant> NotAfter;
+    Instant CalledAt;
+    // Meaningful once Started is set.
+    Instant StartedAt;
     Instant IdleSince;
   };
 
@@ -147,11 +150,12 @@
                        void *Context) {
     auto *On = static_cast<Connection *>(Context);
     if (Info->n_added > 0 && !std::exchange(On->Started, true)) {
+      On->StartedAt = readClock();
       bufferevent *Stream = evhttp_connection_get_bufferevent(On->Http);
       int Descriptor = bufferevent_getfd(Stream);
       // On a fresh connection this is the call that also writes; on a reused
       // one the write follows in the same turn of the loop.
-      if (On->NotAfter && readClock() >= *On->NotAfter) {
+      if (On->NotAfter && On->StartedAt >= *On->NotAfter) {
         On->Expired = true;
         shutdown(Descriptor, SHUT_RDWR);
         return;
@@ -245,9 +249,11 @@
       return;
     if (Result.Failure)
       ++this->Counters.Failures;
+    Connection *On = Found->second.On;
+    if (On && On->Started)
+      Result.SentAfter = On->StartedAt - On->CalledAt;
     this->Results.emplace_back(std::move(Found->second.Done),
                                std::move(Result));
-    Connection *On = Found->second.On;
     bool Fresh = Found->second.Fresh;
     this->Calls.erase(Found);
     this->Contexts.erase(Id);
@@ -397,6 +403,7 @@
     On->CallId = Id;
     On->Started = On->Written = On->Expired = On->Answering = false;
     On->NotAfter = Call.NotAfter;
+    On->CalledAt = readClock();
     TimerContext &Context = this->Contexts[Id] = {this, Id};
     Open.Timer.reset(evtimer_new(this->Base, onTimeout, &Context));
     timeval Limit =
--- a/orioledoor/wire/http_client.h
+++ b/orioledoor/wire/http_client.h
@@ -54,6 +54,9 @@
   // For failures: what happened.
   std::string Detail;
   requests::HttpAnswer Answer;
+  // From call() to the first byte, which includes opening a connection; empty
+  // if no byte was written.
+  std::optional<Duration> SentAfter{};
 };
 
 struct HttpClientCounters {
