Bound the connection attempts of store calls; reopen watches after a silence

Cause: a watch's total time of 11 s also covered its connection attempt. An attempt that began in the cut is repeated by TCP after 1, 2 and 4 s, so the watch got its connection 7.0 s after it was opened (STORE_WATCH_RESUMED, sent_after_ms=7003), 3.5 s after the cut had healed and 2.7 s after renewals were answered again. Another VM of that cut followed nothing for 25.5 s.

Ruled out: a refused configuration (no CONFIG_REFUSED), a failed read (none was made), the store (other VMs had each version within 30 ms).

Change: every store call fails if it has no connection after 600 ms. The first answer to a call after a silence opens the waiting watches again: their connections may be dead, and a store that was silent may have forgotten them. A watch that is cut once is opened again after 20 ms instead of 250 ms.

--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -71,6 +71,8 @@
   std::map<std::string, std::unique_ptr<Watch>> Watches;
   std::map<std::string, Duration> Pauses;
   std::function<void(const LogRecord &)> OnLog;
+  // A call or watch got no answer since a call was answered last.
+  bool Silent = false;
 
   Impl(event_base *Base, Endpoint Store, PlatformStoreLimits Limits,
        std::function<void(const LogRecord &)> OnLog)
@@ -83,7 +85,8 @@
                         .Method = Sent.Method,
                         .Target = Sent.Target,
                         .Body = Sent.Body,
-                        .Timeout = Timeout};
+                        .Timeout = Timeout,
+                        .ConnectTimeout = this->Limits.Connect};
     if (!Sent.Body.empty())
       Call.Headers.push_back({"Content-Type", "application/json"});
     return Call;
@@ -103,13 +106,13 @@
          OnReply = std::move(OnReply)](const wire::HttpResult &Result) mutable {
           if (Result.Failure) {
             ++this->Counters.Failures;
-            // Whatever silenced one connection may have silenced them all.
-            this->Client.dropIdle(this->Store);
+            this->noteSilence();
             bool IsRead = std::holds_alternative<StoreRange>(Request.Body);
             OnReply({.Id = Request.Id,
                      .Status = statusOf(Result, IsRead, this->Peer)});
             return;
           }
+          this->noteAnswer();
           bool More = false;
           StoreReply Reply = decodeReply(Request, Result.Answer.Status,
                                          Result.Answer.Body, this->Peer, &More);
@@ -130,6 +133,23 @@
         });
   }
 
+  // Whatever silenced one connection may have silenced them all.
+  void noteSilence() {
+    this->Silent = true;
+    this->Client.dropIdle(this->Store);
+  }
+
+  void noteAnswer() {
+    if (!std::exchange(this->Silent, false))
+      return;
+    for (const auto &[Prefix, Of] : this->Watches) {
+      if (Of->Call == 0)
+        continue;
+      this->Client.cancel(Of->Call);
+      this->open(*Of);
+    }
+  }
+
   void open(Watch &Of) {
     ++this->Counters.Calls;
     Of.OpenedAt = readClock();
@@ -173,12 +193,12 @@
     StoreWatchUpdate Update;
     if (Result.Failure) {
       Update.Status = statusOf(Result, true, this->Peer);
-      // Whatever silenced this connection may have silenced them all.
-      this->Client.dropIdle(this->Store);
+      this->noteSilence();
     } else {
       Update =
           decodeWatch(Result.Answer.Status, Result.Answer.Body, this->Peer);
     }
+    bool WasInterrupted = Of.Interrupted;
     this->noteWatch(Of, Result, Update.Status);
     bool Ended = absl::IsOutOfRange(Update.Status);
     if (Update.Status.ok())
@@ -186,9 +206,12 @@
     else
       ++this->Counters.Failures;
     Update.Revision = Of.Revision;
-    Duration Pause = !Update.Status.ok()      ? this->Limits.WatchRetry
-                     : Update.Changes.empty() ? Duration(0)
-                                              : this->pauseOf(Of.Prefix);
+    Duration Pause(0);
+    if (!Update.Status.ok())
+      Pause =
+          WasInterrupted ? this->Limits.WatchRetry : this->Limits.WatchPause;
+    else if (!Update.Changes.empty())
+      Pause = this->pauseOf(Of.Prefix);
     StoreWatchCallback OnUpdate = Of.OnUpdate;
     if (Ended) {
       this->Watches.erase(Of.Prefix);
--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -24,12 +24,17 @@
   // From call() to the reply. The platform slows its store down to 240 ms an
   // answer; after a second a fresh connection is the better try.
   Duration Call = std::chrono::milliseconds(1000);
+  // For the connection of a call or watch. Regions are 16 ms apart there and
+  // back; TCP repeats a lost opening packet after a second, so a new attempt is
+  // the better try.
+  Duration Connect = std::chrono::milliseconds(600);
   // How long one watch waits at the store. Each costs a read.
   std::chrono::milliseconds WatchWait{10'000};
   // A waiting watch is given up this long after it should have been answered;
   // a connection that went silent is noticed no later.
   Duration WatchSlack = std::chrono::milliseconds(1000);
-  // Pause before a watch that failed is opened again.
+  // Pause before a watch that failed is opened again. The first time it is
+  // opened after WatchPause, since stores cut waiting watches in calm times.
   Duration WatchRetry = std::chrono::milliseconds(250);
   // Pause before the next watch after changes came, until setPause().
   Duration WatchPause = std::chrono::milliseconds(20);
@@ -61,8 +66,10 @@
 
   // Reports changes of keys that start with Prefix after Revision, until an
   // update says kOutOfRange. Failed watches are reported with their status and
-  // opened again. Replaces an earlier watch of the prefix. OnUpdate may call
-  // any method.
+  // opened again. So are those that wait when a call is answered after others
+  // got no answer: their connections may be dead, and a store that was silent
+  // may have forgotten them. Replaces an earlier watch of the prefix. OnUpdate
+  // may call any method.
   void watch(const std::string &Prefix, std::int64_t Revision,
              StoreWatchCallback OnUpdate);
 
--- a/orioledoor/platform/platform_store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -28,12 +29,53 @@
 using absl::StatusCode;
 
 constexpr Duration TestLimit = 10s;
+// VMs count as in touch 3 s after a disruption, and a configuration is then to
+// be in force 2 s after its acknowledgement: the view must be complete again
+// within half of the former, since a call that fails comes first.
+constexpr Duration RecoveryLimit = 1500ms;
 
 StoreTxn writeOf(std::int64_t Expected, std::string Value) {
   return {.Compares = {{keys::Assignment, Expected}},
           .Puts = {{.Key = keys::Assignment, .Value = std::move(Value)}}};
 }
 
+// A port that takes no further connection: opening packets are dropped, as in a
+// cut.
+class FullListener {
+public:
+  FullListener() {
+    this->Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(Address);
+    CPPUNIT_ASSERT(bind(this->Listener, reinterpret_cast<sockaddr *>(&Address),
+                        Size) == 0);
+    getsockname(this->Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
+    this->Port = ntohs(Address.sin_port);
+    CPPUNIT_ASSERT(listen(this->Listener, 0) == 0);
+    // The kernel keeps one connection more than the queue's length.
+    for (int &Filler : this->Fillers) {
+      Filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      connect(Filler, reinterpret_cast<sockaddr *>(&Address), Size);
+    }
+  }
+  ~FullListener() {
+    for (int Filler : this->Fillers)
+      close(Filler);
+    close(this->Listener);
+  }
+  FullListener(const FullListener &) = delete;
+  FullListener &operator=(const FullListener &) = delete;
+
+  std::uint16_t port() const { return this->Port; }
+
+private:
+  int Listener = -1;
+  std::array<int, 3> Fillers{};
+  std::uint16_t Port = 0;
+};
+
 class PlatformStoreTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformStoreTest);
   CPPUNIT_TEST(valuesKeepEveryByte);
@@ -51,6 +93,8 @@
   CPPUNIT_TEST(silentWatchStillReportsADelete);
   CPPUNIT_TEST(silentConnectionsDoNotDelayTheReport);
   CPPUNIT_TEST(interruptionsOfWatchesAreLogged);
+  CPPUNIT_TEST(watchDoesNotWaitForAConnectionThatHangs);
+  CPPUNIT_TEST(watchIsOpenedAgainOnceTheStoreAnswersCalls);
   CPPUNIT_TEST(replacedWatchIsNotInvokedAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -285,6 +329,48 @@
     CPPUNIT_ASSERT(this->Client->counters().WatchInterruptions >= 1);
   }
 
+  // Guards against changes that arrive seconds after a cut has healed: a
+  // connection attempt that began in the cut is repeated by TCP after 1, 2 and
+  // 4 s, and the watch waited for it as long as it may wait for a change.
+  void watchDoesNotWaitForAConnectionThatHangs() {
+    FullListener Full;
+    this->Client = this->clientOf(Full.port(), 5s, 30s);
+    this->watch(0);
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return this->Ended.has_value(); }, RecoveryLimit));
+    CPPUNIT_ASSERT(this->Ended->code() == StatusCode::kUnavailable);
+    CPPUNIT_ASSERT_EQUAL(std::string("never"),
+                         fieldOf(this->Logged.at(0), "sent_after_ms"));
+    std::optional<StoreReply> Reply;
+    this->Client->call({.Body = StoreRange{.Key = keys::Assignment}},
+                       [&](StoreReply Answer) { Reply = std::move(Answer); });
+    CPPUNIT_ASSERT(this->Events.runUntil([&] { return Reply.has_value(); },
+                                         RecoveryLimit));
+    CPPUNIT_ASSERT(Reply->Status.code() == StatusCode::kUnavailable);
+  }
+
+  // Guards against a watch that a silent store took and never answers, although
+  // the store answers calls again.
+  void watchIsOpenedAgainOnceTheStoreAnswersCalls() {
+    this->Client = this->clientOf(this->Server->port(), 300ms, 30s);
+    this->watch(0);
+    this->waitForOpenWatch();
+    this->Server->setFaults({{"outage", "silent"}});
+    CPPUNIT_ASSERT(this->codeOf(StoreRange{.Key = keys::Assignment}) ==
+                   StatusCode::kUnavailable);
+    this->Server->setFaults({{"outage", "none"}});
+    CPPUNIT_ASSERT(this->call(writeOf(0, "a")).Succeeded);
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return !this->Changes.empty(); }, RecoveryLimit));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), this->Changes[0].Entry.Value);
+    // An answer to a call that follows others opens nothing again.
+    std::int64_t Opened = this->Server->counters().at("watch");
+    this->waitForOpenWatch();
+    CPPUNIT_ASSERT(this->call(StoreRange{.Key = keys::Root}).Status.ok());
+    this->Events.runUntil([] { return false; }, 100ms);
+    CPPUNIT_ASSERT(this->Server->counters().at("watch") <= Opened + 1);
+  }
+
   // Guards against updates of an earlier watch that reach its successor.
   void replacedWatchIsNotInvokedAgain() {
     int Earlier = 0;
@@ -301,11 +387,13 @@
   }
 
 private:
-  std::unique_ptr<PlatformStore> clientOf(std::uint16_t Port, Duration Call) {
+  std::unique_ptr<PlatformStore>
+  clientOf(std::uint16_t Port, Duration Call,
+           std::chrono::milliseconds WatchWait = 100ms) {
     return std::make_unique<PlatformStore>(
         this->Events.base(), Endpoint{"127.0.0.1", Port},
         PlatformStoreLimits{.Call = Call,
-                            .WatchWait = 100ms,
+                            .WatchWait = WatchWait,
                             .WatchSlack = 200ms,
                             .WatchRetry = 50ms},
         [this](const LogRecord &Record) { this->Logged.push_back(Record); });
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -87,6 +87,7 @@
     Connection *On = nullptr;
     Callback Done;
     internal::EventPtr Timer;
+    Instant Deadline;
     bool Fresh = false;
     bool Head = false;
     // What the answer must repeat; see HttpCall::EchoHeader.
@@ -372,8 +373,23 @@
 
   static void onTimeout(evutil_socket_t, short, void *Context) {
     TimerContext Own = *static_cast<TimerContext *>(Context);
-    Own.Client->fail(Own.Id, TargetFailure::TimedOut,
-                     "no answer within the time allowed");
+    OpenCall &Open = Own.Client->Calls.at(Own.Id);
+    Instant Now = readClock();
+    if (!Open.On->Started) {
+      Own.Client->fail(Own.Id, TargetFailure::NotSent,
+                       "no connection within the time allowed");
+    } else if (Now < Open.Deadline) {
+      setTimer(Open, Open.Deadline - Now);
+    } else {
+      Own.Client->fail(Own.Id, TargetFailure::TimedOut,
+                       "no answer within the time allowed");
+    }
+  }
+
+  static void setTimer(const OpenCall &Open, Duration After) {
+    timeval Limit =
+        internal::toTimeval(std::max<std::int64_t>(After.count(), 0));
+    evtimer_add(Open.Timer.get(), &Limit);
   }
 
   std::uint64_t call(const HttpCall &Call, Callback Done) {
@@ -406,9 +422,9 @@
     On->CalledAt = readClock();
     TimerContext &Context = this->Contexts[Id] = {this, Id};
     Open.Timer.reset(evtimer_new(this->Base, onTimeout, &Context));
-    timeval Limit =
-        internal::toTimeval(std::max<std::int64_t>(Call.Timeout.count(), 0));
-    evtimer_add(Open.Timer.get(), &Limit);
+    Open.Deadline = On->CalledAt + Call.Timeout;
+    setTimer(Open, std::min(Call.Timeout,
+                            Call.ConnectTimeout.value_or(Call.Timeout)));
 
     evhttp_request *Request = evhttp_request_new(onAnswer, On);
     evhttp_request_set_error_cb(Request, onError);
--- a/orioledoor/wire/http_client.h
+++ b/orioledoor/wire/http_client.h
@@ -42,6 +42,10 @@
   std::string_view Body{};
   // The call is cancelled when this much time has passed.
   Duration Timeout = std::chrono::seconds(30);
+  // The call fails as NotSent if it has no connection by then. Without it the
+  // attempt may take as long as the call, and TCP repeats an opening packet
+  // that was lost after 1, 2, 4 s and more.
+  std::optional<Duration> ConnectTimeout{};
   // No byte is written at or after this time; the call then fails as NotSent.
   std::optional<Instant> NotAfter{};
   // Opens a connection of its own and closes it afterwards.
