Do not report cancelled HTTP calls whose answers wait for the loop

A call whose result waited for the loop's next turn was not found by cancel() and was reported afterwards, against the contract of cancel().

cancelledCallsWithAnAnswerAreNotReported failed before and passes now.

--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <deque>
 #include <ranges>
 #include <unordered_map>
 #include <utility>
@@ -96,6 +97,13 @@
     std::optional<evhttp_request_error> Error;
   };
 
+  // A result that waits for the loop's next turn.
+  struct EndedCall {
+    std::uint64_t Id = 0;
+    Callback Done;
+    HttpResult Result;
+  };
+
   struct TimerContext {
     Impl *Client;
     std::uint64_t Id;
@@ -113,7 +121,7 @@
   // Connections to be freed and results to be delivered outside of evhttp's
   // callbacks.
   std::vector<std::unique_ptr<Connection>> Garbage;
-  std::vector<std::pair<Callback, HttpResult>> Results;
+  std::deque<EndedCall> Results;
   internal::EventPtr DeferredEvent;
 
   explicit Impl(event_base *Base) : Base(Base) {
@@ -140,8 +148,14 @@
   void runDeferred() {
     for (auto &Each : std::exchange(this->Garbage, {}))
       evhttp_connection_free(Each->Http);
-    for (auto &[Done, Result] : std::exchange(this->Results, {}))
-      Done(std::move(Result));
+    // A callback may cancel calls whose results follow, and start calls that
+    // fail at once; their results wait for the next turn.
+    for (std::size_t Left = this->Results.size();
+         Left > 0 && !this->Results.empty(); --Left) {
+      EndedCall Next = std::move(this->Results.front());
+      this->Results.pop_front();
+      Next.Done(std::move(Next.Result));
+    }
   }
 
   // Connections ---------------------------------------------------------------
@@ -253,8 +267,8 @@
     Connection *On = Found->second.On;
     if (On && On->Started)
       Result.SentAfter = On->StartedAt - On->CalledAt;
-    this->Results.emplace_back(std::move(Found->second.Done),
-                               std::move(Result));
+    this->Results.push_back(
+        {Id, std::move(Found->second.Done), std::move(Result)});
     bool Fresh = Found->second.Fresh;
     this->Calls.erase(Found);
     this->Contexts.erase(Id);
@@ -447,8 +461,11 @@
 
   void cancel(std::uint64_t Id) {
     auto Found = this->Calls.find(Id);
-    if (Found == this->Calls.end())
+    if (Found == this->Calls.end()) {
+      std::erase_if(this->Results,
+                    [Id](const EndedCall &Each) { return Each.Id == Id; });
       return;
+    }
     Connection *On = Found->second.On;
     this->Calls.erase(Found);
     this->Contexts.erase(Id);
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(answersOfOtherRequestsAreErrors);
   CPPUNIT_TEST(bytesAfterAnEchoedAnswerEndTheConnection);
   CPPUNIT_TEST(timeoutAndCancel);
+  CPPUNIT_TEST(cancelledCallsWithAnAnswerAreNotReported);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +171,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Client.openCalls());
   }
 
+  // Guards against a callback into an object that gave up its call: the result
+  // waits for the loop's next turn, and the call may be cancelled meanwhile.
+  void cancelledCallsWithAnAnswerAreNotReported() {
+    HttpCall Wanted;
+    Wanted.To = {"127.0.0.1", Port};
+    Wanted.Method = "UNKNOWN";
+    Wanted.Target = "/";
+    std::uint64_t Second = 0;
+    bool FirstEnded = false;
+    bool SecondEnded = false;
+    this->Client.call(Wanted, [&](const HttpResult &) {
+      FirstEnded = true;
+      this->Client.cancel(Second);
+    });
+    Second = this->Client.call(
+        Wanted, [&](const HttpResult &) { SecondEnded = true; });
+    CPPUNIT_ASSERT(this->Events.runUntil([&] { return FirstEnded; }));
+    CPPUNIT_ASSERT(!this->Events.runUntil([&] { return SecondEnded; }, {},
+                                          std::chrono::milliseconds(50)));
+  }
+
 private:
   testing::Loop Events;
   HttpClient Client{Events.base()};
