--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -143,9 +143,12 @@
     if (!std::exchange(this->Silent, false))
       return;
     for (const auto &[Prefix, Of] : this->Watches) {
-      if (Of->Call == 0)
+      // Others pause after changes that they brought.
+      if (Of->Call == 0 && !Of->Interrupted)
         continue;
-      this->Client.cancel(Of->Call);
+      if (Of->Call != 0)
+        this->Client.cancel(Of->Call);
+      evtimer_del(Of->Timer.get());
       this->open(*Of);
     }
   }
