Catch up with other nodes when a configuration does not arrive

Cause: a node's configuration depended on one watch of its own. Nothing else told it that it was behind, although it exchanges requests with nodes that are not.

Change: requests and results say which configuration is in force at their sender. A node that is behind for 260 ms reads the store; 300 ms later it asks the node that spoke last, which sends the operator's document, at most a quarter of its link's time. While behind, a request without a route gets 503 with Retry-After instead of 404, which callers take as final. The follower of the configuration moves from the shell into the reducer. Of the changes that one watch answer brings only the newest is read, since each replaces the others.

Tests: catchesUpWhenOtherNodesAreAhead, waitsForItsOwnWatchFirst, asksLessAndLessForAVersionThatNobodySends, takesOnlyTheNewestOfManyChanges, takesAConfigurationFromAnotherNode, keepsALinkFreeOfConfigurations; the last two and the wire format need the new messages, so they cannot run on the earlier code.

--- a/orioledoor/platform/config_codec.cc
+++ b/orioledoor/platform/config_codec.cc
@@ -111,7 +111,9 @@
 
 absl::StatusOr<RouteTable> decodeConfig(std::string_view Text) {
   try {
-    return readTable(json::parse(Text));
+    RouteTable Table = readTable(json::parse(Text));
+    Table.Document = Text;
+    return Table;
   } catch (const std::exception &Error) {
     return makeError(absl::StatusCode::kInvalidArgument, "read configuration",
                      "store", Error.what());
--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -121,6 +121,12 @@
   }
   const Route *Of =
       this->Table->find(Request.Content->Host, Request.Content->Target);
+  if (!Of && this->NewerTable) {
+    this->reject(Request, 503, "find route",
+                 "no route matches, and a newer configuration is on its way",
+                 NoTableRetryAfter, Out);
+    return;
+  }
   if (!Of) {
     this->reject(Request, 404, "find route", "no route matches", std::nullopt,
                  Out);
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -69,6 +69,9 @@
                OwnerLookup Owners);
 
   void setTable(SharedTable Table);
+  // Whether other nodes have a newer table in force. Until it is set, requests
+  // without a route are told to come back.
+  void awaitTable(bool Newer) { this->NewerTable = Newer; }
   const SharedTable &table() const { return this->Table; }
   void setCallerService(std::string Service);
 
@@ -165,6 +168,7 @@
   TargetDirectory &Directory;
   OwnerLookup Owners;
   SharedTable Table;
+  bool NewerTable = false;
   std::uint64_t NextForward = 1;
   std::unordered_map<std::uint64_t, Pending> Open;
   // Invariant: every pending request with a Forward, by its id.
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -60,6 +60,8 @@
   WorkId Work = 0;
   // Not 0: Content has no body; one of this size follows when it is asked for.
   std::uint64_t WithheldBytes = 0;
+  // The configuration in force at the sender; 0: none.
+  std::uint64_t ConfigVersion = 0;
   // Never null.
   SharedContent Content{};
 };
@@ -94,6 +96,8 @@
   Duration RetryAfter{0};
   HttpAnswer Answer{};
   TargetStatus Status{};
+  // The configuration in force at the sender; 0: none.
+  std::uint64_t ConfigVersion = 0;
 };
 
 // The caller left; its request is not needed any more.
@@ -159,10 +163,20 @@
   std::string Map{};
 };
 
+// Asks a node for its configuration, if it has a newer one than Known.
+struct FetchConfig {
+  std::uint64_t Known = 0;
+};
+
+// The configuration in force at the sender, as the operator wrote it.
+struct ConfigNotice {
+  std::string Document{};
+};
+
 using Message =
     std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
                  CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward,
-                 FetchBody, ForwardBody>;
+                 FetchBody, ForwardBody, FetchConfig, ConfigNotice>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -154,19 +154,19 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 19)
+    start(this->Out, this->Sent, 20)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
         << Value.WorthwhileWait << Value.Work << Value.WithheldBytes
-        << Value.Content->Method << Value.Content->Target << Value.Content->Host
-        << Value.Content->Headers << Value.Content->Body;
+        << Value.ConfigVersion << Value.Content->Method << Value.Content->Target
+        << Value.Content->Host << Value.Content->Headers << Value.Content->Body;
   }
   void operator()(const ForwardResult &Value) const {
-    start(this->Out, this->Sent, 7 + StatusFields)
+    start(this->Out, this->Sent, 8 + StatusFields)
         << Value.Id << static_cast<std::uint8_t>(Value.Ended) << Value.Detail
         << Value.RetryAfter << Value.Answer.Status << Value.Answer.Headers
-        << Value.Answer.Body << Value.Status;
+        << Value.Answer.Body << Value.Status << Value.ConfigVersion;
   }
   void operator()(const CancelForward &Value) const {
     start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
@@ -195,6 +195,12 @@
   void operator()(const ForwardBody &Value) const {
     start(this->Out, this->Sent, 3) << Value.Id << Value.Process << Value.Body;
   }
+  void operator()(const FetchConfig &Value) const {
+    start(this->Out, this->Sent, 1) << Value.Known;
+  }
+  void operator()(const ConfigNotice &Value) const {
+    start(this->Out, this->Sent, 1) << Value.Document;
+  }
 };
 
 Message decodeForward(FieldReader &In) {
@@ -204,8 +210,8 @@
       Value.CallerService >> Value.TimeLeft >> Value.LatencyLeft >> Value.Key >>
       Value.Priority >> Value.Idempotent >> Value.LastChoice >>
       Value.WorthwhileWait >> Value.Work >> Value.WithheldBytes >>
-      Content->Method >> Content->Target >> Content->Host >> Content->Headers >>
-      Content->Body;
+      Value.ConfigVersion >> Content->Method >> Content->Target >>
+      Content->Host >> Content->Headers >> Content->Body;
   Value.Content = std::move(Content);
   return Value;
 }
@@ -214,7 +220,7 @@
   ForwardResult Value;
   In >> Value.Id >> Value.Ended >> Value.Detail >> Value.RetryAfter >>
       Value.Answer.Status >> Value.Answer.Headers >> Value.Answer.Body >>
-      Value.Status;
+      Value.Status >> Value.ConfigVersion;
   return Value;
 }
 
@@ -270,6 +276,16 @@
     In >> Value.Id >> Value.Process >> Value.Body;
     return Value;
   }
+  case 10: {
+    FetchConfig Value;
+    In >> Value.Known;
+    return Value;
+  }
+  case 11: {
+    ConfigNotice Value;
+    In >> Value.Document;
+    return Value;
+  }
   default:
     throw std::out_of_range("unknown kind");
   }
--- a/orioledoor/routing/route_table.h
+++ b/orioledoor/routing/route_table.h
@@ -66,6 +66,8 @@
 public:
   // Grows with every change by the operator; 0: none was received.
   std::uint64_t Version = 0;
+  // What the table was read from, for nodes that cannot reach the store.
+  std::string Document;
   CallerLimits Limits;
   std::map<std::string, ServicePolicy, std::less<>> Services;
 
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -80,11 +80,13 @@
     Sent.LatencyLeft = milliseconds(-5);
     Sent.Key = 65535;
     Sent.WorthwhileWait = milliseconds(12);
+    Sent.ConfigVersion = 12;
     Sent.Content = Content;
     auto Back = decodeMessage(encodeMessage(Sent));
     CPPUNIT_ASSERT(Back.ok());
     const auto &Read = std::get<Forward>(*Back);
     CPPUNIT_ASSERT(Read.Id == 7 && Read.Process == 8 && Read.Key == 65535);
+    CPPUNIT_ASSERT(Read.ConfigVersion == 12);
     CPPUNIT_ASSERT(Read.LatencyLeft == milliseconds(-5));
     CPPUNIT_ASSERT(Read.WorthwhileWait == milliseconds(12));
     CPPUNIT_ASSERT(Read.Content->Body == Content->Body);
@@ -93,7 +95,9 @@
     ForwardResult Result{.Id = 7, .Ended = Outcome::Busy};
     Result.Status = statusOf("n", 3);
     Result.Status.Times = {{Call, milliseconds(30)}, {Long, milliseconds(160)}};
+    Result.ConfigVersion = 13;
     Back = decodeMessage(encodeMessage(Result));
+    CPPUNIT_ASSERT(std::get<ForwardResult>(*Back).ConfigVersion == 13);
     CPPUNIT_ASSERT(std::get<ForwardResult>(*Back).Status.Times ==
                    Result.Status.Times);
     CPPUNIT_ASSERT(std::get<ForwardResult>(*Back).Status.Running == 3);
@@ -107,6 +111,11 @@
     Back =
         decodeMessage(encodeMessage(ResumeForward{7, 8, 9, milliseconds(700)}));
     CPPUNIT_ASSERT(std::get<ResumeForward>(*Back).SentAgo == milliseconds(700));
+    Back = decodeMessage(encodeMessage(FetchConfig{41}));
+    CPPUNIT_ASSERT(Back.ok() && std::get<FetchConfig>(*Back).Known == 41);
+    Back = decodeMessage(encodeMessage(ConfigNotice{Content->Body}));
+    CPPUNIT_ASSERT(Back.ok() &&
+                   std::get<ConfigNotice>(*Back).Document == Content->Body);
     Back = decodeMessage(encodeMessage(KeyMapNotice{9, "{}"}));
     CPPUNIT_ASSERT(std::get<KeyMapNotice>(*Back).Revision == 9);
   }
--- a/orioledoor/sidecar/config_follower.cc
+++ b/orioledoor/sidecar/config_follower.cc
@@ -1,4 +1,4 @@
-// Read, watch, and the pause between two reads.
+// Read, watch, the pause between two reads, and catching up with other nodes.
 #include "orioledoor/sidecar/config_follower.h"
 
 #include <algorithm>
@@ -6,18 +6,32 @@
 namespace orioledoor::sidecar {
 namespace {
 
+using std::chrono::milliseconds;
+
 // Pause before the next read after one that failed or found nothing, and after
 // history was lost. A change counts everywhere within 2 s; a store that keeps
 // no history costs each node a read and a watch a pause.
-constexpr Duration ReadPause = std::chrono::milliseconds(300);
+constexpr Duration ReadPause = milliseconds(300);
+// A node may hear of a version this long before its own watch brings it: a
+// pause of the watch and an answer of a store that is slowed to 240 ms.
+constexpr Duration CatchUpGrace = milliseconds(260);
+// Between the first tries to catch up; doubled up to the longest, since a
+// version that no node sends on costs a read a try.
+constexpr Duration CatchUpPause = milliseconds(300);
+constexpr Duration LongestCatchUpPause = milliseconds(4800);
+// The store is asked first: many nodes that are behind at once would load the
+// links of the few that are not.
+constexpr int TriesBeforeNodes = 1;
 
 } // namespace
 
 ConfigStep ConfigFollower::start() {
+  this->Reading = true;
   return {.Read = StoreRange{.Key = this->Key}};
 }
 
 ConfigStep ConfigFollower::replied(const StoreReply &Reply, Instant Now) {
+  this->Reading = false;
   // Without an entry the operator has not configured anything yet.
   if (!Reply.Status.ok() || Reply.Entries.empty()) {
     this->ReadAt = Now + ReadPause;
@@ -27,7 +41,7 @@
   // The revision of the last change may be older than the store's history; the
   // reply shows the entry as of its own revision.
   return {.WatchAfter = std::max(Reply.Revision, Entry.ModRevision),
-          .Taken = {Entry}};
+          .Taken = Entry};
 }
 
 ConfigStep ConfigFollower::watched(const StoreWatchUpdate &Update,
@@ -35,17 +49,54 @@
   ConfigStep Step;
   if (absl::IsOutOfRange(Update.Status))
     this->ReadAt = Now + ReadPause;
-  for (const StoreChange &Change : Update.Changes)
-    if (!Change.Deleted && Change.Entry.Key == this->Key)
-      Step.Taken.push_back(Change.Entry);
+  // Each replaces the earlier ones, and reading them takes time.
+  auto Newest = std::ranges::find_if(
+      Update.Changes.rbegin(), Update.Changes.rend(),
+      [this](const StoreChange &Change) {
+        return !Change.Deleted && Change.Entry.Key == this->Key;
+      });
+  if (Newest != Update.Changes.rend())
+    Step.Taken = Newest->Entry;
   return Step;
 }
 
+void ConfigFollower::heard(const std::string &Node, std::uint64_t Version,
+                           Instant Now) {
+  if (Version <= this->InForce || Version < this->Newest)
+    return;
+  if (!this->behind()) {
+    this->CatchUpTries = 0;
+    this->CatchUpAt = Now + CatchUpGrace;
+  }
+  this->Newest = Version;
+  // The node that spoke last is the one that can be reached.
+  this->NewestAt = Node;
+}
+
+void ConfigFollower::inForce(std::uint64_t Version, Instant Now) {
+  this->InForce = Version;
+  // Configurations that follow each other quickly arrive one by one.
+  this->CatchUpTries = 0;
+  this->CatchUpAt = Now + CatchUpGrace;
+}
+
 ConfigStep ConfigFollower::tick(Instant Now) {
-  if (!this->ReadAt || Now < *this->ReadAt)
-    return {};
+  bool Due = this->ReadAt && Now >= *this->ReadAt;
+  ConfigStep Step;
+  if (this->behind() && Now >= this->CatchUpAt) {
+    Due = true;
+    if (this->CatchUpTries >= TriesBeforeNodes)
+      Step.AskNode = this->NewestAt;
+    this->CatchUpAt =
+        Now + std::min(LongestCatchUpPause,
+                       CatchUpPause * (1 << std::min(this->CatchUpTries, 4)));
+    ++this->CatchUpTries;
+  }
+  if (!Due || this->Reading)
+    return Step;
   this->ReadAt.reset();
-  return this->start();
+  Step.Read = this->start().Read;
+  return Step;
 }
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/config_follower.h
+++ b/orioledoor/sidecar/config_follower.h
@@ -1,31 +1,36 @@
-// Follows the operator's configuration in the store: reads it, watches from
-// there, and reads again when the store has forgotten what came since.
+// Follows the operator's configuration: reads it from the store, watches from
+// there, and reads again when the store has forgotten what came since. A watch
+// alone may fail without a sign, so other nodes tell which version they have in
+// force, and a node that stays behind asks the store, then one of them.
 //
 //   ConfigFollower Config("op/config");
 //   ConfigStep Next = Config.start();
 //   Next = Config.replied(Reply, Now);       // of the read
 //   Next = Config.watched(Update, Now);
+//   Config.heard("tcp://10.1.0.9:7620", 12, Now);
 //   Next = Config.tick(Now);
+//   Config.inForce(12, Now);
 #ifndef ORIOLEDOOR_SIDECAR_CONFIG_FOLLOWER_H
 #define ORIOLEDOOR_SIDECAR_CONFIG_FOLLOWER_H
 
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "orioledoor/store/store_types.h"
 
 namespace orioledoor::sidecar {
 
-// What the shell is to do.
+// What is to be done next.
 struct ConfigStep {
   // Read this; the reply goes to replied().
   std::optional<StoreRange> Read{};
   // Watch the key after this revision.
   std::optional<std::int64_t> WatchAfter{};
-  // Configurations to take over, oldest first.
-  std::vector<StoreEntry> Taken{};
+  // A configuration to take over.
+  std::optional<StoreEntry> Taken{};
+  // Ask this node for its configuration.
+  std::optional<std::string> AskNode{};
 };
 
 // Not thread-safe; no clock or socket.
@@ -36,13 +41,31 @@
   ConfigStep start();
   ConfigStep replied(const StoreReply &Reply, Instant Now);
   ConfigStep watched(const StoreWatchUpdate &Update, Instant Now);
+  // Node has this version in force.
+  void heard(const std::string &Node, std::uint64_t Version, Instant Now);
+  // This node has this version in force now.
+  void inForce(std::uint64_t Version, Instant Now);
   // Call at least every 100 ms.
   ConfigStep tick(Instant Now);
 
+  // Another node has a newer version in force.
+  bool behind() const { return this->Newest > this->InForce; }
+  // The newest version that this node heard of, and from whom.
+  std::uint64_t newest() const { return this->Newest; }
+  const std::string &newestAt() const { return this->NewestAt; }
+
 private:
   std::string Key;
+  // A read is open.
+  bool Reading = false;
   // When to read; empty while a read or a watch is open.
   std::optional<Instant> ReadAt;
+  std::uint64_t InForce = 0;
+  std::uint64_t Newest = 0;
+  std::string NewestAt;
+  // While behind: when the next try to catch up is made, and how many were.
+  Instant CatchUpAt;
+  int CatchUpTries = 0;
 };
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/config_follower_test.cc
+++ b/orioledoor/sidecar/config_follower_test.cc
@@ -16,6 +16,10 @@
   CPPUNIT_TEST(watchesFromTheReadAndNotFromTheLastChange);
   CPPUNIT_TEST(pausesWhenTheHistoryIsGone);
   CPPUNIT_TEST(asksAgainUntilThereIsAConfiguration);
+  CPPUNIT_TEST(takesOnlyTheNewestOfManyChanges);
+  CPPUNIT_TEST(catchesUpWhenOtherNodesAreAhead);
+  CPPUNIT_TEST(waitsForItsOwnWatchFirst);
+  CPPUNIT_TEST(asksLessAndLessForAVersionThatNobodySends);
   CPPUNIT_TEST(membersPauseWhenTheHistoryIsGone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -28,14 +32,13 @@
     ConfigStep Step = this->Config.replied(
         {.Entries = {{Key, "one", 7}}, .Revision = 400}, this->Now);
     CPPUNIT_ASSERT(Step.WatchAfter == 400);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Step.Taken.size());
+    CPPUNIT_ASSERT(Step.Taken && Step.Taken->Value == "one");
     Step = this->Config.watched({.Changes = {{{Key, "two", 401}, false},
                                              {{"op/other", "x", 402}, false},
                                              {{Key, "", 403}, true}},
                                  .Revision = 403},
                                 this->Now);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Step.Taken.size());
-    CPPUNIT_ASSERT_EQUAL(std::string("two"), Step.Taken[0].Value);
+    CPPUNIT_ASSERT(Step.Taken && Step.Taken->Value == "two");
   }
 
   void pausesWhenTheHistoryIsGone() {
@@ -55,6 +58,67 @@
     CPPUNIT_ASSERT(this->Config.tick(this->Now + milliseconds(300)).Read);
   }
 
+  // Pattern: a storm of changes, or a cut during several. Reading hundreds of
+  // routes takes a weak VM longer than the next change takes to come.
+  void takesOnlyTheNewestOfManyChanges() {
+    ConfigStep Step =
+        this->Config.watched({.Changes = {{{Key, "two", 401}, false},
+                                          {{Key, "three", 402}, false},
+                                          {{"op/other", "x", 403}, false}},
+                              .Revision = 403},
+                             this->Now);
+    CPPUNIT_ASSERT(Step.Taken && Step.Taken->Value == "three");
+  }
+
+  // Guards against a node whose watch fails without a sign: it learns from the
+  // requests and results of others that it is behind, asks the store, and, if
+  // that does not answer either, the node that spoke last.
+  void catchesUpWhenOtherNodesAreAhead() {
+    this->Config.inForce(4, this->Now);
+    this->Config.heard("a", 7, this->Now);
+    this->Config.heard("b", 7, this->Now + milliseconds(100));
+    this->Config.heard("c", 6, this->Now + milliseconds(200));
+    CPPUNIT_ASSERT(this->Config.behind());
+    ConfigStep Step = this->Config.tick(this->Now + milliseconds(260));
+    CPPUNIT_ASSERT(Step.Read && !Step.AskNode);
+    StoreReply Failed{.Status = absl::UnavailableError("no connection")};
+    this->Config.replied(Failed, this->Now + milliseconds(500));
+    Step = this->Config.tick(this->Now + milliseconds(560));
+    CPPUNIT_ASSERT(Step.AskNode == "b");
+    this->Config.inForce(7, this->Now + milliseconds(580));
+    CPPUNIT_ASSERT(!this->Config.behind());
+    CPPUNIT_ASSERT(!this->Config.tick(this->Now + milliseconds(5000)).AskNode);
+  }
+
+  // Guards against reads by every node at every change: in calm times others
+  // have a version some milliseconds earlier.
+  void waitsForItsOwnWatchFirst() {
+    for (std::uint64_t Version = 5; Version < 25; ++Version) {
+      this->Config.heard("a", Version, this->Now);
+      this->Now = this->Now + milliseconds(60);
+      ConfigStep Step = this->Config.tick(this->Now);
+      CPPUNIT_ASSERT(!Step.Read && !Step.AskNode);
+      // The watch is one change behind all the while.
+      this->Config.inForce(Version - 1, this->Now);
+    }
+  }
+
+  // Guards against calls without end for a version that was never written.
+  void asksLessAndLessForAVersionThatNobodySends() {
+    this->Config.heard("a", 99, this->Now);
+    int Reads = 0;
+    for (int Turn = 0; Turn < 20 * 50; ++Turn) {
+      this->Now = this->Now + milliseconds(20);
+      ConfigStep Step = this->Config.tick(this->Now);
+      if (!Step.Read)
+        continue;
+      ++Reads;
+      this->Config.replied({.Entries = {{Key, "old", 7}}, .Revision = 9},
+                           this->Now);
+    }
+    CPPUNIT_ASSERT(Reads <= 9);
+  }
+
   // The same for the entries of nodes, which are a page or more.
   void membersPauseWhenTheHistoryIsGone() {
     NodeEntry Self;
--- a/orioledoor/sidecar/effect.h
+++ b/orioledoor/sidecar/effect.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "orioledoor/routing/effect.h"
+#include "orioledoor/routing/route_table.h"
 #include "orioledoor/routing/target_report.h"
 #include "orioledoor/store/store_types.h"
 
@@ -34,15 +35,34 @@
 struct PaceWatch {
   Duration Pause{0};
 };
+// ConfigReplied follows.
+struct ReadConfig {
+  StoreRange Range{};
+};
+// Watches the configuration after Revision; ConfigWatched follows.
+struct WatchConfig {
+  std::int64_t Revision = 0;
+};
+// ConfigRead follows if the document is a configuration.
+struct DecodeConfig {
+  std::string Document{};
+  // The node that sent it; empty if it is from the store.
+  std::string Node{};
+};
+// A configuration came into force.
+struct ApplyLimits {
+  routing::CallerLimits Limits{};
+};
 // Takes no new connections of callers; those that are open end with their
 // next answer.
 struct StopAccepting {};
 // Ends the process.
 struct Exit {};
 
-using Effect = std::variant<ReplyToCaller, SendMessage, StartCall, CancelCall,
-                            LogRecord, AnswerReport, CallStore, WatchStore,
-                            PaceWatch, StopAccepting, Exit>;
+using Effect =
+    std::variant<ReplyToCaller, SendMessage, StartCall, CancelCall, LogRecord,
+                 AnswerReport, CallStore, WatchStore, PaceWatch, ReadConfig,
+                 WatchConfig, DecodeConfig, ApplyLimits, StopAccepting, Exit>;
 using Effects = std::vector<Effect>;
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/event.h
+++ b/orioledoor/sidecar/event.h
@@ -55,8 +55,18 @@
 struct TargetLeft {
   std::string Instance{};
 };
+// The reply to ReadConfig.
+struct ConfigReplied {
+  StoreReply Reply{};
+};
+struct ConfigWatched {
+  StoreWatchUpdate Update{};
+};
+// A configuration was decoded.
 struct ConfigRead {
   routing::SharedTable Table{};
+  // The node that sent it; empty if it is from the store.
+  std::string Node{};
 };
 struct StoreReplied {
   StoreReply Reply{};
@@ -75,8 +85,8 @@
 using Event =
     std::variant<Started, CallerCame, CallerWent, PeerSpoke, ForwardNotSent,
                  PeerBroke, TargetAnswered, TargetFailed, TargetReported,
-                 TargetLeft, ConfigRead, StoreReplied, StoreWatched,
-                 SettingsRead, StopAsked, Ticked>;
+                 TargetLeft, ConfigReplied, ConfigWatched, ConfigRead,
+                 StoreReplied, StoreWatched, SettingsRead, StopAsked, Ticked>;
 
 } // namespace orioledoor::sidecar
 
--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -29,6 +29,12 @@
 inline constexpr EventDefinition EntryUnreadable{
     4114, Severity::Warn, "ENTRY_UNREADABLE",
     "an entry in the store cannot be read"};
+inline constexpr EventDefinition ConfigBehind{
+    4115, Severity::Warn, "CONFIG_BEHIND",
+    "another node has had a newer configuration in force for a while"};
+inline constexpr EventDefinition ConfigSent{
+    4116, Severity::Info, "CONFIG_SENT",
+    "a node that is behind was sent the configuration in force"};
 inline constexpr EventDefinition StoreLost{4121, Severity::Warn, "STORE_LOST",
                                            "the store does not answer"};
 inline constexpr EventDefinition StoreRegained{
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -47,6 +47,9 @@
 // within a second. One that keys are coming to is answered when they are there,
 // at the latest after this: otherwise they wait for its next report.
 constexpr Duration HoldBackTime = milliseconds(600);
+// A configuration that is sent to a node takes at most this part of the link's
+// time; the rest is for requests.
+constexpr int ConfigLinkDivisor = 4;
 // Until the members are known, a node's part of the constant allowance.
 constexpr double UnknownFleet = 30;
 
@@ -66,6 +69,7 @@
 SidecarReducer::SidecarReducer(SidecarOptions Given)
     : Options(std::move(Given)),
       Directory(this->Options.Place, this->Options.Node),
+      Config(this->Options.ConfigKey),
       Members(selfEntry(this->Options), this->Options.Members),
       Keys(this->Options.Keys, this->Members),
       Gate({.Node = this->Options.Node,
@@ -120,6 +124,8 @@
 
 void SidecarReducer::route(Effect Asked, Instant Now, Effects &Done) {
   auto *Sent = std::get_if<SendMessage>(&Asked);
+  if (Sent)
+    this->stampConfig(Sent->Body);
   if (!Sent || (!Sent->To.empty() && Sent->To != this->Options.Node)) {
     Done.push_back(std::move(Asked));
     return;
@@ -220,6 +226,7 @@
   MembershipOutput Output;
   this->Members.start(Now, Output);
   this->take(std::move(Output), Now);
+  this->take(this->Config.start());
 }
 
 void SidecarReducer::on(CallerCame Came, Instant Now) {
@@ -251,6 +258,7 @@
 void SidecarReducer::receive(const std::string &From, Message Body,
                              Instant Now) {
   if (auto *Request = std::get_if<routing::Forward>(&Body)) {
+    this->heardConfig(From, Request->ConfigVersion, Now);
     routing::KeyState Key = routing::KeyState::NotKeyed;
     if (Request->Key != routing::NoKey) {
       auto Number = static_cast<std::uint32_t>(Request->Key);
@@ -262,6 +270,7 @@
     }
     this->Gate.forward(From, std::move(*Request), Key, Now, this->Path);
   } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
+    this->heardConfig(From, Result->ConfigVersion, Now);
     this->Directory.update(Result->Status, Now);
     this->Entry.result(From, std::move(*Result), Now, this->Path);
   } else if (auto *Asked = std::get_if<routing::FetchBody>(&Body)) {
@@ -282,9 +291,70 @@
   } else if (auto *Owners = std::get_if<routing::KeyMapNotice>(&Body)) {
     if (this->Keys.told(*Owners, this->Out))
       this->ownersChanged(Now);
+  } else if (auto *Behind = std::get_if<routing::FetchConfig>(&Body)) {
+    this->sendConfig(From, *Behind, Now);
+  } else if (auto *Newer = std::get_if<routing::ConfigNotice>(&Body)) {
+    this->Out.push_back(DecodeConfig{std::move(Newer->Document), From});
   }
 }
 
+void SidecarReducer::stampConfig(Message &Body) const {
+  std::uint64_t Version =
+      this->Entry.table() ? this->Entry.table()->Version : 0;
+  if (auto *Request = std::get_if<routing::Forward>(&Body))
+    Request->ConfigVersion = Version;
+  else if (auto *Result = std::get_if<routing::ForwardResult>(&Body))
+    Result->ConfigVersion = Version;
+}
+
+void SidecarReducer::heardConfig(const std::string &From, std::uint64_t Version,
+                                 Instant Now) {
+  if (From == this->Options.Node)
+    return;
+  this->Config.heard(From, Version, Now);
+  this->Entry.awaitTable(this->Config.behind());
+}
+
+void SidecarReducer::sendConfig(const std::string &To,
+                                const routing::FetchConfig &Asked,
+                                Instant Now) {
+  const routing::SharedTable &Table = this->Entry.table();
+  // Who gets no answer asks again, this node or another one.
+  if (!Table || Table->Version <= Asked.Known || Now < this->ConfigSendAt)
+    return;
+  if (this->Options.LinkBytesPerSecond > 0)
+    this->ConfigSendAt =
+        Now + Duration(static_cast<std::int64_t>(
+                  static_cast<double>(Table->Document.size()) * 1e6 *
+                  ConfigLinkDivisor / this->Options.LinkBytesPerSecond));
+  this->Out.push_back(
+      LogRecord{&events::ConfigSent,
+                {{"peer", To},
+                 {"known", std::to_string(Asked.Known)},
+                 {"version", std::to_string(Table->Version)},
+                 {"bytes", std::to_string(Table->Document.size())}}});
+  this->Out.push_back(SendMessage{To, routing::ConfigNotice{Table->Document}});
+}
+
+void SidecarReducer::take(ConfigStep Step) {
+  if (Step.Taken)
+    this->Out.push_back(DecodeConfig{std::move(Step.Taken->Value), ""});
+  if (Step.Read)
+    this->Out.push_back(ReadConfig{*std::move(Step.Read)});
+  if (Step.WatchAfter)
+    this->Out.push_back(WatchConfig{*Step.WatchAfter});
+  if (!Step.AskNode)
+    return;
+  const routing::SharedTable &Table = this->Entry.table();
+  std::uint64_t Known = Table ? Table->Version : 0;
+  this->Out.push_back(
+      LogRecord{&events::ConfigBehind,
+                {{"in_force", std::to_string(Known)},
+                 {"newest", std::to_string(this->Config.newest())},
+                 {"at", *Step.AskNode}}});
+  this->Out.push_back(SendMessage{*Step.AskNode, routing::FetchConfig{Known}});
+}
+
 void SidecarReducer::on(const ForwardNotSent &NotSent, Instant Now) {
   this->Entry.notSent(NotSent.To, NotSent.Id, Now, this->Path);
 }
@@ -346,22 +416,36 @@
   this->publish(Now);
 }
 
-void SidecarReducer::on(ConfigRead Read, Instant) {
+void SidecarReducer::on(const ConfigReplied &Replied, Instant Now) {
+  this->take(this->Config.replied(Replied.Reply, Now));
+}
+
+void SidecarReducer::on(const ConfigWatched &Watched, Instant Now) {
+  this->take(this->Config.watched(Watched.Update, Now));
+}
+
+void SidecarReducer::on(ConfigRead Read, Instant Now) {
+  std::string Source = Read.Node.empty() ? "store" : Read.Node;
   const routing::SharedTable &Known = this->Entry.table();
   if (Known && Read.Table->Version <= Known->Version) {
     if (Read.Table->Version < Known->Version)
       this->Out.push_back(
           LogRecord{&events::ConfigRefused,
                     {{"version", std::to_string(Read.Table->Version)},
-                     {"in_force", std::to_string(Known->Version)}}});
+                     {"in_force", std::to_string(Known->Version)},
+                     {"from", std::move(Source)}}});
     return;
   }
   this->Out.push_back(
       LogRecord{&events::ConfigInForce,
                 {{"version", std::to_string(Read.Table->Version)},
                  {"before", std::to_string(Known ? Known->Version : 0)},
-                 {"routes", std::to_string(Read.Table->routes().size())}}});
+                 {"routes", std::to_string(Read.Table->routes().size())},
+                 {"from", std::move(Source)}}});
+  this->Config.inForce(Read.Table->Version, Now);
+  this->Out.push_back(ApplyLimits{Read.Table->Limits});
   this->Entry.setTable(std::move(Read.Table));
+  this->Entry.awaitTable(this->Config.behind());
 }
 
 void SidecarReducer::on(const StoreReplied &Replied, Instant Now) {
@@ -455,6 +539,7 @@
                                 static_cast<double>(Service.count()),
                             Now, this->Out);
   }
+  this->take(this->Config.tick(Now));
   this->publish(Now);
   this->Keys.tick(this->Entry.table(), Now, this->Out);
   this->paceWatch();
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -14,6 +14,7 @@
 #include "orioledoor/routing/entry.h"
 #include "orioledoor/routing/target_directory.h"
 #include "orioledoor/routing/target_gate.h"
+#include "orioledoor/sidecar/config_follower.h"
 #include "orioledoor/sidecar/effect.h"
 #include "orioledoor/sidecar/event.h"
 #include "orioledoor/sidecar/key_office.h"
@@ -33,6 +34,8 @@
   Duration StopGrace = std::chrono::seconds(6);
   // The link of this VM; 0: not known.
   double LinkBytesPerSecond = 0;
+  // Store key of the operator's configuration.
+  std::string ConfigKey;
   // Over the whole fleet, in one window.
   double RetryRatio = 0.2;
   double RetryExtra = 60;
@@ -71,6 +74,8 @@
   void on(const TargetFailed &Failed, Instant Now);
   void on(TargetReported Reported, Instant Now);
   void on(const TargetLeft &Left, Instant Now);
+  void on(const ConfigReplied &Replied, Instant Now);
+  void on(const ConfigWatched &Watched, Instant Now);
   void on(ConfigRead Read, Instant Now);
   void on(const StoreReplied &Replied, Instant Now);
   void on(const StoreWatched &Watched, Instant Now);
@@ -79,6 +84,13 @@
   void on(Ticked, Instant Now);
 
   void receive(const std::string &From, routing::Message Body, Instant Now);
+  void take(ConfigStep Step);
+  // Says in requests and results which configuration is in force here.
+  void stampConfig(routing::Message &Body) const;
+  // From has this version of the configuration in force.
+  void heardConfig(const std::string &From, std::uint64_t Version, Instant Now);
+  void sendConfig(const std::string &To, const routing::FetchConfig &Asked,
+                  Instant Now);
   // Joins Path and Out, delivering this node's messages to itself.
   void settle(Instant Now);
   void route(Effect Asked, Instant Now, Effects &Done);
@@ -95,6 +107,9 @@
 
   SidecarOptions Options;
   routing::TargetDirectory Directory;
+  ConfigFollower Config;
+  // When the link has room for another configuration to a node.
+  Instant ConfigSendAt;
   Membership Members;
   KeyOffice Keys;
   routing::TargetGate Gate;
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -30,7 +30,9 @@
 
 class Fixture {
 public:
-  Fixture() : Node(options()) { this->feed(Started{}); }
+  explicit Fixture(const SidecarOptions &Given = options()) : Node(Given) {
+    this->feed(Started{});
+  }
 
   void feed(Event Happened) {
     this->Out = this->Node.handle(std::move(Happened), this->Now);
@@ -51,6 +53,23 @@
         return Found;
     return nullptr;
   }
+  template <typename T> const T *findMessage() const {
+    for (const Effect &Each : this->Out)
+      if (const auto *Sent = std::get_if<SendMessage>(&Each))
+        if (const auto *Found = std::get_if<T>(&Sent->Body))
+          return Found;
+    return nullptr;
+  }
+  // What a request gets for which there is no route.
+  int statusOf(std::uint64_t Caller) {
+    this->feed(
+        CallerCame{{.Caller = Caller,
+                    .AttemptId = "a",
+                    .Content = std::make_shared<routing::RequestContent>()}});
+    const auto *Reply = this->find<ReplyToCaller>();
+    CPPUNIT_ASSERT(Reply);
+    return Reply->Answer.Status;
+  }
   // Answers the open store call.
   void reply(StoreReply Reply) {
     const auto *Call = this->find<CallStore>();
@@ -110,6 +129,8 @@
   CPPUNIT_TEST(refusesWhatComesLateInTheStop);
   CPPUNIT_TEST(holdsAnAnswerBackForKeys);
   CPPUNIT_TEST(neverGoesBackToAnOlderConfiguration);
+  CPPUNIT_TEST(takesAConfigurationFromAnotherNode);
+  CPPUNIT_TEST(keepsALinkFreeOfConfigurations);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -208,6 +229,75 @@
     F.feed(ConfigRead{Older});
     CPPUNIT_ASSERT(F.Node.entry().table()->Version == 9);
   }
+
+  // Guards against a VM that the store turns away for seconds and that answers
+  // 404 for routes which every other node serves.
+  void takesAConfigurationFromAnotherNode() {
+    Fixture Ahead;
+    Ahead.join();
+    auto Newer = tableOf(9);
+    Ahead.feed(ConfigRead{Newer});
+    Fixture Behind;
+    Behind.join();
+    CPPUNIT_ASSERT_EQUAL(404, Behind.statusOf(1));
+    // Any request or result says which version its sender has in force.
+    routing::Forward Request;
+    Request.Content = std::make_shared<routing::RequestContent>();
+    Behind.feed(PeerSpoke{Other, Request});
+    const auto *Refused = Behind.find<SendMessage>();
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{1},
+        std::get<routing::ForwardResult>(Refused->Body).ConfigVersion);
+    Request.ConfigVersion = 9;
+    Behind.feed(PeerSpoke{Other, Request});
+    CPPUNIT_ASSERT_EQUAL(503, Behind.statusOf(2));
+    Behind.pass(milliseconds(700));
+    const auto *Asked = Behind.findMessage<routing::FetchConfig>();
+    CPPUNIT_ASSERT(Asked && Asked->Known == 1);
+    Ahead.feed(PeerSpoke{Other, *Asked});
+    const auto *Notice = Ahead.findMessage<routing::ConfigNotice>();
+    CPPUNIT_ASSERT(Notice && Notice->Document == Newer->Document);
+    Behind.feed(PeerSpoke{Other, *Notice});
+    const auto *Document = Behind.find<DecodeConfig>();
+    CPPUNIT_ASSERT(Document && Document->Document == Newer->Document &&
+                   Document->Node == Other);
+    Behind.feed(ConfigRead{Newer, Other});
+    CPPUNIT_ASSERT(Behind.find<ApplyLimits>());
+    CPPUNIT_ASSERT(Behind.Node.entry().table()->Version == 9);
+    CPPUNIT_ASSERT_EQUAL(404, Behind.statusOf(3));
+    // What is not newer is neither sent nor taken.
+    Ahead.feed(PeerSpoke{Other, routing::FetchConfig{9}});
+    CPPUNIT_ASSERT(!Ahead.findMessage<routing::ConfigNotice>());
+    Behind.feed(ConfigRead{tableOf(8), Other});
+    CPPUNIT_ASSERT(!Behind.find<ApplyLimits>());
+  }
+
+  // Pattern: many nodes are behind after a cut, and one whose link has 1 MB/s
+  // is ahead. Its requests must not wait for configurations.
+  void keepsALinkFreeOfConfigurations() {
+    SidecarOptions Slow = options();
+    Slow.LinkBytesPerSecond = 1e6;
+    Fixture F(Slow);
+    F.join();
+    auto Table = tableOf(9);
+    Table->Document = std::string(100'000, 'x');
+    F.feed(ConfigRead{Table});
+    int Sent = 0;
+    for (int Turn = 0; Turn < 40; ++Turn) {
+      F.feed(PeerSpoke{Other, routing::FetchConfig{1}});
+      Sent += F.findMessage<routing::ConfigNotice>() ? 1 : 0;
+      F.pass(milliseconds(20));
+    }
+    CPPUNIT_ASSERT_EQUAL(2, Sent);
+  }
+
+private:
+  static std::shared_ptr<routing::RouteTable> tableOf(std::uint64_t Version) {
+    auto Table = std::make_shared<routing::RouteTable>();
+    Table->Version = Version;
+    Table->Document = "document " + std::to_string(Version);
+    return Table;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReducerTest);
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -16,7 +16,6 @@
 #include "orioledoor/platform/report_codec.h"
 #include "orioledoor/platform/request_codec.h"
 #include "orioledoor/routing/message_codec.h"
-#include "orioledoor/sidecar/config_follower.h"
 #include "orioledoor/sidecar/events.h"
 #include "orioledoor/sidecar/log_limiter.h"
 #include "orioledoor/sidecar/reducer.h"
@@ -76,6 +75,7 @@
   Options.Process = newProcessId();
   Options.Place = {Settings.FailureDomain, Settings.Region};
   Options.Service = Settings.Service;
+  Options.ConfigKey = platform::names::ConfigKey;
   Options.DrainTime = Settings.DrainTime;
   Options.StopGrace = Settings.StopGrace;
   Options.LinkBytesPerSecond = Settings.LinkMbps * BytesPerMbit;
@@ -97,7 +97,6 @@
   AnswerMetrics Answers{Metrics, StatusLabel::Exact};
   SidecarReducer Reducer;
   platform::PlatformStore Store;
-  ConfigFollower Config{platform::names::ConfigKey};
   wire::HttpClient TargetClient;
   std::unique_ptr<wire::PeerTransport> Peers;
   std::unique_ptr<wire::HttpServer> Outbound;
@@ -250,37 +249,38 @@
   // Configuration
   // --------------------------------------------------------------
 
-  void carryOut(ConfigStep Step) {
-    for (const StoreEntry &Entry : Step.Taken)
-      this->takeConfig(Entry);
-    if (Step.Read)
-      this->Store.call(
-          {.Body = *std::move(Step.Read)}, [this](const StoreReply &Reply) {
-            this->carryOut(this->Config.replied(Reply, readClock()));
-          });
-    if (Step.WatchAfter)
-      this->Store.watch(platform::names::ConfigKey, *Step.WatchAfter,
-                        [this](const StoreWatchUpdate &Update) {
-                          this->carryOut(
-                              this->Config.watched(Update, readClock()));
-                        });
+  void carryOut(ReadConfig Asked) {
+    this->Store.call({.Body = std::move(Asked.Range)},
+                     [this](StoreReply Reply) {
+                       this->feed(ConfigReplied{std::move(Reply)});
+                     });
   }
 
-  void takeConfig(const StoreEntry &Entry) {
-    if (Entry.Key != platform::names::ConfigKey)
-      return;
+  void carryOut(const WatchConfig &Asked) {
+    this->Store.watch(platform::names::ConfigKey, Asked.Revision,
+                      [this](StoreWatchUpdate Update) {
+                        this->feed(ConfigWatched{std::move(Update)});
+                      });
+  }
+
+  void carryOut(DecodeConfig Asked) {
     absl::StatusOr<routing::RouteTable> Table =
-        platform::decodeConfig(Entry.Value);
+        platform::decodeConfig(Asked.Document);
     if (!Table.ok()) {
       this->write({&events::ConfigRefused,
-                   {{"revision", std::to_string(Entry.ModRevision)},
+                   {{"from", Asked.Node.empty() ? "store" : Asked.Node},
                     {"why", std::string(Table.status().message())}}});
       return;
     }
+    this->feed(ConfigRead{
+        std::make_shared<const routing::RouteTable>(*std::move(Table)),
+        std::move(Asked.Node)});
+  }
+
+  void carryOut(const ApplyLimits &Asked) {
     auto Seconds = std::chrono::duration_cast<std::chrono::seconds>(
-        Table->Limits.IdleTimeout);
+        Asked.Limits.IdleTimeout);
     this->Outbound->setIdleTimeout(Seconds + std::chrono::seconds(1));
-    this->feed(ConfigRead{std::make_shared<const routing::RouteTable>(*Table)});
   }
 
   // Time and pages
@@ -289,7 +289,6 @@
   void tick() {
     Instant Now = readClock();
     this->feed(Ticked{});
-    this->carryOut(this->Config.tick(Now));
     this->Peers->tick(Now);
     if (Now - this->DropsReportedAt < DropReportInterval)
       return;
@@ -431,7 +430,6 @@
                   {"failure_domain", this->Settings.FailureDomain},
                   {"service", this->Settings.Service}}});
     this->feed(Started{});
-    this->carryOut(this->Config.start());
     return absl::OkStatus();
   }
 };
