Read requests of nodes that do not state their configuration

The version stood in the middle of Forward and was required, so that while a fleet is updated nodes of two releases would refuse each other's requests. It stands last now and may be missing; the release before ignores it.

readsRequestsOfTheReleaseBefore failed with the field where it was.

--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -87,6 +87,11 @@
     Value = this->take().as<T>();
     return *this;
   }
+  // For fields that earlier releases do not send; they stand last.
+  template <typename T> void readIfPresent(T &Value) {
+    if (this->Next != this->End)
+      *this >> Value;
+  }
   FieldReader &operator>>(Duration &Value) {
     Value = Duration(this->take().as<std::int64_t>());
     return *this;
@@ -159,8 +164,8 @@
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
         << Value.WorthwhileWait << Value.Work << Value.WithheldBytes
-        << Value.ConfigVersion << Value.Content->Method << Value.Content->Target
-        << Value.Content->Host << Value.Content->Headers << Value.Content->Body;
+        << Value.Content->Method << Value.Content->Target << Value.Content->Host
+        << Value.Content->Headers << Value.Content->Body << Value.ConfigVersion;
   }
   void operator()(const ForwardResult &Value) const {
     start(this->Out, this->Sent, 8 + StatusFields)
@@ -210,8 +215,9 @@
       Value.CallerService >> Value.TimeLeft >> Value.LatencyLeft >> Value.Key >>
       Value.Priority >> Value.Idempotent >> Value.LastChoice >>
       Value.WorthwhileWait >> Value.Work >> Value.WithheldBytes >>
-      Value.ConfigVersion >> Content->Method >> Content->Target >>
-      Content->Host >> Content->Headers >> Content->Body;
+      Content->Method >> Content->Target >> Content->Host >> Content->Headers >>
+      Content->Body;
+  In.readIfPresent(Value.ConfigVersion);
   Value.Content = std::move(Content);
   return Value;
 }
@@ -220,7 +226,8 @@
   ForwardResult Value;
   In >> Value.Id >> Value.Ended >> Value.Detail >> Value.RetryAfter >>
       Value.Answer.Status >> Value.Answer.Headers >> Value.Answer.Body >>
-      Value.Status >> Value.ConfigVersion;
+      Value.Status;
+  In.readIfPresent(Value.ConfigVersion);
   return Value;
 }
 
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -52,6 +52,7 @@
 class RoutingPartsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RoutingPartsTest);
   CPPUNIT_TEST(messagesSurviveTheWire);
+  CPPUNIT_TEST(readsRequestsOfTheReleaseBefore);
   CPPUNIT_TEST(refusesBytesThatAreNoMessage);
   CPPUNIT_TEST(budgetBoundsRetriesInAnyWindow);
   CPPUNIT_TEST(uploadsStayNear);
@@ -120,6 +121,23 @@
     CPPUNIT_ASSERT(std::get<KeyMapNotice>(*Back).Revision == 9);
   }
 
+  // Guards against a fleet in which nodes of two releases refuse each other's
+  // requests while it is updated.
+  void readsRequestsOfTheReleaseBefore() {
+    Forward Sent{.Id = 7, .Process = 8, .Service = "s", .AttemptId = "a"};
+    Sent.Content = std::make_shared<RequestContent>();
+    // The version is the last byte; the first three state the array's length.
+    std::string Bytes = encodeMessage(Sent);
+    CPPUNIT_ASSERT_EQUAL('\xdc', Bytes[0]);
+    CPPUNIT_ASSERT_EQUAL('\x00', Bytes.back());
+    Bytes.pop_back();
+    --Bytes[2];
+    auto Back = decodeMessage(Bytes);
+    CPPUNIT_ASSERT(Back.ok());
+    CPPUNIT_ASSERT(std::get<Forward>(*Back).Id == 7);
+    CPPUNIT_ASSERT(std::get<Forward>(*Back).ConfigVersion == 0);
+  }
+
   void refusesBytesThatAreNoMessage() {
     CPPUNIT_ASSERT(!decodeMessage("").ok());
     CPPUNIT_ASSERT(!decodeMessage("\x91\x63").ok());
