Treat null as absent in optional fields of a configuration

One route with "attempts": null made a node refuse the whole configuration and stay with the earlier one (CONFIG_REFUSED).

takesNullForAbsent failed before and passes now.

--- a/orioledoor/platform/config_codec.cc
+++ b/orioledoor/platform/config_codec.cc
@@ -34,10 +34,14 @@
   return Version;
 }
 
+// The field's value; Default if it is absent or null.
+template <typename T> T readOr(const json &In, const char *Field, T Default) {
+  auto Found = In.find(Field);
+  return Found == In.end() || Found->is_null() ? Default : Found->get<T>();
+}
+
 milliseconds readMillis(const json &In, const char *Field) {
-  if (!In.contains(Field) || In.at(Field).is_null())
-    return milliseconds(0);
-  return milliseconds(static_cast<std::int64_t>(In.at(Field).get<double>()));
+  return milliseconds(static_cast<std::int64_t>(readOr<double>(In, Field, 0)));
 }
 
 std::vector<routing::WeightedService> readServices(const json &In) {
@@ -58,7 +62,7 @@
 
 Route readRoute(const std::string &Host, const json &In) {
   Route Result;
-  Result.Name = In.value("name", "");
+  Result.Name = readOr<std::string>(In, "name", "");
   Result.Host = Host;
   Result.Prefix = In.at("pathPrefix").get<std::string>();
   if (!Result.Prefix.starts_with('/') || !Result.Prefix.ends_with('/'))
@@ -68,8 +72,8 @@
   Result.Idempotent = In.at("kind").get<std::string>() == "safe";
   Result.Timeout = readMillis(In, "timeoutMs");
   Result.TargetLatency = readMillis(In, "targetLatencyMs");
-  Result.Priority = In.value("priority", DefaultPriority);
-  Result.Attempts = std::max(1, In.value("attempts", 1));
+  Result.Priority = readOr(In, "priority", DefaultPriority);
+  Result.Attempts = std::max(1, readOr(In, "attempts", 1));
   return Result;
 }
 
@@ -79,17 +83,17 @@
   for (const json &Each : In.at("services")) {
     routing::ServicePolicy Policy;
     Policy.Name = Each.at("name").get<std::string>();
-    Policy.HealthPath = Each.value("healthPath", "/health");
-    Policy.MaxConnections = Each.value("maxConnections", 0U);
-    Policy.Partitioned = Each.value("partitioned", false);
+    Policy.HealthPath = readOr<std::string>(Each, "healthPath", "/health");
+    Policy.MaxConnections = readOr(Each, "maxConnections", 0U);
+    Policy.Partitioned = readOr(Each, "partitioned", false);
     Table.Services.emplace(Policy.Name, Policy);
   }
-  if (In.contains("limits")) {
+  if (In.contains("limits") && !In.at("limits").is_null()) {
     const json &Limits = In.at("limits");
     Table.Limits.MaxHeaderBytes =
-        Limits.value("maxHeaderBytes", Table.Limits.MaxHeaderBytes);
+        readOr(Limits, "maxHeaderBytes", Table.Limits.MaxHeaderBytes);
     Table.Limits.MaxBodyBytes =
-        Limits.value("maxBodyBytes", Table.Limits.MaxBodyBytes);
+        readOr(Limits, "maxBodyBytes", Table.Limits.MaxBodyBytes);
     if (auto Time = readMillis(Limits, "headerTimeoutMs"); Time.count() > 0)
       Table.Limits.HeaderTimeout = Time;
     if (auto Time = readMillis(Limits, "idleTimeoutMs"); Time.count() > 0)
--- a/orioledoor/platform/platform_codec_test.cc
+++ b/orioledoor/platform/platform_codec_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(refusesForeignReports);
   CPPUNIT_TEST(writesReportAnswer);
   CPPUNIT_TEST(readsConfig);
+  CPPUNIT_TEST(takesNullForAbsent);
   CPPUNIT_TEST(refusesWrongConfigs);
   CPPUNIT_TEST(readsRequestHeaders);
   CPPUNIT_TEST(setsTargetHeaders);
@@ -132,6 +133,17 @@
     CPPUNIT_ASSERT(!Read->find("other.example", "/lepu270/2f"));
   }
 
+  // Guards against a configuration that is refused as a whole because a field
+  // that may be missing is there without a value.
+  void takesNullForAbsent() {
+    for (const auto &[From, To] :
+         std::vector<std::pair<std::string, std::string>>{
+             {R"("attempts":2})", R"("attempts":null})"},
+             {R"("priority":2)", R"("priority":null)"},
+             {R"("healthPath":"/health")", R"("healthPath":null)"}})
+      CPPUNIT_ASSERT_MESSAGE(To, decodeConfig(replaced(Config, From, To)).ok());
+  }
+
   void refusesWrongConfigs() {
     const std::vector<std::pair<std::string, std::string>> Changes = {
         {R"("version":"0000000c")", R"("version":"")"},
