Keep the shares of a route through changes of the configuration

What callers would see: while configurations follow each other, or on a route with few requests a node, one part of a trafficSplit gets all of them. Shares began anew with each configuration, and the first request went to the part with the largest weight on every node: 0 of 200 requests went to a part with a weight of 10, 20 are due; 0 of 216 in a fleet of 72 with three requests a node, 22 are due.

Change: ServiceShares keeps the cycle of a route while its parts stay the same, and each node begins at another point of the cycle.

keepsSharesThroughChangesOfTheConfiguration and sharesOfAFleetFollowTheWeights failed before (0 in both) and pass now.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -76,11 +76,11 @@
 EntryReducer::EntryReducer(EntryOptions Options, TargetDirectory &Directory,
                            OwnerLookup Owners)
     : Options(std::move(Options)), Directory(Directory),
-      Owners(std::move(Owners)) {}
+      Owners(std::move(Owners)), Shares(this->Options.Process) {}
 
 void EntryReducer::setTable(SharedTable Table) {
   this->Table = std::move(Table);
-  this->Credits.clear();
+  this->Shares.retain(*this->Table);
   this->LongestTimeLeft.clear();
 }
 
@@ -92,21 +92,6 @@
   return this->Budgets.try_emplace(Service, this->Options.Budget).first->second;
 }
 
-const std::string &EntryReducer::pickService(const Route &Of) {
-  if (Of.Services.size() == 1)
-    return Of.Services.front().Service;
-  std::vector<double> &Owed = this->Credits[Of.Host + Of.Prefix];
-  Owed.resize(Of.Services.size());
-  double Sum = 0;
-  for (std::size_t I = 0; I < Owed.size(); ++I) {
-    Owed[I] += Of.Services[I].Weight;
-    Sum += Of.Services[I].Weight;
-  }
-  auto Best = std::ranges::max_element(Owed);
-  *Best -= Sum;
-  return Of.Services[static_cast<std::size_t>(Best - Owed.begin())].Service;
-}
-
 void EntryReducer::request(CallerRequest Request, Instant Now, Effects &Out) {
   std::uint64_t Caller = Request.Caller;
   if (!this->Table) {
@@ -135,7 +120,7 @@
   Pending Added;
   Added.Table = this->Table;
   Added.Of = Of;
-  Added.Service = this->pickService(*Of);
+  Added.Service = this->Shares.pick(*Of);
   Added.Work = workOf(Added.Service, *Of);
   const ServicePolicy *Policy = this->Table->service(Added.Service);
   Added.Partitioned = Policy && Policy->Partitioned;
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -23,6 +23,7 @@
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/retry_budget.h"
 #include "orioledoor/routing/route_table.h"
+#include "orioledoor/routing/service_shares.h"
 #include "orioledoor/routing/target_directory.h"
 
 namespace orioledoor::routing {
@@ -162,7 +163,6 @@
   void fail(Pending &Of, int Status, std::string_view Why, Instant Now,
             Effects &Out);
   RetryBudget &budgetOf(const std::string &Service);
-  const std::string &pickService(const Route &Of);
 
   EntryOptions Options;
   TargetDirectory &Directory;
@@ -174,8 +174,7 @@
   // Invariant: every pending request with a Forward, by its id.
   std::unordered_map<std::uint64_t, std::uint64_t> ByForward;
   std::map<std::string, RetryBudget> Budgets;
-  // Smooth weighted round robin: what each part of a route is owed.
-  std::map<std::string, std::vector<double>> Credits;
+  ServiceShares Shares;
   // The time that callers of a keyed route have when they come first.
   std::map<std::string, Duration> LongestTimeLeft;
 };
--- a/orioledoor/routing/entry_test.cc
+++ b/orioledoor/routing/entry_test.cc
@@ -47,10 +47,10 @@
 
 class Fixture {
 public:
-  Fixture()
+  explicit Fixture(std::uint64_t Process = 1)
       : Directory({"d1", "r1"}, Own),
         Entry({.Node = Own,
-               .Process = 1,
+               .Process = Process,
                .CallerService = "mine",
                .Budget = {.Ratio = 0, .ExtraPerWindow = 3}},
               this->Directory,
@@ -164,6 +164,8 @@
   CPPUNIT_TEST(cancelsWhenTheCallerLeaves);
   CPPUNIT_TEST(ignoresResultsOfEarlierTries);
   CPPUNIT_TEST(followsTheWeightsOfASplit);
+  CPPUNIT_TEST(keepsSharesThroughChangesOfTheConfiguration);
+  CPPUNIT_TEST(sharesOfAFleetFollowTheWeights);
   CPPUNIT_TEST(countsTheEarlierWaitOfReturningCallers);
   CPPUNIT_TEST(takesTheLossOfANode);
   CPPUNIT_TEST(asksTheNewProcessOfANode);
@@ -322,6 +324,34 @@
     CPPUNIT_ASSERT_EQUAL(10, Keyed);
   }
 
+  // Pattern: configurations in quick succession. The shares began anew with
+  // each, and every first request went to the part with the largest weight.
+  void keepsSharesThroughChangesOfTheConfiguration() {
+    Fixture F;
+    int Keyed = 0;
+    for (std::uint64_t Caller = 1; Caller <= 200; ++Caller) {
+      F.Entry.setTable(newTable());
+      F.ask(Caller, "/split/x", 5);
+      Keyed += F.sent() && F.sent()->Service == "keyed";
+    }
+    CPPUNIT_ASSERT_EQUAL(20, Keyed);
+  }
+
+  // Pattern: a route with a few requests a second in a fleet of 72. Every node
+  // sent its first requests to the same part.
+  void sharesOfAFleetFollowTheWeights() {
+    int Keyed = 0;
+    for (std::uint64_t Process = 1; Process <= 72; ++Process) {
+      Fixture F(Process * 7919);
+      for (std::uint64_t Caller = 1; Caller <= 3; ++Caller) {
+        F.ask(Caller, "/split/x", 5);
+        Keyed += F.sent() && F.sent()->Service == "keyed";
+      }
+    }
+    // 21.6 of 216 are due; a share may be a tenth of all off.
+    CPPUNIT_ASSERT(Keyed > 5 && Keyed < 43);
+  }
+
   // In overload those who can still be in time go first.
   void countsTheEarlierWaitOfReturningCallers() {
     Fixture F;
--- a/orioledoor/routing/route_table.h
+++ b/orioledoor/routing/route_table.h
@@ -22,6 +22,9 @@
   std::string Service{};
   // Relative to the other parts of the route; above 0.
   double Weight = 1;
+
+  friend bool operator==(const WeightedService &,
+                         const WeightedService &) = default;
 };
 
 // Requests of one host whose path starts with Prefix.
