Bound the connection attempts of calls to the target

A target that drops the opening packet, because it is gone without a sign or its queue of connections is full, held a request until its deadline, although no byte was sent and another target could run it.

connectionAttemptsEndInTime guards the client; the listener that takes no connection moves to wire/testing.

--- a/orioledoor/platform/platform_store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -6,7 +6,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -21,6 +20,7 @@
 #include "orioledoor/standins/relay_link.h"
 #include "orioledoor/standins/store_server.h"
 #include "orioledoor/store/keys.h"
+#include "orioledoor/wire/testing/full_listener.h"
 
 namespace orioledoor::platform {
 namespace {
@@ -39,43 +39,6 @@
           .Puts = {{.Key = keys::Assignment, .Value = std::move(Value)}}};
 }
 
-// A port that takes no further connection: opening packets are dropped, as in a
-// cut.
-class FullListener {
-public:
-  FullListener() {
-    this->Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Size = sizeof(Address);
-    CPPUNIT_ASSERT(bind(this->Listener, reinterpret_cast<sockaddr *>(&Address),
-                        Size) == 0);
-    getsockname(this->Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
-    this->Port = ntohs(Address.sin_port);
-    CPPUNIT_ASSERT(listen(this->Listener, 0) == 0);
-    // The kernel keeps one connection more than the queue's length.
-    for (int &Filler : this->Fillers) {
-      Filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-      connect(Filler, reinterpret_cast<sockaddr *>(&Address), Size);
-    }
-  }
-  ~FullListener() {
-    for (int Filler : this->Fillers)
-      close(Filler);
-    close(this->Listener);
-  }
-  FullListener(const FullListener &) = delete;
-  FullListener &operator=(const FullListener &) = delete;
-
-  std::uint16_t port() const { return this->Port; }
-
-private:
-  int Listener = -1;
-  std::array<int, 3> Fillers{};
-  std::uint16_t Port = 0;
-};
-
 class PlatformStoreTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformStoreTest);
   CPPUNIT_TEST(valuesKeepEveryByte);
@@ -333,7 +296,7 @@
   // connection attempt that began in the cut is repeated by TCP after 1, 2 and
   // 4 s, and the watch waited for it as long as it may wait for a change.
   void watchDoesNotWaitForAConnectionThatHangs() {
-    FullListener Full;
+    wire::testing::FullListener Full;
     this->Client = this->clientOf(Full.port(), 5s, 30s);
     this->watch(0);
     CPPUNIT_ASSERT(this->Events.runUntil(
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -36,6 +36,11 @@
 constexpr Duration TickInterval = milliseconds(20);
 // The target answers at its deadline; its answer may take this much longer.
 constexpr Duration TargetSlack = milliseconds(40);
+// The target is on this VM, where a connection takes a millisecond or two. A
+// target that is gone without a sign, or whose queue of connections is full,
+// drops the opening packet, which TCP repeats after a second; another target
+// may have room meanwhile.
+constexpr Duration TargetConnectTime = milliseconds(250);
 // Pause between two lines about dropped log lines.
 constexpr Duration DropReportInterval = std::chrono::seconds(5);
 // A frame between nodes holds a body and its headers.
@@ -166,6 +171,7 @@
     wire::HttpCall Sent = platform::encodeTargetCall(Asked);
     Sent.To = this->Settings.Target;
     Sent.Timeout = Asked.TimeLeft + TargetSlack;
+    Sent.ConnectTimeout = TargetConnectTime;
     this->TargetCalls[Call] =
         this->TargetClient.call(Sent, [this, Call](wire::HttpResult Result) {
           this->TargetCalls.erase(Call);
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "orioledoor/wire/http_client.h"
+#include "orioledoor/wire/testing/full_listener.h"
 #include "orioledoor/wire/testing/loop.h"
 
 namespace orioledoor::wire {
@@ -25,6 +26,7 @@
   CPPUNIT_TEST(bytesAfterAnEchoedAnswerEndTheConnection);
   CPPUNIT_TEST(timeoutAndCancel);
   CPPUNIT_TEST(cancelledCallsWithAnAnswerAreNotReported);
+  CPPUNIT_TEST(connectionAttemptsEndInTime);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -192,6 +194,29 @@
                                           std::chrono::milliseconds(50)));
   }
 
+  // Guards against a request that waits for its whole time at a target that
+  // takes no connection, although another target could run it.
+  void connectionAttemptsEndInTime() {
+    testing::FullListener Full;
+    HttpCall Wanted;
+    Wanted.To = {"127.0.0.1", Full.port()};
+    Wanted.Method = "GET";
+    Wanted.Target = "/";
+    Wanted.ConnectTimeout = std::chrono::milliseconds(100);
+    std::optional<HttpResult> Result;
+    this->Client.call(Wanted, [&](HttpResult Ended) { Result = Ended; });
+    CPPUNIT_ASSERT(this->Events.runUntil([&] { return Result.has_value(); }, {},
+                                         std::chrono::milliseconds(500)));
+    CPPUNIT_ASSERT(Result->Failure == TargetFailure::NotSent);
+    CPPUNIT_ASSERT(!Result->SentAfter);
+    // It bounds the connection only.
+    Wanted.Timeout = std::chrono::milliseconds(300);
+    Instant Start = readClock();
+    HttpResult Silent = this->call("", false, Wanted);
+    CPPUNIT_ASSERT(Silent.Failure == TargetFailure::TimedOut);
+    CPPUNIT_ASSERT(readClock() - Start >= std::chrono::milliseconds(290));
+  }
+
 private:
   testing::Loop Events;
   HttpClient Client{Events.base()};
