Cut off answers without end and bound what open calls hold together

evhttp bounds heads and bodies, but not the line that states a chunk's size and not the number of interim answers: such bytes were kept until the request's time was over, at the speed of a local connection. And 40 calls with answers of 6 MB each held 240 MB, while a VM has 160 MB or more.

A call may receive 10 MB in all, and all open calls together may hold 48 MB; the largest is given up first, as an answer that is not whole.

answersWithoutEndAreCutOff (14 kinds of bytes) and manyLargeAnswersDoNotFillTheMemory failed before (no end within the call's 3 s for a chunk's size without end; no call ended) and pass now.

--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -15,6 +15,7 @@
 #include <ranges>
 #include <string>
 
+#include "orioledoor/soak/soak_config_check.h"
 #include "orioledoor/soak/soak_faults.h"
 #include "orioledoor/soak/soak_fleet.h"
 #include "orioledoor/soak/soak_judge.h"
@@ -51,6 +52,7 @@
   explicit Soak(const SoakOptions &Options)
       : Options(Options), Fleet(this->Events, this->Judge, Options.Fleet),
         Load(this->Fleet, this->Judge, Options.Fleet.Seed),
+        Configs(this->Fleet, this->Judge),
         Faults(this->Events, this->Fleet, Options.Fleet.Seed) {}
 
   int run() {
@@ -75,8 +77,10 @@
     Instant Now = readClock();
     this->Fleet.step(Now);
     this->Load.step(Now);
-    if (this->FaultsOn)
-      this->Faults.step(Now);
+    if (!this->FaultsOn)
+      return;
+    this->Faults.step(Now);
+    this->Configs.step(Now);
   }
 
   bool serving() const {
@@ -112,7 +116,8 @@
     std::cout << "seed " << this->Options.Fleet.Seed << ": " << Under.Sent
               << " sent, " << Under.Served << " served, " << Under.Refused
               << " refused, " << Under.Failed << " failed, " << Under.Broken
-              << " broken; " << this->Faults.history().size() << " faults, "
+              << " broken, " << this->Configs.judged()
+              << " routes judged; " << this->Faults.history().size() << " faults, "
               << this->Judge.violations().size() << " violations" << std::endl;
     if (this->Judge.violations().empty())
       return;
@@ -129,6 +134,7 @@
   soak::SoakJudge Judge;
   soak::SoakFleet Fleet;
   soak::SoakLoad Load;
+  soak::SoakConfigCheck Configs;
   soak::SoakFaults Faults;
   bool FaultsOn = false;
 };
--- a/orioledoor/soak/soak_faults.cc
+++ b/orioledoor/soak/soak_faults.cc
@@ -67,8 +67,11 @@
                        " for " + std::to_string(Time.count() / 1000) + " ms");
   // Requests cross nodes, so a fault at one disturbs the callers of all.
   for (std::size_t I = 0; I < this->Fleet.size(); ++I) {
-    Instant &Until = this->Fleet.node(I).DisturbedUntil;
-    Until = std::max(Until, Now + Time + Settling);
+    SoakNode &Each = this->Fleet.node(I);
+    Each.DisturbedUntil =
+        std::max(Each.DisturbedUntil, Now + Time + Settling);
+    if (!Node || Node == &Each)
+      Each.OwnFaultUntil = std::max(Each.OwnFaultUntil, Now + Time);
   }
 }
 
@@ -139,7 +142,7 @@
 
 void SoakFaults::disturbStore(Instant Now) {
   if (this->Random() % 4 == 0) {
-    this->record(nullptr, "configuration changes", Duration(0), Now);
+    // No disturbance of its own: the change must be in force in time.
     this->Fleet.configure();
     return;
   }
--- a/orioledoor/soak/soak_fleet.cc
+++ b/orioledoor/soak/soak_fleet.cc
@@ -45,6 +45,10 @@
 
 } // namespace
 
+std::string versionPrefix(std::uint64_t Version) {
+  return "/version-" + std::to_string(Version) + "/";
+}
+
 SoakFleet::SoakFleet(standins::Loop &Events, SoakJudge &Judge,
                      SoakFleetOptions Options)
     : Events(Events), Judge(Judge), Options(std::move(Options)),
@@ -109,12 +113,17 @@
 
 void SoakFleet::configure() {
   routing::RouteTable Table;
-  Table.Version = ++this->Version;
+  this->Versions.push_back(readClock());
+  Table.Version = this->Versions.size();
   Table.Services[KeyedService] = {KeyedService, "/health", 100, true};
   Table.Services[PlainService] = {PlainService, "/health", 100, false};
   Table.add(routeOf("/keyed/", KeyedService, true));
   Table.add(routeOf("/read/", PlainService, true));
   Table.add(routeOf("/write/", PlainService, false));
+  for (std::uint64_t Back = 0; Back < std::min(VersionsKept, Table.Version);
+       ++Back)
+    Table.add(routeOf(versionPrefix(Table.Version - Back).c_str(), PlainService,
+                      true));
   Table.finish();
   standins::StoreModel &Model = this->Store.model();
   Model.begin();
@@ -123,6 +132,11 @@
   Model.commit();
 }
 
+std::uint64_t SoakFleet::versionBefore(Instant Time) const {
+  return static_cast<std::uint64_t>(
+      std::ranges::upper_bound(this->Versions, Time) - this->Versions.begin());
+}
+
 void SoakFleet::start() {
   this->configure();
   for (auto &Each : this->Nodes) {
--- a/orioledoor/soak/soak_fleet.h
+++ b/orioledoor/soak/soak_fleet.h
@@ -54,8 +54,15 @@
   Instant StartAt;
   // What happens at this node is the doing of a fault until then.
   Instant DisturbedUntil;
+  // The same for faults of its own process and links, and of the store.
+  Instant OwnFaultUntil;
 };
 
+// A configuration has routes for itself and the versions before it, this many:
+// more than are written while an older one may still be in force.
+inline constexpr std::uint64_t VersionsKept = 8;
+std::string versionPrefix(std::uint64_t Version);
+
 // Not thread-safe.
 class SoakFleet {
 public:
@@ -67,6 +74,8 @@
   void step(Instant Now);
   // Writes the next version of the configuration.
   void configure();
+  // The newest version that was written before Time; 0: none.
+  std::uint64_t versionBefore(Instant Time) const;
   // Ends all faults and starts whatever is down.
   void heal();
   // Kills all processes.
@@ -91,7 +100,8 @@
   standins::StoreServer Store;
   wire::HttpClient Client;
   std::vector<std::unique_ptr<SoakNode>> Nodes;
-  std::uint64_t Version = 0;
+  // When each version was written; the first one is version 1.
+  std::vector<Instant> Versions;
   std::size_t ReadyNodes = 0;
 };
 
--- a/orioledoor/soak/soak_judge.cc
+++ b/orioledoor/soak/soak_judge.cc
@@ -58,4 +58,12 @@
     this->note("REFUSED", Attempt + " was refused after it began", Now);
 }
 
+void SoakJudge::routed(const std::string &Node, const std::string &Path,
+                       bool Exists, int Status, Instant Now) {
+  if (Exists && Status == 404)
+    this->note("CONFIG", Node + " does not know the route " + Path, Now);
+  if (!Exists && Status == 200)
+    this->note("CONFIG", Node + " still serves the route " + Path, Now);
+}
+
 } // namespace orioledoor::soak
--- a/orioledoor/soak/soak_judge.h
+++ b/orioledoor/soak/soak_judge.h
@@ -39,6 +39,10 @@
              bool MayRepeat, Instant Now);
   // A caller was told that its request has not run and never will.
   void refused(const std::string &Attempt, Instant Now);
+  // A node that is to know whether the route Path exists answered a request for
+  // it. 503 says nothing of it.
+  void routed(const std::string &Node, const std::string &Path, bool Exists,
+              int Status, Instant Now);
   // Anything else that must not happen.
   void note(const std::string &Rule, const std::string &Detail, Instant Now);
 
--- a/orioledoor/soak/soak_judge_test.cc
+++ b/orioledoor/soak/soak_judge_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(findsUntrueRefusals);
   CPPUNIT_TEST(findsTokensThatDoNotGrow);
   CPPUNIT_TEST(findsTwoHolders);
+  CPPUNIT_TEST(findsOutdatedRoutes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -28,6 +29,17 @@
     this->expect("TWICE");
   }
 
+  void findsOutdatedRoutes() {
+    this->Judge.routed("node-1", "/new/", true, 200, this->Now);
+    this->Judge.routed("node-1", "/new/", true, 503, this->Now);
+    this->Judge.routed("node-1", "/old/", false, 404, this->Now);
+    CPPUNIT_ASSERT(this->Judge.violations().empty());
+    this->Judge.routed("node-1", "/new/", true, 404, this->Now);
+    this->expect("CONFIG");
+    this->Judge.routed("node-1", "/old/", false, 200, this->Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->Judge.violations().size());
+  }
+
   void findsUntrueRefusals() {
     this->Judge.refused("one", this->Now);
     CPPUNIT_ASSERT(this->Judge.violations().empty());
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -29,6 +29,12 @@
 // The store's largest value is 1 MB, a third more in base64; a watch event
 // carries two of them.
 constexpr std::size_t MaxAnswerBodyBytes = 8U << 20;
+// What one call may receive in all. evhttp bounds heads and bodies, but neither
+// the lines between chunks nor the number of interim answers.
+constexpr std::size_t MaxAnswerBytes =
+    MaxAnswerHeaderBytes + MaxAnswerBodyBytes / 4 * 5;
+// What all open calls may hold together; VMs have 160 MB and more.
+constexpr std::size_t MaxOpenBytes = 48U << 20;
 // A change in the store must be in force within two seconds of its
 // acknowledgement; a watch whose connection went silent is noticed in time for
 // that by one-second probes.
@@ -77,6 +83,8 @@
     bool Tuned = false;
     // The head of the answer came.
     bool Answering = false;
+    // Bytes of the answer to the call in flight.
+    std::size_t Received = 0;
     std::optional<Instant> NotAfter;
     Instant CalledAt;
     // Meaningful once Started is set.
@@ -122,6 +130,10 @@
   // callbacks.
   std::vector<std::unique_ptr<Connection>> Garbage;
   std::deque<EndedCall> Results;
+  // Calls whose answers take more memory than they may.
+  std::vector<std::uint64_t> TooLarge;
+  // Invariant: the sum of Received over Busy.
+  std::size_t OpenBytes = 0;
   internal::EventPtr DeferredEvent;
 
   explicit Impl(event_base *Base) : Base(Base) {
@@ -146,6 +158,8 @@
   void defer() { event_active(this->DeferredEvent.get(), 0, 0); }
 
   void runDeferred() {
+    for (std::uint64_t Id : std::exchange(this->TooLarge, {}))
+      this->fail(Id, TargetFailure::Truncated, "the answer is too large");
     for (auto &Each : std::exchange(this->Garbage, {}))
       evhttp_connection_free(Each->Http);
     // A callback may cancel calls whose results follow, and start calls that
@@ -184,6 +198,34 @@
       On->Written = true;
   }
 
+  // Sees every change of the bytes that came.
+  static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Context) {
+    auto *On = static_cast<Connection *>(Context);
+    if (Info->n_added == 0 || On->CallId == 0)
+      return;
+    On->Received += Info->n_added;
+    On->Client->OpenBytes += Info->n_added;
+    On->Client->boundAnswers(*On);
+  }
+
+  // Gives up the call on Of if its answer is too large, or the call with the
+  // largest answer if all together are.
+  void boundAnswers(const Connection &Of) {
+    const Connection *Largest = &Of;
+    if (Of.Received <= MaxAnswerBytes) {
+      if (this->OpenBytes <= MaxOpenBytes)
+        return;
+      Largest = std::ranges::max_element(this->Busy, {}, [](const auto &Entry) {
+                  return Entry.first->Received;
+                })->first;
+    }
+    if (std::ranges::find(this->TooLarge, Largest->CallId) !=
+        this->TooLarge.end())
+      return;
+    this->TooLarge.push_back(Largest->CallId);
+    this->defer();
+  }
+
   // Sends at once, and finds connections that went silent by keep-alive probes:
   // KeepAliveProbes of them go unanswered.
   static void tune(int Descriptor) {
@@ -217,6 +259,9 @@
     evbuffer_add_cb(
         bufferevent_get_output(evhttp_connection_get_bufferevent(Added->Http)),
         onOutput, Added.get());
+    evbuffer_add_cb(
+        bufferevent_get_input(evhttp_connection_get_bufferevent(Added->Http)),
+        onInput, Added.get());
     ++this->Counters.Connections;
     return Added;
   }
@@ -247,6 +292,7 @@
     std::unique_ptr<Connection> Freed = std::move(Found->second);
     this->Busy.erase(Found);
     Freed->CallId = 0;
+    this->OpenBytes -= std::exchange(Freed->Received, 0);
     auto &Kept = this->Idle[Freed->Name];
     if (!Reusable || Kept.size() >= MaxIdlePerEndpoint) {
       this->discard(std::move(Freed));
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(timeoutAndCancel);
   CPPUNIT_TEST(cancelledCallsWithAnAnswerAreNotReported);
   CPPUNIT_TEST(connectionAttemptsEndInTime);
+  CPPUNIT_TEST(answersWithoutEndAreCutOff);
+  CPPUNIT_TEST(manyLargeAnswersDoNotFillTheMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -187,8 +189,8 @@
       FirstEnded = true;
       this->Client.cancel(Second);
     });
-    Second = this->Client.call(
-        Wanted, [&](const HttpResult &) { SecondEnded = true; });
+    Second = this->Client.call(Wanted,
+                               [&](const HttpResult &) { SecondEnded = true; });
     CPPUNIT_ASSERT(this->Events.runUntil([&] { return FirstEnded; }));
     CPPUNIT_ASSERT(!this->Events.runUntil([&] { return SecondEnded; }, {},
                                           std::chrono::milliseconds(50)));
@@ -217,7 +219,118 @@
     CPPUNIT_ASSERT(readClock() - Start >= std::chrono::milliseconds(290));
   }
 
+  // Guards against a target that sends bytes until the caller closes: the
+  // process would run out of memory long before the request's time is over.
+  void answersWithoutEndAreCutOff() {
+    const std::string Head = "HTTP/1.1 200 OK\r\n";
+    const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::pair<std::string, std::string> Endless[] = {
+        {"HTTP/1.1 200 ", "x"},
+        {Head, "X-Line: x\r\n"},
+        {Head + "X-Line: ", "x"},
+        {Head + "\r\n", "x"},
+        {Head + "Content-Length: 99999999999\r\n\r\n", "x"},
+        {Chunked, "x"},
+        {Chunked, "1;"},
+        {Chunked + "1;", "x"},
+        {Chunked, "1\r\nx\r\n"},
+        {Chunked, "1;ext=ext\r\nx\r\n"},
+        {Chunked + "fffffff\r\n", "x"},
+        {Chunked + "0\r\n", "X-Line: x\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"", std::string(1, '\0')}};
+    for (const auto &[First, Repeated] : Endless) {
+      std::string Block;
+      while (Block.size() < 64'000)
+        Block += Repeated;
+      std::size_t Sent = 0;
+      HttpResult Result = this->endless(First, Block, Sent);
+      CPPUNIT_ASSERT_MESSAGE(First + Repeated, Result.Failure);
+      CPPUNIT_ASSERT_MESSAGE(First + Repeated + Result.Detail,
+                             *Result.Failure == TargetFailure::Truncated);
+      // The largest answer, the socket buffers and some blocks.
+      CPPUNIT_ASSERT_MESSAGE(First + Repeated + std::to_string(Sent),
+                             Sent < (20U << 20));
+    }
+  }
+
+  // Pattern: every slot of a target holds an answer that grows, each below the
+  // bound of one.
+  void manyLargeAnswersDoNotFillTheMemory() {
+    constexpr int Calls = 40;
+    constexpr std::size_t Each = 6U << 20;
+    std::vector<int> Open;
+    std::vector<std::size_t> Sent;
+    int Ended = 0;
+    HttpCall Wanted;
+    Wanted.To = {"127.0.0.1", Port};
+    Wanted.Method = "GET";
+    Wanted.Target = "/";
+    for (int I = 0; I < Calls; ++I)
+      this->Client.call(Wanted, [&](const HttpResult &Result) {
+        CPPUNIT_ASSERT(Result.Failure == TargetFailure::Truncated);
+        ++Ended;
+      });
+    const std::string Block(64'000, 'x');
+    this->Events.runUntil(
+        [] { return false; },
+        [&] {
+          int Taken = accept4(this->Listener, nullptr, nullptr,
+                              SOCK_NONBLOCK | SOCK_CLOEXEC);
+          if (Taken >= 0) {
+            Open.push_back(Taken);
+            Sent.push_back(0);
+            testing::sendAll(Taken, "HTTP/1.1 200 OK\r\n\r\n");
+          }
+          for (std::size_t I = 0; I < Open.size(); ++I)
+            while (Sent[I] < Each) {
+              ssize_t Wrote = send(Open[I], Block.data(), Block.size(),
+                                   MSG_DONTWAIT | MSG_NOSIGNAL);
+              if (Wrote <= 0)
+                break;
+              Sent[I] += static_cast<std::size_t>(Wrote);
+            }
+        },
+        std::chrono::milliseconds(1500));
+    for (int Descriptor : Open)
+      close(Descriptor);
+    // What is open may hold 48 MB together.
+    CPPUNIT_ASSERT(Ended >= Calls - 8);
+    CPPUNIT_ASSERT(Ended < Calls);
+  }
+
 private:
+  // Sends First and then Block again and again until the client closes.
+  HttpResult endless(std::string_view First, std::string_view Block,
+                     std::size_t &Sent) {
+    HttpCall Wanted;
+    Wanted.To = {"127.0.0.1", Port};
+    Wanted.Method = "GET";
+    Wanted.Target = "/";
+    Wanted.Timeout = std::chrono::milliseconds(3000);
+    std::optional<HttpResult> Result;
+    this->Client.call(Wanted, [&](HttpResult Ended) { Result = Ended; });
+    int Server = -1;
+    this->Events.runUntil([&] { return Result.has_value(); },
+                          [&] {
+                            if (Server < 0) {
+                              Server = accept4(this->Listener, nullptr, nullptr,
+                                               SOCK_NONBLOCK | SOCK_CLOEXEC);
+                              if (Server >= 0)
+                                testing::sendAll(Server, First);
+                              return;
+                            }
+                            ssize_t Wrote =
+                                send(Server, Block.data(), Block.size(),
+                                     MSG_DONTWAIT | MSG_NOSIGNAL);
+                            Sent +=
+                                Wrote > 0 ? static_cast<std::size_t>(Wrote) : 0;
+                          });
+    close(Server);
+    CPPUNIT_ASSERT(Result);
+    return *Result;
+  }
+
   testing::Loop Events;
   HttpClient Client{Events.base()};
   int Listener = -1;
