Ask less often while the store turns watches away

Since the first answer to a call opens interrupted watches, their own pause may grow: 20 ms once, then 250 ms doubled up to a second.

watchesThatAreRefusedAskLessOften fails if the pause does not grow (run with the longest pause set to the first).

--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -58,8 +58,8 @@
     Instant OpenedAt;
     // The last time at which the view was known to be complete.
     Instant AnsweredAt;
-    // The newest call ended without an answer.
-    bool Interrupted = false;
+    // Calls in a row that ended without an answer.
+    int Failures = 0;
   };
 
   event_base *Base;
@@ -144,7 +144,7 @@
       return;
     for (const auto &[Prefix, Of] : this->Watches) {
       // Others pause after changes that they brought.
-      if (Of->Call == 0 && !Of->Interrupted)
+      if (Of->Call == 0 && Of->Failures == 0)
         continue;
       if (Of->Call != 0)
         this->Client.cancel(Of->Call);
@@ -173,21 +173,21 @@
     bool Answered = Status.ok() || absl::IsOutOfRange(Status);
     if (!Answered)
       ++this->Counters.WatchInterruptions;
-    if (Answered == Of.Interrupted && this->OnLog) {
-      LogRecord Record{Answered ? &events::StoreWatchResumed
-                                : &events::StoreWatchInterrupted,
-                       {{"prefix", Of.Prefix},
-                        {"after", std::to_string(Of.Revision)},
-                        {"unanswered_ms", millis(Now - Of.AnsweredAt)},
-                        {"open_ms", millis(Now - Of.OpenedAt)},
-                        {"sent_after_ms", Result.SentAfter
-                                              ? millis(*Result.SentAfter)
-                                              : "never"}}};
+    if (Answered == (Of.Failures > 0) && this->OnLog) {
+      LogRecord Record{
+          Answered ? &events::StoreWatchResumed
+                   : &events::StoreWatchInterrupted,
+          {{"prefix", Of.Prefix},
+           {"after", std::to_string(Of.Revision)},
+           {"unanswered_ms", millis(Now - Of.AnsweredAt)},
+           {"open_ms", millis(Now - Of.OpenedAt)},
+           {"sent_after_ms",
+            Result.SentAfter ? millis(*Result.SentAfter) : "never"}}};
       if (!Answered)
         Record.Fields.push_back({"why", std::string(Status.message())});
       this->OnLog(Record);
     }
-    Of.Interrupted = !Answered;
+    Of.Failures = Answered ? 0 : Of.Failures + 1;
     if (Answered)
       Of.AnsweredAt = Now;
   }
@@ -201,7 +201,6 @@
       Update =
           decodeWatch(Result.Answer.Status, Result.Answer.Body, this->Peer);
     }
-    bool WasInterrupted = Of.Interrupted;
     this->noteWatch(Of, Result, Update.Status);
     bool Ended = absl::IsOutOfRange(Update.Status);
     if (Update.Status.ok())
@@ -211,8 +210,7 @@
     Update.Revision = Of.Revision;
     Duration Pause(0);
     if (!Update.Status.ok())
-      Pause =
-          WasInterrupted ? this->Limits.WatchRetry : this->Limits.WatchPause;
+      Pause = this->retryPause(Of.Failures);
     else if (!Update.Changes.empty())
       Pause = this->pauseOf(Of.Prefix);
     StoreWatchCallback OnUpdate = Of.OnUpdate;
@@ -226,6 +224,14 @@
     OnUpdate(std::move(Update));
   }
 
+  Duration retryPause(int Failures) const {
+    if (Failures <= 1)
+      return this->Limits.WatchPause;
+    // Doubled five times at most, which is beyond any sensible limit.
+    return std::min(this->Limits.LongestWatchRetry,
+                    this->Limits.WatchRetry * (1 << std::min(Failures - 2, 5)));
+  }
+
   Duration pauseOf(const std::string &Prefix) const {
     auto Found = this->Pauses.find(Prefix);
     return Found == this->Pauses.end() ? this->Limits.WatchPause
--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -36,6 +36,9 @@
   // Pause before a watch that failed is opened again. The first time it is
   // opened after WatchPause, since stores cut waiting watches in calm times.
   Duration WatchRetry = std::chrono::milliseconds(250);
+  // The pause doubles up to this. The longest leaves two of the three seconds
+  // after which a VM counts as in touch with the store again.
+  Duration LongestWatchRetry = std::chrono::milliseconds(1000);
   // Pause before the next watch after changes came, until setPause().
   Duration WatchPause = std::chrono::milliseconds(20);
 };
--- a/orioledoor/platform/platform_store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(interruptionsOfWatchesAreLogged);
   CPPUNIT_TEST(watchDoesNotWaitForAConnectionThatHangs);
   CPPUNIT_TEST(watchIsOpenedAgainOnceTheStoreAnswersCalls);
+  CPPUNIT_TEST(watchesThatAreRefusedAskLessOften);
   CPPUNIT_TEST(replacedWatchIsNotInvokedAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -334,6 +335,24 @@
     CPPUNIT_ASSERT(this->Server->counters().at("watch") <= Opened + 1);
   }
 
+  // Pattern: a store that turns a VM away for seconds. Each try is a call, and
+  // the first answer to a call opens the watches anyway.
+  void watchesThatAreRefusedAskLessOften() {
+    this->Server->setFaults({{"reject", -1}});
+    this->watch(0);
+    this->Events.runUntil([] { return false; }, 1500ms);
+    CPPUNIT_ASSERT(this->Server->counters().at("watch") <= 9);
+    this->Server->setFaults({{"reject", 0}});
+    this->call(writeOf(0, "a"));
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return !this->Changes.empty(); }, RecoveryLimit));
+    // The pause starts anew after an answer.
+    std::int64_t Opened = this->Server->counters().at("watch");
+    this->Server->setFaults({{"reject", -1}});
+    this->Events.runUntil([] { return false; }, 300ms);
+    CPPUNIT_ASSERT(this->Server->counters().at("watch") >= Opened + 2);
+  }
+
   // Guards against updates of an earlier watch that reach its successor.
   void replacedWatchIsNotInvokedAgain() {
     int Earlier = 0;
@@ -358,7 +377,8 @@
         PlatformStoreLimits{.Call = Call,
                             .WatchWait = WatchWait,
                             .WatchSlack = 200ms,
-                            .WatchRetry = 50ms},
+                            .WatchRetry = 50ms,
+                            .LongestWatchRetry = 400ms},
         [this](const LogRecord &Record) { this->Logged.push_back(Record); });
   }
 
