--- a/orioledoor/platform/config_codec.cc
+++ b/orioledoor/platform/config_codec.cc
@@ -37,7 +37,8 @@
 // The field's value; Default if it is absent or null.
 template <typename T> T readOr(const json &In, const char *Field, T Default) {
   auto Found = In.find(Field);
-  return Found == In.end() || Found->is_null() ? Default : Found->get<T>();
+  return Found == In.end() || Found->is_null() ? std::move(Default)
+                                               : Found->get<T>();
 }
 
 milliseconds readMillis(const json &In, const char *Field) {
--- a/orioledoor/platform/platform_store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -324,8 +324,8 @@
                    StatusCode::kUnavailable);
     this->Server->setFaults({{"outage", "none"}});
     CPPUNIT_ASSERT(this->call(writeOf(0, "a")).Succeeded);
-    CPPUNIT_ASSERT(this->Events.runUntil(
-        [&] { return !this->Changes.empty(); }, RecoveryLimit));
+    CPPUNIT_ASSERT(this->Events.runUntil([&] { return !this->Changes.empty(); },
+                                         RecoveryLimit));
     CPPUNIT_ASSERT_EQUAL(std::string("a"), this->Changes[0].Entry.Value);
     // An answer to a call that follows others opens nothing again.
     std::int64_t Opened = this->Server->counters().at("watch");
@@ -344,8 +344,8 @@
     CPPUNIT_ASSERT(this->Server->counters().at("watch") <= 9);
     this->Server->setFaults({{"reject", 0}});
     this->call(writeOf(0, "a"));
-    CPPUNIT_ASSERT(this->Events.runUntil(
-        [&] { return !this->Changes.empty(); }, RecoveryLimit));
+    CPPUNIT_ASSERT(this->Events.runUntil([&] { return !this->Changes.empty(); },
+                                         RecoveryLimit));
     // The pause starts anew after an answer.
     std::int64_t Opened = this->Server->counters().at("watch");
     this->Server->setFaults({{"reject", -1}});
--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -116,8 +116,8 @@
     std::cout << "seed " << this->Options.Fleet.Seed << ": " << Under.Sent
               << " sent, " << Under.Served << " served, " << Under.Refused
               << " refused, " << Under.Failed << " failed, " << Under.Broken
-              << " broken, " << this->Configs.judged()
-              << " routes judged; " << this->Faults.history().size() << " faults, "
+              << " broken, " << this->Configs.judged() << " routes judged; "
+              << this->Faults.history().size() << " faults, "
               << this->Judge.violations().size() << " violations" << std::endl;
     if (this->Judge.violations().empty())
       return;
--- a/orioledoor/soak/soak_config_check.cc
+++ b/orioledoor/soak/soak_config_check.cc
@@ -31,8 +31,7 @@
   this->NextAskAt = Now + AskInterval;
   std::uint64_t Newest = this->Fleet.versionBefore(Now - ConfigurationTime);
   // A later version that is in force already may have dropped the route.
-  if (Newest == 0 ||
-      this->Fleet.versionBefore(Now) - Newest > VersionsKept / 2)
+  if (Newest == 0 || this->Fleet.versionBefore(Now) - Newest > VersionsKept / 2)
     return;
   for (std::size_t I = 0; I < this->Fleet.size(); ++I) {
     const SoakNode &Node = this->Fleet.node(I);
--- a/orioledoor/soak/soak_faults.cc
+++ b/orioledoor/soak/soak_faults.cc
@@ -68,8 +68,7 @@
   // Requests cross nodes, so a fault at one disturbs the callers of all.
   for (std::size_t I = 0; I < this->Fleet.size(); ++I) {
     SoakNode &Each = this->Fleet.node(I);
-    Each.DisturbedUntil =
-        std::max(Each.DisturbedUntil, Now + Time + Settling);
+    Each.DisturbedUntil = std::max(Each.DisturbedUntil, Now + Time + Settling);
     if (!Node || Node == &Each)
       Each.OwnFaultUntil = std::max(Each.OwnFaultUntil, Now + Time);
   }
--- a/orioledoor/telemetry/events_page_test.cc
+++ b/orioledoor/telemetry/events_page_test.cc
@@ -110,8 +110,8 @@
 
   void numbersAreInTheRangeOfTheirPackage() {
     const std::map<std::string, int> Thousands{
-        {"ownership", 1}, {"requests", 2}, {"routing", 2},   {"wire", 3},
-        {"daemon", 4},    {"sidecar", 4},  {"catalogue", 5}, {"store", 6},
+        {"ownership", 1}, {"requests", 2},  {"routing", 2},   {"wire", 3},
+        {"daemon", 4},    {"sidecar", 4},   {"catalogue", 5}, {"store", 6},
         {"platform", 6},  {"oriolectl", 7}, {"standins", 8}};
     std::vector<int> Numbers;
     for (const fs::path &Path : sources()) {
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -206,7 +206,8 @@
     Wanted.Target = "/";
     Wanted.ConnectTimeout = std::chrono::milliseconds(100);
     std::optional<HttpResult> Result;
-    this->Client.call(Wanted, [&](HttpResult Ended) { Result = Ended; });
+    this->Client.call(Wanted,
+                      [&](HttpResult Ended) { Result = std::move(Ended); });
     CPPUNIT_ASSERT(this->Events.runUntil([&] { return Result.has_value(); }, {},
                                          std::chrono::milliseconds(500)));
     CPPUNIT_ASSERT(Result->Failure == TargetFailure::NotSent);
@@ -309,7 +310,8 @@
     Wanted.Target = "/";
     Wanted.Timeout = std::chrono::milliseconds(3000);
     std::optional<HttpResult> Result;
-    this->Client.call(Wanted, [&](HttpResult Ended) { Result = Ended; });
+    this->Client.call(Wanted,
+                      [&](HttpResult Ended) { Result = std::move(Ended); });
     int Server = -1;
     this->Events.runUntil([&] { return Result.has_value(); },
                           [&] {
--- a/orioledoor/wire/testing/full_listener.h
+++ b/orioledoor/wire/testing/full_listener.h
@@ -1,10 +1,11 @@
-// A port whose queue of new connections is full: opening packets are dropped, as
-// they are by a cut or by a server that is overloaded.
+// A port whose queue of new connections is full: opening packets are dropped,
+// as they are by a cut or by a server that is overloaded.
 #ifndef ORIOLEDOOR_WIRE_TESTING_FULL_LISTENER_H
 #define ORIOLEDOOR_WIRE_TESTING_FULL_LISTENER_H
 
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <cppunit/TestAssert.h>
 #include <cstdint>
 #include <netinet/in.h>
@@ -30,7 +31,8 @@
     // The kernel keeps one connection more than the queue's length.
     for (int &Filler : this->Fillers) {
       Filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-      connect(Filler, reinterpret_cast<sockaddr *>(&Address), Size);
+      int Done = connect(Filler, reinterpret_cast<sockaddr *>(&Address), Size);
+      CPPUNIT_ASSERT(Done == 0 || errno == EINPROGRESS);
     }
   }
   ~FullListener() {
