--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -2,7 +2,6 @@
 #include "orioledoor/wire/http_client.h"
 
 #include <algorithm>
-#include <charconv>
 #include <deque>
 #include <ranges>
 #include <unordered_map>
@@ -13,11 +12,10 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "orioledoor/wire/internal/event_ptr.h"
+#include "orioledoor/wire/internal/http_connection_setup.h"
 #include "orioledoor/wire/internal/http_headers.h"
 
 namespace orioledoor::wire {
@@ -35,30 +33,11 @@
     MaxAnswerHeaderBytes + MaxAnswerBodyBytes / 4 * 5;
 // What all open calls may hold together; VMs have 160 MB and more.
 constexpr std::size_t MaxOpenBytes = 48U << 20;
-// A change in the store must be in force within two seconds of its
-// acknowledgement; a watch whose connection went silent is noticed in time for
-// that by one-second probes.
-constexpr int KeepAliveSeconds = 1;
-constexpr int KeepAliveProbes = 2;
 constexpr std::size_t MaxIdlePerEndpoint = 256;
 // Shorter than the idle timeouts that servers commonly have (5 s and more), so
 // that a call is rarely written to a connection that is being closed.
 constexpr Duration MaxIdleTime = std::chrono::seconds(4);
 
-std::optional<evhttp_cmd_type> commandOf(std::string_view Method) {
-  static constexpr std::pair<std::string_view, evhttp_cmd_type> Known[] = {
-      {"GET", EVHTTP_REQ_GET},         {"POST", EVHTTP_REQ_POST},
-      {"PUT", EVHTTP_REQ_PUT},         {"DELETE", EVHTTP_REQ_DELETE},
-      {"HEAD", EVHTTP_REQ_HEAD},       {"PATCH", EVHTTP_REQ_PATCH},
-      {"OPTIONS", EVHTTP_REQ_OPTIONS},
-  };
-  const auto *Found = std::ranges::find(
-      Known, Method, &std::pair<std::string_view, evhttp_cmd_type>::first);
-  if (Found == std::end(Known))
-    return std::nullopt;
-  return Found->second;
-}
-
 std::string nameOf(const Endpoint &To) {
   return To.Host + ":" + std::to_string(To.Port);
 }
@@ -190,7 +169,7 @@
         return;
       }
       if (!std::exchange(On->Tuned, true))
-        tune(Descriptor);
+        internal::tuneConnection(Descriptor);
     }
     // A reset also drains the buffer; it then counts as written, which errs on
     // the side of "unknown".
@@ -226,19 +205,6 @@
     this->defer();
   }
 
-  // Sends at once, and finds connections that went silent by keep-alive probes:
-  // KeepAliveProbes of them go unanswered.
-  static void tune(int Descriptor) {
-    auto Set = [Descriptor](int Level, int Name, int Value) {
-      setsockopt(Descriptor, Level, Name, &Value, sizeof Value);
-    };
-    Set(IPPROTO_TCP, TCP_NODELAY, 1);
-    Set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
-    Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
-    Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-  }
-
   std::unique_ptr<Connection> openConnection(const Endpoint &To) {
     auto Added = std::make_unique<Connection>();
     Added->Client = this;
@@ -463,7 +429,7 @@
       if (const requests::Header *Sent =
               internal::findHeader(Call.Headers, Call.EchoHeader))
         Open.Echo = *Sent;
-    std::optional<evhttp_cmd_type> Command = commandOf(Call.Method);
+    std::optional<evhttp_cmd_type> Command = internal::commandOf(Call.Method);
     if (!Command) {
       this->fail(Id, TargetFailure::NotSent, "the method is not supported");
       return Id;
