Count the grace of a stop in the soak from when the process can see the signal

The process was stopped by SIGSTOP from 17.2 to 21.6 s and got SIGTERM at 18.1 s; its log shows SIDECAR_STOPPING when it went on, 2.5 s before the soak killed it. The check already extended the grace for a SIGSTOP that comes after SIGTERM, but not for one that comes before.

--- a/orioledoor/soak/soak_faults.cc
+++ b/orioledoor/soak/soak_faults.cc
@@ -1,6 +1,7 @@
 // The kinds of faults and their odds.
 #include "orioledoor/soak/soak_faults.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -88,12 +89,14 @@
   case 1:
     this->record(&Node, "SIGTERM", StopGrace, Now);
     Node.Stopping = true;
-    Node.KillAt = Now + StopGrace;
+    // The grace begins once the process can see the signal.
+    Node.KillAt = std::max(Now, Node.PausedUntil) + StopGrace;
     Node.Process->signal(SIGTERM);
     break;
   case 2:
     this->record(&Node, "SIGSTOP", Time, Now);
     Node.Process->signal(SIGSTOP);
+    Node.PausedUntil = Now + Time;
     // Whatever runs there by then is to go on.
     this->later(Time, [&Node] { Node.Process->signal(SIGCONT); });
     if (Node.KillAt != Instant())
--- a/orioledoor/soak/soak_fleet.h
+++ b/orioledoor/soak/soak_fleet.h
@@ -51,6 +51,8 @@
   // The process was told to end, or is to be started again.
   bool Stopping = false;
   Instant KillAt;
+  // The process is stopped by a signal until then and handles no other one.
+  Instant PausedUntil;
   Instant StartAt;
   // What happens at this node is the doing of a fault until then.
   Instant DisturbedUntil;
