--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -27,10 +27,10 @@
 // The store's largest value is 1 MB, a third more in base64; a watch event
 // carries two of them.
 constexpr std::size_t MaxAnswerBodyBytes = 8U << 20;
-// What one call may receive in all. evhttp bounds heads and bodies, but neither
-// the lines between chunks nor the number of interim answers.
-constexpr std::size_t MaxAnswerBytes =
-    MaxAnswerHeaderBytes + MaxAnswerBodyBytes / 4 * 5;
+// What an answer may have beside its body, which may have as much again. evhttp
+// bounds heads and bodies, but neither the lines between chunks, which it scans
+// from their begin with each read, nor the number of interim answers.
+constexpr std::size_t MaxFramingBytes = 4 * MaxAnswerHeaderBytes;
 // What all open calls may hold together; VMs have 160 MB and more.
 constexpr std::size_t MaxOpenBytes = 48U << 20;
 constexpr std::size_t MaxIdlePerEndpoint = 256;
@@ -62,6 +62,8 @@
     bool Tuned = false;
     // The head of the answer came.
     bool Answering = false;
+    // evhttp's request of the call in flight, until its end is reported.
+    const evhttp_request *Request = nullptr;
     // Bytes of the answer to the call in flight.
     std::size_t Received = 0;
     std::optional<Instant> NotAfter;
@@ -180,18 +182,27 @@
   // Sees every change of the bytes that came.
   static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Context) {
     auto *On = static_cast<Connection *>(Context);
-    if (Info->n_added == 0 || On->CallId == 0)
+    if (Info->n_added == 0 || !On->Request)
       return;
     On->Received += Info->n_added;
     On->Client->OpenBytes += Info->n_added;
     On->Client->boundAnswers(*On);
   }
 
+  static bool hasTooMuchFraming(const Connection &Of) {
+    // A part of a body that is not whole yet stays in the input.
+    std::size_t Body = Of.Request->body_size;
+    if (Of.Request->ntoread > 0)
+      Body += evbuffer_get_length(
+          bufferevent_get_input(evhttp_connection_get_bufferevent(Of.Http)));
+    return Of.Received > MaxFramingBytes + 2 * Body;
+  }
+
   // Gives up the call on Of if its answer is too large, or the call with the
   // largest answer if all together are.
   void boundAnswers(const Connection &Of) {
     const Connection *Largest = &Of;
-    if (Of.Received <= MaxAnswerBytes) {
+    if (!hasTooMuchFraming(Of)) {
       if (this->OpenBytes <= MaxOpenBytes)
         return;
       Largest = std::ranges::max_element(this->Busy, {}, [](const auto &Entry) {
@@ -258,6 +269,7 @@
     std::unique_ptr<Connection> Freed = std::move(Found->second);
     this->Busy.erase(Found);
     Freed->CallId = 0;
+    Freed->Request = nullptr;
     this->OpenBytes -= std::exchange(Freed->Received, 0);
     auto &Kept = this->Idle[Freed->Name];
     if (!Reusable || Kept.size() >= MaxIdlePerEndpoint) {
@@ -453,6 +465,7 @@
                             Call.ConnectTimeout.value_or(Call.Timeout)));
 
     evhttp_request *Request = evhttp_request_new(onAnswer, On);
+    On->Request = Request;
     evhttp_request_set_error_cb(Request, onError);
     evhttp_request_set_header_cb(Request, onHead);
     evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
