Ask less and less for a configuration that does not come

A failed read while behind brought the next step forward every time, and set the pause of a read without a watch although the watch was open: at a store that refuses, a node that is behind would have read and asked 25 times a second.

The next step comes forward once, until a node was asked, and the short pause holds only while no watch is open.

asksLessAndLessWhileTheStoreRefuses failed before (more than 10 reads in 20 s) and passes now; sidecar_test 17 of 17.

--- a/orioledoor/sidecar/config_follower.cc
+++ b/orioledoor/sidecar/config_follower.cc
@@ -34,15 +34,18 @@
 ConfigStep ConfigFollower::replied(const StoreReply &Reply, Instant Now) {
   this->Reading = false;
   if (!Reply.Status.ok() && this->behind()) {
-    // The next step asks a node.
     this->ReadFailed = true;
-    this->CatchUpAt = Now;
+    // The first time a node is asked at once.
+    if (!this->NodeAsked)
+      this->CatchUpAt = Now;
   }
   // Without an entry the operator has not configured anything yet.
   if (!Reply.Status.ok() || Reply.Entries.empty()) {
-    this->ReadAt = Now + ReadPause;
+    if (!this->Watching)
+      this->ReadAt = Now + ReadPause;
     return {};
   }
+  this->Watching = true;
   const StoreEntry &Entry = Reply.Entries.front();
   // The revision of the last change may be older than the store's history; the
   // reply shows the entry as of its own revision.
@@ -53,8 +56,10 @@
 ConfigStep ConfigFollower::watched(const StoreWatchUpdate &Update,
                                    Instant Now) {
   ConfigStep Step;
-  if (absl::IsOutOfRange(Update.Status))
+  if (absl::IsOutOfRange(Update.Status)) {
+    this->Watching = false;
     this->ReadAt = Now + ReadPause;
+  }
   // Each replaces the earlier ones, and reading them takes time.
   auto Newest = std::ranges::find_if(
       Update.Changes.rbegin(), Update.Changes.rend(),
@@ -85,7 +90,7 @@
 
 void ConfigFollower::beginGrace(Instant Now) {
   this->CatchUpTries = 0;
-  this->ReadFailed = false;
+  this->ReadFailed = this->NodeAsked = false;
   this->CatchUpAt = Now + CatchUpGrace + this->TransferTime * LinkShareDivisor;
 }
 
@@ -96,8 +101,10 @@
     Due = true;
     // Nodes are asked only for what the store does not give: many nodes that
     // wait for a large document would load the links of the others.
-    if (std::exchange(this->ReadFailed, false))
+    if (std::exchange(this->ReadFailed, false)) {
+      this->NodeAsked = true;
       Step.AskNode = this->NewestAt;
+    }
     this->CatchUpAt =
         Now + std::min(LongestCatchUpPause,
                        CatchUpPause * (1 << std::min(this->CatchUpTries, 4)));
--- a/orioledoor/sidecar/config_follower.h
+++ b/orioledoor/sidecar/config_follower.h
@@ -63,6 +63,8 @@
   std::string Key;
   // A read is open.
   bool Reading = false;
+  // A watch was opened and has not ended.
+  bool Watching = false;
   // When to read; empty while a read or a watch is open.
   std::optional<Instant> ReadAt;
   std::uint64_t InForce = 0;
@@ -73,6 +75,7 @@
   int CatchUpTries = 0;
   // The store gave no answer to a read since then.
   bool ReadFailed = false;
+  bool NodeAsked = false;
   Duration TransferTime{0};
 };
 
--- a/orioledoor/sidecar/config_follower_test.cc
+++ b/orioledoor/sidecar/config_follower_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(waitsForALargeDocumentOnItsWay);
   CPPUNIT_TEST(waitsForItsOwnWatchFirst);
   CPPUNIT_TEST(asksLessAndLessForAVersionThatNobodySends);
+  CPPUNIT_TEST(asksLessAndLessWhileTheStoreRefuses);
   CPPUNIT_TEST(membersPauseWhenTheHistoryIsGone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -139,6 +140,29 @@
     CPPUNIT_ASSERT(Reads <= 9);
   }
 
+  // Pattern: a store that refuses every call of a VM for 20 s, and no node that
+  // sends the configuration. The watch is open all the while.
+  void asksLessAndLessWhileTheStoreRefuses() {
+    this->Config.start();
+    this->Config.replied({.Entries = {{Key, "one", 7}}, .Revision = 9},
+                         this->Now);
+    this->Config.heard("a", 99, this->Now);
+    int Reads = 0;
+    int Asked = 0;
+    for (int Turn = 0; Turn < 20 * 50; ++Turn) {
+      this->Now = this->Now + milliseconds(20);
+      ConfigStep Step = this->Config.tick(this->Now);
+      Asked += Step.AskNode ? 1 : 0;
+      if (!Step.Read)
+        continue;
+      ++Reads;
+      this->Config.replied({.Status = absl::UnavailableError("busy")},
+                           this->Now);
+    }
+    CPPUNIT_ASSERT(Reads <= 10);
+    CPPUNIT_ASSERT(Asked >= 5 && Asked <= 10);
+  }
+
   // The same for the entries of nodes, which are a page or more.
   void membersPauseWhenTheHistoryIsGone() {
     NodeEntry Self;
