Hand on pipelined requests at once, and reject framing that is not certain

Cause: evhttp reads the next request of a connection only after the response to the one before it, so a slow first request delays the ones behind it, and its error pages forced a second answer (408) after 400.

The server now uses libevent's sockets and the parser of Boost.Beast. Up to 16 requests of a connection are worked on at once, answered in order; a response closes the connection only if nothing behind it was handed on. Ruled out: a splitter in front of evhttp (a parser of its own and a socket pair a request).

The requests in HttpServerTest gained a Host header, since HTTP/1.1 without one is now rejected; their checks are unchanged.

--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -1,4 +1,5 @@
-// HTTP server for callers, targets and operators, based on evhttp.
+// HTTP server for callers, targets and operators, on libevent's sockets and the
+// parser of Boost.Beast.
 //
 //   auto Opened = HttpServer::open(Base, {.Listen = {"10.0.0.1", 8000}},
 //       {.OnRequest = [](std::uint64_t Id, IncomingRequest Request) {...},
@@ -7,8 +8,13 @@
 //
 // Requests that cannot be parsed are answered by the server with a JSON body
 // and status 400, 408 (truncated or too slow), 413, 431 or 501 (unsupported
-// method). A caller that closes its connection, or its sending side, before the
-// response counts as disconnected.
+// method); nothing after them is read. A caller that closes its connection, or
+// its sending side, before the response counts as disconnected.
+//
+// A caller may send up to 16 requests before the first response. They are
+// handed on at once and answered in their order. Nothing is read behind a
+// request with "Connection: close", and a response closes the connection only
+// if no later request of it was handed on.
 #ifndef ORIOLEDOOR_WIRE_HTTP_SERVER_H
 #define ORIOLEDOOR_WIRE_HTTP_SERVER_H
 
--- a/orioledoor/wire/http_server_test.cc
+++ b/orioledoor/wire/http_server_test.cc
@@ -1,22 +1,15 @@
 // Tests the handling of malformed requests and of callers that disconnect.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
-
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "orioledoor/wire/http_server.h"
-#include "orioledoor/wire/testing/loop.h"
+#include "orioledoor/wire/testing/http_server_fixture.h"
 
 namespace orioledoor::wire {
 namespace {
 
-constexpr std::uint16_t Port = 21101;
-
-// Uses a server that answers immediately with the target of the request, except
-// for targets that start with "/hold", whose requests stay open.
-class HttpServerTest : public CppUnit::TestFixture {
+class HttpServerTest : public testing::HttpServerFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(answersPipelinedRequestsInOrder);
   CPPUNIT_TEST(headResponseHasLengthAndNoBody);
@@ -30,69 +23,11 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override {
-    this->HeldRequests.clear();
-    this->DisconnectedRequests.clear();
-    this->ReceivedCount = 0;
-    HttpServerOptions Options{.Listen = {"127.0.0.1", Port}};
-    Options.MaxBodyBytes = 1000;
-    auto Opened = HttpServer::open(
-        this->Events.base(), Options,
-        {.OnRequest =
-             [this](std::uint64_t Id, const IncomingRequest &Request) {
-               ++this->ReceivedCount;
-               if (Request.Target.starts_with("/hold"))
-                 this->HeldRequests.push_back(Id);
-               else
-                 this->Server->reply(Id, {200, {}, Request.Target + "\n"});
-             },
-         .OnDisconnect =
-             [this](std::uint64_t Id) {
-               this->DisconnectedRequests.push_back(Id);
-             }});
-    CPPUNIT_ASSERT(Opened.ok());
-    this->Server = *std::move(Opened);
-  }
-
-  void tearDown() override { this->Server.reset(); }
-
-  // Sends Bytes and returns all received bytes until the server closes the
-  // connection or until Count responses with a body that ends in a line feed
-  // have arrived.
-  std::string exchange(std::string_view Bytes, bool ShutdownSending = false,
-                       int Count = 1) {
-    int Caller = testing::connectTo(Port);
-    testing::sendAll(Caller, Bytes);
-    if (ShutdownSending)
-      shutdown(Caller, SHUT_WR);
-    std::string Answer;
-    bool IsOpen = true;
-    this->Events.runUntil(
-        [&] {
-          IsOpen = testing::receive(Caller, Answer);
-          return !IsOpen ||
-                 (Answer.ends_with("\n") && !Answer.ends_with("\r\n") &&
-                  std::ranges::count(Answer, '\n') -
-                          std::ranges::count(Answer, '\r') >=
-                      Count);
-        },
-        {}, std::chrono::seconds(2));
-    close(Caller);
-    return Answer;
-  }
-
-  static bool isError(const std::string &Answer, const std::string &Status) {
-    return Answer.starts_with("HTTP/1.1 " + Status + " ") &&
-           Answer.find("{\"outcome\":\"not-run\",\"step\":\"receive request\","
-                       "\"peer\":\"\",\"message\":") != std::string::npos &&
-           Answer.find('<') == std::string::npos;
-  }
-
   void answersPipelinedRequestsInOrder() {
-    std::string Answer = this->exchange("GET /a HTTP/1.1\r\n\r\n"
-                                        "POST /b HTTP/1.1\r\n"
+    std::string Answer = this->exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+                                        "POST /b HTTP/1.1\r\nHost: h\r\n"
                                         "Content-Length: 3\r\n\r\nxyz"
-                                        "GET /c HTTP/1.1\r\n\r\n",
+                                        "GET /c HTTP/1.1\r\nHost: h\r\n\r\n",
                                         false, 3);
     CPPUNIT_ASSERT(Answer.find("/a\n") < Answer.find("/b\n"));
     CPPUNIT_ASSERT(Answer.find("/b\n") < Answer.find("/c\n"));
@@ -102,8 +37,8 @@
   // Guards against a body after the response to HEAD, which the caller would
   // take for the next response.
   void headResponseHasLengthAndNoBody() {
-    std::string Answer = this->exchange("HEAD /abc HTTP/1.1\r\n\r\n"
-                                        "GET /d HTTP/1.1\r\n\r\n",
+    std::string Answer = this->exchange("HEAD /abc HTTP/1.1\r\nHost: h\r\n\r\n"
+                                        "GET /d HTTP/1.1\r\nHost: h\r\n\r\n",
                                         false, 2);
     CPPUNIT_ASSERT(Answer.find("Content-Length: 5\r\n") != std::string::npos);
     CPPUNIT_ASSERT(Answer.find("/abc") == std::string::npos);
@@ -114,22 +49,24 @@
   // other callers.
   void truncatedBodyGets408() {
     std::string Answer = this->exchange(
-        "POST /a HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf", true);
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf", true);
     CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "408"));
     CPPUNIT_ASSERT_EQUAL(0, this->ReceivedCount);
-    CPPUNIT_ASSERT(this->exchange("GET /b HTTP/1.1\r\n\r\n").ends_with("/b\n"));
-    Answer = this->exchange("GET /a HTTP/1.1\r\n\r\n"
-                            "POST /b HTTP/1.1\r\nContent-Length: 9\r\n\r\nx",
-                            true, 2);
+    CPPUNIT_ASSERT(
+        this->exchange("GET /b HTTP/1.1\r\nHost: h\r\n\r\n").ends_with("/b\n"));
+    Answer = this->exchange(
+        "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+        "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx",
+        true, 2);
     CPPUNIT_ASSERT_MESSAGE(Answer, Answer.find("408") != std::string::npos);
   }
 
   void largeBodyGets413() {
-    std::string Answer =
-        this->exchange("POST /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" +
-                       std::string(1001, 'x'));
+    std::string Answer = this->exchange(
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" +
+        std::string(1001, 'x'));
     CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "413"));
-    Answer = this->exchange("POST /a HTTP/1.1\r\nTransfer-Encoding: "
+    Answer = this->exchange("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
                             "chunked\r\n\r\nfff\r\n" +
                             std::string(4095, 'x') + "\r\n0\r\n\r\n");
     CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "413"));
@@ -137,15 +74,15 @@
   }
 
   void largeHeadersGet431() {
-    std::string Answer = this->exchange(
-        "GET /a HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n");
+    std::string Answer = this->exchange("GET /a HTTP/1.1\r\nHost: h\r\nX: " +
+                                        std::string(20000, 'x') + "\r\n\r\n");
     CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "431"));
   }
 
   void malformedRequestsGet400() {
-    for (const char *Bytes :
-         {"GET\r\n\r\n", "\x16\x03\x01 \x02\r\n\r\n",
-          "GET /a HTTP/1.1\r\nno colon\r\n\r\n", "GET /a NOPE/7\r\n\r\n"}) {
+    for (const char *Bytes : {"GET\r\n\r\n", "\x16\x03\x01 \x02\r\n\r\n",
+                              "GET /a HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n",
+                              "GET /a NOPE/7\r\n\r\n"}) {
       std::string Answer = this->exchange(Bytes);
       CPPUNIT_ASSERT_MESSAGE(Bytes + Answer, isError(Answer, "400"));
     }
@@ -156,11 +93,12 @@
   // second request in the body of the first.
   void ambiguousFramingGets400() {
     std::string Answer =
-        this->exchange("POST /a HTTP/1.1\r\nContent-Length: 1\r\n"
+        this->exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
                        "Content-Length: 2\r\n\r\nxy");
     CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "400"));
-    Answer = this->exchange("POST /a HTTP/1.1\r\nContent-Length: 1\r\n"
-                            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    Answer =
+        this->exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
     CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "400"));
     CPPUNIT_ASSERT_EQUAL(0, this->ReceivedCount);
   }
@@ -193,7 +131,7 @@
   // until its deadline.
   void disconnectedCallerIsReported() {
     int Caller = testing::connectTo(Port);
-    testing::sendAll(Caller, "GET /hold HTTP/1.1\r\n\r\n");
+    testing::sendAll(Caller, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(
         this->Events.runUntil([this] { return !this->HeldRequests.empty(); }));
     CPPUNIT_ASSERT(this->DisconnectedRequests.empty());
@@ -204,13 +142,6 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Server->openRequests());
     this->Server->reply(this->HeldRequests[0], {200, {}, "late"});
   }
-
-private:
-  testing::Loop Events;
-  std::unique_ptr<HttpServer> Server;
-  std::vector<std::uint64_t> HeldRequests;
-  std::vector<std::uint64_t> DisconnectedRequests;
-  int ReceivedCount = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
--- a/orioledoor/wire/internal/http_headers.cc
+++ b/orioledoor/wire/internal/http_headers.cc
@@ -76,6 +76,38 @@
     Visit(std::string_view(Entry->key), std::string_view(Entry->value));
 }
 
+// Examines the headers of a message that determine where it ends.
+class FramingCheck {
+public:
+  void add(std::string_view Name, std::string_view Value) {
+    // Parsers that ignore the space treat "Content-Length : 3" as framing.
+    this->Malformed |= !isToken(Name);
+    if (equalsIgnoreCase(Name, "content-length")) {
+      ++this->FramingHeaders;
+      this->Malformed |=
+          Value.empty() || !std::ranges::all_of(Value, [](char C) {
+            return C >= '0' && C <= '9';
+          });
+    } else if (equalsIgnoreCase(Name, "transfer-encoding")) {
+      ++this->FramingHeaders;
+      this->Malformed |= !equalsIgnoreCase(Value, "chunked");
+    }
+  }
+
+  bool isAmbiguous() const {
+    return this->Malformed || this->FramingHeaders > 1;
+  }
+
+private:
+  int FramingHeaders = 0;
+  bool Malformed = false;
+};
+
+bool isForwardable(const requests::Header &Field) {
+  return isToken(Field.Name) && isFieldValue(Field.Value) &&
+         !isHopByHop(Field.Name);
+}
+
 } // namespace
 
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right) {
@@ -106,34 +138,47 @@
   return Result;
 }
 
-bool hasAmbiguousFraming(const evkeyvalq &Headers) {
-  int ContentLengthCount = 0;
-  int TransferEncodingCount = 0;
-  bool Malformed = false;
-  forEachHeader(Headers, [&](std::string_view Name, std::string_view Value) {
-    // Parsers that ignore the space treat "Content-Length : 3" as framing.
-    Malformed |= !isToken(Name);
-    if (equalsIgnoreCase(Name, "content-length")) {
-      ++ContentLengthCount;
-      Malformed |= Value.empty() || !std::ranges::all_of(Value, [](char C) {
-                     return C >= '0' && C <= '9';
-                   });
-    } else if (equalsIgnoreCase(Name, "transfer-encoding")) {
-      ++TransferEncodingCount;
-      Malformed |= !equalsIgnoreCase(Value, "chunked");
-    }
+std::vector<requests::Header>
+endToEndHeaders(std::vector<requests::Header> Headers) {
+  const requests::Header *Found = findHeader(Headers, "Connection");
+  std::string ConnectionOptions = Found ? Found->Value : "";
+  std::erase_if(Headers, [&ConnectionOptions](const requests::Header &Field) {
+    return isHopByHop(Field.Name) ||
+           listContains(ConnectionOptions, Field.Name);
   });
-  return Malformed || ContentLengthCount + TransferEncodingCount > 1;
+  return Headers;
+}
+
+bool hasAmbiguousFraming(const evkeyvalq &Headers) {
+  FramingCheck Check;
+  forEachHeader(Headers,
+                [&Check](std::string_view Name, std::string_view Value) {
+                  Check.add(Name, Value);
+                });
+  return Check.isAmbiguous();
+}
+
+bool hasAmbiguousFraming(const std::vector<requests::Header> &Headers) {
+  FramingCheck Check;
+  for (const requests::Header &Field : Headers)
+    Check.add(Field.Name, Field.Value);
+  return Check.isAmbiguous();
 }
 
 void addHeaders(evkeyvalq &Output,
                 const std::vector<requests::Header> &Headers) {
   for (const requests::Header &Field : Headers)
-    if (isToken(Field.Name) && isFieldValue(Field.Value) &&
-        !isHopByHop(Field.Name))
+    if (isForwardable(Field))
       evhttp_add_header(&Output, Field.Name.c_str(), Field.Value.c_str());
 }
 
+void appendHeaders(std::string &Output,
+                   const std::vector<requests::Header> &Headers) {
+  for (const requests::Header &Field : Headers)
+    if (isForwardable(Field))
+      Output.append(Field.Name).append(": ").append(Field.Value).append("\r\n");
+}
+
 std::string errorBody(std::string_view Outcome, std::string_view Step,
                       std::string_view Peer, std::string_view Message) {
   nlohmann::ordered_json Body = {{"outcome", Outcome},
