Let the moves of a rebalancing plan grow with the number of targets

Cause: a plan had at most 6 moves, and no plan was made while a move was pending (up to 2.6 s). With 41 targets and a skewed demand, owners stayed overloaded for 10 s and more. Shares of a hot spot that exceed what another target lacks to the mean could not move at all.

A plan now has as many moves as targets, and only the targets of a pending move sit out. Shares of a hot spot move if they don't overload their new owner; a key that would overload any target stays. Ruled out by a trial: moving such a share whenever its new owner is better off than the old one.

Tests: RebalancingTest, in virtual time. With 6 moves a plan the skewed demand ends at 2.8 times the mean and the hot spot at 7.8 (bounds 1.6 and 2.2); with the rule of the trial keepsKeyThatOverloadsAnyTarget fails.

--- a/orioledoor/keyspace/key_balance.cc
+++ b/orioledoor/keyspace/key_balance.cc
@@ -3,7 +3,6 @@
 #include "orioledoor/keyspace/key_balance.h"
 
 #include <algorithm>
-#include <numeric>
 #include <optional>
 
 namespace orioledoor::keyspace {
@@ -14,8 +13,9 @@
 // Factor by which a target must exceed the mean utilization. Moved keys are not
 // served for about a second, which a smaller excess does not justify.
 constexpr double MinExcessFactor = 1.2;
-// Moves per plan. Each one interrupts service of its keys for about a second.
-constexpr int MaxMoves = 6;
+// Moves per plan of a small service. Each one interrupts service of its keys
+// for about a second.
+constexpr std::size_t MinMaxMoves = 6;
 // Rows per target. The answer to a report, 4 KiB, can list about 70.
 constexpr std::size_t MaxRowsPerTarget = 40;
 
@@ -26,6 +26,18 @@
   double Rate = 0;
 };
 
+// A target that can take part in moves. Rate and Rows include the moves that
+// are planned.
+struct Candidate {
+  TargetRef Target;
+  double Rate = 0;
+  double Capacity = 0;
+  std::size_t Rows = 0;
+  std::vector<KeySegment> Segments;
+
+  double utilization() const { return this->Rate / this->Capacity; }
+};
+
 std::size_t countRows(const KeyMap &Map, const TargetRef &Target) {
   return static_cast<std::size_t>(
       std::ranges::count(Map.Rows, Target, &KeyRow::Owner));
@@ -97,52 +109,90 @@
   return Best;
 }
 
+// Returns the segment with the lowest rate of all that contain demand.
+std::optional<KeySegment>
+smallestSegment(std::span<const KeySegment> Segments) {
+  std::optional<KeySegment> Best;
+  for (const KeySegment &Segment : Segments)
+    if (Segment.Rate > 0 && (!Best || Segment.Rate < Best->Rate))
+      Best = Segment;
+  return Best;
+}
+
+// Utilization from which a target gives keys away.
+double overloadUtilization(double MeanUtilization) {
+  return std::max(MinOverloadUtilization, MeanUtilization * MinExcessFactor);
+}
+
+// Returns the keys that Source should give to Destination.
+std::optional<KeySegment> chooseKeys(const Candidate &Source,
+                                     const Candidate &Destination,
+                                     double MeanUtilization) {
+  double RateToMove = std::min(
+      (Source.utilization() - MeanUtilization) * Source.Capacity,
+      (MeanUtilization - Destination.utilization()) * Destination.Capacity);
+  if (auto Run = chooseRun(Source.Segments, RateToMove))
+    return Run;
+  // The shares of a hot spot can exceed what any other target lacks to the
+  // mean. Such a share is moved if it does not overload its new owner. A key
+  // that would overload every target stays, and the other keys of its owner
+  // move away.
+  std::optional<KeySegment> Share = smallestSegment(Source.Segments);
+  if (Share && (Destination.Rate + Share->Rate) / Destination.Capacity <
+                   overloadUtilization(MeanUtilization))
+    return Share;
+  return std::nullopt;
+}
+
 } // namespace
 
+std::size_t maxMoves(std::size_t Targets) {
+  // A skewed demand overloads a share of the targets, however many there are.
+  return std::max(MinMaxMoves, Targets);
+}
+
 std::vector<KeyMove> planMoves(const KeyMap &Map,
-                               std::span<const TargetLoad> Loads) {
+                               std::span<const TargetLoad> Loads,
+                               std::span<const TargetRef> Busy) {
   std::vector<KeyMove> Moves;
-  std::vector<TargetLoad> ExpectedLoads(Loads.begin(), Loads.end());
-  std::erase_if(ExpectedLoads,
-                [](const TargetLoad &Load) { return Load.Capacity <= 0; });
-  if (ExpectedLoads.size() < 2)
-    return Moves;
   double TotalRate = 0;
   double TotalCapacity = 0;
-  for (const TargetLoad &Load : ExpectedLoads) {
+  std::vector<Candidate> Candidates;
+  for (const TargetLoad &Load : Loads) {
+    if (Load.Capacity <= 0)
+      continue;
     TotalRate += Load.Rate;
     TotalCapacity += Load.Capacity;
+    if (std::ranges::find(Busy, Load.Target) == Busy.end())
+      Candidates.push_back({.Target = Load.Target,
+                            .Rate = Load.Rate,
+                            .Capacity = Load.Capacity,
+                            .Rows = countRows(Map, Load.Target),
+                            .Segments = splitAtQuantiles(Map, Load)});
   }
   double MeanUtilization = TotalRate / TotalCapacity;
-  std::vector<std::vector<KeySegment>> Segments;
-  Segments.reserve(ExpectedLoads.size());
-  for (const TargetLoad &Load : ExpectedLoads)
-    Segments.push_back(splitAtQuantiles(Map, Load));
-  auto Utilization = [](const TargetLoad &Load) {
-    return Load.Rate / Load.Capacity;
-  };
-  while (Moves.size() < MaxMoves) {
-    auto Source = std::ranges::max_element(ExpectedLoads, {}, Utilization);
-    auto Destination = std::ranges::min_element(ExpectedLoads, {}, Utilization);
-    if (Source == Destination ||
-        Utilization(*Source) <
-            std::max(MinOverloadUtilization, MeanUtilization * MinExcessFactor))
+  std::size_t MoveLimit = maxMoves(Loads.size());
+  while (Moves.size() < MoveLimit && Candidates.size() >= 2) {
+    auto [Destination, Source] =
+        std::ranges::minmax_element(Candidates, {}, &Candidate::utilization);
+    if (Source->utilization() < overloadUtilization(MeanUtilization))
       break;
-    double RateToMove = std::min(
-        (Utilization(*Source) - MeanUtilization) * Source->Capacity,
-        (MeanUtilization - Utilization(*Destination)) * Destination->Capacity);
-    auto &Candidates =
-        Segments[static_cast<std::size_t>(Source - ExpectedLoads.begin())];
-    std::optional<KeySegment> Run = chooseRun(Candidates, RateToMove);
-    if (!Run ||
-        countRows(Map, Destination->Target) + Moves.size() >=
-            MaxRowsPerTarget ||
-        countRows(Map, Source->Target) + Moves.size() >= MaxRowsPerTarget)
+    // Targets with the highest number of rows take no part in further moves.
+    if (Source->Rows >= MaxRowsPerTarget ||
+        Destination->Rows >= MaxRowsPerTarget) {
+      Candidates.erase(Source->Rows >= MaxRowsPerTarget ? Source : Destination);
+      continue;
+    }
+    std::optional<KeySegment> Run =
+        chooseKeys(*Source, *Destination, MeanUtilization);
+    if (!Run)
       break;
     Moves.push_back({Run->Keys, Source->Target, Destination->Target});
     Source->Rate -= Run->Rate;
     Destination->Rate += Run->Rate;
-    std::erase_if(Candidates, [&Run](const KeySegment &Segment) {
+    ++Source->Rows;
+    ++Destination->Rows;
+    std::erase_if(Source->Segments, [&Run](const KeySegment &Segment) {
       return Run->Keys.overlaps(Segment.Keys);
     });
   }
--- a/orioledoor/keyspace/key_balance.h
+++ b/orioledoor/keyspace/key_balance.h
@@ -3,6 +3,7 @@
 #ifndef ORIOLEDOOR_KEYSPACE_KEY_BALANCE_H
 #define ORIOLEDOOR_KEYSPACE_KEY_BALANCE_H
 
+#include <cstddef>
 #include <span>
 #include <vector>
 
@@ -25,11 +26,16 @@
   TargetRef To;
 };
 
+// Limits the moves of one plan for a service with this many targets.
+std::size_t maxMoves(std::size_t Targets);
+
 // Returns the moves that reduce the utilization of overloaded targets towards
 // the mean of all targets. Returns an empty list if no target is overloaded
-// enough to justify a move.
+// enough to justify a move. Busy targets count towards the mean, but take no
+// part in a move: their demand is about to change.
 std::vector<KeyMove> planMoves(const KeyMap &Map,
-                               std::span<const TargetLoad> Loads);
+                               std::span<const TargetLoad> Loads,
+                               std::span<const TargetRef> Busy = {});
 
 } // namespace orioledoor::keyspace
 
--- a/orioledoor/keyspace/key_planner.cc
+++ b/orioledoor/keyspace/key_planner.cc
@@ -223,44 +223,62 @@
   return Changed;
 }
 
-bool KeyPlanner::planKeysForNewTarget(KeyPlan &Plan,
-                                      std::span<const PlannerNode> Nodes) {
+void KeyPlanner::updateMoving(const KeyMap &Map, Instant Now) {
+  for (const KeyRow &Row : Map.Rows)
+    if (Row.Next)
+      for (const TargetRef &Target : {Row.Owner, Row.Next})
+        this->Moving.try_emplace(Target, Now, Now).first->second.LastSeenAt =
+            Now;
+  std::erase_if(this->Moving, [this, Now](const auto &Entry) {
+    return Now - Entry.second.LastSeenAt >= this->Options.RebalanceInterval;
+  });
+}
+
+// A move from a disconnected node only completes once that node is marked as
+// lost. After MoveTimeout its targets count as free again.
+std::vector<TargetRef> KeyPlanner::busyTargets(Instant Now) const {
+  std::vector<TargetRef> Busy;
+  for (const auto &[Target, Activity] : this->Moving)
+    if (Now - Activity.Since < this->Options.MoveTimeout)
+      Busy.push_back(Target);
+  return Busy;
+}
+
+bool KeyPlanner::planKeysForNewTargets(KeyPlan &Plan,
+                                       std::span<const PlannerNode> Nodes) {
   KeyMap &Map = Plan.Map;
   std::vector<const PlannerNode *> Ready = readyNodes(Nodes, this->Service);
-  auto NewTarget = std::ranges::find_if(Ready, [&Map](const auto *Node) {
-    return countKeys(Map, Node->Target) == 0;
-  });
-  auto LongestRow =
-      std::ranges::max_element(Map.Rows, {}, [](const KeyRow &Row) {
-        return Row.Keys.To - Row.Keys.From;
-      });
-  if (NewTarget == Ready.end() || LongestRow == Map.Rows.end() ||
-      LongestRow->Keys.From == LongestRow->Keys.To)
-    return false;
-  KeyRange UpperHalf{LongestRow->Keys.From +
-                         (LongestRow->Keys.To - LongestRow->Keys.From) / 2 + 1,
-                     LongestRow->Keys.To};
-  Map.splitRowsAt(UpperHalf);
-  for (KeyRow &Row : Map.Rows)
-    if (Row.Keys == UpperHalf)
-      Row.Next = (*NewTarget)->Target;
-  Plan.Reason += "newcomer " + (*NewTarget)->Target.Instance + "; ";
-  return true;
+  std::size_t MoveLimit = maxMoves(Ready.size());
+  std::size_t Moves = 0;
+  // Rows with a pending move are left as they are.
+  auto FreeKeys = [](const KeyRow &Row) {
+    return Row.Next ? 0 : Row.Keys.To - Row.Keys.From;
+  };
+  for (const PlannerNode *Node : Ready) {
+    if (Moves == MoveLimit || countKeys(Map, Node->Target) != 0)
+      continue;
+    auto LongestRow = std::ranges::max_element(Map.Rows, {}, FreeKeys);
+    if (LongestRow == Map.Rows.end() || FreeKeys(*LongestRow) == 0)
+      break;
+    KeyRange UpperHalf{LongestRow->Keys.From +
+                           (LongestRow->Keys.To - LongestRow->Keys.From) / 2 +
+                           1,
+                       LongestRow->Keys.To};
+    Map.splitRowsAt(UpperHalf);
+    std::ranges::find(Map.Rows, UpperHalf, &KeyRow::Keys)->Next = Node->Target;
+    Plan.Reason += "newcomer " + Node->Target.Instance + "; ";
+    ++Moves;
+  }
+  return Moves > 0;
 }
 
 bool KeyPlanner::planRebalancing(KeyPlan &Plan,
                                  std::span<const PlannerNode> Nodes,
                                  Instant Now) {
   KeyMap &Map = Plan.Map;
-  bool MovePending = std::ranges::any_of(
-      Map.Rows, [](const KeyRow &Row) { return static_cast<bool>(Row.Next); });
-  // A move from a disconnected node only completes once that node is marked as
-  // lost. After MoveTimeout it no longer delays other moves.
-  if (Now - this->RebalancedAt < (MovePending
-                                      ? this->Options.MoveTimeout
-                                      : this->Options.RebalanceInterval))
+  if (Now - this->RebalancedAt < this->Options.RebalanceInterval)
     return false;
-  if (this->planKeysForNewTarget(Plan, Nodes)) {
+  if (this->planKeysForNewTargets(Plan, Nodes)) {
     this->RebalancedAt = Now;
     return true;
   }
@@ -274,7 +292,7 @@
     Loads.push_back(
         {Node->Target, Notice.Rate, Notice.Capacity, Notice.Quantiles});
   }
-  std::vector<KeyMove> Moves = planMoves(Map, Loads);
+  std::vector<KeyMove> Moves = planMoves(Map, Loads, this->busyTargets(Now));
   for (const KeyMove &Move : Moves) {
     Map.splitRowsAt(Move.Keys);
     for (KeyRow &Row : Map.Rows)
@@ -304,6 +322,7 @@
   });
   for (const LostTarget &Lost : Map->Lost)
     this->MarkSeenAt.try_emplace(Lost.Mark, Now);
+  this->updateMoving(*Map, Now);
   KeyPlan Plan;
   Plan.Map = *Map;
   bool Changed = this->planLostMarks(Plan, Nodes, StoreUpToDate, Now);
--- a/orioledoor/keyspace/key_planner.h
+++ b/orioledoor/keyspace/key_planner.h
@@ -50,11 +50,12 @@
   // The initial owners are planned after no new target has appeared for this
   // long.
   Duration SettleTime = std::chrono::milliseconds(1500);
-  // Minimum interval between two rebalancing plans: the demand is measured over
-  // a second.
+  // Minimum interval between two rebalancing plans, and between the end of a
+  // move and the next one of the same target: the demand is measured over a
+  // second.
   Duration RebalanceInterval = std::chrono::milliseconds(800);
   // A pending move that takes longer than two reports of the owner and one of
-  // the next owner no longer delays further rebalancing.
+  // the next owner no longer keeps its targets from taking part in others.
   Duration MoveTimeout = std::chrono::milliseconds(2600);
 };
 
@@ -99,8 +100,17 @@
     routing::KeyLoadNotice Notice;
     Instant ReceivedAt;
   };
+  // Pending moves that a target takes part in.
+  struct MoveActivity {
+    Instant Since;
+    Instant LastSeenAt;
+  };
   enum class OwnerState { Alive, Ended, Missing };
 
+  // Records which targets take part in the pending moves of Map.
+  void updateMoving(const KeyMap &Map, Instant Now);
+  // Targets whose demand is about to change because of a move.
+  std::vector<TargetRef> busyTargets(Instant Now) const;
   std::optional<KeyPlan> planInitialOwners(std::span<const PlannerNode> Nodes,
                                            Instant Now);
   OwnerState ownerState(const TargetRef &Owner,
@@ -114,8 +124,8 @@
   // Moves the keys of leaving owners to other targets and cancels moves to
   // targets that are gone.
   bool planDepartures(KeyPlan &Plan, std::span<const PlannerNode> Nodes);
-  // Moves half of the longest row to a target without keys.
-  bool planKeysForNewTarget(KeyPlan &Plan, std::span<const PlannerNode> Nodes);
+  // Moves half of a long row to each target without keys.
+  bool planKeysForNewTargets(KeyPlan &Plan, std::span<const PlannerNode> Nodes);
   // Moves keys from overloaded targets to targets with spare capacity.
   bool planRebalancing(KeyPlan &Plan, std::span<const PlannerNode> Nodes,
                        Instant Now);
@@ -127,6 +137,7 @@
   std::map<TargetRef, Instant> FirstMissingAt;
   // Time at which a lost mark was first seen, by its number.
   std::map<std::int64_t, Instant> MarkSeenAt;
+  std::map<TargetRef, MoveActivity> Moving;
   std::vector<TargetRef> LastReadyTargets;
   Instant ReadyChangedAt;
   Instant RebalancedAt;
