Send other nodes the changed rows of a key map, not the whole map

Cause: each write of a key map was followed by the whole map to every node.

A notice now has the changed rows, the revisions before and after, and a checksum of the result. Early changes wait; a missing one leads to a read after 150 ms. Ruled out: keys that belong to a region (3,325 keys, each called from all three regions in equal parts), and compression (bodies are random bytes).

Tests: changesTurnOneMapIntoTheNext, changesOfOtherMapsAreRefused, appliesKeyMapChangesInOrder.

--- a/orioledoor/keyspace/keyspace_test.cc
+++ b/orioledoor/keyspace/keyspace_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "orioledoor/keyspace/key_balance.h"
 #include "orioledoor/keyspace/key_grantor.h"
 #include "orioledoor/keyspace/key_load_meter.h"
+#include "orioledoor/keyspace/key_map_change.h"
 #include "orioledoor/keyspace/key_planner.h"
 
 namespace orioledoor::keyspace {
@@ -46,6 +48,8 @@
   CPPUNIT_TEST_SUITE(KeyspaceTest);
   CPPUNIT_TEST(keyMapRoundTripsThroughJson);
   CPPUNIT_TEST(keyMapSplitsAndMergesRows);
+  CPPUNIT_TEST(changesTurnOneMapIntoTheNext);
+  CPPUNIT_TEST(changesOfOtherMapsAreRefused);
   CPPUNIT_TEST(holdEndsBeforeAuthority);
   CPPUNIT_TEST(transfersOnlyReleasedKeys);
   CPPUNIT_TEST(grantsNothingToLostTarget);
@@ -88,6 +92,52 @@
 
   // A hold must end before the authority of the node does, even on a clock that
   // runs 2% slow.
+  // Guards against nodes whose key maps drift apart: splits, moves, transfers
+  // and merges of random ranges.
+  void changesTurnOneMapIntoTheNext() {
+    std::minstd_rand Random(3);
+    KeyMap Map = makeTwoOwnerMap();
+    for (int Round = 0; Round < 500; ++Round) {
+      KeyMap Next = Map;
+      auto From = static_cast<std::uint32_t>(Random() % (LastKey + 1));
+      KeyRange Keys{
+          From,
+          std::min<std::uint32_t>(
+              From + static_cast<std::uint32_t>(Random() % 9000), LastKey)};
+      Next.splitRowsAt(Keys);
+      for (KeyRow &Row : Next.Rows)
+        if (Row.Keys.overlaps(Keys)) {
+          if (Round % 3 == 0)
+            Row.Next = target(1 + Round % 7);
+          else
+            Row = {.Keys = Row.Keys,
+                   .Owner = target(1 + Round % 5),
+                   .Fence = ++Next.LastFence};
+        }
+      if (Round % 11 == 0)
+        Next.Lost = {{target(1 + Round % 5), ++Next.LastMark}};
+      Next.mergeAdjacentRows();
+      KeyMap Change = changeBetween(Map, Next);
+      CPPUNIT_ASSERT(Change.Rows.size() <= Next.Rows.size());
+      auto Applied =
+          applyChange(Map, *decodeKeyMap(encodeKeyMap(Change)), checksum(Next));
+      CPPUNIT_ASSERT(Applied && *Applied == Next);
+      Map = std::move(Next);
+    }
+  }
+
+  void changesOfOtherMapsAreRefused() {
+    KeyMap Map = makeTwoOwnerMap();
+    KeyMap Next = Map;
+    Next.Rows[0].Next = target(3);
+    KeyMap Other = Map;
+    Other.Rows[1].Fence = 7;
+    KeyMap Change = changeBetween(Map, Next);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Change.Rows.size());
+    CPPUNIT_ASSERT(applyChange(Map, Change, checksum(Next)));
+    CPPUNIT_ASSERT(!applyChange(Other, Change, checksum(Next)));
+  }
+
   void holdEndsBeforeAuthority() {
     KeyGrantor Grantor({});
     Instant Now{std::int64_t{10'000'000}};
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -166,6 +166,17 @@
   std::string Map{};
 };
 
+// Change of a service's key map that the sender wrote to the store.
+struct KeyMapChangeNotice {
+  // Revisions of the map in the store before and after the change.
+  std::int64_t BaseRevision = 0;
+  std::int64_t Revision = 0;
+  // Checksum of the map after the change.
+  std::uint64_t Checksum = 0;
+  // The changed rows, in the encoding of the store.
+  std::string Change{};
+};
+
 // Requests the receiver's configuration if it is newer than KnownVersion.
 struct FetchConfig {
   std::uint64_t KnownVersion = 0;
@@ -179,7 +190,8 @@
 using Message =
     std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
                  CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward,
-                 FetchBody, ForwardBody, FetchConfig, ConfigNotice>;
+                 FetchBody, ForwardBody, FetchConfig, ConfigNotice,
+                 KeyMapChangeNotice>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -204,6 +204,10 @@
   void operator()(const FetchConfig &Value) const {
     start(this->Out, this->Sent, 1) << Value.KnownVersion;
   }
+  void operator()(const KeyMapChangeNotice &Value) const {
+    start(this->Out, this->Sent, 4) << Value.BaseRevision << Value.Revision
+                                    << Value.Checksum << Value.Change;
+  }
   void operator()(const ConfigNotice &Value) const {
     start(this->Out, this->Sent, 1) << Value.Document;
   }
@@ -294,6 +298,12 @@
     In >> Value.Document;
     return Value;
   }
+  case 12: {
+    KeyMapChangeNotice Value;
+    In >> Value.BaseRevision >> Value.Revision >> Value.Checksum >>
+        Value.Change;
+    return Value;
+  }
   default:
     throw std::out_of_range("unknown message kind");
   }
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -123,6 +123,11 @@
                    std::get<ConfigNotice>(*Decoded).Document == Content->Body);
     Decoded = decodeMessage(encodeMessage(KeyMapNotice{9, "{}"}));
     CPPUNIT_ASSERT(std::get<KeyMapNotice>(*Decoded).Revision == 9);
+    Decoded = decodeMessage(encodeMessage(KeyMapChangeNotice{9, 11, 7, "{}"}));
+    CPPUNIT_ASSERT(Decoded.ok());
+    const auto &Change = std::get<KeyMapChangeNotice>(*Decoded);
+    CPPUNIT_ASSERT(Change.BaseRevision == 9 && Change.Revision == 11 &&
+                   Change.Checksum == 7 && Change.Change == "{}");
   }
 
   // Guards against nodes of two releases that reject each other's requests
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "orioledoor/keyspace/key_map_change.h"
 #include "orioledoor/sidecar/events.h"
 
 namespace orioledoor::sidecar {
@@ -25,6 +26,13 @@
 // Time after which a write counts as unanswered; the store client gives up
 // after a second.
 constexpr Duration WriteTimeout = milliseconds(2500);
+// Changes by different nodes can overtake each other by the difference of their
+// distances and delays. After this time the missing one counts as lost.
+constexpr Duration MaxGapTime = milliseconds(150);
+// Interval between reads of a map while a change of it is missing.
+constexpr Duration GapReadInterval = milliseconds(1000);
+// Early changes of a service that are kept. Beyond that, the map is read.
+constexpr std::size_t MaxEarlyChanges = 64;
 
 } // namespace
 
@@ -167,7 +175,8 @@
     Txn.Compares.push_back({Condition.Key, Condition.Revision});
   Txn.Puts.push_back({.Key = Key, .Value = keyspace::encodeKeyMap(Map)});
   OpenWrite &Write = this->OpenWrites[Service];
-  Write = {this->NextId++, Now + WriteTimeout, Map};
+  Write = {this->NextId++, Now + WriteTimeout, Map,
+           Stored ? *Stored : StoredKeyMap{}};
   Out.push_back(CallStore{{.Id = Write.Id, .Body = std::move(Txn)}});
 }
 
@@ -208,6 +217,7 @@
 void KeyOwnershipManager::tick(const routing::SharedRouteTable &Table,
                                Instant Now, Effects &Out) {
   this->recordTransfers(Now, Out);
+  this->readMapsWithGaps(Now, Out);
   if (Now - this->MapsReadAt >= MapReadInterval && this->Members.isLoaded()) {
     this->MapsReadAt = Now;
     this->readKeyMaps(KeysPrefix, true, true, Out);
@@ -261,14 +271,94 @@
 bool KeyOwnershipManager::receiveKeyMap(const routing::KeyMapNotice &Notice,
                                         Effects &Out) {
   absl::StatusOr<keyspace::KeyMap> Map = keyspace::decodeKeyMap(Notice.Map);
-  if (Map.ok())
-    return this->Members.applyKeyMap(*std::move(Map), Notice.Revision);
+  if (Map.ok()) {
+    std::string Service = Map->Service;
+    bool Changed = this->Members.applyKeyMap(*std::move(Map), Notice.Revision);
+    return this->applyEarlyChanges(Service, Out) || Changed;
+  }
   Out.push_back(LogRecord{&events::EntryUnreadable,
                           {{"revision", std::to_string(Notice.Revision)},
                            {"why", std::string(Map.status().message())}}});
   return false;
 }
 
+routing::Message KeyOwnershipManager::changeNotice(const OpenWrite &Write,
+                                                   std::int64_t Revision) {
+  if (Write.Base.Revision == 0)
+    return routing::KeyMapNotice{Revision, keyspace::encodeKeyMap(Write.Map)};
+  return routing::KeyMapChangeNotice{
+      .BaseRevision = Write.Base.Revision,
+      .Revision = Revision,
+      .Checksum = keyspace::checksum(Write.Map),
+      .Change = keyspace::encodeKeyMap(
+          keyspace::changeBetween(Write.Base.Map, Write.Map))};
+}
+
+bool KeyOwnershipManager::receiveChange(
+    const routing::KeyMapChangeNotice &Notice, Instant Now, Effects &Out) {
+  absl::StatusOr<keyspace::KeyMap> Change =
+      keyspace::decodeKeyMap(Notice.Change);
+  if (!Change.ok()) {
+    Out.push_back(LogRecord{&events::EntryUnreadable,
+                            {{"revision", std::to_string(Notice.Revision)},
+                             {"why", std::string(Change.status().message())}}});
+    return false;
+  }
+  const StoredKeyMap *Stored = this->findKeyMap(Change->Service);
+  if (Stored && Notice.Revision <= Stored->Revision)
+    return false;
+  std::string Service = Change->Service;
+  EarlyChanges &Waiting = this->Early[Service];
+  if (Waiting.ByBase.empty())
+    Waiting.Since = Now;
+  if (Waiting.ByBase.size() < MaxEarlyChanges)
+    Waiting.ByBase[Notice.BaseRevision] = {Notice.Revision, Notice.Checksum,
+                                           *std::move(Change)};
+  return this->applyEarlyChanges(Service, Out);
+}
+
+bool KeyOwnershipManager::applyEarlyChanges(const std::string &Service,
+                                            Effects &Out) {
+  auto Waiting = this->Early.find(Service);
+  if (Waiting == this->Early.end())
+    return false;
+  auto &ByBase = Waiting->second.ByBase;
+  bool Changed = false;
+  const StoredKeyMap *Stored = this->findKeyMap(Service);
+  while (Stored) {
+    auto Next = ByBase.find(Stored->Revision);
+    if (Next == ByBase.end())
+      break;
+    const EarlyChange &Early = Next->second;
+    auto Map = keyspace::applyChange(Stored->Map, Early.Change, Early.Checksum);
+    if (!Map) {
+      Out.push_back(
+          LogRecord{&events::EntryUnreadable,
+                    {{"revision", std::to_string(Early.Revision)},
+                     {"why", "the change does not fit the known key map"}}});
+      break;
+    }
+    Changed |= this->Members.applyKeyMap(*std::move(Map), Early.Revision);
+    ByBase.erase(Next);
+    Stored = this->findKeyMap(Service);
+  }
+  // The known map includes the changes of earlier ones.
+  if (Stored)
+    ByBase.erase(ByBase.begin(), ByBase.lower_bound(Stored->Revision));
+  if (ByBase.empty())
+    this->Early.erase(Waiting);
+  return Changed;
+}
+
+void KeyOwnershipManager::readMapsWithGaps(Instant Now, Effects &Out) {
+  for (auto &[Service, Waiting] : this->Early) {
+    if (Now - Waiting.Since < MaxGapTime)
+      continue;
+    Waiting.Since = Now + GapReadInterval;
+    this->readKeyMaps(KeysPrefix + Service, false, false, Out);
+  }
+}
+
 void KeyOwnershipManager::sendKeyMap(const std::string &Node,
                                      std::string_view Service, Instant Now,
                                      Effects &Out) {
@@ -292,10 +382,11 @@
   OpenWrite &Write = Found->second;
   if (Reply.Status.ok() && Reply.Succeeded) {
     Write.NextWriteAt = Now;
-    Out.push_back(SendMessage{
-        "", routing::KeyMapNotice{Reply.Revision,
-                                  keyspace::encodeKeyMap(Write.Map)}});
-    return this->Members.applyKeyMap(std::move(Write.Map), Reply.Revision);
+    Out.push_back(SendMessage{"", changeNotice(Write, Reply.Revision)});
+    std::string Service = Found->first;
+    bool Changed =
+        this->Members.applyKeyMap(std::move(Write.Map), Reply.Revision);
+    return this->applyEarlyChanges(Service, Out) || Changed;
   }
   Write.NextWriteAt = Now + WriteRetry;
   Out.push_back(LogRecord{
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -68,6 +68,11 @@
   // Handles a key map that another node sent. Returns whether the known maps
   // changed.
   bool receiveKeyMap(const routing::KeyMapNotice &Notice, Effects &Out);
+  // Handles a change that another node wrote. A change of a map that is not
+  // known yet is kept until the changes before it arrive. Returns whether the
+  // known maps changed.
+  bool receiveChange(const routing::KeyMapChangeNotice &Notice, Instant Now,
+                     Effects &Out);
   // Sends the key map of Service to Node, which sent a request for a key that
   // is not held here and so may not know the current owners.
   void sendKeyMap(const std::string &Node, std::string_view Service,
@@ -83,6 +88,19 @@
     std::uint64_t Id = 0;
     Instant NextWriteAt;
     keyspace::KeyMap Map;
+    // The map that the change is based on; revision 0 if there was none.
+    StoredKeyMap Base;
+  };
+  struct EarlyChange {
+    std::int64_t Revision = 0;
+    std::uint64_t Checksum = 0;
+    keyspace::KeyMap Change;
+  };
+  // Changes whose base is not known yet, by the revision of their base.
+  struct EarlyChanges {
+    std::map<std::int64_t, EarlyChange> ByBase;
+    // Time of the oldest one.
+    Instant Since;
   };
 
   std::vector<keyspace::PlannerNode> plannerNodes() const;
@@ -92,6 +110,13 @@
                    Instant Now, Effects &Out);
   void readKeyMaps(std::string Key, bool Prefix, bool MayBeStale, Effects &Out);
   bool applyEntries(const StoreReply &Reply, Effects &Out);
+  // Applies the early changes of Service that follow the known map.
+  bool applyEarlyChanges(const std::string &Service, Effects &Out);
+  // Reads the maps whose early changes have waited too long for their base.
+  void readMapsWithGaps(Instant Now, Effects &Out);
+  // Returns what tells the other nodes of a change that was written.
+  static routing::Message changeNotice(const OpenWrite &Write,
+                                       std::int64_t Revision);
   void recordTransfers(Instant Now, Effects &Out);
   bool canWrite(const std::string &Service, Instant Now) const;
 
@@ -103,6 +128,7 @@
   Instant PlannedAt;
   std::map<std::string, keyspace::KeyPlanner, std::less<>> Planners;
   std::map<std::string, OpenWrite, std::less<>> OpenWrites;
+  std::map<std::string, EarlyChanges, std::less<>> Early;
   std::uint64_t NextId = 1;
   Instant MapsReadAt;
   // Time at which a key map was last sent to each node.
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -308,6 +308,10 @@
   } else if (auto *NewKeyMap = std::get_if<routing::KeyMapNotice>(&Body)) {
     if (this->Keys.receiveKeyMap(*NewKeyMap, this->Out))
       this->onOwnersChanged(Now);
+  } else if (auto *KeyMapChange =
+                 std::get_if<routing::KeyMapChangeNotice>(&Body)) {
+    if (this->Keys.receiveChange(*KeyMapChange, Now, this->Out))
+      this->onOwnersChanged(Now);
   } else if (auto *ConfigRequest = std::get_if<routing::FetchConfig>(&Body)) {
     this->sendConfig(From, *ConfigRequest, Now);
   } else if (auto *NewConfig = std::get_if<routing::ConfigNotice>(&Body)) {
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "orioledoor/keyspace/key_map_change.h"
 #include "orioledoor/keyspace/key_planner.h"
 #include "orioledoor/routing/events.h"
 #include "orioledoor/sidecar/reducer.h"
@@ -132,6 +133,7 @@
   CPPUNIT_TEST(answersOpenRequestsBeforeItExits);
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
+  CPPUNIT_TEST(appliesKeyMapChangesInOrder);
   CPPUNIT_TEST(ignoresOlderConfiguration);
   CPPUNIT_TEST(appliesConfigurationFromAnotherNode);
   CPPUNIT_TEST(limitsLinkUseBySendingConfigurations);
@@ -223,6 +225,55 @@
     CPPUNIT_ASSERT(SecondSidecar.find<ReplyToReport>()->Answer.Grants.empty());
   }
 
+  // Guards against owners that are not known, since the messages of two nodes
+  // overtook each other or one was lost.
+  void appliesKeyMapChangesInOrder() {
+    routing::TargetRef Self{"i-1", 1, OwnAddress};
+    routing::TargetRef Other{"i-2", 1, OtherAddress};
+    keyspace::KeyMap Known = makeSingleOwnerMap(Self, {});
+    keyspace::KeyMap Second = makeSingleOwnerMap(Self, Other);
+    keyspace::KeyMap Third = makeSingleOwnerMap(Other, {});
+    Third.Rows[0].Fence = 5;
+    auto Notice = [](const keyspace::KeyMap &Before,
+                     const keyspace::KeyMap &After, std::int64_t Revision) {
+      return PeerMessageReceived{
+          OtherAddress, routing::KeyMapChangeNotice{
+                            .BaseRevision = Revision - 1,
+                            .Revision = Revision,
+                            .Checksum = keyspace::checksum(After),
+                            .Change = keyspace::encodeKeyMap(
+                                keyspace::changeBetween(Before, After))}};
+    };
+    auto KnownFence = [](const ReducerFixture &Sidecar) {
+      return Sidecar.Reducer.membership()
+          .keyMaps()
+          .find("keyed")
+          ->second.Map.Rows.at(0)
+          .Fence;
+    };
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet(&Known);
+    Sidecar.dispatch(Notice(Second, Third, 11));
+    CPPUNIT_ASSERT(KnownFence(Sidecar) != 5);
+    Sidecar.dispatch(Notice(Known, Second, 10));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, KnownFence(Sidecar));
+    // The first change is lost: the map is read from the store.
+    ReducerFixture SecondSidecar;
+    SecondSidecar.joinFleet(&Known);
+    SecondSidecar.advance(milliseconds(100));
+    SecondSidecar.dispatch(Notice(Second, Third, 11));
+    SecondSidecar.advance(milliseconds(200));
+    const auto *Call = SecondSidecar.find<CallStore>();
+    CPPUNIT_ASSERT(Call);
+    CPPUNIT_ASSERT_EQUAL(std::string(KeysPrefix) + "keyed",
+                         std::get<StoreRange>(Call->Request.Body).Key);
+    StoreReply Read{.Revision = 12};
+    Read.Entries = {
+        {std::string(KeysPrefix) + "keyed", keyspace::encodeKeyMap(Third), 11}};
+    SecondSidecar.reply(Read);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, KnownFence(SecondSidecar));
+  }
+
   void ignoresOlderConfiguration() {
     ReducerFixture Sidecar;
     Sidecar.joinFleet();
