Count the bytes between nodes by kind and distance

An operator could not see what is paid for between failure domains and regions. oriole_peer_sent_bytes_total and oriole_peer_sent_messages_total have the kind of message and the distance; the headers of batches are counted apart.

--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -201,8 +201,9 @@
       Expected.Micros + Wait + ProbeCost +
       UtilizationPenalty * Utilization * Utilization * Expected.Micros +
       Failures * FailureCostMs * 1000;
-  if (Node != this->OwnNode && View.Place != this->OwnLocation) {
-    bool SameRegion = View.Place.Region == this->OwnLocation.Region;
+  Distance Apart = this->distanceTo(View.Place);
+  if (Node != this->OwnNode && Apart != Distance::SameDomain) {
+    bool SameRegion = Apart == Distance::SameRegion;
     Cost += static_cast<double>(
         (SameRegion ? DomainRoundTrip : RegionRoundTrip).count());
     Cost += static_cast<double>(Request.Bytes) / 1024 * 1000 *
@@ -262,6 +263,13 @@
       }));
 }
 
+Distance TargetDirectory::distanceTo(const Location &Place) const {
+  if (Place == this->OwnLocation)
+    return Distance::SameDomain;
+  return Place.Region == this->OwnLocation.Region ? Distance::SameRegion
+                                                  : Distance::OtherRegion;
+}
+
 const TargetView *TargetDirectory::find(const std::string &Node) const {
   auto Found = this->Views.find(Node);
   return Found == this->Views.end() ? nullptr : &Found->second;
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -27,6 +27,10 @@
   friend bool operator==(const Location &, const Location &) = default;
 };
 
+// How far two VMs are apart.
+enum class Distance : std::uint8_t { SameDomain, SameRegion, OtherRegion };
+inline constexpr std::size_t DistanceCount = 3;
+
 // What is known about a node and its target.
 struct TargetView {
   Location Place;
@@ -98,6 +102,8 @@
                          std::span<const std::string> Excluded) const;
 
   const TargetView *find(const std::string &Node) const;
+  // Distance of a place from this node.
+  Distance distanceTo(const Location &Place) const;
   const std::map<std::string, TargetView> &views() const { return this->Views; }
 
   // Estimated cost of sending the request to Node, in units of time.
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -59,6 +59,7 @@
   const routing::TargetGate &gate() const { return this->Gate; }
   const routing::EntryReducer &entry() const { return this->Entry; }
   const Membership &membership() const { return this->Members; }
+  const routing::TargetDirectory &directory() const { return this->Directory; }
 
 private:
   // A report whose answer is delayed until keys arrive, at most until Until.
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -19,6 +19,7 @@
 #include "orioledoor/routing/message_codec.h"
 #include "orioledoor/sidecar/events.h"
 #include "orioledoor/sidecar/log_limiter.h"
+#include "orioledoor/sidecar/peer_traffic.h"
 #include "orioledoor/sidecar/reducer.h"
 #include "orioledoor/telemetry/logger.h"
 #include "orioledoor/telemetry/metrics.h"
@@ -101,6 +102,7 @@
   LogLimiter Limiter;
   MetricsRegistry Metrics;
   ResponseMetrics Answers{Metrics, StatusLabel::Exact};
+  PeerTraffic Traffic{Metrics};
   SidecarReducer Reducer;
   platform::PlatformStore Store;
   wire::HttpClient TargetClient;
@@ -167,8 +169,12 @@
                    std::get_if<routing::ForwardBody>(&NewEffect.Body)) {
       Tag.Id = Body->Id;
     }
-    this->Peers->send(NewEffect.To, wire::Channel::Requests,
-                      routing::encodeMessage(NewEffect.Body), Tag);
+    std::string Bytes = routing::encodeMessage(NewEffect.Body);
+    const routing::TargetDirectory &Directory = this->Reducer.directory();
+    if (const routing::TargetView *View = Directory.find(NewEffect.To))
+      this->Traffic.recordSent(NewEffect.Body,
+                               Directory.distanceTo(View->Place), Bytes.size());
+    this->Peers->send(NewEffect.To, wire::Channel::Requests, Bytes, Tag);
   }
 
   void execute(const StartCall &NewEffect) {
@@ -329,6 +335,10 @@
         .set(this->Store.counters().WatchInterruptions);
     this->Metrics.counter("oriole_peer_connections_lost_total")
         .set(this->Peers->counters().ConnectionsLost);
+    this->Metrics.counter("oriole_peer_header_bytes_total")
+        .set(this->Peers->counters().HeaderBytesOut);
+    this->Metrics.counter("oriole_peer_batches_total")
+        .set(this->Peers->counters().BatchesOut);
     this->Metrics.counter("oriole_target_connections_total")
         .set(this->TargetClient.counters().Connections);
     const auto &Table = this->Reducer.entry().table();
