Ask a removed node about its open requests before giving them up

Cause: the store had lost the answers to renewals for 5 s, so leases of live nodes ended. After their entries were missing for 2.2 s, every entry node took their processes for ended, sent CancelForward and answered 502. The stopping nodes did nothing wrong: they, too, gave up requests at nodes that were alive.

A missing entry says nothing about a process. The entry now asks the node with ResumeForward; the request ends only if the node can't be asked.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -223,6 +223,7 @@
   Pending.ForwardedTo = To;
   Pending.ForwardId = this->NextForwardId++;
   Pending.ResumeSent = false;
+  Pending.NodeRemoved = false;
   Pending.SentAt = Now;
   const TargetView *View = this->Directory.find(To);
   Pending.ReceiverProcess = View ? View->Status.Process : 0;
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -99,10 +99,13 @@
   // sent to Node.
   void handleSendFailure(const std::string &Node, std::uint64_t Id, Instant Now,
                          Effects &Out);
-  // The connection to Node broke or, if ProcessEnded is set, its process ended.
-  // Requests that were forwarded there may be lost.
-  void handleNodeLost(const std::string &Node, bool ProcessEnded, Instant Now,
-                      Effects &Out);
+  // The connection to Node broke. Requests that were forwarded there may be
+  // lost.
+  void handleConnectionLost(const std::string &Node, Instant Now, Effects &Out);
+  // Node is no longer a member. Its process may still run requests, since an
+  // entry also vanishes when the store loses the renewals of its lease. Ends
+  // those requests that Node can't be asked about.
+  void handleNodeRemoved(const std::string &Node, Instant Now, Effects &Out);
   // Node runs a new process. It may already have received requests, so it is
   // asked for their state.
   void handleNodeReplaced(const std::string &Node, Instant Now, Effects &Out);
@@ -134,8 +137,10 @@
     Instant SentAt;
     // The body has not been sent to the node, so the request cannot have run.
     bool BodyWithheld = false;
-    // The connection broke, and a ResumeForward was sent to the node.
+    // A ResumeForward was sent to the node.
     bool ResumeSent = false;
+    // The node has ceased to be a member since the Forward was sent.
+    bool NodeRemoved = false;
     std::vector<std::string> TriedNodes;
     // Number of targets that may have received the request.
     int TargetAttempts = 0;
@@ -156,6 +161,15 @@
             Instant Now, Effects &Out, Duration MaxUsefulWait = Duration(0));
   // Holds back a keyed request until its key has an owner again.
   void park(PendingRequest &Pending, Instant Now, Effects &Out);
+  // Asks Node for the state of a request.
+  void resume(const std::string &Node, PendingRequest &Pending, Instant Now,
+              Effects &Out);
+  // Takes a request back whose body was not sent, so that it can go elsewhere.
+  // Returns false if it was sent.
+  bool withdrawWithheld(const std::string &Node, PendingRequest &Pending,
+                        Instant Now, Effects &Out);
+  // Callers of the requests that are open at Node, in ascending order.
+  std::vector<std::uint64_t> callersAt(const std::string &Node) const;
   // Closes the open Forward of a request locally, without a result.
   void closeForward(PendingRequest &Pending);
   // Returns whether another attempt is allowed, and takes it out of the budget.
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -165,8 +165,8 @@
   PendingRequest &Pending = this->PendingRequests.at(Found->second);
   if (Pending.ResumeSent) {
     // Whether the request runs is unknown. A request that is not idempotent
-    // keeps waiting for its result.
-    if (Pending.MatchedRoute->Idempotent) {
+    // keeps waiting for its result while the node is a member.
+    if (Pending.MatchedRoute->Idempotent || Pending.NodeRemoved) {
       this->closeForward(Pending);
       this->handleLost(Pending, "the target's node is unreachable", Now, Out);
     }
@@ -179,36 +179,51 @@
   this->handleNotRun(Pending, {.Code = Outcome::NoTarget}, Now, Out);
 }
 
-void EntryReducer::handleNodeLost(const std::string &Node, bool ProcessEnded,
-                                  Instant Now, Effects &Out) {
-  std::vector<std::uint64_t> Affected;
+void EntryReducer::resume(const std::string &Node, PendingRequest &Pending,
+                          Instant Now, Effects &Out) {
+  Pending.ResumeSent = true;
+  Out.push_back(SendMessage{
+      Node, ResumeForward{.Id = Pending.ForwardId,
+                          .Process = this->Options.Process,
+                          .ReceiverProcess = Pending.ReceiverProcess,
+                          .SentAgo = Now - Pending.SentAt}});
+}
+
+bool EntryReducer::withdrawWithheld(const std::string &Node,
+                                    PendingRequest &Pending, Instant Now,
+                                    Effects &Out) {
+  if (!Pending.BodyWithheld)
+    return false;
+  Out.push_back(SendMessage{
+      Node, CancelForward{Pending.ForwardId, this->Options.Process}});
+  this->closeForward(Pending);
+  this->handleNotRun(Pending, {.Code = Outcome::NoTarget}, Now, Out);
+  return true;
+}
+
+std::vector<std::uint64_t>
+EntryReducer::callersAt(const std::string &Node) const {
+  std::vector<std::uint64_t> Callers;
   for (const auto &[Caller, Pending] : this->PendingRequests)
     if (Pending.ForwardedTo == Node)
-      Affected.push_back(Caller);
-  std::ranges::sort(Affected);
-  if (ProcessEnded)
-    this->Directory.noteUnreachable(Node, Now);
-  for (std::uint64_t Caller : Affected) {
+      Callers.push_back(Caller);
+  std::ranges::sort(Callers);
+  return Callers;
+}
+
+void EntryReducer::handleConnectionLost(const std::string &Node, Instant Now,
+                                        Effects &Out) {
+  for (std::uint64_t Caller : this->callersAt(Node)) {
     PendingRequest &Pending = this->PendingRequests.at(Caller);
-    if (Pending.BodyWithheld) {
-      Out.push_back(SendMessage{
-          Node, CancelForward{Pending.ForwardId, this->Options.Process}});
-      this->closeForward(Pending);
-      this->handleNotRun(Pending, {.Code = Outcome::NoTarget}, Now, Out);
+    if (this->withdrawWithheld(Node, Pending, Now, Out))
       continue;
-    }
-    if (!ProcessEnded && !Pending.ResumeSent) {
-      Pending.ResumeSent = true;
-      Out.push_back(SendMessage{
-          Node, ResumeForward{.Id = Pending.ForwardId,
-                              .Process = this->Options.Process,
-                              .ReceiverProcess = Pending.ReceiverProcess,
-                              .SentAgo = Now - Pending.SentAt}});
+    if (!Pending.ResumeSent || Pending.NodeRemoved) {
+      this->resume(Node, Pending, Now, Out);
       continue;
     }
-    // As long as the node's process lives, the result of a request that is not
-    // idempotent may still arrive over a new connection.
-    if (!ProcessEnded && !Pending.MatchedRoute->Idempotent)
+    // The result of a request that is not idempotent may still arrive over a
+    // new connection.
+    if (!Pending.MatchedRoute->Idempotent)
       continue;
     Out.push_back(SendMessage{
         Node, CancelForward{Pending.ForwardId, this->Options.Process}});
@@ -218,6 +233,17 @@
   }
 }
 
+void EntryReducer::handleNodeRemoved(const std::string &Node, Instant Now,
+                                     Effects &Out) {
+  for (std::uint64_t Caller : this->callersAt(Node)) {
+    PendingRequest &Pending = this->PendingRequests.at(Caller);
+    if (this->withdrawWithheld(Node, Pending, Now, Out))
+      continue;
+    Pending.NodeRemoved = true;
+    this->resume(Node, Pending, Now, Out);
+  }
+}
+
 void EntryReducer::handleNodeReplaced(const std::string &Node, Instant Now,
                                       Effects &Out) {
   // A ResumeForward to the earlier process may have been lost; send it again to
@@ -225,7 +251,7 @@
   for (auto &[Caller, Pending] : this->PendingRequests)
     if (Pending.ForwardedTo == Node)
       Pending.ResumeSent = false;
-  this->handleNodeLost(Node, false, Now, Out);
+  this->handleConnectionLost(Node, Now, Out);
 }
 
 } // namespace orioledoor::routing
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -158,7 +158,7 @@
     this->Out.push_back(WatchStore{Output.WatchAfter});
   for (const std::string &Node : Output.RemovedNodes)
     if (Node != this->Options.Node)
-      this->Entry.handleNodeLost(Node, true, Now, this->RoutingEffects);
+      this->Entry.handleNodeRemoved(Node, Now, this->RoutingEffects);
   for (const std::string &Node : Output.ReplacedNodes)
     if (Node != this->Options.Node)
       this->Entry.handleNodeReplaced(Node, Now, this->RoutingEffects);
@@ -326,7 +326,7 @@
 
 void SidecarReducer::on(PeerConnectionLost Lost, Instant Now) {
   this->Out.push_back(LogRecord{&events::PeerLost, {{"peer", Lost.Peer}}});
-  this->Entry.handleNodeLost(Lost.Peer, false, Now, this->RoutingEffects);
+  this->Entry.handleConnectionLost(Lost.Peer, Now, this->RoutingEffects);
 }
 
 void SidecarReducer::on(TargetAnswered Answered, Instant Now) {
