Let joining nodes announce themselves, and watch the store with fewer calls

Every change of an entry ends the watch of every node, which opened it again after 1 to 3 s; in calm, two watches a node were renewed every 10 s, although the store lets them wait for 30 s.

A node that joins now sends its entry to the others, so only the planning node and the two after it watch entries closely; the others collect changes for 10 s. Watches wait for 30 s. Calls are counted by kind on the metrics page.

Test: learnsOfNewNodesFromThem.

--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -48,6 +48,16 @@
     Entries.resize(static_cast<std::size_t>(Range.Limit));
 }
 
+StoreCallKind kindOf(const StoreRequestBody &Body) {
+  if (const auto *Range = std::get_if<StoreRange>(&Body))
+    return Range->AllowStale ? StoreCallKind::StaleRead : StoreCallKind::Read;
+  if (std::holds_alternative<StoreTxn>(Body))
+    return StoreCallKind::Write;
+  return std::holds_alternative<StoreLeaseKeepAlive>(Body)
+             ? StoreCallKind::Renewal
+             : StoreCallKind::Lease;
+}
+
 } // namespace
 
 static_assert(StoreClient<PlatformStore>);
@@ -85,6 +95,11 @@
         Peer(this->Store.Host + ":" + std::to_string(this->Store.Port)),
         Limits(Limits), Client(Base), OnLog(std::move(OnLog)) {}
 
+  void countCall(StoreCallKind Kind) {
+    ++this->Counters.Calls;
+    ++this->Counters.CallsByKind[static_cast<std::size_t>(Kind)];
+  }
+
   wire::HttpCall httpCall(const StoreHttpRequest &HttpRequest,
                           Duration Timeout) const {
     wire::HttpCall Call{.Server = this->Store,
@@ -104,7 +119,7 @@
   // there misses no change.
   void callPage(StoreRequest Request, std::vector<StoreEntry> EarlierEntries,
                 std::int64_t Revision, StoreReplyCallback OnReply) {
-    ++this->Counters.Calls;
+    this->countCall(kindOf(Request.Body));
     StoreHttpRequest HttpRequest = encodeCall(
         Request.Body, EarlierEntries.empty() ? std::string_view()
                                              : EarlierEntries.back().Key);
@@ -164,7 +179,7 @@
   }
 
   void openWatch(WatchState &Watch) {
-    ++this->Counters.Calls;
+    this->countCall(StoreCallKind::Watch);
     Watch.OpenedAt = readClock();
     StoreHttpRequest HttpRequest{
         "GET",
--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -7,6 +7,8 @@
 #ifndef ORIOLEDOOR_PLATFORM_PLATFORM_STORE_H
 #define ORIOLEDOOR_PLATFORM_PLATFORM_STORE_H
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,8 +32,9 @@
   // a second, so a new attempt is faster.
   Duration ConnectTimeout = std::chrono::milliseconds(600);
   // Time that one watch request waits at the store for a change. Each watch
-  // request counts as a read.
-  std::chrono::milliseconds WatchWait{10'000};
+  // request counts as a read. The longest time that the store allows. A dead
+  // connection shows earlier, by its keep-alive probes and by other calls.
+  std::chrono::milliseconds WatchWait{30'000};
   // A watch request fails if it is not answered this long after WatchWait. This
   // bounds the time until a dead connection is detected.
   Duration WatchTimeoutMargin = std::chrono::milliseconds(1000);
@@ -47,8 +50,21 @@
   Duration WatchPause = std::chrono::milliseconds(20);
 };
 
+// What a call to the store is for, which decides what it costs.
+enum class StoreCallKind : std::uint8_t {
+  Read,
+  StaleRead,
+  Write,
+  Lease,
+  Renewal,
+  Watch,
+};
+inline constexpr std::size_t StoreCallKinds = 6;
+
 struct PlatformStoreCounters {
   std::uint64_t Calls = 0;
+  // The calls by StoreCallKind.
+  std::array<std::uint64_t, StoreCallKinds> CallsByKind{};
   std::uint64_t Failures = 0;
   // Watch requests that failed without a response.
   std::uint64_t WatchInterruptions = 0;
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -177,6 +177,14 @@
   std::string Change{};
 };
 
+// The sender's entry, as it has just written it to the store.
+struct NodeNotice {
+  // Store revision of the entry.
+  std::int64_t Revision = 0;
+  // The entry in the encoding of the store.
+  std::string Entry{};
+};
+
 // Requests the receiver's configuration if it is newer than KnownVersion.
 struct FetchConfig {
   std::uint64_t KnownVersion = 0;
@@ -191,7 +199,7 @@
     std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
                  CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward,
                  FetchBody, ForwardBody, FetchConfig, ConfigNotice,
-                 KeyMapChangeNotice>;
+                 KeyMapChangeNotice, NodeNotice>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -208,6 +208,9 @@
     start(this->Out, this->Sent, 4) << Value.BaseRevision << Value.Revision
                                     << Value.Checksum << Value.Change;
   }
+  void operator()(const NodeNotice &Value) const {
+    start(this->Out, this->Sent, 2) << Value.Revision << Value.Entry;
+  }
   void operator()(const ConfigNotice &Value) const {
     start(this->Out, this->Sent, 1) << Value.Document;
   }
@@ -304,6 +307,11 @@
         Value.Change;
     return Value;
   }
+  case 13: {
+    NodeNotice Value;
+    In >> Value.Revision >> Value.Entry;
+    return Value;
+  }
   default:
     throw std::out_of_range("unknown message kind");
   }
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -128,6 +128,9 @@
     const auto &Change = std::get<KeyMapChangeNotice>(*Decoded);
     CPPUNIT_ASSERT(Change.BaseRevision == 9 && Change.Revision == 11 &&
                    Change.Checksum == 7 && Change.Change == "{}");
+    Decoded = decodeMessage(encodeMessage(NodeNotice{12, "{}"}));
+    CPPUNIT_ASSERT(Decoded.ok() &&
+                   std::get<NodeNotice>(*Decoded).Revision == 12);
   }
 
   // Guards against nodes of two releases that reject each other's requests
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -166,6 +166,7 @@
     this->CurrentStep = Step::Live;
     this->applySnapshot(Reply, Now, Out);
     this->Authority.onKeyMapsRead();
+    this->announce(Out);
     if (!this->LastSentEntry.Ended)
       this->PossiblyEndedTarget = {};
     Out.WatchAfter = Reply.Revision;
@@ -190,6 +191,7 @@
   for (const StoreEntry &Entry : Reply.Entries)
     this->applyEntry(Entry, Out);
   this->Loaded = true;
+  this->ViewRevision = std::max(this->ViewRevision, Reply.Revision);
   Out.NodesChanged = Out.KeysChanged = true;
 }
 
@@ -260,6 +262,7 @@
   }
   if (!Update.Status.ok())
     return;
+  this->ViewRevision = std::max(this->ViewRevision, Update.Revision);
   for (const StoreChange &Change : Update.Changes)
     if (Change.Deleted)
       this->markMissing(Change.Entry.Key, Change.Entry.ModRevision, Now);
@@ -267,6 +270,38 @@
       this->applyEntry(Change.Entry, Out);
 }
 
+void Membership::announce(MembershipOutput &Out) const {
+  Out.Announced = routing::NodeNotice{this->EntryRevision,
+                                      encodeNodeEntry(this->LastSentEntry)};
+}
+
+void Membership::onAnnouncement(const std::string &From,
+                                const routing::NodeNotice &Notice,
+                                MembershipOutput &Out) {
+  if (!this->Loaded || Notice.Revision <= this->ViewRevision)
+    return;
+  absl::StatusOr<NodeEntry> Decoded = decodeNodeEntry(Notice.Entry);
+  if (!Decoded.ok() || Decoded->Node != From) {
+    Out.Logs.push_back(
+        {&events::EntryUnreadable,
+         {{"key", From},
+          {"why", Decoded.ok() ? "the entry belongs to another node"
+                               : std::string(Decoded.status().message())}}});
+    return;
+  }
+  this->applyEntry({.Key = keyspace::KeyPlanner::nodeEntryKey(From),
+                    .Value = Notice.Entry,
+                    .ModRevision = Notice.Revision},
+                   Out);
+}
+
+std::size_t Membership::rank() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Nodes, [this](const auto &Entry) {
+        return Entry.first < this->EntryKey && !Entry.second.MissingSince;
+      }));
+}
+
 bool Membership::isUpToDate(Instant Now) const {
   return this->CurrentStep == Step::Live && this->Authority.isEstablished() &&
          this->StoreAnswers && Now - this->LastAnswerAt < MaxStoreSilence;
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -21,6 +21,7 @@
 #include "orioledoor/base/instant.h"
 #include "orioledoor/keyspace/grant_authority.h"
 #include "orioledoor/keyspace/key_map.h"
+#include "orioledoor/routing/message.h"
 #include "orioledoor/sidecar/node_entry.h"
 #include "orioledoor/store/store_types.h"
 #include "orioledoor/telemetry/log_record.h"
@@ -76,6 +77,9 @@
   std::vector<std::string> RemovedNodes;
   // Nodes with a new process, which may have been running for a while.
   std::vector<std::string> ReplacedNodes;
+  // This node's entry after it has joined or its lease had ended, to be sent to
+  // all other nodes. They learn of later changes by the target's status.
+  std::optional<routing::NodeNotice> Announced;
 };
 
 // Not thread-safe. Uses no clock, socket or random source.
@@ -98,7 +102,16 @@
   // stored.
   bool applyKeyMap(keyspace::KeyMap Map, std::int64_t Revision);
 
+  // Handles an entry that its node From sent. It is ignored unless it is newer
+  // than what the store has shown so far: the watch delivers its end only if it
+  // ends later.
+  void onAnnouncement(const std::string &From,
+                      const routing::NodeNotice &Notice, MembershipOutput &Out);
+
   const NodeEntry &selfEntry() const { return this->Self; }
+  // Number of known nodes that plan before this one, because their address is
+  // lower. Linear in the number of nodes.
+  std::size_t rank() const;
   // Returns whether all entries were read at least once.
   bool isLoaded() const { return this->Loaded; }
   // Returns whether the store answered recently and this view follows it.
@@ -130,6 +143,7 @@
   void applySnapshot(const StoreReply &Reply, Instant Now,
                      MembershipOutput &Out);
   void applyEntry(const StoreEntry &Entry, MembershipOutput &Out);
+  void announce(MembershipOutput &Out) const;
   void markMissing(const std::string &Key, std::int64_t Revision, Instant Now);
 
   NodeEntry Self;
@@ -158,6 +172,8 @@
   bool ReadNeeded = false;
   Instant ReadAt;
   bool Loaded = false;
+  // Store revision up to which all changes of entries are known.
+  std::int64_t ViewRevision = 0;
   bool StoreAnswers = true;
   Instant LastAnswerAt;
   // Time since which the store answers without failures.
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -38,15 +38,14 @@
 // Share of the platform's retry allowance that the fleet plans to use. The
 // calls that retried requests cause count against the allowance as well.
 constexpr double RetryAllowanceShare = 0.3;
-// Each change of an entry ends the watch of every node, so most nodes batch
-// changes for a second: they learn target states and key owners from the nodes
-// concerned. The planning node acts on entries and batches for a shorter time.
+// Each change of an entry ends the watch of every node, so nodes batch changes.
+// The planning node acts on entries and batches for a short time. The nodes
+// that would plan after it must notice soon that it is gone. The others learn
+// of new nodes, target states and key owners from the nodes concerned.
 constexpr Duration PlannerWatchPause = milliseconds(100);
-constexpr Duration BaseWatchPause = milliseconds(1000);
-// The number of changes grows with the number of nodes, and each change costs
-// every node a call.
-constexpr Duration WatchPausePerNode = milliseconds(20);
-constexpr Duration MaxWatchPause = milliseconds(3000);
+constexpr Duration DeputyWatchPause = milliseconds(1000);
+constexpr Duration MemberWatchPause = milliseconds(10'000);
+constexpr std::size_t DeputyCount = 2;
 // A target accepts keys only in the answer to its report and discards answers
 // that take longer than a second. The answer to a target that is about to
 // receive keys is deferred until the keys are available, at most for this time;
@@ -154,6 +153,8 @@
     this->Out.push_back(std::move(Item));
   for (StoreRequest &Item : Output.Calls)
     this->Out.push_back(CallStore{std::move(Item)});
+  if (Output.Announced)
+    this->Out.push_back(SendMessage{"", *std::move(Output.Announced)});
   if (Output.WatchAfter != 0)
     this->Out.push_back(WatchStore{Output.WatchAfter});
   for (const std::string &Node : Output.RemovedNodes)
@@ -312,6 +313,10 @@
                  std::get_if<routing::KeyMapChangeNotice>(&Body)) {
     if (this->Keys.receiveChange(*KeyMapChange, Now, this->Out))
       this->onOwnersChanged(Now);
+  } else if (auto *Announced = std::get_if<routing::NodeNotice>(&Body)) {
+    MembershipOutput Output;
+    this->Members.onAnnouncement(From, *Announced, Output);
+    this->apply(std::move(Output), Now);
   } else if (auto *ConfigRequest = std::get_if<routing::FetchConfig>(&Body)) {
     this->sendConfig(From, *ConfigRequest, Now);
   } else if (auto *NewConfig = std::get_if<routing::ConfigNotice>(&Body)) {
@@ -444,12 +449,10 @@
 }
 
 void SidecarReducer::updateWatchPause() {
-  bool IsPlanner = this->Keys.planningNode() == this->Options.Node;
-  auto NodeCount = static_cast<int>(this->Members.nodes().size());
-  Duration Pause =
-      IsPlanner ? PlannerWatchPause
-                : std::min(MaxWatchPause,
-                           BaseWatchPause + WatchPausePerNode * NodeCount);
+  std::size_t Rank = this->Members.rank();
+  Duration Pause = Rank == 0             ? PlannerWatchPause
+                   : Rank <= DeputyCount ? DeputyWatchPause
+                                         : MemberWatchPause;
   if (Pause == this->WatchPause)
     return;
   this->WatchPause = Pause;
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -134,6 +134,7 @@
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
   CPPUNIT_TEST(appliesKeyMapChangesInOrder);
+  CPPUNIT_TEST(learnsOfNewNodesFromThem);
   CPPUNIT_TEST(ignoresOlderConfiguration);
   CPPUNIT_TEST(appliesConfigurationFromAnotherNode);
   CPPUNIT_TEST(limitsLinkUseBySendingConfigurations);
@@ -274,6 +275,39 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, KnownFence(SecondSidecar));
   }
 
+  // Guards against a new node that gets no requests from others until their
+  // watches report it, and against a node that is gone and returns by a late
+  // message.
+  void learnsOfNewNodesFromThem() {
+    NodeEntry Other;
+    Other.Node = OtherAddress;
+    Other.Place = {"d2", "r1"};
+    Other.Process = 2;
+    auto Announce = [&Other](const std::string &From, std::int64_t Revision) {
+      return PeerMessageReceived{
+          From, routing::NodeNotice{Revision, encodeNodeEntry(Other)}};
+    };
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet();
+    // joinFleet() read revision 10.
+    Sidecar.dispatch(Announce(OtherAddress, 10));
+    Sidecar.dispatch(Announce("tcp://10.0.0.3:7100", 12));
+    CPPUNIT_ASSERT(!Sidecar.Reducer.directory().find(OtherAddress));
+    Sidecar.dispatch(Announce(OtherAddress, 12));
+    const auto *View = Sidecar.Reducer.directory().find(OtherAddress);
+    CPPUNIT_ASSERT(View && View->Place.FailureDomain == "d2");
+    // Its entry ends at revision 14.
+    StoreWatchUpdate Ended{.Revision = 14};
+    Ended.Changes.push_back(
+        {{keyspace::KeyPlanner::nodeEntryKey(OtherAddress), "", 14}, true});
+    Sidecar.dispatch(StoreWatchUpdated{Ended});
+    Sidecar.dispatch(Announce(OtherAddress, 12));
+    CPPUNIT_ASSERT(Sidecar.Reducer.membership()
+                       .nodes()
+                       .at(keyspace::KeyPlanner::nodeEntryKey(OtherAddress))
+                       .MissingSince);
+  }
+
   void ignoresOlderConfiguration() {
     ReducerFixture Sidecar;
     Sidecar.joinFleet();
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -329,6 +329,18 @@
         .set(static_cast<double>(this->Reducer.membership().nodes().size()));
     this->Metrics.counter("oriole_store_calls_total")
         .set(this->Store.counters().Calls);
+    for (const auto &[Kind, Name] :
+         {std::pair(platform::StoreCallKind::Read, "read"),
+          std::pair(platform::StoreCallKind::StaleRead, "stale-read"),
+          std::pair(platform::StoreCallKind::Write, "write"),
+          std::pair(platform::StoreCallKind::Lease, "lease"),
+          std::pair(platform::StoreCallKind::Renewal, "renewal"),
+          std::pair(platform::StoreCallKind::Watch, "watch")})
+      this->Metrics
+          .counter("oriole_store_calls_by_kind_total",
+                   "kind=\"" + std::string(Name) + "\"")
+          .set(this->Store.counters()
+                   .CallsByKind[static_cast<std::size_t>(Kind)]);
     this->Metrics.counter("oriole_store_failures_total")
         .set(this->Store.counters().Failures);
     this->Metrics.counter("oriole_store_watch_interruptions_total")
