Keep watches within the store's history, and watch for the first configuration

Before the first configuration, every node read it each 300 ms (246 reads).

Watches wait for 10 s again and pause for 5 s at most, below the 20 s of history. The watches of 30 s are given up for the delay that a refused one adds to a change. Test: watchesForTheFirstConfiguration; in readsAgainUntilConfigurationExists the reply now has no revision, since one with a revision is watched.

--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -32,9 +32,10 @@
   // a second, so a new attempt is faster.
   Duration ConnectTimeout = std::chrono::milliseconds(600);
   // Time that one watch request waits at the store for a change. Each watch
-  // request counts as a read. The longest time that the store allows. A dead
-  // connection shows earlier, by its keep-alive probes and by other calls.
-  std::chrono::milliseconds WatchWait{30'000};
+  // request counts as a read. Together with WatchPause it must stay below the
+  // history of the store, which is 20 s: the store refuses to report a change
+  // to a watch that asked for an older revision.
+  std::chrono::milliseconds WatchWait{10'000};
   // A watch request fails if it is not answered this long after WatchWait. This
   // bounds the time until a dead connection is detected.
   Duration WatchTimeoutMargin = std::chrono::milliseconds(1000);
--- a/orioledoor/platform/store_codec.cc
+++ b/orioledoor/platform/store_codec.cc
@@ -97,8 +97,12 @@
   bool *More;
 
   void operator()(const StoreRange &Range) const {
-    if (this->Status == NotFound)
+    if (this->Status == NotFound) {
+      json Missing = json::parse(this->Body, nullptr, false);
+      if (Missing.is_object())
+        this->Reply.Revision = Missing.value("at", std::int64_t{0});
       return;
+    }
     json Object = json::parse(this->Body);
     this->Reply.Revision = Object.at("at");
     if (!Range.Prefix) {
--- a/orioledoor/sidecar/config_follower.cc
+++ b/orioledoor/sidecar/config_follower.cc
@@ -44,7 +44,13 @@
     if (!this->FetchedFromNode)
       this->CatchUpAt = Now;
   }
-  // Without an entry, the operator has not configured anything yet.
+  // Without an entry, the operator has not configured anything yet. The watch
+  // reports the first configuration.
+  if (Reply.Status.ok() && Reply.Entries.empty() && Reply.Revision != 0 &&
+      !this->WatchOpen) {
+    this->WatchOpen = true;
+    return {.WatchAfter = Reply.Revision};
+  }
   if (!Reply.Status.ok() || Reply.Entries.empty()) {
     if (!this->WatchOpen)
       this->NextReadAt = Now + ReadPause;
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -44,7 +44,7 @@
 // of new nodes, target states and key owners from the nodes concerned.
 constexpr Duration PlannerWatchPause = milliseconds(100);
 constexpr Duration DeputyWatchPause = milliseconds(1000);
-constexpr Duration MemberWatchPause = milliseconds(10'000);
+constexpr Duration MemberWatchPause = milliseconds(5'000);
 constexpr std::size_t DeputyCount = 2;
 // A target accepts keys only in the answer to its report and discards answers
 // that take longer than a second. The answer to a target that is about to
