Share the end of input between end of stream and timeout

Reading the change as a newcomer: the same four lines stood in two functions of ServerConnection, and MinMaxMoves did not say what it limits. No change of behaviour; wire_test and keyspace_test pass.

--- a/orioledoor/keyspace/key_balance.cc
+++ b/orioledoor/keyspace/key_balance.cc
@@ -15,7 +15,7 @@
 constexpr double MinExcessFactor = 1.2;
 // Moves per plan of a small service. Each one interrupts service of its keys
 // for about a second.
-constexpr std::size_t MinMaxMoves = 6;
+constexpr std::size_t SmallServiceMoves = 6;
 // Rows per target. The answer to a report, 4 KiB, can list about 70.
 constexpr std::size_t MaxRowsPerTarget = 40;
 
@@ -148,7 +148,7 @@
 
 std::size_t maxMoves(std::size_t Targets) {
   // A skewed demand overloads a share of the targets, however many there are.
-  return std::max(MinMaxMoves, Targets);
+  return std::max(SmallServiceMoves, Targets);
 }
 
 std::vector<KeyMove> planMoves(const KeyMap &Map,
--- a/orioledoor/wire/internal/server_connection.cc
+++ b/orioledoor/wire/internal/server_connection.cc
@@ -253,6 +253,10 @@
     this->abort();
     return;
   }
+  this->endInput();
+}
+
+void ServerConnection::endInput() {
   if (this->Parser.state() == RequestParser::State::Receiving &&
       !this->InputDone)
     this->reject(408);
@@ -269,13 +273,8 @@
   // A timeout ends reading. The caller is not late while it waits for its
   // responses.
   bufferevent_enable(this->Stream.get(), EV_READ);
-  if (!this->Exchanges.empty())
-    return;
-  if (this->Parser.state() == RequestParser::State::Receiving &&
-      !this->InputDone)
-    this->reject(408);
-  this->InputDone = true;
-  this->finishIfIdle();
+  if (this->Exchanges.empty())
+    this->endInput();
 }
 
 void ServerConnection::abort() {
--- a/orioledoor/wire/internal/server_connection.h
+++ b/orioledoor/wire/internal/server_connection.h
@@ -96,6 +96,8 @@
   void flush();
   void handleEndOfInput();
   void handleTimeout(short What);
+  // Reads no more requests, and answers 408 to an incomplete one.
+  void endInput();
   // Ends the connection once all responses were sent.
   void finishIfIdle();
   // Ends the connection now; open requests count as disconnected.
