Limit a rebalancing plan to 40 moves

Cause: at 295 VMs a plan of 150 moves is followed by as many transfers within a second, each with a write of the map and a notice from the node beside the old owner to all others.

The limit leaves services of up to 40 targets as they were.

--- a/orioledoor/keyspace/key_balance.cc
+++ b/orioledoor/keyspace/key_balance.cc
@@ -16,6 +16,9 @@
 // Moves per plan of a small service. Each one interrupts service of its keys
 // for about a second.
 constexpr std::size_t SmallServiceMoves = 6;
+// Moves per plan of a large service. Each one ends with a write of the key map
+// and a message to every node, most of them within the same second.
+constexpr std::size_t LargeServiceMoves = 40;
 // Rows per target. The answer to a report, 4 KiB, can list about 70.
 constexpr std::size_t MaxRowsPerTarget = 40;
 
@@ -148,7 +151,7 @@
 
 std::size_t maxMoves(std::size_t Targets) {
   // A skewed demand overloads a share of the targets, however many there are.
-  return std::max(SmallServiceMoves, Targets);
+  return std::clamp(Targets, SmallServiceMoves, LargeServiceMoves);
 }
 
 std::vector<KeyMove> planMoves(const KeyMap &Map,
