--- a/orioledoor/keyspace/rebalancing_test.cc
+++ b/orioledoor/keyspace/rebalancing_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <numeric>
 #include <string>
@@ -92,8 +93,10 @@
   // Highest utilization of a target, divided by the mean.
   double imbalance() {
     std::vector<double> Rates;
-    for (const PlannerNode &Node : this->Nodes)
-      Rates.push_back(this->loadOf(Node.Target).Rate);
+    std::ranges::transform(this->Nodes, std::back_inserter(Rates),
+                           [this](const PlannerNode &Node) {
+                             return this->loadOf(Node.Target).Rate;
+                           });
     double Mean = std::accumulate(Rates.begin(), Rates.end(), 0.0) /
                   static_cast<double>(Rates.size());
     return std::ranges::max(Rates) / Mean;
