--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -34,6 +34,27 @@
 // Early changes of a service that are kept. Beyond that, the map is read.
 constexpr std::size_t MaxEarlyChanges = 64;
 
+// Returns what tells other nodes that Map follows Before, without its revision.
+// Before is null if there was no map.
+routing::Message changeNotice(const StoredKeyMap *Before,
+                              const keyspace::KeyMap &Map) {
+  if (!Before)
+    return routing::KeyMapNotice{.Map = keyspace::encodeKeyMap(Map)};
+  return routing::KeyMapChangeNotice{
+      .BaseRevision = Before->Revision,
+      .Checksum = keyspace::checksum(Map),
+      .Change =
+          keyspace::encodeKeyMap(keyspace::changeBetween(Before->Map, Map))};
+}
+
+// Completes the result of changeNotice().
+void setRevision(routing::Message &Notice, std::int64_t Revision) {
+  if (auto *Change = std::get_if<routing::KeyMapChangeNotice>(&Notice))
+    Change->Revision = Revision;
+  else if (auto *Whole = std::get_if<routing::KeyMapNotice>(&Notice))
+    Whole->Revision = Revision;
+}
+
 } // namespace
 
 KeyOwnershipManager::KeyOwnershipManager(KeyOwnershipOptions Options,
@@ -175,8 +196,7 @@
     Txn.Compares.push_back({Condition.Key, Condition.Revision});
   Txn.Puts.push_back({.Key = Key, .Value = keyspace::encodeKeyMap(Map)});
   OpenWrite &Write = this->OpenWrites[Service];
-  Write = {this->NextId++, Now + WriteTimeout, Map,
-           Stored ? *Stored : StoredKeyMap{}};
+  Write = {this->NextId++, Now + WriteTimeout, Map, changeNotice(Stored, Map)};
   Out.push_back(CallStore{{.Id = Write.Id, .Body = std::move(Txn)}});
 }
 
@@ -282,18 +302,6 @@
   return false;
 }
 
-routing::Message KeyOwnershipManager::changeNotice(const OpenWrite &Write,
-                                                   std::int64_t Revision) {
-  if (Write.Base.Revision == 0)
-    return routing::KeyMapNotice{Revision, keyspace::encodeKeyMap(Write.Map)};
-  return routing::KeyMapChangeNotice{
-      .BaseRevision = Write.Base.Revision,
-      .Revision = Revision,
-      .Checksum = keyspace::checksum(Write.Map),
-      .Change = keyspace::encodeKeyMap(
-          keyspace::changeBetween(Write.Base.Map, Write.Map))};
-}
-
 bool KeyOwnershipManager::receiveChange(
     const routing::KeyMapChangeNotice &Notice, Instant Now, Effects &Out) {
   absl::StatusOr<keyspace::KeyMap> Change =
@@ -382,7 +390,8 @@
   OpenWrite &Write = Found->second;
   if (Reply.Status.ok() && Reply.Succeeded) {
     Write.NextWriteAt = Now;
-    Out.push_back(SendMessage{"", changeNotice(Write, Reply.Revision)});
+    setRevision(Write.Notice, Reply.Revision);
+    Out.push_back(SendMessage{"", std::move(Write.Notice)});
     std::string Service = Found->first;
     bool Changed =
         this->Members.applyKeyMap(std::move(Write.Map), Reply.Revision);
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -88,8 +88,8 @@
     std::uint64_t Id = 0;
     Instant NextWriteAt;
     keyspace::KeyMap Map;
-    // The map that the change is based on; revision 0 if there was none.
-    StoredKeyMap Base;
+    // What tells the other nodes of the change, without its revision.
+    routing::Message Notice;
   };
   struct EarlyChange {
     std::int64_t Revision = 0;
@@ -114,9 +114,6 @@
   bool applyEarlyChanges(const std::string &Service, Effects &Out);
   // Reads the maps whose early changes have waited too long for their base.
   void readMapsWithGaps(Instant Now, Effects &Out);
-  // Returns what tells the other nodes of a change that was written.
-  static routing::Message changeNotice(const OpenWrite &Write,
-                                       std::int64_t Revision);
   void recordTransfers(Instant Now, Effects &Out);
   bool canWrite(const std::string &Service, Instant Now) const;
 
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -163,8 +163,10 @@
   for (const std::string &Node : Output.ReplacedNodes)
     if (Node != this->Options.Node)
       this->Entry.handleNodeReplaced(Node, Now, this->RoutingEffects);
-  if (Output.NodesChanged)
+  if (Output.NodesChanged) {
     this->updateDirectory(Now);
+    this->updateWatchPause();
+  }
   if (Output.NodesChanged || Output.KeysChanged)
     this->onOwnersChanged(Now);
 }
@@ -405,6 +407,8 @@
   MembershipOutput Output;
   this->Members.onWatchUpdate(Watched.Update, Now, Output);
   this->apply(std::move(Output), Now);
+  // Entries that vanished change the rank without changing the known nodes.
+  this->updateWatchPause();
 }
 
 void SidecarReducer::on(SettingsChanged Changed, Instant) {
@@ -483,7 +487,6 @@
   this->apply(this->Config.tick(Now));
   this->publishStatus(Now);
   this->Keys.tick(this->Entry.table(), Now, this->Out);
-  this->updateWatchPause();
   this->advanceShutdown(Now);
 }
 
--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -14,7 +14,9 @@
 // A caller may send up to 16 requests before the first response. They are
 // handed on at once and answered in their order. Nothing is read behind a
 // request with "Connection: close", and a response closes the connection only
-// if no later request of it was handed on.
+// if no later request of it was handed on. While 80 KiB of a caller's bytes are
+// unread because of these limits, its disconnection shows with the next
+// response.
 #ifndef ORIOLEDOOR_WIRE_HTTP_SERVER_H
 #define ORIOLEDOOR_WIRE_HTTP_SERVER_H
 
