Record the rate limit and the start rate of each target

Logs and metrics could not tell three hypotheses apart: nobody reads the limit, a restart loses it, or the key planner moves keys to limited targets.

Change: the platform codec decodes Server-Limit and Server-Leaving, the gate remembers the limit of its target's current incarnation and logs each change (2228), unreadable limits are logged (2229), and the metrics page has oriole_gate_rate_limit and oriole_gate_starts_total. Nothing acts on them yet. The rendering of the metrics page moves to a file of its own.

--- a/orioledoor/platform/names.h
+++ b/orioledoor/platform/names.h
@@ -11,6 +11,11 @@
 // Proves that the response was created by the target that sent it.
 inline constexpr char ServerSignature[] = "Server-Signature";
 inline constexpr char ExpectedInstance[] = "Expected-Instance";
+// Requests per second that the target accepts from all nodes together; it
+// applies until a response states another limit or none.
+inline constexpr char ServerLimit[] = "Server-Limit";
+// Present on each response of a target that is about to stop.
+inline constexpr char ServerLeaving[] = "Server-Leaving";
 // Present on a response to a request that the target did not run.
 inline constexpr char NotExecuted[] = "Not-Executed";
 inline constexpr char CallerService[] = "Caller-Service";
--- a/orioledoor/platform/platform_codec_test.cc
+++ b/orioledoor/platform/platform_codec_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(rejectsInvalidConfigs);
   CPPUNIT_TEST(decodesRequestHeaders);
   CPPUNIT_TEST(encodesTargetHeaders);
+  CPPUNIT_TEST(decodesSignalsOfTargets);
   CPPUNIT_TEST(encodesStoreCalls);
   CPPUNIT_TEST(decodesStoreReplies);
   CPPUNIT_TEST(decodesWatchResponses);
@@ -208,6 +209,29 @@
     CPPUNIT_ASSERT(!isNotExecuted({200, {{"Not-Executed", "1"}}, ""}));
   }
 
+  // A misread limit would stop a healthy target or overload one in need.
+  void decodesSignalsOfTargets() {
+    auto Limited = decodeTargetSignals(
+        {200, {{"server-limit", "58.25"}, {"Server-Leaving", "1"}}, ""});
+    CPPUNIT_ASSERT(Limited->Leaving);
+    CPPUNIT_ASSERT_EQUAL(58.25, Limited->RateLimit.value());
+    CPPUNIT_ASSERT_EQUAL(0.0,
+                         decodeTargetSignals({503, {{"Server-Limit", "0"}}, ""})
+                             ->RateLimit.value());
+    auto Plain = decodeTargetSignals({200, {{"Server-Leaving", "0"}}, ""});
+    CPPUNIT_ASSERT(!Plain->Leaving && !Plain->RateLimit);
+    CPPUNIT_ASSERT(!Plain->RateLimitUnreadable);
+    for (const char *Text :
+         {"", "-1", "nan", "inf", "1e3", "5/s", "0x10", "5,5", "1 2"}) {
+      auto Unreadable =
+          decodeTargetSignals({200, {{"Server-Limit", Text}}, ""});
+      CPPUNIT_ASSERT_MESSAGE(Text, Unreadable->RateLimitUnreadable);
+      CPPUNIT_ASSERT_MESSAGE(Text, !Unreadable->RateLimit);
+    }
+    // Another instance may have answered.
+    CPPUNIT_ASSERT(!decodeTargetSignals({421, {{"Server-Limit", "5"}}, ""}));
+  }
+
   void encodesStoreCalls() {
     StoreHttpRequest ReadRequest = encodeCall(StoreRange{.Key = "op/config"});
     CPPUNIT_ASSERT_EQUAL(std::string("GET"), ReadRequest.Method);
--- a/orioledoor/platform/request_codec.cc
+++ b/orioledoor/platform/request_codec.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <optional>
 #include <string>
 #include <utility>
@@ -18,6 +19,9 @@
 using wire::internal::equalsIgnoreCase;
 using wire::internal::findHeader;
 
+// Another instance than the expected one answers with this status, and so does
+// a target that does not hold the key.
+constexpr int WrongInstanceStatus = 421;
 constexpr std::int64_t MaxKey = 65535;
 // One day. Longer deadlines have the effect of none.
 constexpr std::int64_t MaxDeadlineMs = 86'400'000;
@@ -45,6 +49,17 @@
   return std::min(Number, Max);
 }
 
+// Returns a rate that is a finite decimal number and not negative.
+std::optional<double> parseRate(std::string_view Text) {
+  double Rate = 0;
+  auto [Stop, Error] = std::from_chars(Text.data(), Text.data() + Text.size(),
+                                       Rate, std::chars_format::fixed);
+  if (Error != std::errc() || Stop != Text.data() + Text.size() ||
+      !std::isfinite(Rate) || std::signbit(Rate))
+    return std::nullopt;
+  return Rate;
+}
+
 } // namespace
 
 routing::CallerRequest decodeCallerRequest(std::uint64_t Caller,
@@ -101,4 +116,18 @@
          findHeader(Answer.Headers, names::NotExecuted) != nullptr;
 }
 
+std::optional<routing::TargetSignals>
+decodeTargetSignals(const requests::HttpAnswer &Answer) {
+  if (Answer.Status == WrongInstanceStatus)
+    return std::nullopt;
+  routing::TargetSignals Signals;
+  const Header *Leaving = findHeader(Answer.Headers, names::ServerLeaving);
+  Signals.Leaving = Leaving && Leaving->Value == "1";
+  if (const Header *Limit = findHeader(Answer.Headers, names::ServerLimit)) {
+    Signals.RateLimit = parseRate(Limit->Value);
+    Signals.RateLimitUnreadable = !Signals.RateLimit;
+  }
+  return Signals;
+}
+
 } // namespace orioledoor::platform
--- a/orioledoor/platform/request_codec.h
+++ b/orioledoor/platform/request_codec.h
@@ -6,9 +6,11 @@
 #define ORIOLEDOOR_PLATFORM_REQUEST_CODEC_H
 
 #include <cstdint>
+#include <optional>
 
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/entry.h"
+#include "orioledoor/routing/target_signals.h"
 #include "orioledoor/wire/http_client.h"
 #include "orioledoor/wire/http_server.h"
 
@@ -26,6 +28,11 @@
 // Returns whether the target states that it did not run the request.
 bool isNotExecuted(const requests::HttpAnswer &Answer);
 
+// Returns what the target signals about itself. Empty for status 421, since
+// that response may come from another instance.
+std::optional<routing::TargetSignals>
+decodeTargetSignals(const requests::HttpAnswer &Answer);
+
 } // namespace orioledoor::platform
 
 #endif // ORIOLEDOOR_PLATFORM_REQUEST_CODEC_H
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -51,6 +51,13 @@
     2227, Severity::Warn, "FORWARD_NOT_SENT",
     "a request could not be sent to the node beside its target"};
 
+inline constexpr EventDefinition TargetLimitChanged{
+    2228, Severity::Info, "TARGET_LIMIT_CHANGED",
+    "the target changed the rate of requests that it accepts"};
+inline constexpr EventDefinition TargetLimitUnreadable{
+    2229, Severity::Warn, "TARGET_LIMIT_UNREADABLE",
+    "the target stated a rate limit that is not a number"};
+
 } // namespace orioledoor::routing::events
 
 #endif // ORIOLEDOOR_ROUTING_EVENTS_H
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -65,6 +65,9 @@
     }
   this->Target = Reported;
   this->Report = Report;
+  ++this->Incarnation;
+  this->setRateLimit(std::nullopt, Out);
+  this->LimitStatedAt = Instant();
   this->State = TargetState::Ready;
   this->Drained = false;
   this->FailureShare = 0;
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -24,6 +24,7 @@
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/recent_results.h"
+#include "orioledoor/routing/target_signals.h"
 
 namespace orioledoor::routing {
 
@@ -81,6 +82,10 @@
   // The sender's connection broke while the request was open.
   void handleResume(const std::string &From, const ResumeForward &Resumed,
                     Instant Now, Effects &Out);
+  // Processes what the target signals about itself in the answer to a call.
+  // Call this before handleAnswer.
+  void handleSignals(std::uint64_t CallId, const TargetSignals &Signals,
+                     Instant Now, Effects &Out);
   // The target answered a call. NotRun: it stated that it did not run the
   // request.
   void handleAnswer(std::uint64_t CallId, HttpAnswer Answer, bool NotRun,
@@ -103,6 +108,10 @@
   std::string_view service() const { return this->Report.Service; }
   std::size_t openRequests() const { return this->Calls.size(); }
   const AdmissionQueue &queue() const { return this->Queue; }
+  // Requests per second that the target accepts; empty if it names no limit.
+  std::optional<double> rateLimit() const { return this->RateLimit; }
+  // Number of calls to targets that were started.
+  std::uint64_t startedCalls() const { return this->StartedCalls; }
 
 private:
   struct ForwardedCall {
@@ -119,6 +128,8 @@
     Instant StartBy;
     bool Started = false;
     Instant StartedAt;
+    // Incarnation of the target that the call was sent to.
+    std::uint32_t Incarnation = 0;
   };
 
   // Returns the outcome if Request must be refused at once.
@@ -140,6 +151,7 @@
   void refuse(const std::string &From, const Forward &Request, Outcome Reason,
               Duration RetryAfter, Instant Now, Effects &Out);
   void startDraining(Instant Now, Effects &Out);
+  void setRateLimit(std::optional<double> RequestsPerSecond, Effects &Out);
   // Updates the failure share with the result of a call.
   void noteOutcome(bool Failed);
   // Expected time that a request of this class holds a slot.
@@ -148,6 +160,8 @@
   TargetGateOptions Options;
   TargetRef Target;
   TargetReport Report;
+  // Counts the incarnations of the target that reported to this process.
+  std::uint32_t Incarnation = 0;
   TargetState State = TargetState::Absent;
   // No new requests are started after this time; only used while State is
   // Leaving.
@@ -157,6 +171,10 @@
   // The most recent call could not be sent.
   bool ConnectionRefused = false;
   bool Closed = false;
+  std::optional<double> RateLimit;
+  // Time of the last answer that stated a limit.
+  Instant LimitStatedAt;
+  std::uint64_t StartedCalls = 0;
   AdmissionQueue Queue;
   BodyFetchQueue BodyFetches;
   ClassServiceTimes ServiceTimes;
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -249,6 +249,8 @@
   ForwardedCall &Call = this->Calls.at(Id);
   Call.Started = true;
   Call.StartedAt = Now;
+  Call.Incarnation = this->Incarnation;
+  ++this->StartedCalls;
   Out.push_back(StartCall{.CallId = Id,
                           .Instance = this->Target.Instance,
                           .AttemptId = Call.Request.AttemptId,
--- a/orioledoor/sidecar/event.h
+++ b/orioledoor/sidecar/event.h
@@ -4,6 +4,7 @@
 #define ORIOLEDOOR_SIDECAR_EVENT_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -11,6 +12,7 @@
 #include "orioledoor/routing/message.h"
 #include "orioledoor/routing/target_gate.h"
 #include "orioledoor/routing/target_report.h"
+#include "orioledoor/routing/target_signals.h"
 #include "orioledoor/store/store_types.h"
 
 namespace orioledoor::sidecar {
@@ -40,6 +42,8 @@
   routing::HttpAnswer Answer{};
   // The target states that it did not run the request.
   bool NotRun = false;
+  // Empty if the answer may come from another target.
+  std::optional<routing::TargetSignals> Signals{};
 };
 struct TargetFailed {
   std::uint64_t Call = 0;
--- /dev/null
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -0,0 +1,69 @@
+// Names and sources of the metrics.
+#include "orioledoor/sidecar/node_metrics.h"
+
+#include <utility>
+
+#include "orioledoor/platform/platform_store.h"
+#include "orioledoor/sidecar/reducer.h"
+#include "orioledoor/telemetry/metrics.h"
+#include "orioledoor/wire/http_client.h"
+#include "orioledoor/wire/peer_transport.h"
+
+namespace orioledoor::sidecar {
+namespace {
+
+void setGateMetrics(MetricsRegistry &Metrics, const routing::TargetGate &Gate) {
+  Metrics.gauge("oriole_gate_running").set(Gate.queue().running());
+  Metrics.gauge("oriole_gate_waiting")
+      .set(static_cast<double>(Gate.queue().waiting()));
+  Metrics.gauge("oriole_gate_slot_seconds")
+      .set(static_cast<double>(Gate.queue().serviceTime().count()) / 1e6);
+  Metrics.gauge("oriole_gate_rate_limit").set(Gate.rateLimit().value_or(0));
+  Metrics.counter("oriole_gate_starts_total").set(Gate.startedCalls());
+}
+
+void setStoreMetrics(MetricsRegistry &Metrics,
+                     const platform::PlatformStoreCounters &Store) {
+  Metrics.counter("oriole_store_calls_total").set(Store.Calls);
+  for (const auto &[Kind, Name] :
+       {std::pair(platform::StoreCallKind::Read, "read"),
+        std::pair(platform::StoreCallKind::StaleRead, "stale-read"),
+        std::pair(platform::StoreCallKind::Write, "write"),
+        std::pair(platform::StoreCallKind::Lease, "lease"),
+        std::pair(platform::StoreCallKind::Renewal, "renewal"),
+        std::pair(platform::StoreCallKind::Watch, "watch")})
+    Metrics
+        .counter("oriole_store_calls_by_kind_total",
+                 "kind=\"" + std::string(Name) + "\"")
+        .set(Store.CallsByKind[static_cast<std::size_t>(Kind)]);
+  Metrics.counter("oriole_store_failures_total").set(Store.Failures);
+  Metrics.counter("oriole_store_watch_interruptions_total")
+      .set(Store.WatchInterruptions);
+}
+
+} // namespace
+
+std::string renderMetrics(MetricsRegistry &Metrics,
+                          const SidecarReducer &Reducer,
+                          const platform::PlatformStoreCounters &Store,
+                          const wire::TransportCounters &Peers,
+                          const wire::HttpClientCounters &TargetClient) {
+  setGateMetrics(Metrics, Reducer.gate());
+  setStoreMetrics(Metrics, Store);
+  Metrics.gauge("oriole_entry_open")
+      .set(static_cast<double>(Reducer.entry().openRequests()));
+  Metrics.gauge("oriole_nodes")
+      .set(static_cast<double>(Reducer.membership().nodes().size()));
+  Metrics.counter("oriole_peer_connections_lost_total")
+      .set(Peers.ConnectionsLost);
+  Metrics.counter("oriole_peer_header_bytes_total").set(Peers.HeaderBytesOut);
+  Metrics.counter("oriole_peer_batches_total").set(Peers.BatchesOut);
+  Metrics.counter("oriole_target_connections_total")
+      .set(TargetClient.Connections);
+  const auto &Table = Reducer.entry().table();
+  Metrics.gauge("oriole_config_version")
+      .set(Table ? static_cast<double>(Table->Version) : 0);
+  return Metrics.text();
+}
+
+} // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -337,6 +337,9 @@
 }
 
 void SidecarReducer::on(TargetAnswered Answered, Instant Now) {
+  if (Answered.Signals)
+    this->Gate.handleSignals(Answered.Call, *Answered.Signals, Now,
+                             this->RoutingEffects);
   this->Gate.handleAnswer(Answered.Call, std::move(Answered.Answer),
                           Answered.NotRun, Now, this->RoutingEffects);
 }
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -19,6 +19,7 @@
 #include "orioledoor/routing/message_codec.h"
 #include "orioledoor/sidecar/events.h"
 #include "orioledoor/sidecar/log_limiter.h"
+#include "orioledoor/sidecar/node_metrics.h"
 #include "orioledoor/sidecar/peer_traffic.h"
 #include "orioledoor/sidecar/reducer.h"
 #include "orioledoor/telemetry/logger.h"
@@ -192,8 +193,9 @@
             return;
           }
           bool NotRun = platform::isNotExecuted(Result.Answer);
+          auto Signals = platform::decodeTargetSignals(Result.Answer);
           this->dispatch(
-              TargetAnswered{Call, std::move(Result.Answer), NotRun});
+              TargetAnswered{Call, std::move(Result.Answer), NotRun, Signals});
         });
   }
 
@@ -316,49 +318,6 @@
           {&events::LogDropped, {{"lines", std::to_string(Dropped)}}});
   }
 
-  std::string renderMetrics() {
-    const routing::TargetGate &Gate = this->Reducer.gate();
-    this->Metrics.gauge("oriole_gate_running").set(Gate.queue().running());
-    this->Metrics.gauge("oriole_gate_waiting")
-        .set(static_cast<double>(Gate.queue().waiting()));
-    this->Metrics.gauge("oriole_gate_slot_seconds")
-        .set(static_cast<double>(Gate.queue().serviceTime().count()) / 1e6);
-    this->Metrics.gauge("oriole_entry_open")
-        .set(static_cast<double>(this->Reducer.entry().openRequests()));
-    this->Metrics.gauge("oriole_nodes")
-        .set(static_cast<double>(this->Reducer.membership().nodes().size()));
-    this->Metrics.counter("oriole_store_calls_total")
-        .set(this->Store.counters().Calls);
-    for (const auto &[Kind, Name] :
-         {std::pair(platform::StoreCallKind::Read, "read"),
-          std::pair(platform::StoreCallKind::StaleRead, "stale-read"),
-          std::pair(platform::StoreCallKind::Write, "write"),
-          std::pair(platform::StoreCallKind::Lease, "lease"),
-          std::pair(platform::StoreCallKind::Renewal, "renewal"),
-          std::pair(platform::StoreCallKind::Watch, "watch")})
-      this->Metrics
-          .counter("oriole_store_calls_by_kind_total",
-                   "kind=\"" + std::string(Name) + "\"")
-          .set(this->Store.counters()
-                   .CallsByKind[static_cast<std::size_t>(Kind)]);
-    this->Metrics.counter("oriole_store_failures_total")
-        .set(this->Store.counters().Failures);
-    this->Metrics.counter("oriole_store_watch_interruptions_total")
-        .set(this->Store.counters().WatchInterruptions);
-    this->Metrics.counter("oriole_peer_connections_lost_total")
-        .set(this->Peers->counters().ConnectionsLost);
-    this->Metrics.counter("oriole_peer_header_bytes_total")
-        .set(this->Peers->counters().HeaderBytesOut);
-    this->Metrics.counter("oriole_peer_batches_total")
-        .set(this->Peers->counters().BatchesOut);
-    this->Metrics.counter("oriole_target_connections_total")
-        .set(this->TargetClient.counters().Connections);
-    const auto &Table = this->Reducer.entry().table();
-    this->Metrics.gauge("oriole_config_version")
-        .set(Table ? static_cast<double>(Table->Version) : 0);
-    return this->Metrics.text();
-  }
-
   absl::Status listen() {
     auto Opened = wire::PeerTransport::open(
         this->Base, {.Address = peerAddress(this->Settings.Peer)},
@@ -447,7 +406,10 @@
                        this->MetricsServer->reply(
                            Id, {200,
                                 {{"Content-Type", "text/plain; version=0.0.4"}},
-                                this->renderMetrics()});
+                                renderMetrics(this->Metrics, this->Reducer,
+                                              this->Store.counters(),
+                                              this->Peers->counters(),
+                                              this->TargetClient.counters())});
                      },
                  .OnDisconnect = Ignore});
   }
