--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -50,6 +50,8 @@
   // Peer address of the node beside the target that owns the key; empty if
   // there is none.
   std::string Node{};
+  // The target that owns the key.
+  TargetRef Target{};
   // The key is being transferred and will soon be served, by this owner or
   // another.
   bool Moving = false;
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -124,7 +124,9 @@
       Stored->Map.find(static_cast<std::uint32_t>(Key));
   if (!Row || Stored->Map.findLost(Row->Owner))
     return {};
-  return {.Node = Row->Owner.Node, .Moving = static_cast<bool>(Row->Next)};
+  return {.Node = Row->Owner.Node,
+          .Target = Row->Owner,
+          .Moving = static_cast<bool>(Row->Next)};
 }
 
 void KeyOwnershipManager::recordLoad(const routing::KeyLoadNotice &Notice,
