Pace requests to the rate limit that a target states

Cause: no part of a node read the limit. Each target is reached only through the node beside it, so that node can keep the limit of the whole fleet without agreement. It now paces its calls by the generic cell rate algorithm, and counts the pace in the wait that decides about admission: what would wait too long is refused at once. A new process knows no limit; until the target has answered it, for at most half a second, it runs two calls at a time instead of filling all slots.

--- a/orioledoor/routing/admission_queue.cc
+++ b/orioledoor/routing/admission_queue.cc
@@ -82,9 +82,13 @@
   return All;
 }
 
+std::size_t AdmissionQueue::waitingBefore(const QueueRank &Rank) const {
+  return static_cast<std::size_t>(
+      std::distance(this->Waiting.begin(), this->Waiting.upper_bound(Rank)));
+}
+
 Duration AdmissionQueue::expectedWait(const QueueRank &Rank) const {
-  auto Ahead =
-      std::distance(this->Waiting.begin(), this->Waiting.upper_bound(Rank));
+  auto Ahead = static_cast<std::int64_t>(this->waitingBefore(Rank));
   if (this->Running < this->Slots && Ahead == 0)
     return Duration(0);
   Duration Service =
--- a/orioledoor/routing/admission_queue.h
+++ b/orioledoor/routing/admission_queue.h
@@ -40,7 +40,8 @@
 
 // Starts requests in order of rank, and requests of equal rank in order of
 // arrival. Not thread-safe. Logarithmic in the number of waiting requests,
-// except remove(), takeOverdue() and expectedWait(), which are linear.
+// except remove(), takeOverdue(), waitingBefore() and expectedWait(), which are
+// linear.
 class AdmissionQueue {
 public:
   explicit AdmissionQueue(std::uint32_t Slots = 1) : Slots(Slots) {}
@@ -69,6 +70,8 @@
   // Removes and returns all requests.
   std::vector<WaitingRequest> takeAll();
 
+  // Number of waiting requests that start before a new request of this rank.
+  std::size_t waitingBefore(const QueueRank &Rank) const;
   // Estimated time that a new request of this rank waits for a slot.
   Duration expectedWait(const QueueRank &Rank) const;
   // Moving average of the time that a request holds a slot.
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -18,6 +18,9 @@
 // A request that was reported to its sender as never received must not run if
 // it arrives later. This exceeds the longest timeout of any caller.
 constexpr Duration NotReceivedRetention = std::chrono::seconds(60);
+// A target that has not answered by then is sent requests without knowing its
+// limit, since its first calls may be slow or lost.
+constexpr Duration MaxProbeTime = milliseconds(500);
 
 } // namespace
 
@@ -68,6 +71,8 @@
   ++this->Incarnation;
   this->setRateLimit(std::nullopt, Out);
   this->LimitStatedAt = Instant();
+  this->SignalsKnown = false;
+  this->ProbeUntil = Now + MaxProbeTime;
   this->State = TargetState::Ready;
   this->Drained = false;
   this->FailureShare = 0;
@@ -126,7 +131,6 @@
 void TargetGate::tick(Instant Now, Effects &Out) {
   this->Crashes.tick(Now);
   this->Results.tick(Now);
-  this->refuseOverdueCalls(Now, Out);
   std::erase_if(this->ReportedNotReceived, [Now](const auto &Entry) {
     return Now - Entry.second > NotReceivedRetention;
   });
@@ -150,6 +154,8 @@
                    field("silent_ms", millis(Now - this->LastReportAt))}});
     this->refuseUnstartedCalls(Now, Out);
   }
+  this->startQueuedCalls(Now, Out);
+  this->refuseOverdueCalls(Now, Out);
 }
 
 TargetStatus TargetGate::status(Instant Now) const {
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -24,6 +24,7 @@
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/recent_results.h"
+#include "orioledoor/routing/start_pacer.h"
 #include "orioledoor/routing/target_signals.h"
 
 namespace orioledoor::routing {
@@ -97,7 +98,7 @@
   void handleCrashNotice(const CrashNotice &Notice, Instant Now);
   // Refuses all new and waiting requests; called before the process exits.
   void close(Instant Now, Effects &Out);
-  // Drives timeouts. Call every 20 to 100 ms.
+  // Drives timeouts and paced starts. Call every 20 to 100 ms.
   void tick(Instant Now, Effects &Out);
 
   // Returns the status to send to other nodes, with a new sequence number.
@@ -136,6 +137,10 @@
   std::optional<Outcome> checkAdmission(const Forward &Request, KeyState Key,
                                         std::uint64_t Digest,
                                         Instant Now) const;
+  // Returns whether the target accepts another request now, slots aside.
+  bool mayStart(Instant Now) const;
+  // Estimated time that a new request of this rank waits until it may start.
+  Duration expectedWait(const QueueRank &Rank, Instant Now) const;
   void startCall(std::uint64_t Id, Instant Now, Effects &Out);
   void startQueuedCalls(Instant Now, Effects &Out);
   // Starts a call whose body is complete, or queues it for a slot.
@@ -175,6 +180,11 @@
   // Time of the last answer that stated a limit.
   Instant LimitStatedAt;
   std::uint64_t StartedCalls = 0;
+  StartPacer Pacer;
+  // Until the current incarnation has answered this process, or until
+  // ProbeUntil, its limit is unknown and few calls run at once.
+  bool SignalsKnown = false;
+  Instant ProbeUntil;
   AdmissionQueue Queue;
   BodyFetchQueue BodyFetches;
   ClassServiceTimes ServiceTimes;
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -39,6 +39,8 @@
 constexpr Duration FetchRoundTrip = milliseconds(30);
 // Weight of a new outcome in the failure share; about the last 30 calls count.
 constexpr float FailureWeight = 0.033F;
+// Calls that run at once at a target whose limit is not known yet.
+constexpr std::uint32_t MaxProbes = 2;
 // Reserved for the way of the answer back to the caller.
 constexpr Duration AnswerMargin = milliseconds(15);
 
@@ -132,7 +134,7 @@
   bool MeetsLatency = Request.LatencyLeft > ServiceTime;
   QueueRank Rank{Request.Priority,
                  Now + (MeetsLatency ? Request.LatencyLeft : Request.TimeLeft)};
-  Duration ExpectedWait = this->Queue.expectedWait(Rank);
+  Duration ExpectedWait = this->expectedWait(Rank, Now);
   Duration Transfer(0);
   if (Withheld) {
     ExpectedWait = std::max(ExpectedWait, this->BodyFetches.expectedWait());
@@ -170,7 +172,7 @@
 }
 
 void TargetGate::admit(std::uint64_t Id, Instant Now, Effects &Out) {
-  if (this->Queue.tryStart()) {
+  if (this->mayStart(Now) && this->Queue.tryStart()) {
     this->startCall(Id, Now, Out);
     return;
   }
@@ -245,12 +247,24 @@
   this->fetchBodies(Now, Out);
 }
 
+bool TargetGate::mayStart(Instant Now) const {
+  bool Probing = !this->SignalsKnown && Now < this->ProbeUntil;
+  return this->Pacer.mayStart(Now) &&
+         (!Probing || this->Queue.running() < MaxProbes);
+}
+
+Duration TargetGate::expectedWait(const QueueRank &Rank, Instant Now) const {
+  return std::max(this->Queue.expectedWait(Rank),
+                  this->Pacer.waitFor(this->Queue.waitingBefore(Rank), Now));
+}
+
 void TargetGate::startCall(std::uint64_t Id, Instant Now, Effects &Out) {
   ForwardedCall &Call = this->Calls.at(Id);
   Call.Started = true;
   Call.StartedAt = Now;
   Call.Incarnation = this->Incarnation;
   ++this->StartedCalls;
+  this->Pacer.noteStart(Now);
   Out.push_back(StartCall{.CallId = Id,
                           .Instance = this->Target.Instance,
                           .AttemptId = Call.Request.AttemptId,
@@ -264,7 +278,10 @@
 void TargetGate::startQueuedCalls(Instant Now, Effects &Out) {
   if (this->State == TargetState::Absent || this->Drained)
     return;
-  while (auto Next = this->Queue.popStartable(Now)) {
+  while (this->mayStart(Now)) {
+    auto Next = this->Queue.popStartable(Now);
+    if (!Next)
+      return;
     const ForwardedCall &Call = this->Calls.at(Next->Id);
     if (Call.Deadline - Now >= MinTimeLeft) {
       this->startCall(Next->Id, Now, Out);
--- a/orioledoor/routing/target_gate_signals.cc
+++ b/orioledoor/routing/target_gate_signals.cc
@@ -28,6 +28,7 @@
   if (Found == this->Calls.end() ||
       Found->second.Incarnation != this->Incarnation)
     return;
+  this->SignalsKnown = true;
   if (Signals.RateLimitUnreadable) {
     Out.push_back(LogRecord{&events::TargetLimitUnreadable,
                             {field("request", Found->second.Request.AttemptId),
@@ -54,6 +55,8 @@
                  field("waiting", std::to_string(this->Queue.waiting())),
                  field("running", std::to_string(this->Queue.running()))}});
   this->RateLimit = RequestsPerSecond;
+  this->Pacer.setInterval(RequestsPerSecond ? startInterval(*RequestsPerSecond)
+                                            : Duration(0));
 }
 
 } // namespace orioledoor::routing
