Report the stated rate limit of a target as its capacity

Callers of a keyed service were refused at targets that had stated a limit on their rate, while other targets of the service had room.

The gate now states the capacity, which is bounded by the limit.

--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -1,4 +1,5 @@
 // State of the target: reports, draining, silence detection and status.
+#include <algorithm>
 #include <utility>
 
 #include "orioledoor/routing/events.h"
@@ -18,6 +19,11 @@
 // A request that was reported to its sender as never received must not run if
 // it arrives later. This exceeds the longest timeout of any caller.
 constexpr Duration NotReceivedRetention = std::chrono::seconds(60);
+// Used for the capacity of a target until the first request has completed.
+constexpr Duration AssumedServiceTime = milliseconds(150);
+// Capacity of a target that accepts no requests. It is not 0, so that load and
+// capacity have a ratio.
+constexpr double MinCapacity = 0.1;
 // A target that has not answered by then is sent requests without knowing its
 // limit, since its first calls may be slow or lost.
 constexpr Duration MaxProbeTime = milliseconds(500);
@@ -158,6 +164,17 @@
   this->refuseOverdueCalls(Now, Out);
 }
 
+double TargetGate::capacity() const {
+  Duration ServiceTime = this->Queue.serviceTime().count() > 0
+                             ? this->Queue.serviceTime()
+                             : AssumedServiceTime;
+  double OfSlots =
+      this->Queue.slots() * 1e6 / static_cast<double>(ServiceTime.count());
+  return this->RateLimit
+             ? std::min(OfSlots, std::max(*this->RateLimit, MinCapacity))
+             : OfSlots;
+}
+
 TargetStatus TargetGate::status(Instant Now) const {
   return {.Process = this->Options.Process,
           .Sequence = this->NextSequence++,
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -111,6 +111,9 @@
   const AdmissionQueue &queue() const { return this->Queue; }
   // Requests per second that the target accepts; empty if it names no limit.
   std::optional<double> rateLimit() const { return this->RateLimit; }
+  // Estimate of the requests per second that the target can serve: what its
+  // slots allow, or its limit if that is lower. Above 0.
+  double capacity() const;
   // Number of calls to targets that were started.
   std::uint64_t startedCalls() const { return this->StartedCalls; }
 
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -478,13 +478,8 @@
     if (Now > this->Keys.holdsEnd() + EndedMargin &&
         Now - this->ReportedAt > this->Options.Keys.Grants.HoldTime)
       this->EndedTarget = Target;
-    const routing::AdmissionQueue &Queue = this->Gate.queue();
-    Duration ServiceTime = Queue.serviceTime().count() > 0 ? Queue.serviceTime()
-                                                           : milliseconds(150);
     if (this->Gate.state() == TargetState::Ready)
-      this->Keys.reportLoad(this->Gate.service(), Target,
-                            Queue.slots() * 1e6 /
-                                static_cast<double>(ServiceTime.count()),
+      this->Keys.reportLoad(this->Gate.service(), Target, this->Gate.capacity(),
                             Now, this->Out);
   }
   this->apply(this->Config.tick(Now));
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -19,6 +19,8 @@
 using std::chrono::seconds;
 
 constexpr char OwnAddress[] = "tcp://10.0.0.1:7100";
+// Sorts first, so this node plans the owners of keys.
+constexpr char PlannerAddress[] = "tcp://10.0.0.0:7100";
 constexpr char OtherAddress[] = "tcp://10.0.0.2:7100";
 
 SidecarOptions options() {
@@ -133,6 +135,7 @@
   CPPUNIT_TEST(answersOpenRequestsBeforeItExits);
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
+  CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
   CPPUNIT_TEST(appliesKeyMapChangesInOrder);
   CPPUNIT_TEST(learnsOfNewNodesFromThem);
   CPPUNIT_TEST(ignoresOlderConfiguration);
@@ -226,6 +229,41 @@
     CPPUNIT_ASSERT(SecondSidecar.find<ReplyToReport>()->Answer.Grants.empty());
   }
 
+  // The planner moved keys to targets that had stated a limit on their request
+  // rate, since it was told the capacity of their slots.
+  void reportsTheStatedLimitAsCapacity() {
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet();
+    NodeEntry Planner;
+    Planner.Node = PlannerAddress;
+    Planner.Process = 2;
+    Sidecar.dispatch(PeerMessageReceived{
+        PlannerAddress, routing::NodeNotice{11, encodeNodeEntry(Planner)}});
+    Sidecar.report(1);
+    Sidecar.dispatch(PeerMessageReceived{
+        OtherAddress,
+        routing::Forward{.Id = 1,
+                         .Process = 9,
+                         .Service = "keyed",
+                         .AttemptId = "a",
+                         .TimeLeft = seconds(2),
+                         .LatencyLeft = seconds(1),
+                         .LastChoice = true,
+                         .Content =
+                             std::make_shared<routing::RequestContent>()}});
+    const auto *Call = Sidecar.find<StartCall>();
+    CPPUNIT_ASSERT(Call);
+    Sidecar.Now = Sidecar.Now + milliseconds(50);
+    Sidecar.dispatch(TargetAnswered{Call->CallId,
+                                    {200, {}, ""},
+                                    false,
+                                    routing::TargetSignals{.RateLimit = 5}});
+    Sidecar.advance(milliseconds(400));
+    const auto *Load = Sidecar.findMessage<routing::KeyLoadNotice>();
+    CPPUNIT_ASSERT(Load);
+    CPPUNIT_ASSERT_EQUAL(5.0, Load->Capacity);
+  }
+
   // Guards against owners that are not known, since the messages of two nodes
   // overtook each other or one was lost.
   void appliesKeyMapChangesInOrder() {
