Remember leaving targets across restarts of their nodes

Cause: only the node beside the target knew since when it was leaving, in memory, and other nodes took over whatever state its new process sent. Class: knowledge that must outlive a process is kept in that process alone. The header Server-Leaving was not read at all, so a target that announced its end only there was never drained.

Fix: each node remembers by incarnation which targets are leaving and since when, also if the node beside the target is removed and comes back; it sends nothing there after the drain time, neither by choice nor by key. The gate starts draining on an answer with Server-Leaving. TARGET_LEAVING says how the target announced it. No message or store call is added.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -181,16 +181,19 @@
   if (Pending.Partitioned) {
     KeyOwner Owner = this->LookUpOwner(Pending.Service, Pending.Request.Key);
     const TargetView *View = this->Directory.find(Owner.Node);
+    bool Leaves = this->Directory.hasDrained(Owner.Target, Now);
     if (View && Now < View->AvoidUntil)
       this->refuse(Pending, "the owner's node is unreachable",
                    NoOwnerRetryAfter, Now, Out);
-    else if (!Owner.Node.empty())
+    else if (!Owner.Node.empty() && !Leaves)
       this->send(Pending, Owner.Node, true, Now, Out);
     else if (Owner.Moving)
       this->park(Pending, Now, Out);
     else
-      this->refuse(Pending, "the key has no owner", NoOwnerRetryAfter, Now,
-                   Out);
+      this->refuse(Pending,
+                   Leaves ? "the owner of the key is leaving"
+                          : "the key has no owner",
+                   NoOwnerRetryAfter, Now, Out);
     return;
   }
   ChoiceInput Input{.Service = Pending.Service,
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <optional>
 
+#include "orioledoor/routing/internal/drain_margin.h"
+
 namespace orioledoor::routing {
 namespace {
 
@@ -45,6 +47,8 @@
 // Initial and maximum time for which an unreachable node is avoided.
 constexpr Duration InitialAvoidTime = milliseconds(500);
 constexpr Duration MaxAvoidTime = std::chrono::seconds(4);
+// A target ends seconds after the drain time, in rare cases a minute.
+constexpr Duration LeavingRetention = std::chrono::minutes(5);
 
 bool excluded(std::span<const std::string> Names, const std::string &Name) {
   return std::ranges::find(Names, Name) != Names.end();
@@ -59,8 +63,10 @@
   return std::max(Wait - StatusAge, Duration(0));
 }
 
-TargetDirectory::TargetDirectory(Location OwnLocation, std::string OwnNode)
-    : OwnLocation(std::move(OwnLocation)), OwnNode(std::move(OwnNode)) {}
+TargetDirectory::TargetDirectory(Location OwnLocation, std::string OwnNode,
+                                 Duration DrainTime)
+    : OwnLocation(std::move(OwnLocation)), OwnNode(std::move(OwnNode)),
+      DrainTime(DrainTime) {}
 
 void TargetDirectory::setNode(const std::string &Node, const Location &Place,
                               std::uint64_t LinkBytesPerSecond) {
@@ -81,17 +87,39 @@
   if (Status.Process == View.Status.Process &&
       Status.Sequence < View.Status.Sequence)
     return false;
+  if (Status.State == TargetState::Leaving)
+    this->noteLeaving(Status.Target, Now);
+  TargetState State = Status.State;
+  // A restarted node does not know that its target is leaving.
+  if (State == TargetState::Ready && this->LeavingSince.contains(Status.Target))
+    State = TargetState::Leaving;
   bool Changed =
-      Status.State != View.Status.State || Status.Target != View.Status.Target;
+      State != View.Status.State || Status.Target != View.Status.Target;
   // A node updates its own status far more often than its measurements change.
   if (Status.Times != View.Status.Times)
     this->updateBaselines(Status);
   View.Status = Status;
+  View.Status.State = State;
   View.StatusAt = Now;
   View.SentSinceStatus = 0;
   return Changed;
 }
 
+void TargetDirectory::noteLeaving(const TargetRef &Target, Instant Now) {
+  if (this->LeavingSince.contains(Target))
+    return;
+  std::erase_if(this->LeavingSince, [Now](const auto &Entry) {
+    return Now - Entry.second > LeavingRetention;
+  });
+  this->LeavingSince.emplace(Target, Now);
+}
+
+bool TargetDirectory::hasDrained(const TargetRef &Target, Instant Now) const {
+  auto Found = this->LeavingSince.find(Target);
+  return Found != this->LeavingSince.end() &&
+         Now - Found->second >= this->DrainTime - internal::DrainMargin;
+}
+
 void TargetDirectory::noteSent(const std::string &Node) {
   auto Found = this->Views.find(Node);
   if (Found == this->Views.end())
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -78,7 +78,10 @@
 // Not thread-safe. choose() is linear in the number of nodes.
 class TargetDirectory {
 public:
-  explicit TargetDirectory(Location OwnLocation, std::string OwnNode);
+  // DrainTime: time from a target's announcement that it is leaving until it
+  // gets no new requests.
+  explicit TargetDirectory(Location OwnLocation, std::string OwnNode,
+                           Duration DrainTime = std::chrono::seconds(2));
 
   // Adds a node or changes its location.
   void setNode(const std::string &Node, const Location &Place,
@@ -104,6 +107,10 @@
   std::size_t countReady(std::string_view Service,
                          std::span<const std::string> Excluded) const;
 
+  // Returns whether the target has been leaving for the drain time. This holds
+  // whatever its node says later, since a restarted node may not know it.
+  bool hasDrained(const TargetRef &Target, Instant Now) const;
+
   const TargetView *find(const std::string &Node) const;
   // Distance of a place from this node.
   Distance distanceTo(const Location &Place) const;
@@ -128,10 +135,15 @@
   // Typical time at fast targets; 0 if no target has a measurement.
   double baselineOf(RequestClassId RequestClass) const;
   void updateBaselines(const TargetStatus &Status);
+  void noteLeaving(const TargetRef &Target, Instant Now);
 
   Location OwnLocation;
   std::string OwnNode;
+  Duration DrainTime;
   std::map<std::string, TargetView> Views;
+  // When each leaving target was first known to leave. Kept when its node is
+  // removed, since it may come back beside the same target.
+  std::map<TargetRef, Instant> LeavingSince;
   // Lowest mean service time of any target by request class, in microseconds.
   // Rises slowly while all targets are slower.
   std::map<RequestClassId, double> Baselines;
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -3,19 +3,18 @@
 #include <utility>
 
 #include "orioledoor/routing/events.h"
+#include "orioledoor/routing/internal/drain_margin.h"
 #include "orioledoor/routing/internal/log_text.h"
 #include "orioledoor/routing/target_gate.h"
 
 namespace orioledoor::routing {
 namespace {
 
+using internal::DrainMargin;
 using internal::field;
 using internal::millis;
 using std::chrono::milliseconds;
 
-// Ends the drain time early, to allow for differences between clocks and for
-// requests that are still in flight to the target.
-constexpr Duration DrainMargin = milliseconds(250);
 // A request that was reported to its sender as never received must not run if
 // it arrives later. This exceeds the longest timeout of any caller.
 constexpr Duration NotReceivedRetention = std::chrono::seconds(60);
@@ -60,7 +59,7 @@
     if (this->State == TargetState::Absent && !this->Drained)
       this->State = TargetState::Ready;
     if (Report.Draining)
-      this->startDraining(Now, Out);
+      this->startDraining("report", Now, Out);
     this->startQueuedCalls(Now, Out);
     return ReportVerdict::Current;
   }
@@ -91,7 +90,7 @@
                            field("service", Report.Service),
                            field("slots", std::to_string(Report.Slots))}});
   if (Report.Draining)
-    this->startDraining(Now, Out);
+    this->startDraining("report", Now, Out);
   this->startQueuedCalls(Now, Out);
   return ReportVerdict::NewIncarnation;
 }
@@ -99,10 +98,11 @@
 void TargetGate::handleShutdown(std::string_view Instance, Instant Now,
                                 Effects &Out) {
   if (this->Target && this->Target.Instance == Instance)
-    this->startDraining(Now, Out);
+    this->startDraining("deregistration", Now, Out);
 }
 
-void TargetGate::startDraining(Instant Now, Effects &Out) {
+void TargetGate::startDraining(std::string_view AnnouncedBy, Instant Now,
+                               Effects &Out) {
   if (this->State == TargetState::Leaving || this->Drained)
     return;
   this->State = TargetState::Leaving;
@@ -110,6 +110,7 @@
   Out.push_back(
       LogRecord{&events::TargetLeaving,
                 {field("instance", this->Target.Instance),
+                 field("announced_by", std::string(AnnouncedBy)),
                  field("waiting", std::to_string(this->Queue.waiting())),
                  field("running", std::to_string(this->Queue.running()))}});
 }
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -158,7 +158,8 @@
                   Effects &Out);
   void refuse(const std::string &From, const Forward &Request, Outcome Reason,
               Duration RetryAfter, Instant Now, Effects &Out);
-  void startDraining(Instant Now, Effects &Out);
+  // AnnouncedBy: how the target said that it is leaving, for the log.
+  void startDraining(std::string_view AnnouncedBy, Instant Now, Effects &Out);
   void setRateLimit(std::optional<double> RequestsPerSecond, Effects &Out);
   // Updates the failure share with the result of a call.
   void noteOutcome(bool Failed);
--- a/orioledoor/routing/target_gate_signals.cc
+++ b/orioledoor/routing/target_gate_signals.cc
@@ -29,6 +29,8 @@
       Found->second.Incarnation != this->Incarnation)
     return;
   this->SignalsKnown = true;
+  if (Signals.Leaving)
+    this->startDraining("answer", Now, Out);
   if (Signals.RateLimitUnreadable) {
     Out.push_back(LogRecord{&events::TargetLimitUnreadable,
                             {field("request", Found->second.Request.AttemptId),
--- a/orioledoor/routing/target_leaving_test.cc
+++ b/orioledoor/routing/target_leaving_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "orioledoor/routing/testing/entry_fixture.h"
+#include "orioledoor/routing/testing/target_load.h"
 
 namespace orioledoor::routing {
 namespace {
@@ -29,6 +30,7 @@
   CPPUNIT_TEST_SUITE(TargetLeavingTest);
   CPPUNIT_TEST(avoidsLeavingTargetsWhoseNodeRestarts);
   CPPUNIT_TEST(avoidsLeavingTargetsWhoseEntryLapsed);
+  CPPUNIT_TEST(drainsTargetsThatLeaveByAnAnswer);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +68,21 @@
     CPPUNIT_ASSERT(F.sent(&To));
     CPPUNIT_ASSERT_EQUAL(std::string(FarNode), To);
   }
+
+  // A target that said only in its answers that it leaves got requests for as
+  // long as it served them.
+  void drainsTargetsThatLeaveByAnAnswer() {
+    testing::TargetLoad Load({.RequestsPerSecond = 50});
+    Load.run(seconds(3));
+    Load.setLeaving(true);
+    Instant LeavesAt = Load.Now;
+    Load.run(seconds(4));
+    // An answer reaches its caller at the earliest when the target sends it.
+    CPPUNIT_ASSERT(Load.startsFrom(LeavesAt + milliseconds(500)) > 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         Load.startsFrom(LeavesAt + seconds(2)));
+    CPPUNIT_ASSERT(Load.Refused >= 2 * 50 * 9 / 10);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetLeavingTest);
--- a/orioledoor/routing/target_limit_test.cc
+++ b/orioledoor/routing/target_limit_test.cc
@@ -2,14 +2,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "orioledoor/routing/target_directory.h"
-#include "orioledoor/routing/testing/limited_load.h"
+#include "orioledoor/routing/testing/target_load.h"
 
 namespace orioledoor::routing {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing::LimitedLoad;
+using testing::TargetLoad;
 
 // The platform allows half as much again as the limit over this window, plus
 // five requests, from three seconds after the limit was first stated.
@@ -30,7 +30,7 @@
 public:
   // A target in need got three times the rate that it stated.
   void keepsToTheStatedRate() {
-    LimitedLoad Load({.RequestsPerSecond = 110});
+    TargetLoad Load({.RequestsPerSecond = 110});
     Load.run(seconds(3));
     Load.setLimit(35);
     Instant LimitedAt = Load.Now;
@@ -52,10 +52,10 @@
   // A restarted node filled all slots of a limited target at once, before it
   // had the first answer that states the limit.
   void keepsToTheStatedRateAcrossRestarts() {
-    LimitedLoad Load({.RequestsPerSecond = 110,
-                      .Slots = 18,
-                      .ServiceTime = milliseconds(300),
-                      .LatencyTarget = milliseconds(1000)});
+    TargetLoad Load({.RequestsPerSecond = 110,
+                     .Slots = 18,
+                     .ServiceTime = milliseconds(300),
+                     .LatencyTarget = milliseconds(1000)});
     Load.setLimit(2);
     Instant LimitedAt = Load.Now;
     Load.run(seconds(10));
--- a/orioledoor/routing/testing/limited_load.h
+++ b/orioledoor/routing/testing/target_load.h
@@ -1,12 +1,12 @@
-// Keyed requests at a constant rate for one target that limits its request
-// rate, in virtual time. The node beside the target can be restarted.
+// Keyed requests at a constant rate for one target, in virtual time. The target
+// can limit its request rate or leave, and the node beside it can be restarted.
 //
-//   LimitedLoad Load({.RequestsPerSecond = 110});
+//   TargetLoad Load({.RequestsPerSecond = 110});
 //   Load.setLimit(35);
 //   Load.run(std::chrono::seconds(10));
 //   std::size_t Most = Load.mostStartsIn(std::chrono::seconds(4), From);
-#ifndef ORIOLEDOOR_ROUTING_TESTING_LIMITED_LOAD_H
-#define ORIOLEDOOR_ROUTING_TESTING_LIMITED_LOAD_H
+#ifndef ORIOLEDOOR_ROUTING_TESTING_TARGET_LOAD_H
+#define ORIOLEDOOR_ROUTING_TESTING_TARGET_LOAD_H
 
 #include <algorithm>
 #include <chrono>
@@ -22,7 +22,7 @@
 
 namespace orioledoor::routing::testing {
 
-struct LimitedLoadOptions {
+struct TargetLoadOptions {
   double RequestsPerSecond = 110;
   std::uint32_t Slots = 13;
   Duration ServiceTime = std::chrono::milliseconds(70);
@@ -30,9 +30,9 @@
 };
 
 // Not thread-safe. Deterministic.
-class LimitedLoad {
+class TargetLoad {
 public:
-  explicit LimitedLoad(LimitedLoadOptions Options) : Options(Options) {
+  explicit TargetLoad(TargetLoadOptions Options) : Options(Options) {
     this->restartNode();
   }
 
@@ -41,6 +41,9 @@
     this->Limit = RequestsPerSecond;
   }
 
+  // States in the target's answers from now on whether it is leaving.
+  void setLeaving(bool Leaves) { this->Leaving = Leaves; }
+
   // Replaces the process beside the target; calls in progress are lost.
   void restartNode() {
     this->Ends.clear();
@@ -128,8 +131,9 @@
       std::uint64_t Call = this->Ends.begin()->second;
       this->Ends.erase(this->Ends.begin());
       Effects Out;
-      this->Gate->handleSignals(Call, {.RateLimit = this->Limit}, this->Now,
-                                Out);
+      this->Gate->handleSignals(
+          Call, {.Leaving = this->Leaving, .RateLimit = this->Limit}, this->Now,
+          Out);
       this->Gate->handleAnswer(Call, {200, {}, ""}, false, this->Now, Out);
       this->execute(Out);
     }
@@ -158,8 +162,9 @@
     }
   }
 
-  LimitedLoadOptions Options;
+  TargetLoadOptions Options;
   std::optional<double> Limit;
+  bool Leaving = false;
   std::uint64_t Process = 0;
   std::int64_t ReportSequence = 0;
   std::unique_ptr<TargetGate> Gate;
@@ -174,4 +179,4 @@
 
 } // namespace orioledoor::routing::testing
 
-#endif // ORIOLEDOOR_ROUTING_TESTING_LIMITED_LOAD_H
+#endif // ORIOLEDOOR_ROUTING_TESTING_TARGET_LOAD_H
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -70,7 +70,8 @@
 
 SidecarReducer::SidecarReducer(SidecarOptions InitialOptions)
     : Options(std::move(InitialOptions)),
-      Directory(this->Options.Place, this->Options.Node),
+      Directory(this->Options.Place, this->Options.Node,
+                this->Options.DrainTime),
       Config(this->Options.ConfigKey),
       Members(makeSelfEntry(this->Options), this->Options.Members),
       Keys(this->Options.Keys, this->Members),
