Let the soak's targets limit their rate and state that they leave

Targets now state a random limit of 0.5 to 12 requests/s for 6 to 12 s, which goes on while nodes are killed, stopped and suspended, say in their answers that they leave, and serve for up to 5.6 s after that. The checker counts arrivals in windows of 4 s (LIMIT) and requests sent too late to a target whose leaving the node had passed on (DRAIN).

--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -68,6 +68,7 @@
       this->Checker.addViolation("START", "not all keys are served",
                                  readClock());
     this->FaultsEnabled = true;
+    this->Fleet.setLimitsEnabled(true);
     auto FaultDuration =
         Duration(static_cast<std::int64_t>(this->Options.Seconds * 1e6));
     this->Events.runUntil([] { return false; }, FaultDuration);
@@ -95,6 +96,7 @@
 
   void checkRecovery() {
     this->FaultsEnabled = false;
+    this->Fleet.setLimitsEnabled(false);
     this->Fleet.clearFaults();
     // Faults whose scheduled end is later are reverted above or end within this
     // time.
--- a/orioledoor/soak/soak_checker.cc
+++ b/orioledoor/soak/soak_checker.cc
@@ -6,6 +6,15 @@
 
 // The platform's limit on the time that a key may have two holders.
 constexpr Duration MaxSharedTime = std::chrono::milliseconds(500);
+// A target may get half as much again as its limit in any LimitWindow, plus
+// LimitSlack requests, once it has stated the limit for LimitNotice.
+constexpr Duration LimitWindow = std::chrono::seconds(4);
+constexpr Duration LimitNotice = std::chrono::seconds(3);
+constexpr double LimitFactor = 1.5;
+constexpr double LimitSlack = 5;
+// The platform's drain time. Callers see an answer after the node passed it on,
+// so the check is not stricter than the rule.
+constexpr Duration DrainTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -63,6 +72,64 @@
                        Attempt + " was rejected after it began to run", Now);
 }
 
+void SoakChecker::recordLimit(const std::string &Target,
+                              std::optional<double> Limit, Instant Now) {
+  this->LimitedTargets.erase(Target);
+  if (Limit)
+    this->LimitedTargets[Target] = {
+        .Limit = *Limit, .Since = Now, .Arrivals = {}};
+}
+
+void SoakChecker::recordSent(const std::string &Node,
+                             const std::string &Attempt, Instant Now) {
+  this->SentRequests[Attempt] = {Node, Now};
+}
+
+void SoakChecker::recordLeavingAnswer(const std::string &Node,
+                                      const std::string &Target, Instant Now) {
+  this->LeavingSeen.try_emplace({Node, Target}, Now);
+}
+
+void SoakChecker::excuseNode(const std::string &Node) {
+  std::erase_if(this->LeavingSeen, [&Node](const auto &Entry) {
+    return Entry.first.first == Node;
+  });
+}
+
+void SoakChecker::recordArrival(const std::string &Target,
+                                const std::string &Attempt, Instant Now) {
+  if (auto Sent = this->SentRequests.find(Attempt);
+      Sent != this->SentRequests.end()) {
+    auto Seen = this->LeavingSeen.find({Sent->second.Node, Target});
+    if (Seen != this->LeavingSeen.end() &&
+        Sent->second.At - Seen->second > DrainTime)
+      this->addViolation("DRAIN",
+                         Attempt + " of " + Sent->second.Node + " reached " +
+                             Target + ", which is leaving",
+                         Now);
+  }
+  auto Found = this->LimitedTargets.find(Target);
+  if (Found == this->LimitedTargets.end() ||
+      Now - Found->second.Since < LimitNotice)
+    return;
+  LimitedTarget &Limited = Found->second;
+  Limited.Arrivals.push_back(Now);
+  while (Now - Limited.Arrivals.front() > LimitWindow)
+    Limited.Arrivals.pop_front();
+  double Allowed = LimitFactor * Limited.Limit *
+                       std::chrono::duration<double>(LimitWindow).count() +
+                   LimitSlack;
+  if (static_cast<double>(Limited.Arrivals.size()) <= Allowed)
+    return;
+  this->addViolation("LIMIT",
+                     Target + " with a limit of " +
+                         std::to_string(Limited.Limit) + " requests/s got " +
+                         std::to_string(Limited.Arrivals.size()),
+                     Now);
+  // Reports each window once.
+  Limited.Arrivals.clear();
+}
+
 void SoakChecker::checkRoute(const std::string &Node, const std::string &Path,
                              bool Exists, int Status, Instant Now) {
   if (Exists && Status == 404)
--- a/orioledoor/soak/soak_checker.h
+++ b/orioledoor/soak/soak_checker.h
@@ -9,11 +9,14 @@
 #define ORIOLEDOOR_SOAK_SOAK_CHECKER_H
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "orioledoor/base/instant.h"
@@ -51,6 +54,23 @@
   // consistent with both.
   void checkRoute(const std::string &Node, const std::string &Path, bool Exists,
                   int Status, Instant Now);
+  // Records that a target states another limit on its request rate, in requests
+  // per second, or none. Also forgets its earlier arrivals.
+  void recordLimit(const std::string &Target, std::optional<double> Limit,
+                   Instant Now);
+  // Records that a request of a caller reached a target, and checks the
+  // target's limit and whether the request was sent in time to a target that is
+  // leaving. Target: identifies its incarnation.
+  void recordArrival(const std::string &Target, const std::string &Attempt,
+                     Instant Now);
+  // Records that a caller sent a request to Node.
+  void recordSent(const std::string &Node, const std::string &Attempt,
+                  Instant Now);
+  // Records that Node passed on an answer which states that Target is leaving.
+  void recordLeavingAnswer(const std::string &Node, const std::string &Target,
+                           Instant Now);
+  // Node was restarted or suspended, so it may not know leaving targets.
+  void excuseNode(const std::string &Node);
   // Records a violation that was detected elsewhere.
   void addViolation(const std::string &Rule, const std::string &Detail,
                     Instant Now);
@@ -65,6 +85,22 @@
   // The number of runs of each request, by attempt ID.
   std::unordered_map<std::string, std::uint32_t> RunCounts;
   std::set<std::string> Rejected;
+  struct LimitedTarget {
+    double Limit = 0;
+    Instant Since;
+    // Times of arrival within the last window.
+    std::deque<Instant> Arrivals;
+  };
+  std::map<std::string, LimitedTarget> LimitedTargets;
+  struct SentRequest {
+    std::string Node;
+    Instant At;
+  };
+  // By attempt ID.
+  std::unordered_map<std::string, SentRequest> SentRequests;
+  // When each node first passed on that a target is leaving, by node and
+  // target.
+  std::map<std::pair<std::string, std::string>, Instant> LeavingSeen;
   std::vector<Violation> Violations;
 };
 
--- a/orioledoor/soak/soak_checker_test.cc
+++ b/orioledoor/soak/soak_checker_test.cc
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(detectsTokensThatDoNotIncrease);
   CPPUNIT_TEST(detectsTwoHolders);
   CPPUNIT_TEST(detectsOutdatedRoutes);
+  CPPUNIT_TEST(detectsExceededLimits);
+  CPPUNIT_TEST(detectsRequestsToLeavingTargets);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -41,6 +43,45 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->Checker.violations().size());
   }
 
+  void detectsExceededLimits() {
+    auto SendFor = [this](milliseconds Time, milliseconds Interval) {
+      for (Instant End = this->Now + Time; this->Now < End;
+           this->Now = this->Now + Interval)
+        this->Checker.recordArrival("a", "one", this->Now);
+    };
+    this->Checker.recordLimit("a", 10, this->Now);
+    // Half as much again as the limit is allowed.
+    SendFor(milliseconds(12000), milliseconds(67));
+    CPPUNIT_ASSERT(this->Checker.violations().empty());
+    SendFor(milliseconds(4000), milliseconds(50));
+    this->expectViolation("LIMIT");
+    // A target that has just stated a limit may get more.
+    this->Checker.recordLimit("a", 10, this->Now);
+    SendFor(milliseconds(2900), milliseconds(10));
+    this->Checker.recordLimit("a", std::nullopt, this->Now);
+    SendFor(milliseconds(8000), milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Checker.violations().size());
+  }
+
+  void detectsRequestsToLeavingTargets() {
+    this->Checker.recordLeavingAnswer("node-1", "a", this->Now);
+    this->Now = this->Now + milliseconds(1900);
+    this->Checker.recordSent("node-1", "early", this->Now);
+    this->Now = this->Now + milliseconds(200);
+    this->Checker.recordSent("node-1", "late", this->Now);
+    this->Checker.recordSent("node-2", "other", this->Now);
+    // The time at which the caller sent the request counts.
+    this->Checker.recordArrival("a", "early", this->Now);
+    this->Checker.recordArrival("a", "other", this->Now);
+    this->Checker.recordArrival("b", "late", this->Now);
+    CPPUNIT_ASSERT(this->Checker.violations().empty());
+    this->Checker.recordArrival("a", "late", this->Now);
+    this->expectViolation("DRAIN");
+    this->Checker.excuseNode("node-1");
+    this->Checker.recordArrival("a", "late", this->Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Checker.violations().size());
+  }
+
   void detectsRunsOfRejectedRequests() {
     this->Checker.recordRejection("one", this->Now);
     CPPUNIT_ASSERT(this->Checker.violations().empty());
--- a/orioledoor/soak/soak_faults.cc
+++ b/orioledoor/soak/soak_faults.cc
@@ -122,6 +122,8 @@
   const FaultSetting &Fault = Faults.at(this->Random() % Faults.size());
   Duration Time = this->randomDuration(200, 6000);
   this->recordFault(&Node, std::string(Name) + " " + Fault.Name, Time, Now);
+  if (Link == Node.TargetLink.get())
+    Node.Target->excuseArrivalsUntil(Now + Time + RecoveryTime);
   Link->setFaults(Fault.Enable);
   this->runAfter(Time,
                  [Link, Disable = Fault.Disable] { Link->setFaults(Disable); });
--- a/orioledoor/soak/soak_fleet.cc
+++ b/orioledoor/soak/soak_fleet.cc
@@ -176,9 +176,12 @@
                                    Now);
       Node.Stopping = false;
       Node.KillAt = Instant();
+      this->Checker.excuseNode(Node.Name);
       if (Node.StartAt == Instant())
         Node.StartAt = Now + RestartDelay;
     }
+    if (Now <= Node.PausedUntil)
+      this->Checker.excuseNode(Node.Name);
     if (Node.KillAt != Instant() && Now >= Node.KillAt) {
       this->Checker.addViolation(
           "STOP", Node.Name + " did not exit within the grace period", Now);
@@ -214,6 +217,11 @@
                          {"reject", 0}});
 }
 
+void SoakFleet::setLimitsEnabled(bool Enabled) {
+  for (auto &Each : this->Nodes)
+    Each->Target->setLimitsEnabled(Enabled);
+}
+
 void SoakFleet::killAll() {
   for (auto &Each : this->Nodes)
     Each->Process.reset();
--- a/orioledoor/soak/soak_fleet.h
+++ b/orioledoor/soak/soak_fleet.h
@@ -90,6 +90,8 @@
   // Clears all faults, resumes suspended processes, and starts targets that are
   // down.
   void clearFaults();
+  // Lets targets state limits on their request rate from time to time.
+  void setLimitsEnabled(bool Enabled);
   // Kills all processes.
   void killAll();
   // Sends a readiness probe to all nodes.
--- a/orioledoor/soak/soak_load.cc
+++ b/orioledoor/soak/soak_load.cc
@@ -1,6 +1,9 @@
 // Sends requests and checks their results.
 #include "orioledoor/soak/soak_load.h"
 
+#include <algorithm>
+#include <string_view>
+
 #include "orioledoor/platform/names.h"
 #include "orioledoor/soak/soak_checker.h"
 #include "orioledoor/soak/soak_fleet.h"
@@ -67,6 +70,8 @@
   Call.Headers.push_back({platform::names::AttemptId, Request.Attempt});
   Call.Headers.push_back({platform::names::DeadlineRemaining,
                           std::to_string(RequestTimeout.count())});
+  this->Checker.recordSent(this->Fleet.node(Request.Node).Name, Request.Attempt,
+                           Now);
   ++this->Counts.Sent;
   ++this->OpenRequests;
   this->Fleet.client().call(Call,
@@ -89,9 +94,16 @@
     return;
   }
   int Status = Result.Answer.Status;
-  bool HasServerSignature = false;
-  for (const requests::Header &Header : Result.Answer.Headers)
-    HasServerSignature |= Header.Name == platform::names::ServerSignature;
+  auto HeaderValue = [&Result](std::string_view Name) {
+    auto Found =
+        std::ranges::find(Result.Answer.Headers, Name, &requests::Header::Name);
+    return Found == Result.Answer.Headers.end() ? std::string() : Found->Value;
+  };
+  std::string Signature = HeaderValue(platform::names::ServerSignature);
+  bool HasServerSignature = !Signature.empty();
+  if (HasServerSignature && HeaderValue(platform::names::ServerLeaving) == "1")
+    this->Checker.recordLeavingAnswer(this->Fleet.node(Request.Node).Name,
+                                      Signature, Now);
   if (Status == 200 && HasServerSignature) {
     if (Result.Answer.Body != Request.Attempt)
       this->Checker.addViolation(
--- a/orioledoor/soak/soak_target.cc
+++ b/orioledoor/soak/soak_target.cc
@@ -23,6 +23,14 @@
 constexpr Duration StepInterval = milliseconds(20);
 // Time for which a leaving target continues to serve.
 constexpr Duration LeaveDelay = milliseconds(2600);
+// Additional serving time of a leaving target whose node may restart meanwhile.
+constexpr int MaxExtraLeaveMillis = 3000;
+// Duration of a limit and of the time between two, and the limit itself, in
+// requests per second. A target gets some 25 requests/s without a limit.
+constexpr int MinLimitMillis = 6000;
+constexpr int MaxLimitMillis = 12000;
+constexpr double MinLimit = 0.5;
+constexpr double MaxLimit = 12;
 // Maximum time for which requests on released keys continue.
 constexpr Duration MaxReleasedWorkTime = milliseconds(100);
 // The platform's limit in bytes on the answer to a report.
@@ -43,10 +51,12 @@
                        SoakChecker &Checker, SoakTargetOptions Options)
     : Events(Events), Client(Client), Checker(Checker),
       Options(std::move(Options)), Random(this->Options.Seed),
+      LimitRandom(this->Options.Seed + 1),
       Http(Events, 0, [this](const ExchangePtr &Request) {
         this->handleRequest(Request);
       }) {
   Events.every(StepInterval, [this] {
+    this->changeLimit(readClock());
     if (this->isUp() && !this->ReportPending &&
         readClock() >= this->NextReportAt)
       this->sendReport();
@@ -66,6 +76,44 @@
   this->RunningRequests = 0;
   this->ReportPending = false;
   this->NextReportAt = readClock();
+  this->Limit.reset();
+}
+
+std::string SoakTarget::identity() const {
+  return this->Model->instance() + "/" +
+         std::to_string(this->IncarnationNumber);
+}
+
+void SoakTarget::setLimitsEnabled(bool Enabled) {
+  this->LimitsEnabled = Enabled;
+  this->NextLimitChangeAt = readClock();
+}
+
+void SoakTarget::excuseArrivalsUntil(Instant Until) {
+  this->ArrivalsExcusedUntil = std::max(this->ArrivalsExcusedUntil, Until);
+}
+
+void SoakTarget::changeLimit(Instant Now) {
+  if (!this->isUp() || Now < this->NextLimitChangeAt)
+    return;
+  std::uniform_int_distribution Millis(MinLimitMillis, MaxLimitMillis);
+  this->NextLimitChangeAt = Now + milliseconds(Millis(this->LimitRandom));
+  bool Limited = this->LimitsEnabled && this->LimitRandom() % 2 == 0;
+  this->Limit.reset();
+  if (Limited)
+    this->Limit =
+        std::uniform_real_distribution(MinLimit, MaxLimit)(this->LimitRandom);
+  this->Checker.recordLimit(this->identity(), this->Limit, Now);
+}
+
+standins::HeaderList SoakTarget::answerHeaders() const {
+  standins::HeaderList Headers;
+  if (this->Limit)
+    Headers.push_back(
+        {platform::names::ServerLimit, std::to_string(*this->Limit)});
+  if (this->isLeaving())
+    Headers.push_back({platform::names::ServerLeaving, "1"});
+  return Headers;
 }
 
 void SoakTarget::crash() {
@@ -76,18 +124,21 @@
 void SoakTarget::leave() {
   this->Model->Draining = true;
   this->NextReportAt = readClock();
-  this->Events.after(LeaveDelay, [this, Incarnation = this->IncarnationNumber] {
-    if (Incarnation != this->IncarnationNumber)
-      return;
-    std::string Path =
-        platform::testing::deregisterPath(this->Model->instance());
-    this->Client.call({.Server = this->Options.Node,
-                       .Method = "POST",
-                       .Target = Path,
-                       .Timeout = ReportTimeout},
-                      [](const wire::HttpResult &) {});
-    this->crash();
-  });
+  Duration Extra = milliseconds(
+      std::uniform_int_distribution(0, MaxExtraLeaveMillis)(this->LimitRandom));
+  this->Events.after(
+      LeaveDelay + Extra, [this, Incarnation = this->IncarnationNumber] {
+        if (Incarnation != this->IncarnationNumber)
+          return;
+        std::string Path =
+            platform::testing::deregisterPath(this->Model->instance());
+        this->Client.call({.Server = this->Options.Node,
+                           .Method = "POST",
+                           .Target = Path,
+                           .Timeout = ReportTimeout},
+                          [](const wire::HttpResult &) {});
+        this->crash();
+      });
 }
 
 void SoakTarget::sendReport() {
@@ -135,10 +186,11 @@
 }
 
 void SoakTarget::reject(const ExchangePtr &Request, int Status) {
-  Request->reply(Status, "",
-                 {{platform::names::AttemptId,
-                   Request->header(platform::names::AttemptId)},
-                  {platform::names::NotExecuted, "1"}});
+  standins::HeaderList Headers = this->answerHeaders();
+  Headers.push_back({platform::names::AttemptId,
+                     Request->header(platform::names::AttemptId)});
+  Headers.push_back({platform::names::NotExecuted, "1"});
+  Request->reply(Status, "", Headers);
 }
 
 void SoakTarget::handleRequest(const ExchangePtr &Request) {
@@ -150,25 +202,30 @@
   if ((!Expected.empty() && Expected != this->Model->instance()) ||
       (this->Options.Partitioned && !this->Model->holds(Key, Now)))
     return this->reject(Request, 421);
+  std::string Attempt = Request->header(platform::names::AttemptId);
+  if (Now >= this->ArrivalsExcusedUntil)
+    this->Checker.recordArrival(this->identity(), Attempt, Now);
+  else
+    this->Checker.recordLimit(this->identity(), this->Limit, Now);
   if (this->RunningRequests >= this->Options.Slots)
     return this->reject(Request, 503);
   ++this->RunningRequests;
-  std::string Attempt = Request->header(platform::names::AttemptId);
   this->Checker.recordStart(this->Options.Name, Attempt,
                             Request->method() == "GET", Now);
   // Most requests are short; some run longer than a handover takes.
   Duration RunTime = milliseconds(10 + this->Random() % 30);
   if (this->Random() % RequestsPerLongRequest == 0)
     RunTime = milliseconds(300);
-  this->Events.after(RunTime, [this, Request, Attempt,
-                               Incarnation = this->IncarnationNumber] {
-    if (Incarnation != this->IncarnationNumber)
-      return Request->drop();
-    --this->RunningRequests;
-    Request->reply(200, Attempt,
-                   {{platform::names::AttemptId, Attempt},
-                    {platform::names::ServerSignature, this->Options.Name}});
-  });
+  this->Events.after(
+      RunTime, [this, Request, Attempt, Incarnation = this->IncarnationNumber] {
+        if (Incarnation != this->IncarnationNumber)
+          return Request->drop();
+        --this->RunningRequests;
+        standins::HeaderList Headers = this->answerHeaders();
+        Headers.push_back({platform::names::AttemptId, Attempt});
+        Headers.push_back({platform::names::ServerSignature, this->identity()});
+        Request->reply(200, Attempt, Headers);
+      });
 }
 
 } // namespace orioledoor::soak
--- a/orioledoor/soak/soak_target.h
+++ b/orioledoor/soak/soak_target.h
@@ -49,6 +49,11 @@
   void start(bool SameInstance = false);
   // Ends the incarnation at once.
   void crash();
+  // States a random limit on its request rate from time to time.
+  void setLimitsEnabled(bool Enabled);
+  // The link to the target is disturbed, so requests may arrive in bursts that
+  // the node did not cause.
+  void excuseArrivalsUntil(Instant Until);
   // Announces that it is leaving, continues to serve for a while, then
   // deregisters and ends the incarnation.
   void leave();
@@ -65,6 +70,11 @@
 private:
   using ExchangePtr = std::shared_ptr<standins::Exchange>;
 
+  // Identifies the incarnation to the checker.
+  std::string identity() const;
+  void changeLimit(Instant Now);
+  // Headers of each answer, except for the attempt ID.
+  standins::HeaderList answerHeaders() const;
   void sendReport();
   void onReportAnswer(const wire::HttpResult &Result);
   void handleRequest(const ExchangePtr &Request);
@@ -75,6 +85,13 @@
   SoakChecker &Checker;
   SoakTargetOptions Options;
   std::mt19937_64 Random;
+  // Separate, so that limits do not change the other decisions of a seed.
+  std::mt19937_64 LimitRandom;
+  bool LimitsEnabled = false;
+  // Requests per second.
+  std::optional<double> Limit;
+  Instant NextLimitChangeAt;
+  Instant ArrivalsExcusedUntil;
   // Null while the target is down. IncarnationNumber identifies late events of
   // an earlier incarnation.
   std::unique_ptr<sidecar::testing::ModelTarget> Model;
