--- a/orioledoor/sidecar/node_metrics.h
+++ b/orioledoor/sidecar/node_metrics.h
@@ -6,10 +6,10 @@
 
 namespace orioledoor {
 class MetricsRegistry;
-}
+} // namespace orioledoor
 namespace orioledoor::platform {
 struct PlatformStoreCounters;
-}
+} // namespace orioledoor::platform
 namespace orioledoor::wire {
 struct HttpClientCounters;
 struct TransportCounters;
