Clear crash suspicions by answers at other gates

Cause: evidence about a request was kept by gate. A gate whose target has answered such a request lately now answers the crash notice, and the node that sent the notice tells all others, once.

Evidence: clearsSuspicionsThatOtherGatesDisprove fails if the notice is not answered.

--- a/orioledoor/routing/crash_guard.cc
+++ b/orioledoor/routing/crash_guard.cc
@@ -58,11 +58,22 @@
     Record &Crash = this->Records[Digest];
     ++Crash.Crashes;
     Crash.LastAt = Now;
+    Crash.Reported = true;
     Notices.push_back({.Digest = Digest, .Crashes = Crash.Crashes});
   }
   return Notices;
 }
 
+bool CrashGuard::clear(std::uint64_t Digest, Instant Now) {
+  this->noteAnswered(Digest, Now);
+  auto Found = this->Records.find(Digest);
+  if (Found == this->Records.end())
+    return false;
+  bool Reported = Found->second.Reported;
+  this->Records.erase(Found);
+  return Reported;
+}
+
 void CrashGuard::merge(const CrashNotice &Notice, Instant Now) {
   Record &Crash = this->Records[Notice.Digest];
   // Two nodes that each observed a different crash both send a count of 1.
--- a/orioledoor/routing/crash_guard.h
+++ b/orioledoor/routing/crash_guard.h
@@ -5,6 +5,7 @@
 //   for (CrashNotice N : Guard.noteTargetEnded(Now))
 //     ...                                      // send to all nodes
 //   Guard.noteAnswered(Digest, Now);           // not the cause of a crash
+//   if (Guard.clear(Digest, Now)) ...          // another target answered it
 //   if (Guard.isQuarantined(Digest, Now)) ...  // refuse
 #ifndef ORIOLEDOOR_ROUTING_CRASH_GUARD_H
 #define ORIOLEDOOR_ROUTING_CRASH_GUARD_H
@@ -40,6 +41,11 @@
   // The target ended. Calls that broke shortly before are suspected of having
   // caused it. Returns the crash counts to send to all nodes.
   std::vector<CrashNotice> noteTargetEnded(Instant Now);
+  // Returns whether a target beside this node has answered the request lately.
+  bool wasAnsweredRecently(std::uint64_t Digest) const;
+  // A target beside another node has answered the request. Returns whether this
+  // guard reported a crash of it to other nodes, which are to be told.
+  bool clear(std::uint64_t Digest, Instant Now);
   // Merges a crash count received from another node.
   void merge(const CrashNotice &Notice, Instant Now);
   bool isQuarantined(std::uint64_t Digest, Instant Now) const;
@@ -49,9 +55,10 @@
   struct Record {
     std::uint32_t Crashes = 0;
     Instant LastAt;
+    // This guard observed the crash and reported it.
+    bool Reported = false;
   };
   std::vector<std::pair<std::uint64_t, Instant>> BrokenCalls;
-  bool wasAnsweredRecently(std::uint64_t Digest) const;
 
   std::unordered_map<std::uint64_t, Record> Records;
   // Digests answered since RotatedAt, and in the rotation interval before that.
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -58,6 +58,10 @@
     2229, Severity::Warn, "TARGET_LIMIT_UNREADABLE",
     "the target stated a rate limit that is not a number"};
 
+inline constexpr EventDefinition SuspicionCleared{
+    2230, Severity::Info, "SUSPICION_CLEARED",
+    "another target answered a request that was suspected of a crash"};
+
 } // namespace orioledoor::routing::events
 
 #endif // ORIOLEDOOR_ROUTING_EVENTS_H
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -146,6 +146,12 @@
   std::uint32_t Crashes = 0;
 };
 
+// Answers a CrashNotice: a target has answered the request, so it is not the
+// cause of crashes.
+struct CrashCleared {
+  std::uint64_t Digest = 0;
+};
+
 // Load on the keys of one target; sent to the node that plans key ownership.
 struct KeyLoadNotice {
   std::string Service{};
@@ -199,7 +205,7 @@
     std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
                  CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward,
                  FetchBody, ForwardBody, FetchConfig, ConfigNotice,
-                 KeyMapChangeNotice, NodeNotice>;
+                 KeyMapChangeNotice, NodeNotice, CrashCleared>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -213,6 +213,9 @@
     start(this->Out, this->Sent, 4) << Value.BaseRevision << Value.Revision
                                     << Value.Checksum << Value.Change;
   }
+  void operator()(const CrashCleared &Value) const {
+    start(this->Out, this->Sent, 1) << Value.Digest;
+  }
   void operator()(const NodeNotice &Value) const {
     start(this->Out, this->Sent, 2) << Value.Revision << Value.Entry;
   }
@@ -321,6 +324,11 @@
     In >> Value.Revision >> Value.Entry;
     return Value;
   }
+  case 14: {
+    CrashCleared Value;
+    In >> Value.Digest;
+    return Value;
+  }
   default:
     throw std::out_of_range("unknown message kind");
   }
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -129,6 +129,9 @@
     const auto &Change = std::get<KeyMapChangeNotice>(*Decoded);
     CPPUNIT_ASSERT(Change.BaseRevision == 9 && Change.Revision == 11 &&
                    Change.Checksum == 7 && Change.Change == "{}");
+    Decoded = decodeMessage(encodeMessage(CrashCleared{13}));
+    CPPUNIT_ASSERT(Decoded.ok() &&
+                   std::get<CrashCleared>(*Decoded).Digest == 13);
     Decoded = decodeMessage(encodeMessage(NodeNotice{12, "{}"}));
     CPPUNIT_ASSERT(Decoded.ok() &&
                    std::get<NodeNotice>(*Decoded).Revision == 12);
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -126,8 +126,24 @@
     this->finishCall(Waiting.Id, {.Code = Outcome::NoTarget}, Now, Out);
 }
 
-void TargetGate::handleCrashNotice(const CrashNotice &Notice, Instant Now) {
-  this->Crashes.merge(Notice, Now);
+void TargetGate::handleCrashNotice(const std::string &From,
+                                   const CrashNotice &Notice, Instant Now,
+                                   Effects &Out) {
+  if (this->Crashes.wasAnsweredRecently(Notice.Digest))
+    Out.push_back(SendMessage{From, CrashCleared{Notice.Digest}});
+  else
+    this->Crashes.merge(Notice, Now);
+}
+
+void TargetGate::handleCrashCleared(const CrashCleared &Cleared, Instant Now,
+                                    Effects &Out) {
+  // Only the nodes that reported a crash tell the others, so that an answer
+  // costs each of them one message and not the square of their number.
+  if (!this->Crashes.clear(Cleared.Digest, Now))
+    return;
+  Out.push_back(LogRecord{&events::SuspicionCleared,
+                          {field("digest", std::to_string(Cleared.Digest))}});
+  Out.push_back(SendMessage{"", Cleared});
 }
 
 void TargetGate::close(Instant Now, Effects &Out) {
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -94,8 +94,12 @@
   // A call ended without a complete answer; Detail is for logs and the sender.
   void handleCallFailure(std::uint64_t CallId, CallFailure Failure,
                          std::string_view Detail, Instant Now, Effects &Out);
-  // Another node observed a crash.
-  void handleCrashNotice(const CrashNotice &Notice, Instant Now);
+  // The node From observed a crash.
+  void handleCrashNotice(const std::string &From, const CrashNotice &Notice,
+                         Instant Now, Effects &Out);
+  // A target of another node has answered a request that was suspected.
+  void handleCrashCleared(const CrashCleared &Cleared, Instant Now,
+                          Effects &Out);
   // Refuses all new and waiting requests; called before the process exits.
   void close(Instant Now, Effects &Out);
   // Drives timeouts and paced starts. Call every 20 to 100 ms.
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -131,6 +131,15 @@
   int Path = 0;
 };
 
+// Returns the first message of this type.
+template <typename T> const T *findMessage(const Effects &Out) {
+  for (const Effect &Output : Out)
+    if (const auto *Message = std::get_if<SendMessage>(&Output))
+      if (const auto *Found = std::get_if<T>(&Message->Body))
+        return Found;
+  return nullptr;
+}
+
 class TargetGateTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TargetGateTest);
   CPPUNIT_TEST(neverExceedsTheSlots);
@@ -145,6 +154,7 @@
   CPPUNIT_TEST(refusesKeysThatAreNotHeld);
   CPPUNIT_TEST(quarantinesRequestsThatCrashTargets);
   CPPUNIT_TEST(doesNotQuarantineAnsweredRequests);
+  CPPUNIT_TEST(clearsSuspicionsThatOtherGatesDisprove);
   CPPUNIT_TEST(freesTheSlotOfACancelledCall);
   CPPUNIT_TEST(servesWithoutReportsUntilAConnectionFails);
   CPPUNIT_TEST(refusesAllWhenClosed);
@@ -337,6 +347,46 @@
     CPPUNIT_ASSERT(F.startedCallId());
   }
 
+  // A gate that had just started refused a path of many callers for ten
+  // minutes, after two crashes beside it, although other gates answered it.
+  void clearsSuspicionsThatOtherGatesDisprove() {
+    Fixture Suspecting;
+    Fixture Answering;
+    Suspecting.Path = Answering.Path = 7;
+    Answering.forward(1);
+    Answering.answer(Answering.startedCallId());
+    Effects Notices;
+    for (std::int64_t StartTimeMs = 2; StartTimeMs <= 3; ++StartTimeMs) {
+      Suspecting.forward(static_cast<std::uint64_t>(StartTimeMs));
+      Suspecting.Gate.handleCallFailure(Suspecting.startedCallId(),
+                                        CallFailure::Broken, "reset",
+                                        Suspecting.Now, Suspecting.Out);
+      Suspecting.report(1, StartTimeMs);
+      Notices.insert(Notices.end(), Suspecting.Out.begin(),
+                     Suspecting.Out.end());
+    }
+    Suspecting.forward(10);
+    CPPUNIT_ASSERT(Suspecting.endedWith(Outcome::Quarantined));
+    const auto *Notice = findMessage<CrashNotice>(Notices);
+    CPPUNIT_ASSERT(Notice);
+    Answering.Out.clear();
+    Answering.Gate.handleCrashNotice("tcp://10.0.0.3:7100", *Notice,
+                                     Answering.Now, Answering.Out);
+    const auto *Cleared = findMessage<CrashCleared>(Answering.Out);
+    CPPUNIT_ASSERT(Cleared);
+    Suspecting.Out.clear();
+    Suspecting.Gate.handleCrashCleared(*Cleared, Suspecting.Now,
+                                       Suspecting.Out);
+    // Gates that only know the notice are told as well.
+    CPPUNIT_ASSERT(findMessage<CrashCleared>(Suspecting.Out));
+    Suspecting.forward(11);
+    CPPUNIT_ASSERT(Suspecting.startedCallId());
+    // The answer ends the exchange.
+    Effects Out;
+    Suspecting.Gate.handleCrashCleared(*Cleared, Suspecting.Now, Out);
+    CPPUNIT_ASSERT(Out.empty());
+  }
+
   void freesTheSlotOfACancelledCall() {
     Fixture F;
     F.forward(1);
--- a/orioledoor/sidecar/peer_traffic.cc
+++ b/orioledoor/sidecar/peer_traffic.cc
@@ -12,7 +12,7 @@
     KindNames = {"forward",        "result",   "cancel",       "status",
                  "crash",          "key-load", "key-map",      "resume",
                  "fetch-body",     "body",     "fetch-config", "config",
-                 "key-map-change", "node"};
+                 "key-map-change", "node",     "crash-cleared"};
 
 constexpr std::array<std::string_view, routing::DistanceCount> DistanceNames = {
     "same-domain", "same-region", "other-region"};
