--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -48,15 +48,19 @@
 struct SoakOptions {
   soak::SoakFleetOptions Fleet;
   double Seconds = 20;
+  bool PlannedStops = false;
 };
 
 class Soak {
 public:
   explicit Soak(const SoakOptions &Options)
       : Options(Options), Fleet(this->Events, this->Checker, Options.Fleet),
-        Load(this->Fleet, this->Checker, Options.Fleet.Seed),
+        Load(this->Fleet, this->Checker, Options.Fleet.Seed,
+             Options.PlannedStops),
         ConfigProbe(this->Fleet, this->Checker),
-        Faults(this->Events, this->Fleet, Options.Fleet.Seed) {}
+        Faults(this->Events, this->Fleet, Options.Fleet.Seed,
+               Options.PlannedStops ? soak::SoakFaultKinds::PlannedStops
+                                    : soak::SoakFaultKinds::All) {}
 
   int run() {
     this->Fleet.start();
@@ -164,11 +168,14 @@
       po::value(&Options.Fleet.Directory)->default_value("out/soak"),
       "directory for settings and logs")("seed", po::value(&Options.Fleet.Seed),
                                          "seed of the faults and the load")(
-      "nodes", po::value(&Options.Fleet.Nodes), "processes")(
-      "seconds", po::value(&Options.Seconds),
-      "duration of the faults in seconds")("port",
-                                           po::value(&Options.Fleet.FirstPort),
-                                           "first port; each node uses 8");
+      "nodes", po::value(&Options.Fleet.Nodes),
+      "processes")("seconds", po::value(&Options.Seconds),
+                   "duration of the faults in seconds")(
+      "planned-stops", po::bool_switch(&Options.PlannedStops),
+      "only stops of several nodes at once, changes of the configuration, and "
+      "a store that is slow or loses answers; no request may be cut off")(
+      "port", po::value(&Options.Fleet.FirstPort),
+      "first port; each node uses 8");
   if (auto Status =
           standins::parseCommandLine("fault_soak", Description, Argc, Argv))
     return *Status;
--- a/orioledoor/soak/soak_checker.cc
+++ b/orioledoor/soak/soak_checker.cc
@@ -72,6 +72,11 @@
                        Attempt + " was rejected after it began to run", Now);
 }
 
+void SoakChecker::recordUnanswered(const std::string &Attempt, Instant Now) {
+  if (this->RunCounts.contains(Attempt))
+    this->addViolation("LOST", Attempt + " was cut off while it ran", Now);
+}
+
 void SoakChecker::recordLimit(const std::string &Target,
                               std::optional<double> Limit, Instant Now) {
   this->LimitedTargets.erase(Target);
--- a/orioledoor/soak/soak_checker.h
+++ b/orioledoor/soak/soak_checker.h
@@ -49,6 +49,9 @@
   // Records that a caller was told that its request has not run and will not
   // run.
   void recordRejection(const std::string &Attempt, Instant Now);
+  // Records that a caller got no answer of a target, although no fault explains
+  // it. A request that had begun to run was cut off.
+  void recordUnanswered(const std::string &Attempt, Instant Now);
   // Checks the answer of a node to a request for the route Path, which exists
   // or not in the configuration that the node must have applied. 503 is
   // consistent with both.
@@ -78,24 +81,26 @@
   const std::vector<Violation> &violations() const { return this->Violations; }
 
 private:
-  // The highest fencing token of each key.
-  std::map<std::uint32_t, std::int64_t> HighestFences;
-  // The time since which a key has had more than one holder.
-  std::map<std::uint32_t, Instant> SharedSince;
-  // The number of runs of each request, by attempt ID.
-  std::unordered_map<std::string, std::uint32_t> RunCounts;
-  std::set<std::string> Rejected;
   struct LimitedTarget {
+    // Requests per second.
     double Limit = 0;
     Instant Since;
     // Times of arrival within the last window.
     std::deque<Instant> Arrivals;
   };
-  std::map<std::string, LimitedTarget> LimitedTargets;
   struct SentRequest {
     std::string Node;
     Instant At;
   };
+
+  // The highest fencing token of each key.
+  std::map<std::uint32_t, std::int64_t> HighestFences;
+  // The time since which a key has had more than one holder.
+  std::map<std::uint32_t, Instant> SharedSince;
+  // The number of runs of each request, by attempt ID.
+  std::unordered_map<std::string, std::uint32_t> RunCounts;
+  std::set<std::string> Rejected;
+  std::map<std::string, LimitedTarget> LimitedTargets;
   // By attempt ID.
   std::unordered_map<std::string, SentRequest> SentRequests;
   // When each node first passed on that a target is leaving, by node and
--- a/orioledoor/soak/soak_checker_test.cc
+++ b/orioledoor/soak/soak_checker_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(detectsTokensThatDoNotIncrease);
   CPPUNIT_TEST(detectsTwoHolders);
   CPPUNIT_TEST(detectsOutdatedRoutes);
+  CPPUNIT_TEST(detectsRequestsThatAreCutOff);
   CPPUNIT_TEST(detectsExceededLimits);
   CPPUNIT_TEST(detectsRequestsToLeavingTargets);
   CPPUNIT_TEST_SUITE_END();
@@ -43,6 +44,14 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->Checker.violations().size());
   }
 
+  void detectsRequestsThatAreCutOff() {
+    this->Checker.recordUnanswered("one", this->Now);
+    CPPUNIT_ASSERT(this->Checker.violations().empty());
+    this->Checker.recordStart("a", "two", true, this->Now);
+    this->Checker.recordUnanswered("two", this->Now);
+    this->expectViolation("LOST");
+  }
+
   void detectsExceededLimits() {
     auto SendFor = [this](milliseconds Time, milliseconds Interval) {
       for (Instant End = this->Now + Time; this->Now < End;
--- a/orioledoor/soak/soak_faults.cc
+++ b/orioledoor/soak/soak_faults.cc
@@ -5,6 +5,8 @@
 #include <array>
 #include <csignal>
 #include <nlohmann/json.hpp>
+#include <numeric>
+#include <ranges>
 #include <utility>
 
 #include "orioledoor/soak/soak_fleet.h"
@@ -47,9 +49,9 @@
 } // namespace
 
 SoakFaults::SoakFaults(standins::Loop &Events, SoakFleet &Fleet,
-                       std::uint64_t Seed)
-    : Events(Events), Fleet(Fleet), Random(Seed), StartedAt(readClock()),
-      NextFaultAt(this->StartedAt) {}
+                       std::uint64_t Seed, SoakFaultKinds Kinds)
+    : Events(Events), Fleet(Fleet), Random(Seed), Kinds(Kinds),
+      StartedAt(readClock()), NextFaultAt(this->StartedAt) {}
 
 Duration SoakFaults::randomDuration(int FromMillis, int ToMillis) {
   return milliseconds(
@@ -90,12 +92,7 @@
     Node.Process->signal(SIGKILL);
     break;
   case 1:
-    this->recordFault(&Node, "SIGTERM", StopGracePeriod, Now);
-    Node.Stopping = true;
-    // A suspended process cannot handle the signal, so the grace period begins
-    // when it is resumed.
-    Node.KillAt = std::max(Now, Node.PausedUntil) + StopGracePeriod;
-    Node.Process->signal(SIGTERM);
+    this->stopNode(Node, Now);
     break;
   case 2:
     this->recordFault(&Node, "SIGSTOP", Time, Now);
@@ -112,6 +109,37 @@
   }
 }
 
+void SoakFaults::stopNode(SoakNode &Node, Instant Now) {
+  this->recordFault(&Node, "SIGTERM", StopGracePeriod, Now);
+  Node.Stopping = true;
+  // A suspended process cannot handle the signal, so the grace period begins
+  // when it is resumed.
+  Node.KillAt = std::max(Now, Node.PausedUntil) + StopGracePeriod;
+  Node.Process->signal(SIGTERM);
+}
+
+void SoakFaults::stopSeveralNodes(Instant Now) {
+  std::vector<std::size_t> Order(this->Fleet.size());
+  std::iota(Order.begin(), Order.end(), std::size_t{0});
+  std::ranges::shuffle(Order, this->Random);
+  std::size_t Count = 1 + this->Random() % (this->Fleet.size() / 2);
+  for (std::size_t Index : Order | std::views::take(Count))
+    if (SoakNode &Node = this->Fleet.node(Index);
+        Node.Process->running() && !Node.Stopping)
+      this->stopNode(Node, Now);
+}
+
+void SoakFaults::delayStore(Instant Now) {
+  bool Slow = this->Random() % 2 == 0;
+  Duration Time = this->randomDuration(300, 6000);
+  this->recordFault(nullptr, Slow ? "store slow" : "store lost answers", Time,
+                    Now);
+  standins::StoreServer &Store = this->Fleet.store();
+  const char *Setting = Slow ? "latency_ms" : "lose_answers";
+  Store.setFaults({{Setting, Slow ? 240 : 6}});
+  this->runAfter(Time, [&Store, Setting] { Store.setFaults({{Setting, 0}}); });
+}
+
 void SoakFaults::injectLinkFault(SoakNode &Node, Instant Now) {
   std::array<std::pair<const char *, standins::RelayLink *>, 3> Links{
       {{"store link", Node.StoreLink.get()},
@@ -175,6 +203,16 @@
   if (this->Stopped || Now < this->NextFaultAt)
     return;
   this->NextFaultAt = Now + this->randomDuration(100, 1500);
+  if (this->Kinds == SoakFaultKinds::PlannedStops) {
+    switch (this->Random() % 4) {
+    case 0:
+      return this->delayStore(Now);
+    case 1:
+      return this->Fleet.writeConfiguration();
+    default:
+      return this->stopSeveralNodes(Now);
+    }
+  }
   SoakNode &Node = this->Fleet.node(this->Random() % this->Fleet.size());
   switch (this->Random() % 4) {
   case 0:
--- a/orioledoor/soak/soak_faults.h
+++ b/orioledoor/soak/soak_faults.h
@@ -25,10 +25,18 @@
 class SoakFleet;
 struct SoakNode;
 
+enum class SoakFaultKinds {
+  All,
+  // Planned stops of several nodes at once, changes of the configuration, and a
+  // store that is slow or loses answers. No request may be cut off.
+  PlannedStops,
+};
+
 // Not thread-safe.
 class SoakFaults {
 public:
-  SoakFaults(standins::Loop &Events, SoakFleet &Fleet, std::uint64_t Seed);
+  SoakFaults(standins::Loop &Events, SoakFleet &Fleet, std::uint64_t Seed,
+             SoakFaultKinds Kinds);
 
   // Injects the next fault when it is due.
   void step(Instant Now);
@@ -41,6 +49,11 @@
   using Callback = std::function<void()>;
 
   void signalNode(SoakNode &Node, Instant Now);
+  void stopNode(SoakNode &Node, Instant Now);
+  // Stops one to half of the nodes at the same moment.
+  void stopSeveralNodes(Instant Now);
+  // Disturbs the store without closing connections.
+  void delayStore(Instant Now);
   void injectLinkFault(SoakNode &Node, Instant Now);
   void injectTargetFault(SoakNode &Node, Instant Now);
   void injectStoreFault(Instant Now);
@@ -56,6 +69,7 @@
   standins::Loop &Events;
   SoakFleet &Fleet;
   std::mt19937_64 Random;
+  SoakFaultKinds Kinds;
   Instant StartedAt;
   Instant NextFaultAt;
   bool Stopped = false;
--- a/orioledoor/soak/soak_load.cc
+++ b/orioledoor/soak/soak_load.cc
@@ -26,8 +26,15 @@
 
 } // namespace
 
-SoakLoad::SoakLoad(SoakFleet &Fleet, SoakChecker &Checker, std::uint64_t Seed)
-    : Fleet(Fleet), Checker(Checker), Random(Seed), AttemptPrefix(Seed) {}
+SoakLoad::SoakLoad(SoakFleet &Fleet, SoakChecker &Checker, std::uint64_t Seed,
+                   bool ChecksLost)
+    : Fleet(Fleet), Checker(Checker), Random(Seed), ChecksLost(ChecksLost),
+      AttemptPrefix(Seed) {}
+
+void SoakLoad::checkLost(const PendingRequest &Request, Instant Now) {
+  if (this->ChecksLost && Now - Request.At < RequestTimeout * 7 / 10)
+    this->Checker.recordUnanswered(Request.Attempt, Now);
+}
 
 void SoakLoad::resetCounts() {
   this->Counts = {};
@@ -86,6 +93,7 @@
   Instant Now = readClock();
   if (Result.Failure) {
     ++this->Counts.Broken;
+    this->checkLost(Request, Now);
     const SoakNode &Node = this->Fleet.node(Request.Node);
     if (*Result.Failure == requests::TargetFailure::TimedOut &&
         Node.DisturbedUntil < Request.At)
@@ -116,6 +124,8 @@
     ++this->Counts.Refused;
     this->Checker.recordRejection(Request.Attempt, Now);
   } else {
+    if (!HasServerSignature)
+      this->checkLost(Request, Now);
     ++this->Counts.Failed;
   }
 }
--- a/orioledoor/soak/soak_load.h
+++ b/orioledoor/soak/soak_load.h
@@ -39,7 +39,9 @@
 // Not thread-safe.
 class SoakLoad {
 public:
-  SoakLoad(SoakFleet &Fleet, SoakChecker &Checker, std::uint64_t Seed);
+  // ChecksLost: no fault explains that a request which runs gets no answer.
+  SoakLoad(SoakFleet &Fleet, SoakChecker &Checker, std::uint64_t Seed,
+           bool ChecksLost);
 
   // Sends the requests of one step. Call every 20 ms.
   void step(Instant Now);
@@ -62,11 +64,14 @@
   };
 
   void send(Instant Now);
+  // Checks a result that is not an answer of a target.
+  void checkLost(const PendingRequest &Request, Instant Now);
   void onResult(const PendingRequest &Request, const wire::HttpResult &Result);
 
   SoakFleet &Fleet;
   SoakChecker &Checker;
   std::mt19937_64 Random;
+  bool ChecksLost;
   std::uint64_t AttemptPrefix;
   std::uint64_t LastAttempt = 0;
   std::uint64_t NextKey = 0;
