Forget a disproved suspicion without taking it for an own answer

A node that was told that another target had answered a suspected request kept this as an answer of its own target for up to a minute, and passed it on in reply to later crash notices. A request that crashes targets since a while ago could so have stayed out of quarantine for as long as it crashed them.

The node now forgets the crashes it knew, and only answers of its own target let it answer notices. clearsSuspicionsThatOtherGatesDisprove covers it.

--- a/orioledoor/routing/crash_guard.cc
+++ b/orioledoor/routing/crash_guard.cc
@@ -64,8 +64,7 @@
   return Notices;
 }
 
-bool CrashGuard::clear(std::uint64_t Digest, Instant Now) {
-  this->noteAnswered(Digest, Now);
+bool CrashGuard::clear(std::uint64_t Digest) {
   auto Found = this->Records.find(Digest);
   if (Found == this->Records.end())
     return false;
--- a/orioledoor/routing/crash_guard.h
+++ b/orioledoor/routing/crash_guard.h
@@ -5,7 +5,7 @@
 //   for (CrashNotice N : Guard.noteTargetEnded(Now))
 //     ...                                      // send to all nodes
 //   Guard.noteAnswered(Digest, Now);           // not the cause of a crash
-//   if (Guard.clear(Digest, Now)) ...          // another target answered it
+//   if (Guard.clear(Digest)) ...               // another target answered it
 //   if (Guard.isQuarantined(Digest, Now)) ...  // refuse
 #ifndef ORIOLEDOOR_ROUTING_CRASH_GUARD_H
 #define ORIOLEDOOR_ROUTING_CRASH_GUARD_H
@@ -43,9 +43,11 @@
   std::vector<CrashNotice> noteTargetEnded(Instant Now);
   // Returns whether a target beside this node has answered the request lately.
   bool wasAnsweredRecently(std::uint64_t Digest) const;
-  // A target beside another node has answered the request. Returns whether this
-  // guard reported a crash of it to other nodes, which are to be told.
-  bool clear(std::uint64_t Digest, Instant Now);
+  // A target beside another node has answered the request: forgets its crashes.
+  // Later ones count again, and only a target beside this node makes it count
+  // as answered here. Returns whether this guard reported a crash of it to
+  // other nodes, which are to be told.
+  bool clear(std::uint64_t Digest);
   // Merges a crash count received from another node.
   void merge(const CrashNotice &Notice, Instant Now);
   bool isQuarantined(std::uint64_t Digest, Instant Now) const;
--- a/orioledoor/routing/start_pacer.h
+++ b/orioledoor/routing/start_pacer.h
@@ -20,7 +20,7 @@
 // target that accepts no requests is still tried from time to time.
 Duration startInterval(double RequestsPerSecond);
 
-// Starts come at most one interval apart in the mean. Unused intervals of the
+// Starts come at least one interval apart in the mean. Unused intervals of the
 // last BurstTime may be used at once. Not thread-safe. All operations are
 // constant.
 class StartPacer {
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -135,11 +135,10 @@
     this->Crashes.merge(Notice, Now);
 }
 
-void TargetGate::handleCrashCleared(const CrashCleared &Cleared, Instant Now,
-                                    Effects &Out) {
+void TargetGate::handleCrashCleared(const CrashCleared &Cleared, Effects &Out) {
   // Only the nodes that reported a crash tell the others, so that an answer
   // costs each of them one message and not the square of their number.
-  if (!this->Crashes.clear(Cleared.Digest, Now))
+  if (!this->Crashes.clear(Cleared.Digest))
     return;
   Out.push_back(LogRecord{&events::SuspicionCleared,
                           {field("digest", std::to_string(Cleared.Digest))}});
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -98,8 +98,7 @@
   void handleCrashNotice(const std::string &From, const CrashNotice &Notice,
                          Instant Now, Effects &Out);
   // A target of another node has answered a request that was suspected.
-  void handleCrashCleared(const CrashCleared &Cleared, Instant Now,
-                          Effects &Out);
+  void handleCrashCleared(const CrashCleared &Cleared, Effects &Out);
   // Refuses all new and waiting requests; called before the process exits.
   void close(Instant Now, Effects &Out);
   // Drives timeouts and paced starts. Call every 20 to 100 ms.
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -375,15 +375,18 @@
     const auto *Cleared = findMessage<CrashCleared>(Answering.Out);
     CPPUNIT_ASSERT(Cleared);
     Suspecting.Out.clear();
-    Suspecting.Gate.handleCrashCleared(*Cleared, Suspecting.Now,
-                                       Suspecting.Out);
+    Suspecting.Gate.handleCrashCleared(*Cleared, Suspecting.Out);
     // Gates that only know the notice are told as well.
     CPPUNIT_ASSERT(findMessage<CrashCleared>(Suspecting.Out));
     Suspecting.forward(11);
     CPPUNIT_ASSERT(Suspecting.startedCallId());
     // The answer ends the exchange.
     Effects Out;
-    Suspecting.Gate.handleCrashCleared(*Cleared, Suspecting.Now, Out);
+    Suspecting.Gate.handleCrashCleared(*Cleared, Out);
+    CPPUNIT_ASSERT(Out.empty());
+    // A gate that was told passes on nothing about answers of others.
+    Suspecting.Gate.handleCrashNotice("tcp://10.0.0.3:7100", *Notice,
+                                      Suspecting.Now, Out);
     CPPUNIT_ASSERT(Out.empty());
   }
 
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -308,7 +308,7 @@
   } else if (auto *Crash = std::get_if<routing::CrashNotice>(&Body)) {
     this->Gate.handleCrashNotice(From, *Crash, Now, this->RoutingEffects);
   } else if (auto *Cleared = std::get_if<routing::CrashCleared>(&Body)) {
-    this->Gate.handleCrashCleared(*Cleared, Now, this->RoutingEffects);
+    this->Gate.handleCrashCleared(*Cleared, this->RoutingEffects);
   } else if (auto *KeyLoad = std::get_if<routing::KeyLoadNotice>(&Body)) {
     this->Keys.recordLoad(*KeyLoad, Now);
   } else if (auto *NewKeyMap = std::get_if<routing::KeyMapNotice>(&Body)) {
