Spread the watches of the configuration over the fleet

Cause: after an outage of the store all nodes had opened their watches at the same moment. The store then lost all waiting watches without a sign, while it answered every other call. All watches had the same wait of 10 s, so no node asked again for 6 to 10 s, and none could tell the others. Ruled out: the renewal of the lease does not help, since it shows no silence; more frequent watches on every node would help, but cost as many more reads as there are nodes.

The first request of a watch of the configuration now waits for the node's share of the interval, by its rank, so that the requests of the fleet end in turn, two a second or one a node in 10 s. A node that finds the newer version tells the others with its requests and results, as before. A watch that the store has lost also makes the node open its other watches again.

In fleets of 6 nodes the watch now takes 0.33 instead of 0.1 reads per second and node; from 20 nodes on it takes as many as before.

--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -63,6 +63,13 @@
 static_assert(StoreClient<PlatformStore>);
 
 struct PlatformStore::Impl {
+  // Times of the watch of a prefix.
+  struct WatchTiming {
+    Duration Pause;
+    Duration FirstWait;
+    Duration LaterWait;
+  };
+
   struct WatchState {
     Impl *Parent = nullptr;
     std::string Prefix;
@@ -75,6 +82,8 @@
     Instant LastResponseAt;
     // Number of consecutive watch requests without a response.
     int Failures = 0;
+    // The next request follows one that ended without a change.
+    bool Unchanged = false;
   };
 
   event_base *Base;
@@ -84,7 +93,8 @@
   PlatformStoreCounters Counters;
   wire::HttpClient Client;
   std::map<std::string, std::unique_ptr<WatchState>> Watches;
-  std::map<std::string, Duration> WatchPauses;
+  // Watches that are not listed have the times of Limits.
+  std::map<std::string, WatchTiming> WatchTimings;
   std::function<void(const LogRecord &)> OnLog;
   // Whether a call or watch got no response since the last response to a call.
   bool ResponseMissing = false;
@@ -174,6 +184,7 @@
       if (Watch->Call != 0)
         this->Client.cancel(Watch->Call);
       evtimer_del(Watch->Timer.get());
+      Watch->Unchanged = false;
       this->openWatch(*Watch);
     }
   }
@@ -181,12 +192,13 @@
   void openWatch(WatchState &Watch) {
     this->countCall(StoreCallKind::Watch);
     Watch.OpenedAt = readClock();
+    WatchTiming Timing = this->watchTiming(Watch.Prefix);
+    auto Wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Watch.Unchanged ? Timing.LaterWait : Timing.FirstWait);
     StoreHttpRequest HttpRequest{
-        "GET",
-        encodeWatch(Watch.Prefix, Watch.Revision, this->Limits.WatchWait), ""};
+        "GET", encodeWatch(Watch.Prefix, Watch.Revision, Wait), ""};
     Watch.Call = this->Client.call(
-        this->httpCall(HttpRequest, this->Limits.WatchWait +
-                                        this->Limits.WatchTimeoutMargin),
+        this->httpCall(HttpRequest, Wait + this->Limits.WatchTimeoutMargin),
         [this, &Watch](const wire::HttpResult &Result) {
           Watch.Call = 0;
           this->handleWatchResult(Watch, Result);
@@ -237,11 +249,12 @@
     else
       ++this->Counters.Failures;
     Update.Revision = Watch.Revision;
+    Watch.Unchanged = Update.Status.ok() && Update.Changes.empty();
     Duration Pause(0);
     if (!Update.Status.ok())
       Pause = this->retryDelay(Watch.Failures);
     else if (!Update.Changes.empty())
-      Pause = this->watchPause(Watch.Prefix);
+      Pause = this->watchTiming(Watch.Prefix).Pause;
     StoreWatchCallback OnUpdate = Watch.OnUpdate;
     if (HistoryLost) {
       this->Watches.erase(Watch.Prefix);
@@ -262,10 +275,12 @@
                         (1 << std::min(Failures - 2, 5)));
   }
 
-  Duration watchPause(const std::string &Prefix) const {
-    auto Found = this->WatchPauses.find(Prefix);
-    return Found == this->WatchPauses.end() ? this->Limits.WatchPause
-                                            : Found->second;
+  WatchTiming watchTiming(const std::string &Prefix) const {
+    auto Found = this->WatchTimings.find(Prefix);
+    return Found == this->WatchTimings.end()
+               ? WatchTiming{this->Limits.WatchPause, this->Limits.WatchWait,
+                             this->Limits.WatchWait}
+               : Found->second;
   }
 
   static void onTimer(evutil_socket_t, short, void *Context) {
@@ -312,7 +327,20 @@
 }
 
 void PlatformStore::setWatchPause(const std::string &Prefix, Duration Pause) {
-  this->Pimpl->WatchPauses[Prefix] = Pause;
+  Impl::WatchTiming Timing = this->Pimpl->watchTiming(Prefix);
+  Timing.Pause = Pause;
+  this->Pimpl->WatchTimings.insert_or_assign(Prefix, Timing);
+}
+
+void PlatformStore::setWatchWaits(const std::string &Prefix, Duration First,
+                                  Duration Later) {
+  Impl::WatchTiming Timing = this->Pimpl->watchTiming(Prefix);
+  Timing.FirstWait = First;
+  Timing.LaterWait = Later;
+  this->Pimpl->WatchTimings.insert_or_assign(Prefix, Timing);
+  if (auto Found = this->Pimpl->Watches.find(Prefix);
+      Found != this->Pimpl->Watches.end())
+    Found->second->Unchanged = false;
 }
 
 const PlatformStoreCounters &PlatformStore::counters() const {
--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -31,8 +31,9 @@
   // round-trip time of 16 ms, and TCP retransmits a lost SYN packet only after
   // a second, so a new attempt is faster.
   Duration ConnectTimeout = std::chrono::milliseconds(600);
-  // Time that one watch request waits at the store for a change. Each watch
-  // request counts as a read. Together with WatchPause it must stay below the
+  // Time that one watch request waits at the store for a change, unless
+  // setWatchWaits() sets another one. Each watch request counts as a read.
+  // Together with WatchPause it must stay below the
   // history of the store, which is 20 s: the store refuses to report a change
   // to a watch that asked for an older revision.
   std::chrono::milliseconds WatchWait{10'000};
@@ -108,6 +109,11 @@
   // arrive that much later.
   void setWatchPause(const std::string &Prefix, Duration Pause);
 
+  // Sets how long the requests of the watch of Prefix wait at the store for a
+  // change: First applies to the next request and to each that follows a change
+  // or a failure, Later to one that follows a request without changes.
+  void setWatchWaits(const std::string &Prefix, Duration First, Duration Later);
+
   const PlatformStoreCounters &counters() const;
 
 private:
--- a/orioledoor/platform/platform_store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(watchInterruptionsAreLogged);
   CPPUNIT_TEST(watchConnectTimeoutIsEnforced);
   CPPUNIT_TEST(watchIsReopenedOnceTheStoreAnswersCalls);
+  CPPUNIT_TEST(watchWaitsAreApplied);
   CPPUNIT_TEST(rejectedWatchesBackOff);
   CPPUNIT_TEST(replacedWatchIsNotInvokedAgain);
   CPPUNIT_TEST_SUITE_END();
@@ -346,6 +347,22 @@
     CPPUNIT_ASSERT(this->Server->counters().at("watch") <= Opened + 1);
   }
 
+  // Guards against watches that all nodes open at the same moment and that end
+  // at the same moment again, so that no node notices for long that the store
+  // has lost them.
+  void watchWaitsAreApplied() {
+    this->Client->setWatchWaits(keys::Root, 50ms, 30s);
+    this->watch(0);
+    this->waitForWatchRequests(2);
+    this->call(makeWrite(0, "a"));
+    this->waitForChanges(1);
+    this->waitForWatchRequests(4);
+    // A new schedule begins with its first wait.
+    this->Client->setWatchWaits(keys::Root, 50ms, 20s);
+    this->call(StoreTxn{.Deletes = {keys::Assignment}});
+    this->waitForWatchRequests(6);
+  }
+
   // Guards against frequent retries while the store rejects the requests of a
   // VM for seconds. Each attempt counts as a call, and the first response to a
   // call reopens the watches anyway.
@@ -407,6 +424,18 @@
         TestTimeout));
   }
 
+  // Waits until the client has sent Count watch requests in all, and checks
+  // that it keeps waiting for the answer to the last one.
+  void waitForWatchRequests(std::int64_t Count) {
+    auto Sent = [this] {
+      return this->Server->counters().value("watch", std::int64_t{0});
+    };
+    CPPUNIT_ASSERT(
+        this->Events.runUntil([&] { return Sent() >= Count; }, TestTimeout));
+    this->Events.runUntil([] { return false; }, 200ms);
+    CPPUNIT_ASSERT_EQUAL(Count, Sent());
+  }
+
   void makeWatchUnresponsive() {
     this->waitForOpenWatch();
     this->Server->setFaults({{"silence_watches", true}});
--- a/orioledoor/sidecar/effect.h
+++ b/orioledoor/sidecar/effect.h
@@ -10,6 +10,7 @@
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/route_table.h"
 #include "orioledoor/routing/target_report.h"
+#include "orioledoor/sidecar/watch_schedule.h"
 #include "orioledoor/store/store_types.h"
 
 namespace orioledoor::sidecar {
@@ -45,6 +46,10 @@
 struct WatchConfig {
   std::int64_t Revision = 0;
 };
+// Sets how long the requests of that watch wait for a change.
+struct SetConfigWatchSchedule {
+  WatchSchedule Schedule{};
+};
 // ConfigDecoded follows if the document is a valid configuration.
 struct DecodeConfig {
   std::string Document{};
@@ -61,10 +66,11 @@
 // Ends the process.
 struct Exit {};
 
-using Effect = std::variant<ReplyToCaller, SendMessage, StartCall, CancelCall,
-                            LogRecord, ReplyToReport, CallStore, WatchStore,
-                            SetWatchPause, ReadConfig, WatchConfig,
-                            DecodeConfig, ApplyLimits, StopAccepting, Exit>;
+using Effect =
+    std::variant<ReplyToCaller, SendMessage, StartCall, CancelCall, LogRecord,
+                 ReplyToReport, CallStore, WatchStore, SetWatchPause,
+                 ReadConfig, WatchConfig, SetConfigWatchSchedule, DecodeConfig,
+                 ApplyLimits, StopAccepting, Exit>;
 using Effects = std::vector<Effect>;
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -166,7 +166,7 @@
       this->Entry.handleNodeReplaced(Node, Now, this->RoutingEffects);
   if (Output.NodesChanged) {
     this->updateDirectory(Now);
-    this->updateWatchPause();
+    this->updateWatches();
   }
   if (Output.NodesChanged || Output.KeysChanged)
     this->onOwnersChanged(Now);
@@ -240,6 +240,9 @@
 }
 
 void SidecarReducer::on(Started, Instant Now) {
+  // The watch of the configuration opens before the members are known. Until
+  // then a lone node's schedule is in force, whose requests are short.
+  this->updateWatches();
   MembershipOutput Output;
   this->Members.start(Now, Output);
   this->apply(std::move(Output), Now);
@@ -414,7 +417,7 @@
   this->Members.onWatchUpdate(Watched.Update, Now, Output);
   this->apply(std::move(Output), Now);
   // Entries that vanished change the rank without changing the known nodes.
-  this->updateWatchPause();
+  this->updateWatches();
 }
 
 void SidecarReducer::on(SettingsChanged Changed, Instant) {
@@ -458,15 +461,21 @@
   }
 }
 
-void SidecarReducer::updateWatchPause() {
+void SidecarReducer::updateWatches() {
   std::size_t Rank = this->Members.rank();
   Duration Pause = Rank == 0             ? PlannerWatchPause
                    : Rank <= DeputyCount ? DeputyWatchPause
                                          : MemberWatchPause;
-  if (Pause == this->WatchPause)
-    return;
-  this->WatchPause = Pause;
-  this->Out.push_back(SetWatchPause{Pause});
+  if (Pause != this->WatchPause) {
+    this->WatchPause = Pause;
+    this->Out.push_back(SetWatchPause{Pause});
+  }
+  WatchSchedule Schedule =
+      scheduleConfigWatch(Rank, this->Members.nodes().size());
+  if (Schedule != this->ConfigWatch) {
+    this->ConfigWatch = Schedule;
+    this->Out.push_back(SetConfigWatchSchedule{Schedule});
+  }
 }
 
 void SidecarReducer::on(TimerTicked, Instant Now) {
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -21,6 +21,7 @@
 #include "orioledoor/sidecar/event.h"
 #include "orioledoor/sidecar/key_ownership_manager.h"
 #include "orioledoor/sidecar/membership.h"
+#include "orioledoor/sidecar/watch_schedule.h"
 
 namespace orioledoor::sidecar {
 
@@ -114,7 +115,7 @@
   // Answers the deferred report if there is no reason to wait any longer.
   void answerDeferredReport(Instant Now);
   void advanceShutdown(Instant Now);
-  void updateWatchPause();
+  void updateWatches();
   bool isPartitioned(std::string_view Service) const;
 
   SidecarOptions Options;
@@ -137,8 +138,9 @@
   Instant StopRequestedAt;
   // While stopping: the last time at which a request was open.
   Instant LastBusyAt;
-  // The pause that was last passed to the shell.
+  // The pause and the schedule that were last passed to the shell.
   Duration WatchPause{0};
+  WatchSchedule ConfigWatch;
   bool AcceptStopped = false;
   bool ExitRequested = false;
 };
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -138,6 +138,7 @@
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
   CPPUNIT_TEST(appliesKeyMapChangesInOrder);
   CPPUNIT_TEST(learnsOfNewNodesFromThem);
+  CPPUNIT_TEST(spreadsConfigWatchesOverTheFleet);
   CPPUNIT_TEST(ignoresOlderConfiguration);
   CPPUNIT_TEST(appliesConfigurationFromAnotherNode);
   CPPUNIT_TEST(limitsLinkUseBySendingConfigurations);
@@ -346,6 +347,25 @@
                        .MissingSince);
   }
 
+  // Guards against nodes whose watches end at the same moment, or that keep the
+  // schedule of a fleet of another size.
+  void spreadsConfigWatchesOverTheFleet() {
+    ReducerFixture Sidecar;
+    const auto *Alone = Sidecar.find<SetConfigWatchSchedule>();
+    CPPUNIT_ASSERT(Alone && Alone->Schedule == scheduleConfigWatch(0, 1));
+    Sidecar.joinFleet();
+    for (int I = 2; I <= 9; ++I) {
+      NodeEntry Other;
+      Other.Node = "tcp://10.0.0." + std::to_string(I) + ":7100";
+      Other.Process = 2;
+      Sidecar.dispatch(PeerMessageReceived{
+          Other.Node, routing::NodeNotice{10 + I, encodeNodeEntry(Other)}});
+    }
+    const auto *Spread = Sidecar.find<SetConfigWatchSchedule>();
+    CPPUNIT_ASSERT(Spread && Spread->Schedule == scheduleConfigWatch(0, 9));
+    CPPUNIT_ASSERT(Spread->Schedule.First < Spread->Schedule.Interval);
+  }
+
   void ignoresOlderConfiguration() {
     ReducerFixture Sidecar;
     Sidecar.joinFleet();
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -283,6 +283,12 @@
                       });
   }
 
+  void execute(const SetConfigWatchSchedule &NewEffect) {
+    this->Store.setWatchWaits(platform::names::ConfigKey,
+                              NewEffect.Schedule.First,
+                              NewEffect.Schedule.Interval);
+  }
+
   void execute(DecodeConfig NewEffect) {
     absl::StatusOr<routing::RouteTable> Table =
         platform::decodeConfig(NewEffect.Document);
