Keep the first wait of a watch due until it is used

Cause: one flag said both how the last request ended and which wait comes next. It now says only that the first wait is due, and the next request clears it. A schedule with the same later wait no longer makes the first wait due, so members that come and go cost a large fleet no further requests.

Evidence: watchWaitsAreApplied, which sets other waits while a request is open, failed three times out of three before.

--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -82,8 +82,8 @@
     Instant LastResponseAt;
     // Number of consecutive watch requests without a response.
     int Failures = 0;
-    // The next request follows one that ended without a change.
-    bool Unchanged = false;
+    // The next request waits for FirstWait.
+    bool FirstWaitDue = true;
   };
 
   event_base *Base;
@@ -184,7 +184,7 @@
       if (Watch->Call != 0)
         this->Client.cancel(Watch->Call);
       evtimer_del(Watch->Timer.get());
-      Watch->Unchanged = false;
+      Watch->FirstWaitDue = true;
       this->openWatch(*Watch);
     }
   }
@@ -194,7 +194,8 @@
     Watch.OpenedAt = readClock();
     WatchTiming Timing = this->watchTiming(Watch.Prefix);
     auto Wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-        Watch.Unchanged ? Timing.LaterWait : Timing.FirstWait);
+        std::exchange(Watch.FirstWaitDue, false) ? Timing.FirstWait
+                                                 : Timing.LaterWait);
     StoreHttpRequest HttpRequest{
         "GET", encodeWatch(Watch.Prefix, Watch.Revision, Wait), ""};
     Watch.Call = this->Client.call(
@@ -249,7 +250,8 @@
     else
       ++this->Counters.Failures;
     Update.Revision = Watch.Revision;
-    Watch.Unchanged = Update.Status.ok() && Update.Changes.empty();
+    if (!Update.Status.ok() || !Update.Changes.empty())
+      Watch.FirstWaitDue = true;
     Duration Pause(0);
     if (!Update.Status.ok())
       Pause = this->retryDelay(Watch.Failures);
@@ -335,12 +337,13 @@
 void PlatformStore::setWatchWaits(const std::string &Prefix, Duration First,
                                   Duration Later) {
   Impl::WatchTiming Timing = this->Pimpl->watchTiming(Prefix);
+  bool LaterChanged = Timing.LaterWait != Later;
   Timing.FirstWait = First;
   Timing.LaterWait = Later;
   this->Pimpl->WatchTimings.insert_or_assign(Prefix, Timing);
-  if (auto Found = this->Pimpl->Watches.find(Prefix);
-      Found != this->Pimpl->Watches.end())
-    Found->second->Unchanged = false;
+  auto Found = this->Pimpl->Watches.find(Prefix);
+  if (LaterChanged && Found != this->Pimpl->Watches.end())
+    Found->second->FirstWaitDue = true;
 }
 
 const PlatformStoreCounters &PlatformStore::counters() const {
--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -110,8 +110,8 @@
   void setWatchPause(const std::string &Prefix, Duration Pause);
 
   // Sets how long the requests of the watch of Prefix wait at the store for a
-  // change: First applies to the next request and to each that follows a change
-  // or a failure, Later to one that follows a request without changes.
+  // change. First applies to the first request, to one that follows a change or
+  // a failure, and once after Later has changed; Later applies to all others.
   void setWatchWaits(const std::string &Prefix, Duration First, Duration Later);
 
   const PlatformStoreCounters &counters() const;
--- a/orioledoor/platform/platform_store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -357,10 +357,15 @@
     this->call(makeWrite(0, "a"));
     this->waitForChanges(1);
     this->waitForWatchRequests(4);
-    // A new schedule begins with its first wait.
-    this->Client->setWatchWaits(keys::Root, 50ms, 20s);
+    // Only another later wait makes the client use the first one again. The
+    // open request keeps the wait that it was sent with.
+    this->Client->setWatchWaits(keys::Root, 50ms, 400ms);
     this->call(StoreTxn{.Deletes = {keys::Assignment}});
     this->waitForWatchRequests(6);
+    this->Client->setWatchWaits(keys::Root, 10ms, 400ms);
+    this->waitForWatchRequests(7);
+    this->Client->setWatchWaits(keys::Root, 50ms, 30s);
+    this->waitForWatchRequests(9);
   }
 
   // Guards against frequent retries while the store rejects the requests of a
--- a/orioledoor/sidecar/watch_schedule.h
+++ b/orioledoor/sidecar/watch_schedule.h
@@ -15,8 +15,9 @@
 
 // How long the requests of a watch wait at the store for a change.
 struct WatchSchedule {
-  // Wait of the first request, and of each that follows a change or a failure:
-  // all nodes send these at the same time. At most Interval.
+  // Wait of the first request, of each that follows a change or a failure, and
+  // once after Interval has changed: all nodes send these at the same time. At
+  // most Interval.
   Duration First{0};
   // Wait of a request that follows one which ended without a change.
   Duration Interval{0};
