Bound the calls of a new process until its target has answered

A target that had limited its rate got more than it had stated after a restart of the node beside it, if it took longer than 0.5 s to answer: the new process knows no limit, and it filled all slots once 0.5 s were over. Low limits go with slow targets, so both come together.

Cause: the bound on calls to a target whose limit is unknown ended by time, not by an answer. It now grows from two by one for each 250 ms since the first call, so that lost answers cannot hold a target back for good.

--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -23,9 +23,6 @@
 // Capacity of a target that accepts no requests. It is not 0, so that load and
 // capacity have a ratio.
 constexpr double MinCapacity = 0.1;
-// A target that has not answered by then is sent requests without knowing its
-// limit, since its first calls may be slow or lost.
-constexpr Duration MaxProbeTime = milliseconds(500);
 
 } // namespace
 
@@ -77,7 +74,7 @@
   this->setRateLimit(std::nullopt, Out);
   this->LimitStatedAt = Instant();
   this->SignalsKnown = false;
-  this->ProbeUntil = Now + MaxProbeTime;
+  this->ProbingSince.reset();
   this->State = TargetState::Ready;
   this->Drained = false;
   this->FailureShare = 0;
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -145,6 +145,8 @@
                                         Instant Now) const;
   // Returns whether the target accepts another request now, slots aside.
   bool mayStart(Instant Now) const;
+  // Calls that may run at once while the limit of the target is not known.
+  std::uint32_t allowedProbes(Instant Now) const;
   // Estimated time that a new request of this rank waits until it may start.
   Duration expectedWait(const QueueRank &Rank, Instant Now) const;
   void startCall(std::uint64_t Id, Instant Now, Effects &Out);
@@ -188,10 +190,11 @@
   Instant LimitStatedAt;
   std::uint64_t StartedCalls = 0;
   StartPacer Pacer;
-  // Until the current incarnation has answered this process, or until
-  // ProbeUntil, its limit is unknown and few calls run at once.
+  // Until the current incarnation has answered this process, its limit is
+  // unknown and few calls run at once.
   bool SignalsKnown = false;
-  Instant ProbeUntil;
+  // Time of the first call to the current incarnation.
+  std::optional<Instant> ProbingSince;
   AdmissionQueue Queue;
   BodyFetchQueue BodyFetches;
   ClassServiceTimes ServiceTimes;
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -39,8 +39,11 @@
 constexpr Duration FetchRoundTrip = milliseconds(30);
 // Weight of a new outcome in the failure share; about the last 30 calls count.
 constexpr float FailureWeight = 0.033F;
-// Calls that run at once at a target whose limit is not known yet.
-constexpr std::uint32_t MaxProbes = 2;
+// Calls that run at once at a target whose limit is not known yet, and the time
+// without an answer after which one more may run: the first ones may be slow or
+// lost. All slots are in use after three to five seconds.
+constexpr std::uint32_t InitialProbes = 2;
+constexpr Duration ProbeInterval = milliseconds(250);
 // Reserved for the way of the answer back to the caller.
 constexpr Duration AnswerMargin = milliseconds(15);
 
@@ -247,10 +250,16 @@
   this->fetchBodies(Now, Out);
 }
 
+std::uint32_t TargetGate::allowedProbes(Instant Now) const {
+  Duration Unanswered =
+      this->ProbingSince ? Now - *this->ProbingSince : Duration(0);
+  return InitialProbes + static_cast<std::uint32_t>(Unanswered / ProbeInterval);
+}
+
 bool TargetGate::mayStart(Instant Now) const {
-  bool Probing = !this->SignalsKnown && Now < this->ProbeUntil;
   return this->Pacer.mayStart(Now) &&
-         (!Probing || this->Queue.running() < MaxProbes);
+         (this->SignalsKnown ||
+          this->Queue.running() < this->allowedProbes(Now));
 }
 
 Duration TargetGate::expectedWait(const QueueRank &Rank, Instant Now) const {
@@ -263,6 +272,8 @@
   Call.Started = true;
   Call.StartedAt = Now;
   Call.Incarnation = this->Incarnation;
+  if (!this->ProbingSince)
+    this->ProbingSince = Now;
   ++this->StartedCalls;
   this->Pacer.noteStart(Now);
   Out.push_back(StartCall{.CallId = Id,
--- a/orioledoor/routing/target_limit_test.cc
+++ b/orioledoor/routing/target_limit_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST_SUITE(TargetLimitTest);
   CPPUNIT_TEST(keepsToTheStatedRate);
   CPPUNIT_TEST(keepsToTheStatedRateAcrossRestarts);
+  CPPUNIT_TEST(keepsToTheRateOfASlowTargetAcrossRestarts);
   CPPUNIT_TEST(choosesOtherTargetsBeforeALimitedOne);
   CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +70,25 @@
                        Window, LimitedAt + Notice)) <= allowedIn(Window, 2));
   }
 
+  // A restarted node filled all slots of a limited target that takes longer to
+  // answer than the node waited to learn its limit.
+  void keepsToTheRateOfASlowTargetAcrossRestarts() {
+    for (Duration ServiceTime : {milliseconds(700), milliseconds(1500)}) {
+      TargetLoad Load({.RequestsPerSecond = 110,
+                       .Slots = 18,
+                       .ServiceTime = ServiceTime,
+                       .LatencyTarget = seconds(3),
+                       .TimeLeft = seconds(3)});
+      Load.setLimit(2);
+      Instant LimitedAt = Load.Now;
+      Load.run(seconds(10));
+      Load.restartNode();
+      Load.run(seconds(6));
+      CPPUNIT_ASSERT(static_cast<double>(Load.mostStartsIn(
+                         Window, LimitedAt + Notice)) <= allowedIn(Window, 2));
+    }
+  }
+
   // Nodes sent each request to the nearest target first, which refused most of
   // them because of its limit.
   void choosesOtherTargetsBeforeALimitedOne() {
--- a/orioledoor/routing/testing/target_load.h
+++ b/orioledoor/routing/testing/target_load.h
@@ -27,6 +27,7 @@
   std::uint32_t Slots = 13;
   Duration ServiceTime = std::chrono::milliseconds(70);
   Duration LatencyTarget = std::chrono::milliseconds(250);
+  Duration TimeLeft = std::chrono::seconds(1);
 };
 
 // Not thread-safe. Deterministic.
@@ -114,7 +115,7 @@
                                .Process = 9,
                                .Service = "keyed",
                                .AttemptId = std::to_string(Id),
-                               .TimeLeft = std::chrono::seconds(1),
+                               .TimeLeft = this->Options.TimeLeft,
                                .LatencyLeft = this->Options.LatencyTarget,
                                .Key = 1,
                                .Priority = 1,
