Log when the event loop of a node stands still

The logs cannot tell whether the entry, the node beside the target or the way between them was late: a node does not log that its loop stood still.

LOOP_DELAYED (4152) is logged if no tick came for 250 ms, with the time, and oriole_loop_delays_total counts it.

--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -69,6 +69,8 @@
 inline constexpr EventDefinition LogDropped{
     4151, Severity::Warn, "LOG_DROPPED",
     "log lines were dropped by the rate limit"};
+inline constexpr EventDefinition LoopDelayed{
+    4152, Severity::Warn, "LOOP_DELAYED", "the event loop stood still"};
 
 } // namespace orioledoor::sidecar::events
 
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -37,6 +37,8 @@
 // Interval at which deadlines, queues and the probes of the peer transport are
 // checked; the shortest limit of the transport is 250 ms.
 constexpr Duration TickInterval = milliseconds(20);
+// Shortest time without a tick that is logged.
+constexpr Duration MinReportedGap = milliseconds(250);
 // The target answers at its deadline; its answer may arrive this much later.
 constexpr Duration TargetResponseMargin = milliseconds(40);
 // The target is on this VM, where connecting takes a millisecond or two. A
@@ -116,6 +118,7 @@
   std::unordered_map<std::uint64_t, std::uint64_t> TargetCalls;
   EventPtr TickTimer;
   Instant DropsReportedAt;
+  Instant LastTickAt;
   // Events that occurred while another one is being handled.
   std::vector<Event> PendingEvents;
   bool Dispatching = false;
@@ -312,8 +315,19 @@
   // Time and pages
   // -------------------------------------------------------------
 
+  void recordTick(Instant Now) {
+    Duration Gap = Now - this->LastTickAt;
+    if (this->LastTickAt != Instant() && Gap >= MinReportedGap) {
+      this->Metrics.counter("oriole_loop_delays_total").add(1);
+      this->write({&events::LoopDelayed,
+                   {{"gap_ms", std::to_string(Gap.count() / 1000)}}});
+    }
+    this->LastTickAt = Now;
+  }
+
   void tick() {
     Instant Now = readClock();
+    this->recordTick(Now);
     this->dispatch(TimerTicked{});
     this->Peers->tick(Now);
     if (Now - this->DropsReportedAt < DropReportInterval)
