Drop requests whose callers left while the node stood still

Cause, suspected: after a delay an entry reads requests that have waited in their sockets. libevent reports the end of a connection in a later iteration than the bytes before it, so such a request is handed on first and cancelled then. Ruled out: the node beside the target as the one that stood still; it would have handled request and cancellation in one iteration, before it writes to the target.

The server now looks for the end of the connection before it hands on a request that it reads more than 100 ms after the last tick, or in the time after that which the delay took. In normal operation this costs no system call. Callers that shut down their sending side keep their answers unless the node was delayed.

--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -323,6 +323,7 @@
                    {{"gap_ms", std::to_string(Gap.count() / 1000)}}});
     }
     this->LastTickAt = Now;
+    this->OutboundServer->recordTick(Now);
   }
 
   void tick() {
--- a/orioledoor/wire/http_server.cc
+++ b/orioledoor/wire/http_server.cc
@@ -28,6 +28,8 @@
 
 // Connections that wait to be accepted.
 constexpr int ListenBacklog = 128;
+// Time without a tick after which the loop may have stood still.
+constexpr Duration MaxTickGap = std::chrono::milliseconds(100);
 // Pause after a failed accept. The reason is mostly a lack of descriptors, and
 // the listener would report it again at once.
 constexpr std::int64_t AcceptPauseMicros = 50'000;
@@ -70,6 +72,9 @@
   internal::EventPtr ReleaseEvent;
   std::uint64_t NextId = 1;
   std::uint64_t RejectedRequests = 0;
+  std::optional<Instant> LastTickAt;
+  // Requests that arrived during a delay may still be unread until then.
+  Instant BacklogUntil;
   bool Stopping = false;
 
   // Connections
@@ -126,6 +131,17 @@
 
   bool isStopping() const override { return this->Stopping; }
 
+  bool wasDelayed(Instant Now) const override {
+    return this->LastTickAt &&
+           (Now < this->BacklogUntil || Now - *this->LastTickAt > MaxTickGap);
+  }
+
+  void recordTick(Instant Now) {
+    if (this->wasDelayed(Now) && Now >= this->BacklogUntil)
+      this->BacklogUntil = Now + (Now - *this->LastTickAt);
+    this->LastTickAt = Now;
+  }
+
   // Requests
   // ------------------------------------------------------------------
 
@@ -245,6 +261,8 @@
   this->Pimpl->Options.IdleTimeout = Timeout;
 }
 
+void HttpServer::recordTick(Instant Now) { this->Pimpl->recordTick(Now); }
+
 void HttpServer::stopAccepting() {
   this->Pimpl->Stopping = true;
   this->Pimpl->Listener.reset();
--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -105,6 +105,12 @@
   // Sets the idle timeout of connections that are accepted from now on.
   void setIdleTimeout(std::chrono::seconds Timeout);
 
+  // States that the event loop is running. If this was called once, it must be
+  // called every 20 ms: a request that is read more than 100 ms after the last
+  // call may have waited for long, and is dropped if its caller has left since.
+  // After a delay this applies for as long as the delay took.
+  void recordTick(Instant Now);
+
   // Stops listening and ends keep-alive; open requests are still answered.
   void stopAccepting();
 
--- a/orioledoor/wire/http_server_test.cc
+++ b/orioledoor/wire/http_server_test.cc
@@ -1,8 +1,12 @@
 // Tests the handling of malformed requests and of callers that disconnect.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
+#include <thread>
+
 #include "orioledoor/wire/http_server.h"
 #include "orioledoor/wire/testing/http_server_fixture.h"
 
@@ -20,6 +24,7 @@
   CPPUNIT_TEST(ambiguousFramingGets400);
   CPPUNIT_TEST(nothingIsReadAfterAmbiguousFraming);
   CPPUNIT_TEST(disconnectedCallerIsReported);
+  CPPUNIT_TEST(requestsOfCallersThatLeftDuringADelayAreDropped);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -142,6 +147,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Server->openRequests());
     this->Server->reply(this->HeldRequests[0], {200, {}, "late"});
   }
+
+  // Guards against requests that reach a target although their callers had left
+  // before a process that stood still could read them.
+  void requestsOfCallersThatLeftDuringADelayAreDropped() {
+    this->Server->recordTick(readClock());
+    int Closed = testing::connectTo(Port);
+    int Reset = testing::connectTo(Port);
+    int Open = testing::connectTo(Port);
+    for (int Caller : {Closed, Reset, Open})
+      testing::sendAll(Caller, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    close(Closed);
+    linger ResetOnClose{1, 0};
+    setsockopt(Reset, SOL_SOCKET, SO_LINGER, &ResetOnClose,
+               sizeof ResetOnClose);
+    close(Reset);
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    this->Events.runUntil([] { return false; }, {},
+                          std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(1, this->ReceivedCount);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Server->openRequests());
+    CPPUNIT_ASSERT(this->DisconnectedRequests.empty());
+    close(Open);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
--- a/orioledoor/wire/internal/server_connection.cc
+++ b/orioledoor/wire/internal/server_connection.cc
@@ -2,6 +2,7 @@
 #include "orioledoor/wire/internal/server_connection.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <ctime>
 #include <string_view>
 #include <utility>
@@ -170,6 +171,12 @@
   Exchange &Added = this->Exchanges.emplace_back();
   IncomingRequest Request = this->Parser.takeRequest(Added.Last);
   Instant Now = readClock();
+  // libevent reports the end of the input only after the request, which would
+  // reach a target before it is cancelled.
+  if (this->Owner.wasDelayed(Now) && this->callerHasLeft()) {
+    this->abort();
+    return;
+  }
   Added.Id = this->Owner.addRequest(*this);
   Added.FirstByteAt = this->FirstByteAt.value_or(Now);
   Added.IsHead = Request.Method == "HEAD";
@@ -182,6 +189,13 @@
   this->Owner.handleRequest(Added.Id, std::move(Request));
 }
 
+bool ServerConnection::callerHasLeft() const {
+  char Byte;
+  ssize_t Received = recv(bufferevent_getfd(this->Stream.get()), &Byte, 1,
+                          MSG_PEEK | MSG_DONTWAIT);
+  return Received == 0 || (Received < 0 && errno == ECONNRESET);
+}
+
 void ServerConnection::reject(int Status) {
   this->Owner.recordRejection();
   this->InputDone = true;
--- a/orioledoor/wire/internal/server_connection.h
+++ b/orioledoor/wire/internal/server_connection.h
@@ -50,6 +50,8 @@
                        std::span<const std::uint64_t> OpenIds) = 0;
   // Whether connections end with their next response.
   virtual bool isStopping() const = 0;
+  // Whether requests that are read now may have waited in their sockets.
+  virtual bool wasDelayed(Instant Now) const = 0;
 
 protected:
   ~ServerConnectionOwner() = default;
@@ -89,6 +91,9 @@
   void processInput();
   bool mayParse() const;
   void acceptRequest();
+  // Whether the caller has closed the connection, or its sending side, and has
+  // sent nothing that was not read before that.
+  bool callerHasLeft() const;
   // Answers a request that cannot be handed on; nothing after it is read.
   void reject(int Status);
   void sendContinueIfExpected();
