Play planned stops under requests on the reducers

The simulated fleet gets a second kind of schedule: one to half of the nodes are told to stop, in series and overlapping, beside a store that is down or loses replies, entries that vanish and changes of the configuration, while callers go on using open connections. Every request that a target runs must be answered with its target's answer, and one that is not idempotent runs once.

The service of the modeled target is an option now, so the soak no longer replaces it in each report.

--- /dev/null
+++ b/orioledoor/sidecar/planned_stop_test.cc
@@ -0,0 +1,67 @@
+// Tests planned stops in a simulated fleet under requests. Over seeded
+// schedules that stop one to half of the nodes at a time, beside a store that
+// is down or loses replies, entries that vanish and changes of the
+// configuration, every request that a target runs is answered with the target's
+// answer, and no request that is not idempotent runs twice.
+//
+// ORIOLEDOOR_SEEDS and ORIOLEDOOR_FIRST_SEED select other schedules.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "orioledoor/sidecar/testing/model_fleet.h"
+
+namespace orioledoor::sidecar {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::uint64_t DefaultSeeds = 100;
+
+std::uint64_t readEnvironment(const char *Name, std::uint64_t Default) {
+  const char *Value = std::getenv(Name);
+  return Value ? std::strtoull(Value, nullptr, 10) : Default;
+}
+
+class PlannedStopTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlannedStopTest);
+  CPPUNIT_TEST(stopsCutNoRequestThatRuns);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against requests that a rolling restart cuts while their targets are
+  // at work, and against promises that such a request has not run.
+  void stopsCutNoRequestThatRuns() {
+    std::uint64_t First = readEnvironment("ORIOLEDOOR_FIRST_SEED", 1);
+    std::uint64_t Count = readEnvironment("ORIOLEDOOR_SEEDS", DefaultSeeds);
+    int Failed = 0;
+    std::size_t Answered = 0;
+    std::size_t OpenAtStops = 0;
+    for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
+      testing::ModelFleet Fleet(Seed, 4 + static_cast<int>(Seed % 6),
+                                testing::ModelSchedule::PlannedStops);
+      Fleet.run(seconds(6), false);
+      Fleet.run(seconds(40), true);
+      Answered += Fleet.traffic().answered();
+      OpenAtStops += Fleet.openAtStops();
+      if (Fleet.failure().empty())
+        continue;
+      ++Failed;
+      std::cerr << "seed " << Seed << ": " << Fleet.failure() << "\n";
+      if (Count == 1)
+        for (const std::string &Line : Fleet.history())
+          std::cerr << "  " << Line << "\n";
+    }
+    CPPUNIT_ASSERT_EQUAL(0, Failed);
+    // Checks that the schedules stop nodes at which requests are open.
+    CPPUNIT_ASSERT(Answered > Count * 500);
+    CPPUNIT_ASSERT(OpenAtStops > Count * 10);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
+
+} // namespace
+} // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -2,6 +2,8 @@
 #include "orioledoor/sidecar/testing/model_fleet.h"
 
 #include <algorithm>
+#include <numeric>
+#include <ranges>
 #include <utility>
 
 #include "orioledoor/keyspace/key_map.h"
@@ -18,6 +20,10 @@
 constexpr Duration CallTimeout = milliseconds(1000);
 // Mean interval between faults, in milliseconds.
 constexpr int FaultInterval = 1500;
+// Time after which a message to a process that is down is reported as not sent.
+constexpr Duration ConnectTimeout = milliseconds(300);
+// Chance of a request at each node in each step: 10 requests/s a node.
+constexpr int RequestPercent = 5;
 
 routing::SharedRouteTable newTable() {
   auto Table = std::make_shared<routing::RouteTable>();
@@ -29,8 +35,10 @@
 
 } // namespace
 
-ModelFleet::ModelFleet(std::uint64_t Seed, int Nodes)
-    : Random(Seed), Table(newTable()) {
+ModelFleet::ModelFleet(std::uint64_t Seed, int Nodes, ModelSchedule Schedule)
+    : Random(Seed), Schedule(Schedule),
+      Table(Schedule == ModelSchedule::PlannedStops ? trafficTable(1)
+                                                    : newTable()) {
   for (int Index = 0; Index < Nodes; ++Index) {
     auto Added = std::make_unique<Vm>();
     Added->Index = Index;
@@ -51,11 +59,12 @@
   Options.Node = Machine.Node;
   Options.Process = Machine.Process = this->NextProcess++;
   Options.Place = {"domain-" + std::to_string(Machine.Index), "region"};
-  Options.Service = "consulta";
+  Options.Service = this->Table->Services.begin()->first;
   Machine.Reducer = std::make_unique<SidecarReducer>(Options);
   Machine.DelayedEvents.clear();
   Machine.WatchAfter = -1;
   Machine.NextTick = this->Now;
+  Machine.Stopping = Machine.ExitDue = false;
   this->execute(Machine, Machine.Reducer->handle(Started{}, this->Now));
   this->execute(Machine,
                 Machine.Reducer->handle(ConfigDecoded{this->Table}, this->Now));
@@ -69,7 +78,8 @@
   if (this->randomChance(50))
     Instance += "-" + std::to_string(Born);
   double Rate = 0.98 + 0.02 * static_cast<double>(this->Random() % 2);
-  Machine.Target = std::make_unique<ModelTarget>(Instance, Born, Rate);
+  Machine.Target = std::make_unique<ModelTarget>(
+      this->Table->Services.begin()->first, Instance, Born, Rate);
   Machine.NextReport = this->Now + this->randomDuration(870);
   // The connections of the previous process ended with it.
   ++Machine.ReportId;
@@ -88,17 +98,14 @@
 void ModelFleet::execute(Vm &From, Effects NewEffects) {
   for (Effect &NewEffect : NewEffects) {
     if (auto *Message = std::get_if<SendMessage>(&NewEffect)) {
-      auto To = std::ranges::find_if(this->Vms, [Message](const auto &Machine) {
-        return Machine->Node == Message->To;
-      });
-      if (To == this->Vms.end() || this->Now < From.PeerCutUntil ||
-          this->Now < (*To)->PeerCutUntil)
-        continue;
-      this->ScheduledEvents.emplace(
-          this->Now + milliseconds(1) + this->randomDuration(9),
-          ScheduledEvent{
-              (*To)->Index, (*To)->Process,
-              PeerMessageReceived{From.Node, std::move(Message->Body)}});
+      this->sendMessage(From, *Message);
+    } else if (auto *Run = std::get_if<StartCall>(&NewEffect)) {
+      this->startRun(From, *Run);
+    } else if (auto *Replied = std::get_if<ReplyToCaller>(&NewEffect)) {
+      this->Traffic.recordReply(Replied->Caller, Replied->Answer.Status,
+                                this->Now);
+    } else if (std::holds_alternative<Exit>(NewEffect)) {
+      From.ExitDue = true;
     } else if (auto *Call = std::get_if<CallStore>(&NewEffect)) {
       this->callStore(From, std::move(Call->Request));
     } else if (auto *Watch = std::get_if<WatchStore>(&NewEffect)) {
@@ -115,6 +122,76 @@
   }
 }
 
+void ModelFleet::sendMessage(Vm &From, const SendMessage &Message) {
+  for (auto &To : this->Vms) {
+    bool Broadcast = Message.To.empty() &&
+                     this->Schedule == ModelSchedule::PlannedStops &&
+                     To.get() != &From;
+    if ((To->Node != Message.To && !Broadcast) ||
+        this->Now < From.PeerCutUntil || this->Now < To->PeerCutUntil)
+      continue;
+    const auto *Request = std::get_if<routing::Forward>(&Message.Body);
+    if (Request && !To->Reducer)
+      this->ScheduledEvents.emplace(
+          this->Now + ConnectTimeout,
+          ScheduledEvent{From.Index, From.Process,
+                         ForwardNotSent{To->Node, Request->Id}});
+    else
+      this->ScheduledEvents.emplace(
+          this->Now + milliseconds(1) + this->randomDuration(9),
+          ScheduledEvent{To->Index, To->Process,
+                         PeerMessageReceived{From.Node, Message.Body}});
+  }
+}
+
+void ModelFleet::startRun(const Vm &Machine, const StartCall &Call) {
+  this->Traffic.recordStart(Call.AttemptId, this->Now);
+  this->ScheduledEvents.emplace(
+      this->Now + milliseconds(20) + this->randomDuration(900),
+      ScheduledEvent{Machine.Index, Machine.Process,
+                     TargetAnswered{.Call = Call.CallId,
+                                    .Answer = {200, {}, ""},
+                                    .Signals = routing::TargetSignals{}}});
+}
+
+void ModelFleet::sendRequests() {
+  // Callers use open connections until the process is gone.
+  for (auto &Machine : this->Vms)
+    if (Machine->Reducer && (Machine->Stopping || Machine->Reducer->ready()) &&
+        this->randomChance(RequestPercent))
+      this->deliver(*Machine, this->Traffic.addRequest(Machine->Process,
+                                                       this->randomChance(50),
+                                                       this->Now));
+}
+
+void ModelFleet::stopNodes() {
+  std::vector<std::size_t> Order(this->Vms.size());
+  std::iota(Order.begin(), Order.end(), std::size_t{0});
+  std::ranges::shuffle(Order, this->Random);
+  std::size_t Count = 1 + this->Random() % (this->Vms.size() / 2);
+  for (std::size_t Index : Order | std::views::take(Count)) {
+    Vm &Machine = *this->Vms[Index];
+    if (!Machine.Reducer || Machine.Stopping)
+      continue;
+    this->recordHistory("vm " + std::to_string(Index) + " is told to stop");
+    this->OpenAtStops += this->Traffic.openAt(Machine.Process);
+    Machine.Stopping = true;
+    this->deliver(Machine, StopRequested{});
+  }
+}
+
+void ModelFleet::endProcess(Vm &Machine) {
+  this->Traffic.recordExit(Machine.Process, this->Now);
+  Machine.Reducer.reset();
+  Machine.NodeUpAt = this->Now + milliseconds(200) + this->randomDuration(1500);
+  for (auto &Other : this->Vms)
+    if (Other->Reducer)
+      this->ScheduledEvents.emplace(
+          this->Now + milliseconds(1) + this->randomDuration(9),
+          ScheduledEvent{Other->Index, Other->Process,
+                         PeerConnectionLost{Machine.Node}});
+}
+
 void ModelFleet::callStore(Vm &From, StoreRequest Request) {
   bool Reached =
       this->Now >= this->StoreDownUntil && this->Now >= From.StoreCutUntil;
@@ -202,7 +279,49 @@
     Machine.NextReport = this->Now + milliseconds(100);
 }
 
+void ModelFleet::injectFaultBesideStops() {
+  Vm &Machine = *this->Vms[this->Random() % this->Vms.size()];
+  Duration FaultTime = milliseconds(300) + this->randomDuration(6000);
+  std::string TimeText =
+      " for " + std::to_string(FaultTime.count() / 1000) + " ms";
+  switch (this->Random() % 8) {
+  case 0:
+    this->LeasesPaused = this->randomChance(50);
+    this->recordHistory(std::string("store down") +
+                        (this->LeasesPaused ? "" : ", leases run out") +
+                        TimeText);
+    this->StoreDownUntil = this->Now + FaultTime;
+    return;
+  case 1:
+    this->recordHistory("replies of the store lost" + TimeText);
+    this->RepliesLostUntil = this->Now + FaultTime;
+    return;
+  case 2:
+    this->recordHistory("lease of vm " + std::to_string(Machine.Index) +
+                        " revoked, store unreachable" + TimeText);
+    this->Store.endLease(
+        this->Store.leaseOf(keyspace::KeyPlanner::nodeEntryKey(Machine.Node)));
+    Machine.StoreCutUntil = this->Now + FaultTime;
+    return;
+  case 3:
+    this->Table = trafficTable(this->Table->Version + 1);
+    this->recordHistory("configuration changed");
+    for (auto &Receiver : this->Vms)
+      this->ScheduledEvents.emplace(this->Now + this->randomDuration(500),
+                                    ScheduledEvent{Receiver->Index,
+                                                   Receiver->Process,
+                                                   ConfigDecoded{this->Table}});
+    return;
+  default:
+    this->stopNodes();
+  }
+}
+
 void ModelFleet::injectFault() {
+  if (this->Schedule == ModelSchedule::PlannedStops) {
+    this->injectFaultBesideStops();
+    return;
+  }
   Vm &Machine = *this->Vms[this->Random() % this->Vms.size()];
   std::string Name = "vm " + std::to_string(Machine.Index);
   Duration FaultTime = milliseconds(300) + this->randomDuration(9000);
@@ -354,7 +473,13 @@
       Machine.NextTick = this->Now + TickInterval;
       this->deliver(Machine, TimerTicked{});
     }
+    if (Machine.ExitDue && Machine.Reducer)
+      this->endProcess(Machine);
   }
+  if (this->Schedule == ModelSchedule::PlannedStops)
+    this->sendRequests();
+  if (this->Failure.empty())
+    this->Failure = this->Traffic.failure();
   this->checkHolders();
 }
 
--- a/orioledoor/sidecar/testing/model_fleet.h
+++ b/orioledoor/sidecar/testing/model_fleet.h
@@ -8,6 +8,9 @@
 //   Fleet.run(std::chrono::seconds(40), /*Faults=*/true);
 //   Fleet.run(std::chrono::seconds(25), /*Faults=*/false);
 //   CPPUNIT_ASSERT(Fleet.failure().empty());
+//
+// With ModelSchedule::PlannedStops, nodes are stopped under requests instead,
+// and the guarantees of model_traffic.h are checked.
 #ifndef ORIOLEDOOR_SIDECAR_TESTING_MODEL_FLEET_H
 #define ORIOLEDOOR_SIDECAR_TESTING_MODEL_FLEET_H
 
@@ -22,13 +25,25 @@
 #include "orioledoor/sidecar/reducer.h"
 #include "orioledoor/sidecar/testing/model_store.h"
 #include "orioledoor/sidecar/testing/model_target.h"
+#include "orioledoor/sidecar/testing/model_traffic.h"
 
 namespace orioledoor::sidecar::testing {
 
+enum class ModelSchedule {
+  // A keyed service without requests; processes, targets, the store and the
+  // network fail.
+  KeyFaults,
+  // Requests for a service without keys; one to half of the nodes are stopped
+  // at a time, beside changes of the configuration, a store that is down or
+  // loses replies, and entries that vanish. Targets live on.
+  PlannedStops,
+};
+
 // Not thread-safe. Deterministic: the same seed gives the same run.
 class ModelFleet {
 public:
-  ModelFleet(std::uint64_t Seed, int Nodes);
+  ModelFleet(std::uint64_t Seed, int Nodes,
+             ModelSchedule Schedule = ModelSchedule::KeyFaults);
 
   void run(Duration RunTime, bool Faults);
 
@@ -39,6 +54,10 @@
   // Returns the number of times a sampled key was acquired by a target other
   // than its previous holder.
   int moves() const { return this->Moves; }
+  const ModelTraffic &traffic() const { return this->Traffic; }
+  // Returns the number of requests that were open at nodes when those were told
+  // to stop.
+  std::size_t openAtStops() const { return this->OpenAtStops; }
   // Injected faults and logged events, for the report of a failure.
   const std::vector<std::string> &history() const { return this->History; }
 
@@ -62,6 +81,9 @@
     std::vector<Event> DelayedEvents;
     std::int64_t WatchAfter = -1;
     Instant NextTick;
+    // The process was told to stop, and has asked to end.
+    bool Stopping = false;
+    bool ExitDue = false;
   };
   // An event to be delivered to a process at a later time.
   struct ScheduledEvent {
@@ -87,6 +109,13 @@
   void report(Vm &Machine);
   void answerReport(Vm &Machine, const ReplyToReport &Answer);
   void injectFault();
+  void injectFaultBesideStops();
+  void stopNodes();
+  void endProcess(Vm &Machine);
+  void sendRequests();
+  void sendMessage(Vm &From, const SendMessage &Message);
+  // The target runs the request of the call for a while and answers it.
+  void startRun(const Vm &Machine, const StartCall &Call);
   void checkHolders();
   void recordHistory(std::string Line);
   Duration randomDuration(int Millis) {
@@ -98,6 +127,9 @@
   }
 
   std::mt19937_64 Random;
+  ModelSchedule Schedule;
+  ModelTraffic Traffic;
+  std::size_t OpenAtStops = 0;
   Instant Now{std::int64_t{1'000'000}};
   ModelStore Store;
   std::vector<std::unique_ptr<Vm>> Vms;
--- a/orioledoor/sidecar/testing/model_target.cc
+++ b/orioledoor/sidecar/testing/model_target.cc
@@ -10,7 +10,7 @@
   routing::TargetReport Report;
   Report.Instance = this->Instance;
   Report.StartTimeMs = this->Born;
-  Report.Service = "consulta";
+  Report.Service = this->Service;
   Report.Slots = 18;
   Report.Draining = this->Draining;
   Report.Sequence = ++this->Sequence;
--- a/orioledoor/sidecar/testing/model_target.h
+++ b/orioledoor/sidecar/testing/model_target.h
@@ -19,8 +19,10 @@
 // Not thread-safe.
 class ModelTarget {
 public:
-  ModelTarget(std::string Instance, std::int64_t Born, double ClockRate)
-      : Instance(std::move(Instance)), Born(Born), ClockRate(ClockRate) {}
+  ModelTarget(std::string Service, std::string Instance, std::int64_t Born,
+              double ClockRate)
+      : Service(std::move(Service)), Instance(std::move(Instance)), Born(Born),
+        ClockRate(ClockRate) {}
 
   // Returns the next heartbeat report.
   routing::TargetReport report(Instant Now);
@@ -47,6 +49,7 @@
     Instant WorkUntil;
   };
 
+  std::string Service;
   std::string Instance;
   std::int64_t Born;
   // Speed of the target's clock; 0.98 is the slowest.
--- /dev/null
+++ b/orioledoor/sidecar/testing/model_traffic.h
@@ -0,0 +1,69 @@
+// Requests of callers in a simulated fleet, and the runs that targets make of
+// them. Checks the guarantees of the request path:
+//   - a request that a target runs is answered with that target's answer, while
+//     its time lasts and the target lives;
+//   - a request that is not idempotent runs at most once.
+//
+//   std::uint64_t Caller = Traffic.addRequest(Node, Idempotent, Now);
+//   Traffic.recordStart(AttemptId, Now);
+//   Traffic.recordReply(Caller, 200, Now);
+//   CPPUNIT_ASSERT(Traffic.failure().empty());
+#ifndef ORIOLEDOOR_SIDECAR_TESTING_MODEL_TRAFFIC_H
+#define ORIOLEDOOR_SIDECAR_TESTING_MODEL_TRAFFIC_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "orioledoor/base/instant.h"
+#include "orioledoor/sidecar/event.h"
+
+namespace orioledoor::sidecar::testing {
+
+inline constexpr char TrafficService[] = "plain";
+
+// Returns the configuration of the requests, in the given version.
+routing::SharedRouteTable trafficTable(std::uint64_t Version);
+
+// Not thread-safe.
+class ModelTraffic {
+public:
+  // Adds a request at the entry process Process and returns the event that
+  // passes it on.
+  CallerRequestReceived addRequest(std::uint64_t Process, bool Idempotent,
+                                   Instant Now);
+  // A target has begun to run the request.
+  void recordStart(std::string_view AttemptId, Instant Now);
+  void recordReply(std::uint64_t Caller, int Status, Instant Now);
+  // The process has ended; its callers get no answer any more.
+  void recordExit(std::uint64_t Process, Instant Now);
+
+  // The first violated guarantee; empty if there is none.
+  const std::string &failure() const { return this->Failure; }
+  std::size_t answered() const { return this->Answered; }
+  // Number of requests that are open at the entry process.
+  std::size_t openAt(std::uint64_t Process) const;
+
+private:
+  struct Request {
+    std::uint64_t Process = 0;
+    bool Idempotent = false;
+    Instant SentAt;
+    int Runs = 0;
+  };
+
+  void checkLost(std::uint64_t Caller, const Request &Ended,
+                 const std::string &How, Instant Now);
+
+  // Open requests by caller, which is also their attempt id.
+  std::map<std::uint64_t, Request> Open;
+  std::uint64_t NextCaller = 1;
+  std::size_t Answered = 0;
+  std::string Failure;
+};
+
+} // namespace orioledoor::sidecar::testing
+
+#endif // ORIOLEDOOR_SIDECAR_TESTING_MODEL_TRAFFIC_H
--- a/orioledoor/soak/soak_target.cc
+++ b/orioledoor/soak/soak_target.cc
@@ -69,6 +69,7 @@
       std::chrono::system_clock::now().time_since_epoch());
   this->LastStartMillis = std::max(Wall.count(), this->LastStartMillis + 1);
   this->Model = std::make_unique<ModelTarget>(
+      this->Options.Service,
       this->Options.Name + "-" + std::to_string(this->InstanceNumber),
       this->LastStartMillis, 1.0);
   this->RunningRequests = 0;
@@ -142,7 +143,6 @@
 void SoakTarget::sendReport() {
   this->ReportPending = true;
   routing::TargetReport Report = this->Model->report(readClock());
-  Report.Service = this->Options.Service;
   Report.SoftwareVersion = "v1";
   Report.FailureDomain = "north-a";
   Report.Slots = this->Options.Slots;
