Play lost VMs and callers that leave on the reducers

No test looked for requests that are sent on after their callers have left.

The simulated fleet gets a third kind of schedule with all of these: frames to a lost VM vanish for 550 ms and fail after 300 ms from then on, and two in five callers leave. No request may begin to run half a second after its caller left, and a target's answer reaches each caller that stayed, unless a VM was lost.

--- a/orioledoor/sidecar/planned_stop_test.cc
+++ b/orioledoor/sidecar/request_path_test.cc
@@ -28,20 +28,31 @@
 class PlannedStopTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlannedStopTest);
   CPPUNIT_TEST(stopsCutNoRequestThatRuns);
+  CPPUNIT_TEST(requestsEndWithTheirCallers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against requests that a rolling restart cuts while their targets are
   // at work, and against promises that such a request has not run.
   void stopsCutNoRequestThatRuns() {
+    this->play(testing::ModelSchedule::PlannedStops);
+  }
+
+  // Guards against requests that are sent on after their callers have left,
+  // while the nodes that they were sent to are lost or stop.
+  void requestsEndWithTheirCallers() {
+    this->play(testing::ModelSchedule::StopsAndLosses);
+  }
+
+private:
+  void play(testing::ModelSchedule Schedule) {
     std::uint64_t First = readEnvironment("ORIOLEDOOR_FIRST_SEED", 1);
     std::uint64_t Count = readEnvironment("ORIOLEDOOR_SEEDS", DefaultSeeds);
     int Failed = 0;
     std::size_t Answered = 0;
     std::size_t OpenAtStops = 0;
     for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
-      testing::ModelFleet Fleet(Seed, 4 + static_cast<int>(Seed % 6),
-                                testing::ModelSchedule::PlannedStops);
+      testing::ModelFleet Fleet(Seed, 4 + static_cast<int>(Seed % 6), Schedule);
       Fleet.run(seconds(6), false);
       Fleet.run(seconds(40), true);
       Answered += Fleet.traffic().answered();
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -24,6 +24,10 @@
 constexpr Duration ConnectTimeout = milliseconds(300);
 // Chance of a request at each node in each step: 10 requests/s a node.
 constexpr int RequestPercent = 5;
+// Share of the callers that leave, if any do.
+constexpr int LeavePercent = 40;
+// Time after which the loss of a VM shows, since it does not answer a ping.
+constexpr Duration LostPingTime = milliseconds(550);
 
 routing::SharedRouteTable newTable() {
   auto Table = std::make_shared<routing::RouteTable>();
@@ -37,8 +41,8 @@
 
 ModelFleet::ModelFleet(std::uint64_t Seed, int Nodes, ModelSchedule Schedule)
     : Random(Seed), Schedule(Schedule),
-      Table(Schedule == ModelSchedule::PlannedStops ? trafficTable(1)
-                                                    : newTable()) {
+      Table(Schedule == ModelSchedule::KeyFaults ? newTable()
+                                                 : trafficTable(1)) {
   for (int Index = 0; Index < Nodes; ++Index) {
     auto Added = std::make_unique<Vm>();
     Added->Index = Index;
@@ -125,11 +129,14 @@
 void ModelFleet::sendMessage(Vm &From, const SendMessage &Message) {
   for (auto &To : this->Vms) {
     bool Broadcast = Message.To.empty() &&
-                     this->Schedule == ModelSchedule::PlannedStops &&
+                     this->Schedule != ModelSchedule::KeyFaults &&
                      To.get() != &From;
     if ((To->Node != Message.To && !Broadcast) ||
         this->Now < From.PeerCutUntil || this->Now < To->PeerCutUntil)
       continue;
+    // Until the connection counts as lost, frames disappear without a sign.
+    if (this->Now < To->SilentUntil)
+      continue;
     const auto *Request = std::get_if<routing::Forward>(&Message.Body);
     if (Request && !To->Reducer)
       this->ScheduledEvents.emplace(
@@ -145,7 +152,7 @@
 }
 
 void ModelFleet::startRun(const Vm &Machine, const StartCall &Call) {
-  this->Traffic.recordStart(Call.AttemptId, this->Now);
+  this->Traffic.recordStart(Call.AttemptId, Machine.Index, this->Now);
   this->ScheduledEvents.emplace(
       this->Now + milliseconds(20) + this->randomDuration(900),
       ScheduledEvent{Machine.Index, Machine.Process,
@@ -158,10 +165,49 @@
   // Callers use open connections until the process is gone.
   for (auto &Machine : this->Vms)
     if (Machine->Reducer && (Machine->Stopping || Machine->Reducer->ready()) &&
-        this->randomChance(RequestPercent))
-      this->deliver(*Machine, this->Traffic.addRequest(Machine->Process,
-                                                       this->randomChance(50),
-                                                       this->Now));
+        this->randomChance(RequestPercent)) {
+      CallerRequestReceived Added = this->Traffic.addRequest(
+          Machine->Process, this->randomChance(50), this->Now);
+      if (this->Schedule == ModelSchedule::StopsAndLosses &&
+          this->randomChance(LeavePercent))
+        this->Departures.emplace(
+            this->Now + this->randomDuration(1500),
+            Departure{Machine->Index, Machine->Process, Added.Request.Caller});
+      this->deliver(*Machine, std::move(Added));
+    }
+}
+
+void ModelFleet::letCallersLeave() {
+  while (!this->Departures.empty() &&
+         this->Departures.begin()->first <= this->Now) {
+    Departure Next = this->Departures.begin()->second;
+    this->Departures.erase(this->Departures.begin());
+    Vm &Machine = *this->Vms[static_cast<std::size_t>(Next.VmIndex)];
+    if (this->Traffic.leave(Next.Caller, this->Now) &&
+        Machine.Process == Next.Process)
+      this->deliver(Machine, CallerDisconnected{Next.Caller});
+  }
+}
+
+void ModelFleet::loseConnections(const Vm &Machine, Duration Delay) {
+  for (auto &Other : this->Vms)
+    if (Other->Reducer)
+      this->ScheduledEvents.emplace(
+          this->Now + Delay + this->randomDuration(9),
+          ScheduledEvent{Other->Index, Other->Process,
+                         PeerConnectionLost{Machine.Node}});
+}
+
+void ModelFleet::loseVm(Vm &Machine, Duration Time) {
+  this->recordHistory("vm " + std::to_string(Machine.Index) + " lost for " +
+                      std::to_string(Time.count() / 1000) + " ms");
+  this->Traffic.recordLoss(Machine.Index, Machine.Process);
+  Machine.Reducer.reset();
+  Machine.Target.reset();
+  Machine.SilentUntil = this->Now + LostPingTime;
+  Machine.NodeUpAt = Machine.SilentUntil + Time;
+  Machine.TargetUpAt = Machine.NodeUpAt + this->randomDuration(500);
+  this->loseConnections(Machine, LostPingTime);
 }
 
 void ModelFleet::stopNodes() {
@@ -184,12 +230,7 @@
   this->Traffic.recordExit(Machine.Process, this->Now);
   Machine.Reducer.reset();
   Machine.NodeUpAt = this->Now + milliseconds(200) + this->randomDuration(1500);
-  for (auto &Other : this->Vms)
-    if (Other->Reducer)
-      this->ScheduledEvents.emplace(
-          this->Now + milliseconds(1) + this->randomDuration(9),
-          ScheduledEvent{Other->Index, Other->Process,
-                         PeerConnectionLost{Machine.Node}});
+  this->loseConnections(Machine, milliseconds(1));
 }
 
 void ModelFleet::callStore(Vm &From, StoreRequest Request) {
@@ -312,13 +353,17 @@
                                                    Receiver->Process,
                                                    ConfigDecoded{this->Table}});
     return;
+  case 4:
+    if (this->Schedule == ModelSchedule::StopsAndLosses && Machine.Reducer)
+      this->loseVm(Machine, FaultTime);
+    return;
   default:
     this->stopNodes();
   }
 }
 
 void ModelFleet::injectFault() {
-  if (this->Schedule == ModelSchedule::PlannedStops) {
+  if (this->Schedule != ModelSchedule::KeyFaults) {
     this->injectFaultBesideStops();
     return;
   }
@@ -476,8 +521,10 @@
     if (Machine.ExitDue && Machine.Reducer)
       this->endProcess(Machine);
   }
-  if (this->Schedule == ModelSchedule::PlannedStops)
+  if (this->Schedule != ModelSchedule::KeyFaults) {
+    this->letCallersLeave();
     this->sendRequests();
+  }
   if (this->Failure.empty())
     this->Failure = this->Traffic.failure();
   this->checkHolders();
--- a/orioledoor/sidecar/testing/model_fleet.h
+++ b/orioledoor/sidecar/testing/model_fleet.h
@@ -37,6 +37,8 @@
   // at a time, beside changes of the configuration, a store that is down or
   // loses replies, and entries that vanish. Targets live on.
   PlannedStops,
+  // The same, while VMs are lost with their targets and callers leave.
+  StopsAndLosses,
 };
 
 // Not thread-safe. Deterministic: the same seed gives the same run.
@@ -72,6 +74,8 @@
     Instant NodeUpAt;
     Instant TargetUpAt;
     Instant FrozenUntil;
+    // The VM is lost, and the others do not know it yet.
+    Instant SilentUntil;
     Instant StoreCutUntil;
     Instant PeerCutUntil;
     Instant ReportsCutUntil;
@@ -91,6 +95,12 @@
     std::uint64_t Process = 0;
     Event Payload;
   };
+  // A caller that will leave.
+  struct Departure {
+    int VmIndex = 0;
+    std::uint64_t Process = 0;
+    std::uint64_t Caller = 0;
+  };
   // A store request in transit.
   struct StoreCall {
     int From = 0;
@@ -110,9 +120,13 @@
   void answerReport(Vm &Machine, const ReplyToReport &Answer);
   void injectFault();
   void injectFaultBesideStops();
+  void loseVm(Vm &Machine, Duration Time);
+  // Tells the others, after Delay, that their connections to the VM are lost.
+  void loseConnections(const Vm &Machine, Duration Delay);
   void stopNodes();
   void endProcess(Vm &Machine);
   void sendRequests();
+  void letCallersLeave();
   void sendMessage(Vm &From, const SendMessage &Message);
   // The target runs the request of the call for a while and answers it.
   void startRun(const Vm &Machine, const StartCall &Call);
@@ -135,6 +149,7 @@
   std::vector<std::unique_ptr<Vm>> Vms;
   std::multimap<Instant, ScheduledEvent> ScheduledEvents;
   std::multimap<Instant, StoreCall> StoreCalls;
+  std::multimap<Instant, Departure> Departures;
   Instant StoreDownUntil;
   bool LeasesPaused = false;
   Instant RepliesLostUntil;
--- a/orioledoor/sidecar/testing/model_traffic.cc
+++ b/orioledoor/sidecar/testing/model_traffic.cc
@@ -18,6 +18,8 @@
 // target's answer may end a request: its deadline is near.
 constexpr Duration TimeLeft = milliseconds(2000);
 constexpr Duration DeadlineMargin = milliseconds(200);
+// The platform's bound on requests that reach a target after their caller left.
+constexpr Duration MaxRunAfterLeave = milliseconds(500);
 
 routing::Route makeRoute(const char *Prefix, bool Idempotent) {
   routing::Route Route{.Name = Prefix, .Host = Host, .Prefix = Prefix};
@@ -44,8 +46,10 @@
 CallerRequestReceived ModelTraffic::addRequest(std::uint64_t Process,
                                                bool Idempotent, Instant Now) {
   std::uint64_t Caller = this->NextCaller++;
-  this->Open[Caller] = {
-      .Process = Process, .Idempotent = Idempotent, .SentAt = Now};
+  Request &Added = this->Requests[Caller];
+  Added.Process = Process;
+  Added.Idempotent = Idempotent;
+  Added.SentAt = Now;
   auto Content = std::make_shared<routing::RequestContent>();
   Content->Host = Host;
   Content->Target =
@@ -57,32 +61,55 @@
            .Content = std::move(Content)}};
 }
 
-void ModelTraffic::recordStart(std::string_view AttemptId, Instant Now) {
+void ModelTraffic::recordStart(std::string_view AttemptId, int Vm,
+                               Instant Now) {
   std::uint64_t Caller = 0;
   std::from_chars(AttemptId.data(), AttemptId.data() + AttemptId.size(),
                   Caller);
-  auto Found = this->Open.find(Caller);
-  if (Found == this->Open.end()) {
-    this->Failure = "request " + std::string(AttemptId) +
-                    " runs after its end at " +
-                    std::to_string(Now.micros() / 1000) + " ms";
-    return;
+  auto Found = this->Requests.find(Caller);
+  std::string Problem;
+  if (Found == this->Requests.end()) {
+    Problem = "after its end";
+  } else {
+    Request &Started = Found->second;
+    Started.RunAt.push_back(Vm);
+    if (Started.RunAt.size() > 1 && !Started.Idempotent)
+      Problem = "twice";
+    if (Started.LeftAt && !Started.VmLost &&
+        Now - *Started.LeftAt > MaxRunAfterLeave)
+      Problem = "after its caller has left";
   }
-  if (++Found->second.Runs > 1 && !Found->second.Idempotent)
-    this->Failure = "request " + std::string(AttemptId) + " runs twice at " +
-                    std::to_string(Now.micros() / 1000) + " ms";
+  if (!Problem.empty())
+    this->Failure = "request " + std::string(AttemptId) + " runs " + Problem +
+                    ", at " + std::to_string(Now.micros() / 1000) + " ms";
+}
+
+void ModelTraffic::recordLoss(int Vm, std::uint64_t Process) {
+  for (auto &[Caller, Request] : this->Requests)
+    if (Request.Process == Process ||
+        std::ranges::find(Request.RunAt, Vm) != Request.RunAt.end())
+      Request.VmLost = true;
+}
+
+bool ModelTraffic::leave(std::uint64_t Caller, Instant Now) {
+  auto Found = this->Requests.find(Caller);
+  if (Found == this->Requests.end() || Found->second.LeftAt)
+    return false;
+  Found->second.LeftAt = Now;
+  return true;
 }
 
 void ModelTraffic::checkLost(std::uint64_t Caller, const Request &Ended,
                              const std::string &How, Instant Now) {
-  if (Ended.Runs > 0 && Now - Ended.SentAt < TimeLeft - DeadlineMargin)
+  if (!Ended.RunAt.empty() && !Ended.VmLost && !Ended.LeftAt &&
+      Now - Ended.SentAt < TimeLeft - DeadlineMargin)
     this->Failure = "request " + std::to_string(Caller) + " ended with " + How +
                     " while a target ran it, at " +
                     std::to_string(Now.micros() / 1000) + " ms";
 }
 
 void ModelTraffic::recordReply(std::uint64_t Caller, int Status, Instant Now) {
-  auto Ended = this->Open.extract(Caller);
+  auto Ended = this->Requests.extract(Caller);
   if (Ended.empty()) {
     this->Failure = "caller " + std::to_string(Caller) + " got two answers";
     return;
@@ -94,18 +121,18 @@
 }
 
 void ModelTraffic::recordExit(std::uint64_t Process, Instant Now) {
-  for (const auto &[Caller, Request] : this->Open)
+  for (const auto &[Caller, Request] : this->Requests)
     if (Request.Process == Process)
       this->checkLost(Caller, Request, "its connection", Now);
-  std::erase_if(this->Open, [Process](const auto &Entry) {
+  std::erase_if(this->Requests, [Process](const auto &Entry) {
     return Entry.second.Process == Process;
   });
 }
 
 std::size_t ModelTraffic::openAt(std::uint64_t Process) const {
   return static_cast<std::size_t>(
-      std::ranges::count_if(this->Open, [Process](const auto &Entry) {
-        return Entry.second.Process == Process;
+      std::ranges::count_if(this->Requests, [Process](const auto &Entry) {
+        return Entry.second.Process == Process && !Entry.second.LeftAt;
       }));
 }
 
--- a/orioledoor/sidecar/testing/model_traffic.h
+++ b/orioledoor/sidecar/testing/model_traffic.h
@@ -2,10 +2,11 @@
 // them. Checks the guarantees of the request path:
 //   - a request that a target runs is answered with that target's answer, while
 //     its time lasts and the target lives;
-//   - a request that is not idempotent runs at most once.
+//   - a request that is not idempotent runs at most once;
+//   - no request begins to run long after its caller has left.
 //
 //   std::uint64_t Caller = Traffic.addRequest(Node, Idempotent, Now);
-//   Traffic.recordStart(AttemptId, Now);
+//   Traffic.recordStart(AttemptId, TargetIndex, Now);
 //   Traffic.recordReply(Caller, 200, Now);
 //   CPPUNIT_ASSERT(Traffic.failure().empty());
 #ifndef ORIOLEDOOR_SIDECAR_TESTING_MODEL_TRAFFIC_H
@@ -14,8 +15,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "orioledoor/base/instant.h"
 #include "orioledoor/sidecar/event.h"
@@ -34,8 +37,13 @@
   // passes it on.
   CallerRequestReceived addRequest(std::uint64_t Process, bool Idempotent,
                                    Instant Now);
-  // A target has begun to run the request.
-  void recordStart(std::string_view AttemptId, Instant Now);
+  // The target on this VM has begun to run the request.
+  void recordStart(std::string_view AttemptId, int Vm, Instant Now);
+  // The VM is lost with its entry process; requests that its target ran may end
+  // in any way.
+  void recordLoss(int Vm, std::uint64_t Process);
+  // The caller closes its connection. Returns false if its request is not open.
+  bool leave(std::uint64_t Caller, Instant Now);
   void recordReply(std::uint64_t Caller, int Status, Instant Now);
   // The process has ended; its callers get no answer any more.
   void recordExit(std::uint64_t Process, Instant Now);
@@ -51,14 +59,18 @@
     std::uint64_t Process = 0;
     bool Idempotent = false;
     Instant SentAt;
-    int Runs = 0;
+    // VMs whose targets have begun to run the request.
+    std::vector<int> RunAt;
+    // A target that ran it, or the entry process, was lost.
+    bool VmLost = false;
+    std::optional<Instant> LeftAt;
   };
 
   void checkLost(std::uint64_t Caller, const Request &Ended,
                  const std::string &How, Instant Now);
 
-  // Open requests by caller, which is also their attempt id.
-  std::map<std::uint64_t, Request> Open;
+  // Requests without an answer, by caller, which is also their attempt id.
+  std::map<std::uint64_t, Request> Requests;
   std::uint64_t NextCaller = 1;
   std::size_t Answered = 0;
   std::string Failure;
