--- a/orioledoor/sidecar/request_path_test.cc
+++ b/orioledoor/sidecar/request_path_test.cc
@@ -1,8 +1,9 @@
-// Tests planned stops in a simulated fleet under requests. Over seeded
-// schedules that stop one to half of the nodes at a time, beside a store that
-// is down or loses replies, entries that vanish and changes of the
-// configuration, every request that a target runs is answered with the target's
-// answer, and no request that is not idempotent runs twice.
+// Tests the request path in a simulated fleet. Seeded schedules stop one to
+// half of the nodes at a time, beside a store that is down or loses replies,
+// entries that vanish and changes of the configuration; some also lose VMs and
+// let callers leave. Every request that a target runs is answered with the
+// target's answer, no request that is not idempotent runs twice, and none
+// begins to run long after its caller has left.
 //
 // ORIOLEDOOR_SEEDS and ORIOLEDOOR_FIRST_SEED select other schedules.
 #include <cppunit/extensions/HelperMacros.h>
@@ -25,8 +26,8 @@
   return Value ? std::strtoull(Value, nullptr, 10) : Default;
 }
 
-class PlannedStopTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(PlannedStopTest);
+class RequestPathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestPathTest);
   CPPUNIT_TEST(stopsCutNoRequestThatRuns);
   CPPUNIT_TEST(requestsEndWithTheirCallers);
   CPPUNIT_TEST_SUITE_END();
@@ -72,7 +73,7 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestPathTest);
 
 } // namespace
 } // namespace orioledoor::sidecar
