Wait for the memory limit in its test instead of for 1.5 s

totalResponseMemoryIsLimited failed twice in seven runs beside a load average of 20 to 25, and never without load.

Cause: the test sent 240 MB through one thread for a fixed 1.5 s and then required that 32 of 40 calls had ended; on a busy machine it had not sent enough by then. It now sends until the 32 have ended, for at most 30 s, and for another 500 ms, in which the remaining calls must stay open. The bounds are the same.

--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -278,30 +278,32 @@
         ++Ended;
       });
     const std::string Block(64'000, 'x');
-    this->Events.runUntil(
-        [] { return false; },
-        [&] {
-          int Connection = accept4(this->Listener, nullptr, nullptr,
-                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
-          if (Connection >= 0) {
-            Connections.push_back(Connection);
-            Sent.push_back(0);
-            testing::sendAll(Connection, "HTTP/1.1 200 OK\r\n\r\n");
-          }
-          for (std::size_t I = 0; I < Connections.size(); ++I)
-            while (Sent[I] < BytesPerResponse) {
-              ssize_t Written = send(Connections[I], Block.data(), Block.size(),
-                                     MSG_DONTWAIT | MSG_NOSIGNAL);
-              if (Written <= 0)
-                break;
-              Sent[I] += static_cast<std::size_t>(Written);
-            }
-        },
-        std::chrono::milliseconds(1500));
+    auto SendResponses = [&] {
+      int Connection = accept4(this->Listener, nullptr, nullptr,
+                               SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (Connection >= 0) {
+        Connections.push_back(Connection);
+        Sent.push_back(0);
+        testing::sendAll(Connection, "HTTP/1.1 200 OK\r\n\r\n");
+      }
+      for (std::size_t I = 0; I < Connections.size(); ++I)
+        while (Sent[I] < BytesPerResponse) {
+          ssize_t Written = send(Connections[I], Block.data(), Block.size(),
+                                 MSG_DONTWAIT | MSG_NOSIGNAL);
+          if (Written <= 0)
+            break;
+          Sent[I] += static_cast<std::size_t>(Written);
+        }
+    };
+    // All open responses together may hold 48 MB, which eight of them have.
+    // Sending the others takes seconds on a busy machine.
+    CPPUNIT_ASSERT(this->Events.runUntil([&] { return Ended >= Calls - 8; },
+                                         SendResponses,
+                                         std::chrono::seconds(30)));
+    this->Events.runUntil([] { return false; }, SendResponses,
+                          std::chrono::milliseconds(500));
     for (int Descriptor : Connections)
       close(Descriptor);
-    // All open responses together may hold 48 MB.
-    CPPUNIT_ASSERT(Ended >= Calls - 8);
     CPPUNIT_ASSERT(Ended < Calls);
   }
 
