--- a/orioledoor/sidecar/key_ownership_test.cc
+++ b/orioledoor/sidecar/key_ownership_test.cc
@@ -6,11 +6,11 @@
 // ORIOLEDOOR_SEEDS and ORIOLEDOOR_FIRST_SEED select other schedules.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
 #include <iostream>
 #include <string>
 
 #include "orioledoor/sidecar/testing/model_fleet.h"
+#include "orioledoor/sidecar/testing/seed_range.h"
 
 namespace orioledoor::sidecar {
 namespace {
@@ -23,11 +23,6 @@
 // planned move in between.
 constexpr Duration RecoveryTime = seconds(25);
 
-std::uint64_t readEnvironment(const char *Name, std::uint64_t Default) {
-  const char *Value = std::getenv(Name);
-  return Value ? std::strtoull(Value, nullptr, 10) : Default;
-}
-
 class KeyOwnershipTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(KeyOwnershipTest);
   CPPUNIT_TEST(fleetWithoutFaultsHoldsAllKeys);
@@ -46,8 +41,7 @@
   }
 
   void ownershipIsExclusiveUnderFaults() {
-    std::uint64_t First = readEnvironment("ORIOLEDOOR_FIRST_SEED", 1);
-    std::uint64_t Count = readEnvironment("ORIOLEDOOR_SEEDS", DefaultSeeds);
+    auto [First, Count] = testing::readSeedRange(DefaultSeeds);
     int Failed = 0;
     int Moves = 0;
     for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
--- a/orioledoor/sidecar/request_path_test.cc
+++ b/orioledoor/sidecar/request_path_test.cc
@@ -8,11 +8,11 @@
 // ORIOLEDOOR_SEEDS and ORIOLEDOOR_FIRST_SEED select other schedules.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
 #include <iostream>
 #include <string>
 
 #include "orioledoor/sidecar/testing/model_fleet.h"
+#include "orioledoor/sidecar/testing/seed_range.h"
 
 namespace orioledoor::sidecar {
 namespace {
@@ -21,11 +21,6 @@
 
 constexpr std::uint64_t DefaultSeeds = 100;
 
-std::uint64_t readEnvironment(const char *Name, std::uint64_t Default) {
-  const char *Value = std::getenv(Name);
-  return Value ? std::strtoull(Value, nullptr, 10) : Default;
-}
-
 class RequestPathTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RequestPathTest);
   CPPUNIT_TEST(stopsCutNoRequestThatRuns);
@@ -47,8 +42,7 @@
 
 private:
   void play(testing::ModelSchedule Schedule) {
-    std::uint64_t First = readEnvironment("ORIOLEDOOR_FIRST_SEED", 1);
-    std::uint64_t Count = readEnvironment("ORIOLEDOOR_SEEDS", DefaultSeeds);
+    auto [First, Count] = testing::readSeedRange(DefaultSeeds);
     int Failed = 0;
     std::size_t Answered = 0;
     std::size_t OpenAtStops = 0;
