--- a/orioledoor/platform/platform_store.h
+++ b/orioledoor/platform/platform_store.h
@@ -33,9 +33,9 @@
   Duration ConnectTimeout = std::chrono::milliseconds(600);
   // Time that one watch request waits at the store for a change, unless
   // setWatchWaits() sets another one. Each watch request counts as a read.
-  // Together with WatchPause it must stay below the
-  // history of the store, which is 20 s: the store refuses to report a change
-  // to a watch that asked for an older revision.
+  // Together with WatchPause it must stay below the history of the store, which
+  // is 20 s: the store refuses to report a change to a watch that asked for an
+  // older revision.
   std::chrono::milliseconds WatchWait{10'000};
   // A watch request fails if it is not answered this long after WatchWait. This
   // bounds the time until a dead connection is detected.
