State when messages were sent, and log those that arrive late

MESSAGE_DELAYED (4143) states delays from 250 ms, CALL_WITHDRAWN (2213) each cancellation with the age of its request, and two counters go with them. Earlier releases ignore the new field. No decision changes.

--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -30,6 +30,9 @@
 inline constexpr EventDefinition CallFailed{
     2212, Severity::Warn, "CALL_FAILED",
     "the target did not return a complete answer"};
+inline constexpr EventDefinition CallWithdrawn{
+    2213, Severity::Info, "CALL_WITHDRAWN",
+    "the entry node cancelled a forwarded request"};
 inline constexpr EventDefinition TargetReady{
     2221, Severity::Info, "TARGET_READY",
     "a new incarnation of the target reported"};
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -64,6 +64,9 @@
   std::uint64_t WithheldBytes = 0;
   // Version of the configuration in force at the sender; 0 if none.
   std::uint64_t ConfigVersion = 0;
+  // Time of the sender's clock when the message was sent, in whole
+  // milliseconds; see transit_delays.h. Instant() if it is not known.
+  Instant SentAt{};
   // Never null.
   SharedContent Content{};
 };
@@ -100,6 +103,8 @@
   TargetStatus Status{};
   // Version of the configuration in force at the sender; 0 if none.
   std::uint64_t ConfigVersion = 0;
+  // As in Forward.
+  Instant SentAt{};
 };
 
 // The caller has disconnected and the request is to be cancelled.
@@ -138,6 +143,8 @@
 // Announces a changed state of the sender's target.
 struct StatusNotice {
   TargetStatus Status{};
+  // As in Forward.
+  Instant SentAt{};
 };
 
 // A target ended while it ran the request with this digest.
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -16,6 +16,9 @@
 // Maximum array length of a well-formed message; a header takes two elements.
 constexpr std::size_t MaxArrayLength = 4096;
 constexpr std::size_t MaxDepth = 4;
+constexpr std::int64_t MicrosPerMilli = 1000;
+// Upper limit for points in time, so that differences do not overflow.
+constexpr std::int64_t MaxMillis = std::int64_t{1} << 48;
 // Limit for strings; covers the largest request body.
 constexpr std::size_t MaxStringBytes = 80U << 20;
 
@@ -44,6 +47,11 @@
     this->Out.pack(static_cast<std::int64_t>(Value.count()));
     return *this;
   }
+  // Milliseconds are enough for delays and take fewer bytes.
+  FieldWriter &operator<<(Instant Value) {
+    this->Out.pack(Value.micros() / MicrosPerMilli);
+    return *this;
+  }
   FieldWriter &operator<<(const std::vector<Header> &Headers) {
     this->Out.pack_array(static_cast<std::uint32_t>(Headers.size() * 2));
     for (const Header &Line : Headers) {
@@ -100,6 +108,13 @@
     Value = Duration(this->nextField().as<std::int64_t>());
     return *this;
   }
+  FieldReader &operator>>(Instant &Value) {
+    auto Millis = this->nextField().as<std::int64_t>();
+    if (Millis < 0 || Millis > MaxMillis)
+      throw std::out_of_range("point in time out of range");
+    Value = Instant(Millis * MicrosPerMilli);
+    return *this;
+  }
   FieldReader &operator>>(std::vector<Header> &Headers) {
     const msgpack::object &Array = this->nextField();
     if (Array.type != msgpack::type::ARRAY || Array.via.array.size % 2 != 0)
@@ -163,27 +178,29 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 20)
+    start(this->Out, this->Sent, 21)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
         << Value.MaxUsefulWait << Value.RequestClass << Value.WithheldBytes
         << Value.Content->Method << Value.Content->Target << Value.Content->Host
-        << Value.Content->Headers << Value.Content->Body << Value.ConfigVersion;
+        << Value.Content->Headers << Value.Content->Body << Value.ConfigVersion
+        << Value.SentAt;
   }
   void operator()(const ForwardResult &Value) const {
-    start(this->Out, this->Sent, 8 + StatusFields + PaceFields)
+    start(this->Out, this->Sent, 9 + StatusFields + PaceFields)
         << Value.Id << static_cast<std::uint8_t>(Value.Code) << Value.Detail
         << Value.RetryAfter << Value.Answer.Status << Value.Answer.Headers
         << Value.Answer.Body << Value.Status << Value.ConfigVersion
-        << Value.Status.StartInterval << Value.Status.StartWait;
+        << Value.Status.StartInterval << Value.Status.StartWait << Value.SentAt;
   }
   void operator()(const CancelForward &Value) const {
     start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
   }
   void operator()(const StatusNotice &Value) const {
-    start(this->Out, this->Sent, StatusFields + PaceFields)
-        << Value.Status << Value.Status.StartInterval << Value.Status.StartWait;
+    start(this->Out, this->Sent, 1 + StatusFields + PaceFields)
+        << Value.Status << Value.Status.StartInterval << Value.Status.StartWait
+        << Value.SentAt;
   }
   void operator()(const CrashNotice &Value) const {
     start(this->Out, this->Sent, 2) << Value.Digest << Value.Crashes;
@@ -234,6 +251,7 @@
       Content->Method >> Content->Target >> Content->Host >> Content->Headers >>
       Content->Body;
   In.readIfPresent(Value.ConfigVersion);
+  In.readIfPresent(Value.SentAt);
   Value.Content = std::move(Content);
   return Value;
 }
@@ -246,6 +264,7 @@
   In.readIfPresent(Value.ConfigVersion);
   In.readIfPresent(Value.Status.StartInterval);
   In.readIfPresent(Value.Status.StartWait);
+  In.readIfPresent(Value.SentAt);
   return Value;
 }
 
@@ -274,6 +293,7 @@
     In >> Value.Status;
     In.readIfPresent(Value.Status.StartInterval);
     In.readIfPresent(Value.Status.StartWait);
+    In.readIfPresent(Value.SentAt);
     return Value;
   }
   case 4: {
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -119,6 +119,8 @@
   double capacity() const;
   // Number of calls to targets that were started.
   std::uint64_t startedCalls() const { return this->StartedCalls; }
+  // Number of requests that their senders cancelled before they had ended.
+  std::uint64_t withdrawnCalls() const { return this->WithdrawnCalls; }
 
 private:
   struct ForwardedCall {
@@ -126,6 +128,7 @@
     Forward Request;
     // The sender no longer waits for the result after this time.
     Instant Deadline;
+    Instant ReceivedAt;
     std::uint64_t Digest = 0;
     // Set while the body is withheld. FetchedAt is the time of the FetchBody.
     bool Fetching = false;
@@ -189,6 +192,7 @@
   // Time of the last answer that stated a limit.
   Instant LimitStatedAt;
   std::uint64_t StartedCalls = 0;
+  std::uint64_t WithdrawnCalls = 0;
   StartPacer Pacer;
   // Until the current incarnation has answered this process, its limit is
   // unknown and few calls run at once.
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -159,6 +159,7 @@
   std::uint64_t Id = this->NextCallId++;
   ForwardedCall &Added = this->Calls[Id];
   Added.From = From;
+  Added.ReceivedAt = Now;
   Added.Deadline = Now + Request.TimeLeft - AnswerMargin;
   Added.Rank = Rank;
   Added.StartBy = Now + std::max(MaxWait, Duration(0));
@@ -407,7 +408,7 @@
   this->startQueuedCalls(Now, Out);
 }
 
-void TargetGate::handleCancel(const std::string &,
+void TargetGate::handleCancel(const std::string &From,
                               const CancelForward &Cancelled, Instant Now,
                               Effects &Out) {
   auto Found = this->CallIdByForward.find({Cancelled.Process, Cancelled.Id});
@@ -415,8 +416,16 @@
     return;
   std::uint64_t Id = Found->second;
   this->CallIdByForward.erase(Found);
-  bool Started = this->Calls.at(Id).Started;
-  bool Fetching = this->Calls.at(Id).Fetching;
+  const ForwardedCall &Call = this->Calls.at(Id);
+  bool Started = Call.Started;
+  bool Fetching = Call.Fetching;
+  ++this->WithdrawnCalls;
+  Out.push_back(
+      LogRecord{&events::CallWithdrawn,
+                {field("request", Call.Request.AttemptId), field("from", From),
+                 field("after_ms", millis(Now - Call.ReceivedAt)),
+                 field("ran_ms", Started ? millis(Now - Call.StartedAt)
+                                         : std::string())}});
   this->Calls.erase(Id);
   if (Fetching) {
     this->BodyFetches.end(Id);
--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -66,6 +66,9 @@
 inline constexpr EventDefinition NodeMessageRefused{
     4142, Severity::Warn, "NODE_MESSAGE_REFUSED",
     "a message from another node is malformed"};
+inline constexpr EventDefinition MessageDelayed{
+    4143, Severity::Warn, "MESSAGE_DELAYED",
+    "a message from another node arrived later than normal"};
 inline constexpr EventDefinition LogDropped{
     4151, Severity::Warn, "LOG_DROPPED",
     "log lines were dropped by the rate limit"};
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -21,6 +21,7 @@
       .set(static_cast<double>(Gate.queue().serviceTime().count()) / 1e6);
   Metrics.gauge("oriole_gate_rate_limit").set(Gate.rateLimit().value_or(0));
   Metrics.counter("oriole_gate_starts_total").set(Gate.startedCalls());
+  Metrics.counter("oriole_gate_withdrawn_total").set(Gate.withdrawnCalls());
 }
 
 void setStoreMetrics(MetricsRegistry &Metrics,
@@ -56,6 +57,8 @@
       .set(static_cast<double>(Reducer.entry().openRequests()));
   Metrics.gauge("oriole_nodes")
       .set(static_cast<double>(Reducer.membership().nodes().size()));
+  Metrics.counter("oriole_peer_delayed_messages_total")
+      .set(Reducer.delayedMessages());
   Metrics.counter("oriole_entry_abandoned_total")
       .set(Outbound.abandonedRequests());
   Metrics.counter("oriole_peer_connections_lost_total")
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -54,6 +54,9 @@
 // Number of nodes among which the constant part of the retry budget is divided
 // until the members are known.
 constexpr double AssumedFleetSize = 30;
+// Shortest delay of a message that is logged. Pings of the transport report a
+// connection without progress about as soon.
+constexpr Duration MinLoggedDelay = milliseconds(250);
 
 NodeEntry makeSelfEntry(const SidecarOptions &Options) {
   NodeEntry Entry;
@@ -133,7 +136,7 @@
                                  Effects &Delivered) {
   auto *Outgoing = std::get_if<SendMessage>(&NewEffect);
   if (Outgoing)
-    this->setConfigVersion(Outgoing->Body);
+    this->stampMessage(Outgoing->Body, Now);
   if (!Outgoing ||
       (!Outgoing->To.empty() && Outgoing->To != this->Options.Node)) {
     Delivered.push_back(std::move(NewEffect));
@@ -188,8 +191,10 @@
           return Member.second.Entry.Node == Node;
         }))
       RemovedNodes.push_back(Node);
-  for (const std::string &Node : RemovedNodes)
+  for (const std::string &Node : RemovedNodes) {
     this->Directory.removeNode(Node);
+    this->Delays.remove(Node);
+  }
   for (const auto &[Key, Stored] : Nodes) {
     const NodeEntry &Entry = Stored.Entry;
     if (Entry.Node == this->Options.Node)
@@ -277,9 +282,25 @@
   this->receiveMessage(Received.From, std::move(Received.Body), Now);
 }
 
+Duration SidecarReducer::recordArrival(const std::string &From, Instant SentAt,
+                                       Instant Now) {
+  if (From == this->Options.Node || SentAt == Instant())
+    return Duration(0);
+  Duration Delay = this->Delays.note(From, SentAt, Now).value_or(Duration(0));
+  if (Delay >= MinLoggedDelay) {
+    ++this->DelayedMessages;
+    this->Out.push_back(
+        LogRecord{&events::MessageDelayed,
+                  {{"peer", From},
+                   {"delay_ms", std::to_string(Delay / milliseconds(1))}}});
+  }
+  return Delay;
+}
+
 void SidecarReducer::receiveMessage(const std::string &From, Message Body,
                                     Instant Now) {
   if (auto *Request = std::get_if<routing::Forward>(&Body)) {
+    this->recordArrival(From, Request->SentAt, Now);
     this->onPeerConfigVersion(From, Request->ConfigVersion, Now);
     routing::KeyState KeyHold = routing::KeyState::NotKeyed;
     if (Request->Key != routing::NoKey) {
@@ -293,6 +314,7 @@
     this->Gate.handleForward(From, std::move(*Request), KeyHold, Now,
                              this->RoutingEffects);
   } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
+    this->recordArrival(From, Result->SentAt, Now);
     this->onPeerConfigVersion(From, Result->ConfigVersion, Now);
     this->Directory.update(Result->Status, Now);
     this->Entry.handleResult(From, std::move(*Result), Now,
@@ -306,6 +328,7 @@
   } else if (auto *Resume = std::get_if<routing::ResumeForward>(&Body)) {
     this->Gate.handleResume(From, *Resume, Now, this->RoutingEffects);
   } else if (auto *Status = std::get_if<routing::StatusNotice>(&Body)) {
+    this->recordArrival(From, Status->SentAt, Now);
     this->Directory.noteReached(From);
     this->Directory.update(Status->Status, Now);
   } else if (auto *Crash = std::get_if<routing::CrashNotice>(&Body)) {
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -16,6 +16,7 @@
 #include "orioledoor/routing/entry.h"
 #include "orioledoor/routing/target_directory.h"
 #include "orioledoor/routing/target_gate.h"
+#include "orioledoor/routing/transit_delays.h"
 #include "orioledoor/sidecar/config_follower.h"
 #include "orioledoor/sidecar/effect.h"
 #include "orioledoor/sidecar/event.h"
@@ -61,6 +62,8 @@
   const routing::EntryReducer &entry() const { return this->Entry; }
   const Membership &membership() const { return this->Members; }
   const routing::TargetDirectory &directory() const { return this->Directory; }
+  // Number of messages of other nodes whose delay was logged.
+  std::uint64_t delayedMessages() const { return this->DelayedMessages; }
 
 private:
   // A report whose answer is delayed until keys arrive, at most until Until.
@@ -92,8 +95,10 @@
                       Instant Now);
   void apply(ConfigActions Actions);
   // Sets the version of the configuration in force in outgoing requests and
-  // results.
-  void setConfigVersion(routing::Message &Body) const;
+  // results, and the time of sending.
+  void stampMessage(routing::Message &Body, Instant Now) const;
+  // Returns how late a message from another node arrives, and logs long delays.
+  Duration recordArrival(const std::string &From, Instant SentAt, Instant Now);
   // Handles the information that node From has this version of the
   // configuration in force.
   void onPeerConfigVersion(const std::string &From, std::uint64_t Version,
@@ -124,6 +129,9 @@
   // Time from which the link may carry another configuration to a node.
   Instant ConfigSendAt;
   Membership Members;
+  routing::TransitDelays Delays;
+  // Number of messages that arrived late.
+  std::uint64_t DelayedMessages = 0;
   KeyOwnershipManager Keys;
   routing::TargetGate Gate;
   routing::EntryReducer Entry;
--- a/orioledoor/sidecar/reducer_config.cc
+++ b/orioledoor/sidecar/reducer_config.cc
@@ -49,13 +49,18 @@
   this->Entry.setNewerTableKnown(this->Config.isBehind());
 }
 
-void SidecarReducer::setConfigVersion(routing::Message &Body) const {
+void SidecarReducer::stampMessage(routing::Message &Body, Instant Now) const {
   std::uint64_t Version =
       this->Entry.table() ? this->Entry.table()->Version : 0;
-  if (auto *Request = std::get_if<routing::Forward>(&Body))
+  if (auto *Request = std::get_if<routing::Forward>(&Body)) {
     Request->ConfigVersion = Version;
-  else if (auto *Result = std::get_if<routing::ForwardResult>(&Body))
+    Request->SentAt = Now;
+  } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
     Result->ConfigVersion = Version;
+    Result->SentAt = Now;
+  } else if (auto *Status = std::get_if<routing::StatusNotice>(&Body)) {
+    Status->SentAt = Now;
+  }
 }
 
 void SidecarReducer::onPeerConfigVersion(const std::string &From,
