--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -416,29 +416,25 @@
     return;
   std::uint64_t Id = Found->second;
   this->CallIdByForward.erase(Found);
-  const ForwardedCall &Call = this->Calls.at(Id);
-  bool Started = Call.Started;
-  bool Fetching = Call.Fetching;
-  ++this->WithdrawnCalls;
-  Out.push_back(
-      LogRecord{&events::CallWithdrawn,
-                {field("request", Call.Request.AttemptId), field("from", From),
-                 field("after_ms", millis(Now - Call.ReceivedAt)),
-                 field("ran_ms", Started ? millis(Now - Call.StartedAt)
-                                         : std::string())}});
+  ForwardedCall Call = std::move(this->Calls.at(Id));
   this->Calls.erase(Id);
-  if (Fetching) {
+  ++this->WithdrawnCalls;
+  if (Call.Started) {
+    this->Queue.release();
+    Out.push_back(CancelCall{Id});
+    this->startQueuedCalls(Now, Out);
+  } else if (Call.Fetching) {
     this->BodyFetches.end(Id);
     this->fetchBodies(Now, Out);
-    return;
-  }
-  if (!Started) {
+  } else {
     this->Queue.remove(Id);
-    return;
   }
-  this->Queue.release();
-  Out.push_back(CancelCall{Id});
-  this->startQueuedCalls(Now, Out);
+  Out.push_back(
+      LogRecord{&events::CallWithdrawn,
+                {field("request", Call.Request.AttemptId), field("from", From),
+                 field("after_ms", millis(Now - Call.ReceivedAt)),
+                 field("ran_ms", Call.Started ? millis(Now - Call.StartedAt)
+                                              : std::string())}});
 }
 
 } // namespace orioledoor::routing
