Confirm late requests before they reach their target

Cause: the node beside the target acts on a request without knowing how old it is. A message that waited in a socket, because this node stood still or a link was full, has the cancellation unread behind it; nng hands over one message of a connection at a time. Requests that waited for a slot during a standstill start before the cancellations behind it are read, and the time left of a late request was counted from its arrival. The class: a decision on input whose age nobody bounds.

A request or body that is 200 ms late, and every queued request after a standstill of 200 ms, now waits until its entry node confirms that the caller is still there (ConfirmForward); the answer is ForwardConfirmed or CancelForward, and one that takes over 400 ms ends the request as not run. The delay shortens the time that the target gets. A cancellation that overtakes its request over a new connection is remembered.

--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -97,6 +97,9 @@
   // Node has capacity for a request body that was withheld; sends the body.
   void handleFetchBody(const std::string &Node, const FetchBody &Fetch,
                        Instant Now, Effects &Out);
+  // Node asks whether the caller of a request still waits.
+  void handleConfirm(const std::string &Node, const ConfirmForward &Asked,
+                     Effects &Out);
   // The Forward, ForwardBody or ResumeForward with this id was certainly not
   // sent to Node.
   void handleSendFailure(const std::string &Node, std::uint64_t Id, Instant Now,
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -156,6 +156,18 @@
                                     .Body = Pending.Request.Content->Body}});
 }
 
+void EntryReducer::handleConfirm(const std::string &Node,
+                                 const ConfirmForward &Asked, Effects &Out) {
+  auto Found = this->CallerByForward.find(Asked.Id);
+  bool Waits = Asked.Process == this->Options.Process &&
+               Found != this->CallerByForward.end() &&
+               this->PendingRequests.at(Found->second).ForwardedTo == Node;
+  if (Waits)
+    Out.push_back(SendMessage{Node, ForwardConfirmed{Asked.Id, Asked.Process}});
+  else
+    Out.push_back(SendMessage{Node, CancelForward{Asked.Id, Asked.Process}});
+}
+
 void EntryReducer::handleSendFailure(const std::string &Node, std::uint64_t Id,
                                      Instant Now, Effects &Out) {
   this->Directory.noteUnreachable(Node, Now);
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -33,6 +33,10 @@
 inline constexpr EventDefinition CallWithdrawn{
     2213, Severity::Info, "CALL_WITHDRAWN",
     "the entry node cancelled a forwarded request"};
+inline constexpr EventDefinition CallUnconfirmed{
+    2214, Severity::Info, "CALL_UNCONFIRMED",
+    "a request waits until its entry node confirms that its caller is still "
+    "there"};
 inline constexpr EventDefinition TargetReady{
     2221, Severity::Info, "TARGET_READY",
     "a new incarnation of the target reported"};
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -138,6 +138,21 @@
   std::uint64_t Id = 0;
   std::uint64_t Process = 0;
   std::string Body{};
+  // As in Forward.
+  Instant SentAt{};
+};
+
+// Asks whether the caller of a request still waits, before the request goes to
+// the target. The receiver answers ForwardConfirmed or CancelForward.
+struct ConfirmForward {
+  std::uint64_t Id = 0;
+  std::uint64_t Process = 0;
+};
+
+// The caller of a request still waits for it.
+struct ForwardConfirmed {
+  std::uint64_t Id = 0;
+  std::uint64_t Process = 0;
 };
 
 // Announces a changed state of the sender's target.
@@ -212,7 +227,8 @@
     std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
                  CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward,
                  FetchBody, ForwardBody, FetchConfig, ConfigNotice,
-                 KeyMapChangeNotice, NodeNotice, CrashCleared>;
+                 KeyMapChangeNotice, NodeNotice, CrashCleared, ConfirmForward,
+                 ForwardConfirmed>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -221,7 +221,14 @@
     start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
   }
   void operator()(const ForwardBody &Value) const {
-    start(this->Out, this->Sent, 3) << Value.Id << Value.Process << Value.Body;
+    start(this->Out, this->Sent, 4)
+        << Value.Id << Value.Process << Value.Body << Value.SentAt;
+  }
+  void operator()(const ConfirmForward &Value) const {
+    start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
+  }
+  void operator()(const ForwardConfirmed &Value) const {
+    start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
   }
   void operator()(const FetchConfig &Value) const {
     start(this->Out, this->Sent, 1) << Value.KnownVersion;
@@ -321,6 +328,7 @@
   case 9: {
     ForwardBody Value;
     In >> Value.Id >> Value.Process >> Value.Body;
+    In.readIfPresent(Value.SentAt);
     return Value;
   }
   case 10: {
@@ -349,6 +357,16 @@
     In >> Value.Digest;
     return Value;
   }
+  case 15: {
+    ConfirmForward Value;
+    In >> Value.Id >> Value.Process;
+    return Value;
+  }
+  case 16: {
+    ForwardConfirmed Value;
+    In >> Value.Id >> Value.Process;
+    return Value;
+  }
   default:
     throw std::out_of_range("unknown message kind");
   }
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -15,9 +15,10 @@
 using internal::millis;
 using std::chrono::milliseconds;
 
-// A request that was reported to its sender as never received must not run if
-// it arrives later. This exceeds the longest timeout of any caller.
-constexpr Duration NotReceivedRetention = std::chrono::seconds(60);
+// A request that was reported to its sender as never received, or cancelled by
+// it, must not run if it arrives later. This exceeds the longest timeout of any
+// caller.
+constexpr Duration DroppedRetention = std::chrono::seconds(60);
 // Used for the capacity of a target until the first request has completed.
 constexpr Duration AssumedServiceTime = milliseconds(150);
 // Capacity of a target that accepts no requests. It is not 0, so that load and
@@ -113,11 +114,11 @@
 }
 
 void TargetGate::refuseUnstartedCalls(Instant Now, Effects &Out) {
-  std::vector<std::uint64_t> Fetching;
+  std::vector<std::uint64_t> Pending;
   for (const auto &[Id, Call] : this->Calls)
-    if (Call.Fetching)
-      Fetching.push_back(Id);
-  for (std::uint64_t Id : Fetching)
+    if (Call.Fetching || this->Confirmations.contains(Id))
+      Pending.push_back(Id);
+  for (std::uint64_t Id : Pending)
     this->finishCall(Id, {.Code = Outcome::NoTarget}, Now, Out);
   for (const WaitingRequest &Waiting : this->Queue.takeAll())
     this->finishCall(Waiting.Id, {.Code = Outcome::NoTarget}, Now, Out);
@@ -150,8 +151,8 @@
 void TargetGate::tick(Instant Now, Effects &Out) {
   this->Crashes.tick(Now);
   this->Results.tick(Now);
-  std::erase_if(this->ReportedNotReceived, [Now](const auto &Entry) {
-    return Now - Entry.second > NotReceivedRetention;
+  std::erase_if(this->DroppedOnArrival, [Now](const auto &Entry) {
+    return Now - Entry.second > DroppedRetention;
   });
   if (this->State == TargetState::Leaving && Now >= this->DrainDeadline) {
     this->State = TargetState::Absent;
@@ -173,6 +174,7 @@
                    field("silent_ms", millis(Now - this->LastReportAt))}});
     this->refuseUnstartedCalls(Now, Out);
   }
+  this->endConfirmations(Now, Out);
   this->startQueuedCalls(Now, Out);
   this->refuseOverdueCalls(Now, Out);
 }
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -72,11 +72,19 @@
   // The target announced its shutdown without a report.
   void handleShutdown(std::string_view Instance, Instant Now, Effects &Out);
 
-  // From is the peer address of the sender.
+  // From is the peer address of the sender. Delay: how much later than normal
+  // the message arrived; the times that it states are shortened by that.
   void handleForward(const std::string &From, Forward Request, KeyState Key,
-                     Instant Now, Effects &Out);
+                     Instant Now, Effects &Out, Duration Delay = Duration(0));
   // Processes a body that was requested with FetchBody.
-  void handleBody(ForwardBody Received, Instant Now, Effects &Out);
+  void handleBody(ForwardBody Received, Instant Now, Effects &Out,
+                  Duration Delay = Duration(0));
+  // The sender of a request confirms that the caller still waits.
+  void handleConfirmed(const ForwardConfirmed &Confirmed, Instant Now,
+                       Effects &Out);
+  // The process stood still, so cancellations may be waiting unread. Has the
+  // requests that wait for a slot confirmed before they start.
+  void handleStandstill(Instant Now, Effects &Out);
   // Ends a request without a result; a call to the target is cancelled.
   void handleCancel(const std::string &From, const CancelForward &Cancelled,
                     Instant Now, Effects &Out);
@@ -121,6 +129,9 @@
   std::uint64_t startedCalls() const { return this->StartedCalls; }
   // Number of requests that their senders cancelled before they had ended.
   std::uint64_t withdrawnCalls() const { return this->WithdrawnCalls; }
+  // Number of requests whose senders were asked whether their callers still
+  // wait.
+  std::uint64_t confirmedCalls() const { return this->ConfirmedCalls; }
 
 private:
   struct ForwardedCall {
@@ -156,6 +167,15 @@
   void startQueuedCalls(Instant Now, Effects &Out);
   // Starts a call whose body is complete, or queues it for a slot.
   void admit(std::uint64_t Id, Instant Now, Effects &Out);
+  // Admits a call some time after its arrival, if that is still possible.
+  void admitLate(std::uint64_t Id, Instant Now, Effects &Out);
+  // Returns whether the caller of a request with this delay may have left
+  // unnoticed for too long.
+  static bool needsConfirmation(Duration Delay);
+  // Holds a call back until its sender confirms that the caller still waits.
+  void confirm(std::uint64_t Id, Instant Now, Effects &Out);
+  // Ends the calls whose senders did not answer in time.
+  void endConfirmations(Instant Now, Effects &Out);
   // Requests bodies that the link has capacity for.
   void fetchBodies(Instant Now, Effects &Out);
   // Ends calls that waited too long for a slot or a body.
@@ -193,6 +213,7 @@
   Instant LimitStatedAt;
   std::uint64_t StartedCalls = 0;
   std::uint64_t WithdrawnCalls = 0;
+  std::uint64_t ConfirmedCalls = 0;
   StartPacer Pacer;
   // Until the current incarnation has answered this process, its limit is
   // unknown and few calls run at once.
@@ -206,12 +227,16 @@
   float FailureShare = 0;
   std::uint64_t NextCallId = 1;
   mutable std::uint64_t NextSequence = 1;
-  // Invariant: each call is in BodyFetches, waits in Queue or holds a slot.
+  // Invariant: each call is in BodyFetches or Confirmations, waits in Queue or
+  // holds a slot.
   std::map<std::uint64_t, ForwardedCall> Calls;
   std::map<ForwardKey, std::uint64_t> CallIdByForward;
+  // Calls that wait for a confirmation, with the time of the question.
+  std::map<std::uint64_t, Instant> Confirmations;
   RecentResults Results;
-  // Requests that were reported to their senders as never received.
-  std::map<ForwardKey, Instant> ReportedNotReceived;
+  // Requests that were reported to their senders as never received, or
+  // cancelled by them, before they arrived. They are dropped if they do arrive.
+  std::map<ForwardKey, Instant> DroppedOnArrival;
 };
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -121,9 +121,12 @@
 }
 
 void TargetGate::handleForward(const std::string &From, Forward Request,
-                               KeyState Key, Instant Now, Effects &Out) {
-  if (this->ReportedNotReceived.contains({Request.Process, Request.Id}))
+                               KeyState Key, Instant Now, Effects &Out,
+                               Duration Delay) {
+  if (this->DroppedOnArrival.contains({Request.Process, Request.Id}))
     return;
+  Request.TimeLeft -= Delay;
+  Request.LatencyLeft -= Delay;
   bool Withheld = Request.WithheldBytes > 0;
   std::uint64_t Digest =
       Withheld ? 0 : crashDigest(Request.CallerService, *Request.Content);
@@ -167,7 +170,10 @@
   Added.Request = std::move(Request);
   this->CallIdByForward[{Added.Request.Process, Added.Request.Id}] = Id;
   if (!Withheld) {
-    this->admit(Id, Now, Out);
+    if (needsConfirmation(Delay))
+      this->confirm(Id, Now, Out);
+    else
+      this->admit(Id, Now, Out);
     return;
   }
   Added.Fetching = true;
@@ -196,7 +202,8 @@
   }
 }
 
-void TargetGate::handleBody(ForwardBody Received, Instant Now, Effects &Out) {
+void TargetGate::handleBody(ForwardBody Received, Instant Now, Effects &Out,
+                            Duration Delay) {
   auto Found = this->CallIdByForward.find({Received.Process, Received.Id});
   if (Found == this->CallIdByForward.end())
     return;
@@ -210,9 +217,18 @@
   Content->Body = std::move(Received.Body);
   Call.Request.Content = std::move(Content);
   Call.Digest = crashDigest(Call.Request.CallerService, *Call.Request.Content);
+  if (needsConfirmation(Delay))
+    this->confirm(Id, Now, Out);
+  else
+    this->admitLate(Id, Now, Out);
+  this->fetchBodies(Now, Out);
+}
+
+void TargetGate::admitLate(std::uint64_t Id, Instant Now, Effects &Out) {
+  ForwardedCall &Call = this->Calls.at(Id);
   Call.Request.TimeLeft = Call.Deadline - Now;
-  // The transfer has already been paid for, so allow the request to wait for a
-  // slot a little longer.
+  // The transfer or the confirmation has already been paid for, so allow the
+  // request to wait for a slot a little longer.
   Call.StartBy =
       std::max(Call.StartBy,
                Now + this->expectedServiceTime(Call.Request.RequestClass, Now) /
@@ -224,7 +240,6 @@
     this->finishCall(Id, {.Code = *Reason}, Now, Out);
   else
     this->admit(Id, Now, Out);
-  this->fetchBodies(Now, Out);
 }
 
 void TargetGate::refuseOverdueCalls(Instant Now, Effects &Out) {
@@ -310,6 +325,7 @@
   ForwardedCall Call = std::move(Found->second);
   this->Calls.erase(Found);
   this->CallIdByForward.erase({Call.Request.Process, Call.Request.Id});
+  this->Confirmations.erase(Id);
   if (Call.Fetching)
     this->BodyFetches.end(Id);
   Result.Id = Call.Request.Id;
@@ -335,8 +351,9 @@
   ForwardKey Key(Resumed.Process, Resumed.Id);
   if (auto Found = this->CallIdByForward.find(Key);
       Found != this->CallIdByForward.end()) {
-    // The body or the FetchBody was lost with the connection.
-    if (this->Calls.at(Found->second).Fetching)
+    // What the call waits for may have been lost with the connection.
+    if (this->Calls.at(Found->second).Fetching ||
+        this->Confirmations.contains(Found->second))
       this->finishCall(Found->second, {.Code = Outcome::NoTarget}, Now, Out);
     return;
   }
@@ -348,7 +365,7 @@
   bool NeverReceived = Resumed.ReceiverProcess == this->Options.Process &&
                        this->Results.isCompleteSince(Resumed.SentAgo, Now);
   if (NeverReceived)
-    this->ReportedNotReceived[Key] = Now;
+    this->DroppedOnArrival[Key] = Now;
   ForwardResult Result{.Id = Resumed.Id,
                        .Code =
                            NeverReceived ? Outcome::NoTarget : Outcome::Lost,
@@ -411,9 +428,14 @@
 void TargetGate::handleCancel(const std::string &From,
                               const CancelForward &Cancelled, Instant Now,
                               Effects &Out) {
-  auto Found = this->CallIdByForward.find({Cancelled.Process, Cancelled.Id});
-  if (Found == this->CallIdByForward.end())
+  ForwardKey Key(Cancelled.Process, Cancelled.Id);
+  auto Found = this->CallIdByForward.find(Key);
+  if (Found == this->CallIdByForward.end()) {
+    // The cancellation may have overtaken the request over a new connection.
+    if (!this->Results.find(Key))
+      this->DroppedOnArrival[Key] = Now;
     return;
+  }
   std::uint64_t Id = Found->second;
   this->CallIdByForward.erase(Found);
   ForwardedCall Call = std::move(this->Calls.at(Id));
@@ -426,7 +448,7 @@
   } else if (Call.Fetching) {
     this->BodyFetches.end(Id);
     this->fetchBodies(Now, Out);
-  } else {
+  } else if (this->Confirmations.erase(Id) == 0) {
     this->Queue.remove(Id);
   }
   Out.push_back(
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -54,6 +54,10 @@
 // Number of nodes among which the constant part of the retry budget is divided
 // until the members are known.
 constexpr double AssumedFleetSize = 30;
+// Shortest time without a tick in which the process counts as standing still;
+// its part of the 500 ms that the platform allows between the departure of a
+// caller and the arrival of its request at a target.
+constexpr Duration MinStandstill = milliseconds(200);
 // Shortest delay of a message that is logged. Pings of the transport report a
 // connection without progress about as soon.
 constexpr Duration MinLoggedDelay = milliseconds(250);
@@ -96,8 +100,19 @@
   this->Directory.setNode(this->Options.Node, this->Options.Place);
 }
 
+Duration SidecarReducer::standstill(Instant Now) const {
+  return this->LastTickAt != Instant() &&
+                 Now - this->LastTickAt >= MinStandstill
+             ? Now - this->LastTickAt
+             : Duration(0);
+}
+
 Effects SidecarReducer::handle(Event NewEvent, Instant Now) {
   this->Out.clear();
+  if (!this->StandstillHandled && this->standstill(Now) > Duration(0)) {
+    this->StandstillHandled = true;
+    this->Gate.handleStandstill(Now, this->RoutingEffects);
+  }
   std::visit(
       [this, Now](auto &Concrete) { this->on(std::move(Concrete), Now); },
       NewEvent);
@@ -286,7 +301,10 @@
                                        Instant Now) {
   if (From == this->Options.Node || SentAt == Instant())
     return Duration(0);
-  Duration Delay = this->Delays.note(From, SentAt, Now).value_or(Duration(0));
+  // Without an earlier message to compare it with, a message may be as late as
+  // this process is.
+  Duration Delay =
+      this->Delays.note(From, SentAt, Now).value_or(this->standstill(Now));
   if (Delay >= MinLoggedDelay) {
     ++this->DelayedMessages;
     this->Out.push_back(
@@ -300,7 +318,7 @@
 void SidecarReducer::receiveMessage(const std::string &From, Message Body,
                                     Instant Now) {
   if (auto *Request = std::get_if<routing::Forward>(&Body)) {
-    this->recordArrival(From, Request->SentAt, Now);
+    Duration Delay = this->recordArrival(From, Request->SentAt, Now);
     this->onPeerConfigVersion(From, Request->ConfigVersion, Now);
     routing::KeyState KeyHold = routing::KeyState::NotKeyed;
     if (Request->Key != routing::NoKey) {
@@ -312,7 +330,7 @@
         this->Keys.sendKeyMap(From, Request->Service, Now, this->Out);
     }
     this->Gate.handleForward(From, std::move(*Request), KeyHold, Now,
-                             this->RoutingEffects);
+                             this->RoutingEffects, Delay);
   } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
     this->recordArrival(From, Result->SentAt, Now);
     this->onPeerConfigVersion(From, Result->ConfigVersion, Now);
@@ -322,7 +340,13 @@
   } else if (auto *BodyRequest = std::get_if<routing::FetchBody>(&Body)) {
     this->Entry.handleFetchBody(From, *BodyRequest, Now, this->RoutingEffects);
   } else if (auto *BodyContent = std::get_if<routing::ForwardBody>(&Body)) {
-    this->Gate.handleBody(std::move(*BodyContent), Now, this->RoutingEffects);
+    Duration Delay = this->recordArrival(From, BodyContent->SentAt, Now);
+    this->Gate.handleBody(std::move(*BodyContent), Now, this->RoutingEffects,
+                          Delay);
+  } else if (auto *Asked = std::get_if<routing::ConfirmForward>(&Body)) {
+    this->Entry.handleConfirm(From, *Asked, this->RoutingEffects);
+  } else if (auto *Confirmed = std::get_if<routing::ForwardConfirmed>(&Body)) {
+    this->Gate.handleConfirmed(*Confirmed, Now, this->RoutingEffects);
   } else if (auto *Cancel = std::get_if<routing::CancelForward>(&Body)) {
     this->Gate.handleCancel(From, *Cancel, Now, this->RoutingEffects);
   } else if (auto *Resume = std::get_if<routing::ResumeForward>(&Body)) {
@@ -502,6 +526,8 @@
 }
 
 void SidecarReducer::on(TimerTicked, Instant Now) {
+  this->LastTickAt = Now;
+  this->StandstillHandled = false;
   this->Gate.tick(Now, this->RoutingEffects);
   this->Entry.tick(Now, this->RoutingEffects);
   MembershipOutput Output;
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -97,6 +97,9 @@
   // Sets the version of the configuration in force in outgoing requests and
   // results, and the time of sending.
   void stampMessage(routing::Message &Body, Instant Now) const;
+  // Returns for how long this process has handled no event, or 0 if that is
+  // normal.
+  Duration standstill(Instant Now) const;
   // Returns how late a message from another node arrives, and logs long delays.
   Duration recordArrival(const std::string &From, Instant SentAt, Instant Now);
   // Handles the information that node From has this version of the
@@ -142,6 +145,9 @@
   routing::TargetState PublishedState = routing::TargetState::Absent;
   routing::TargetRef EndedTarget;
   Instant ReportedAt;
+  Instant LastTickAt;
+  // The standstill since the last tick is known to the gate.
+  bool StandstillHandled = false;
   std::optional<DeferredReport> Deferred;
   Instant StopRequestedAt;
   // While stopping: the last time at which a request was open.
--- a/orioledoor/sidecar/reducer_config.cc
+++ b/orioledoor/sidecar/reducer_config.cc
@@ -60,6 +60,8 @@
     Result->SentAt = Now;
   } else if (auto *Status = std::get_if<routing::StatusNotice>(&Body)) {
     Status->SentAt = Now;
+  } else if (auto *Content = std::get_if<routing::ForwardBody>(&Body)) {
+    Content->SentAt = Now;
   }
 }
 
--- a/orioledoor/sidecar/request_path_test.cc
+++ b/orioledoor/sidecar/request_path_test.cc
@@ -1,7 +1,8 @@
 // Tests the request path in a simulated fleet. Seeded schedules stop one to
 // half of the nodes at a time, beside a store that is down or loses replies,
 // entries that vanish and changes of the configuration; some also lose VMs and
-// let callers leave. Every request that a target runs is answered with the
+// let callers leave, and in others nodes stand still or get their messages late
+// while callers leave. Every request that a target runs is answered with the
 // target's answer, no request that is not idempotent runs twice, and none
 // begins to run long after its caller has left.
 //
@@ -25,6 +26,7 @@
   CPPUNIT_TEST_SUITE(RequestPathTest);
   CPPUNIT_TEST(stopsCutNoRequestThatRuns);
   CPPUNIT_TEST(requestsEndWithTheirCallers);
+  CPPUNIT_TEST(delayedRequestsDoNotOutliveTheirCallers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -40,6 +42,13 @@
     this->play(testing::ModelSchedule::StopsAndLosses);
   }
 
+  // Guards against requests that a target gets long after their callers have
+  // left, since the node beside it read the request late and had not read the
+  // cancellation yet.
+  void delayedRequestsDoNotOutliveTheirCallers() {
+    this->play(testing::ModelSchedule::Delays);
+  }
+
 private:
   void play(testing::ModelSchedule Schedule) {
     auto [First, Count] = testing::readSeedRange(DefaultSeeds);
@@ -61,9 +70,10 @@
           std::cerr << "  " << Line << "\n";
     }
     CPPUNIT_ASSERT_EQUAL(0, Failed);
-    // Checks that the schedules stop nodes at which requests are open.
     CPPUNIT_ASSERT(Answered > Count * 500);
-    CPPUNIT_ASSERT(OpenAtStops > Count * 10);
+    // Checks that the schedules stop nodes at which requests are open.
+    if (Schedule != testing::ModelSchedule::Delays)
+      CPPUNIT_ASSERT(OpenAtStops > Count * 10);
   }
 };
 
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -145,7 +145,8 @@
                          ForwardNotSent{To->Node, Request->Id}});
     else
       this->ScheduledEvents.emplace(
-          this->Now + milliseconds(1) + this->randomDuration(9),
+          std::max(this->Now + milliseconds(1) + this->randomDuration(9),
+                   To->MessagesHeldUntil),
           ScheduledEvent{To->Index, To->Process,
                          PeerMessageReceived{From.Node, Message.Body}});
   }
@@ -168,7 +169,7 @@
         this->randomChance(RequestPercent)) {
       CallerRequestReceived Added = this->Traffic.addRequest(
           Machine->Process, this->randomChance(50), this->Now);
-      if (this->Schedule == ModelSchedule::StopsAndLosses &&
+      if (this->Schedule != ModelSchedule::PlannedStops &&
           this->randomChance(LeavePercent))
         this->Departures.emplace(
             this->Now + this->randomDuration(1500),
@@ -183,8 +184,17 @@
     Departure Next = this->Departures.begin()->second;
     this->Departures.erase(this->Departures.begin());
     Vm &Machine = *this->Vms[static_cast<std::size_t>(Next.VmIndex)];
-    if (this->Traffic.leave(Next.Caller, this->Now) &&
-        Machine.Process == Next.Process)
+    // A node that stands still learns of it only afterwards.
+    if (!this->Traffic.leave(Next.Caller,
+                             std::max(this->Now, Machine.FrozenUntil)) ||
+        Machine.Process != Next.Process)
+      continue;
+    // The server drops requests that it reads after their callers have left.
+    auto IsUnread = [&Next](const Event &Delayed) {
+      const auto *Unread = std::get_if<CallerRequestReceived>(&Delayed);
+      return Unread && Unread->Request.Caller == Next.Caller;
+    };
+    if (std::erase_if(Machine.DelayedEvents, IsUnread) == 0)
       this->deliver(Machine, CallerDisconnected{Next.Caller});
   }
 }
@@ -362,7 +372,23 @@
   }
 }
 
+void ModelFleet::injectDelay() {
+  Vm &Machine = *this->Vms[this->Random() % this->Vms.size()];
+  Duration Time = milliseconds(300) + this->randomDuration(1700);
+  bool StandsStill = this->randomChance(50);
+  this->recordHistory(
+      "vm " + std::to_string(Machine.Index) +
+      (StandsStill ? " stands still" : " gets its messages late") + " for " +
+      std::to_string(Time.count() / 1000) + " ms");
+  (StandsStill ? Machine.FrozenUntil : Machine.MessagesHeldUntil) =
+      this->Now + Time;
+}
+
 void ModelFleet::injectFault() {
+  if (this->Schedule == ModelSchedule::Delays) {
+    this->injectDelay();
+    return;
+  }
   if (this->Schedule != ModelSchedule::KeyFaults) {
     this->injectFaultBesideStops();
     return;
--- a/orioledoor/sidecar/testing/model_fleet.h
+++ b/orioledoor/sidecar/testing/model_fleet.h
@@ -39,6 +39,9 @@
   PlannedStops,
   // The same, while VMs are lost with their targets and callers leave.
   StopsAndLosses,
+  // Callers leave while nodes stand still for up to two seconds, or messages to
+  // them are held up for as long. No process is stopped or lost.
+  Delays,
 };
 
 // Not thread-safe. Deterministic: the same seed gives the same run.
@@ -78,6 +81,8 @@
     Instant SilentUntil;
     Instant StoreCutUntil;
     Instant PeerCutUntil;
+    // Messages to the VM arrive at this time at the earliest, in order.
+    Instant MessagesHeldUntil;
     Instant ReportsCutUntil;
     Instant NextReport;
     std::uint64_t ReportId = 0;
@@ -120,6 +125,7 @@
   void answerReport(Vm &Machine, const ReplyToReport &Answer);
   void injectFault();
   void injectFaultBesideStops();
+  void injectDelay();
   void loseVm(Vm &Machine, Duration Time);
   // Tells the others, after Delay, that their connections to the VM are lost.
   void loseConnections(const Vm &Machine, Duration Delay);
--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -111,9 +111,9 @@
     this->Load.stop();
     this->Events.runUntil([this] { return this->Load.idle(); }, seconds(4));
     const soak::SoakCounts &RecoveryCounts = this->Load.counts();
-    double ServedShare =
-        static_cast<double>(RecoveryCounts.Served) /
-        static_cast<double>(std::max<std::uint64_t>(RecoveryCounts.Sent, 1));
+    double ServedShare = static_cast<double>(RecoveryCounts.Served) /
+                         static_cast<double>(std::max<std::uint64_t>(
+                             RecoveryCounts.Sent - RecoveryCounts.Left, 1));
     if (ServedShare < MinServedShare)
       this->Checker.addViolation("RECOVER",
                                  "only " + std::to_string(ServedShare) +
@@ -132,6 +132,7 @@
               << " sent, " << FaultCounts.Served << " served, "
               << FaultCounts.Refused << " refused, " << FaultCounts.Failed
               << " failed, " << FaultCounts.Broken << " broken, "
+              << FaultCounts.Left << " left, "
               << this->ConfigProbe.checkedAnswers() << " routes checked; "
               << this->Faults.history().size() << " faults, "
               << this->Checker.violations().size() << " violations"
--- a/orioledoor/soak/soak_checker.cc
+++ b/orioledoor/soak/soak_checker.cc
@@ -15,6 +15,9 @@
 // The platform's drain time. Callers see an answer after the node passed it on,
 // so the check is not stricter than the rule.
 constexpr Duration DrainTime = std::chrono::seconds(2);
+// The platform's bound on requests that reach a target after their callers have
+// left.
+constexpr Duration MaxArrivalAfterDeparture = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -87,7 +90,7 @@
 
 void SoakChecker::recordSent(const std::string &Node,
                              const std::string &Attempt, Instant Now) {
-  this->SentRequests[Attempt] = {Node, Now};
+  this->SentRequests[Attempt] = {.Node = Node, .At = Now, .LeftAt = {}};
 }
 
 void SoakChecker::recordLeavingAnswer(const std::string &Node,
@@ -95,7 +98,28 @@
   this->LeavingSeen.try_emplace({Node, Target}, Now);
 }
 
-void SoakChecker::excuseNode(const std::string &Node) {
+void SoakChecker::recordDeparture(const std::string &Attempt, Instant Now) {
+  this->SentRequests.at(Attempt).LeftAt = Now;
+}
+
+void SoakChecker::checkDeparture(const std::string &Target,
+                                 const std::string &Attempt,
+                                 const SentRequest &Sent, Instant Now) {
+  if (!Sent.LeftAt || *Sent.LeftAt <= this->DeparturesExcusedAt ||
+      Now - *Sent.LeftAt <= MaxArrivalAfterDeparture)
+    return;
+  auto Excused = this->NodesExcusedAt.find(Sent.Node);
+  if (Excused == this->NodesExcusedAt.end() || *Sent.LeftAt > Excused->second)
+    this->addViolation("GONE",
+                       Attempt + " of " + Sent.Node + " reached " + Target +
+                           " " +
+                           std::to_string((Now - *Sent.LeftAt).count() / 1000) +
+                           " ms after its caller had left",
+                       Now);
+}
+
+void SoakChecker::excuseNode(const std::string &Node, Instant Now) {
+  this->NodesExcusedAt[Node] = Now;
   std::erase_if(this->LeavingSeen, [&Node](const auto &Entry) {
     return Entry.first.first == Node;
   });
@@ -105,6 +129,7 @@
                                 const std::string &Attempt, Instant Now) {
   if (auto Sent = this->SentRequests.find(Attempt);
       Sent != this->SentRequests.end()) {
+    this->checkDeparture(Target, Attempt, Sent->second, Now);
     auto Seen = this->LeavingSeen.find({Sent->second.Node, Target});
     if (Seen != this->LeavingSeen.end() &&
         Sent->second.At - Seen->second > DrainTime)
--- a/orioledoor/soak/soak_checker.h
+++ b/orioledoor/soak/soak_checker.h
@@ -72,8 +72,14 @@
   // Records that Node passed on an answer which states that Target is leaving.
   void recordLeavingAnswer(const std::string &Node, const std::string &Target,
                            Instant Now);
-  // Node was restarted or suspended, so it may not know leaving targets.
-  void excuseNode(const std::string &Node);
+  // Records that a caller closed its connection before its answer. Its request
+  // must not reach a target long after that.
+  void recordDeparture(const std::string &Attempt, Instant Now);
+  // Callers may have observed departures and arrivals late up to Now.
+  void excuseDepartures(Instant Now) { this->DeparturesExcusedAt = Now; }
+  // Node was restarted or suspended, so it may not know leaving targets, nor
+  // which of its callers have left.
+  void excuseNode(const std::string &Node, Instant Now);
   // Records a violation that was detected elsewhere.
   void addViolation(const std::string &Rule, const std::string &Detail,
                     Instant Now);
@@ -91,8 +97,13 @@
   struct SentRequest {
     std::string Node;
     Instant At;
+    std::optional<Instant> LeftAt;
   };
 
+  // Checks that the caller has not left long ago.
+  void checkDeparture(const std::string &Target, const std::string &Attempt,
+                      const SentRequest &Sent, Instant Now);
+
   // The highest fencing token of each key.
   std::map<std::uint32_t, std::int64_t> HighestFences;
   // The time since which a key has had more than one holder.
@@ -103,6 +114,9 @@
   std::map<std::string, LimitedTarget> LimitedTargets;
   // By attempt ID.
   std::unordered_map<std::string, SentRequest> SentRequests;
+  // Earlier departures are not checked: at one node, and at all.
+  std::map<std::string, Instant> NodesExcusedAt;
+  Instant DeparturesExcusedAt;
   // When each node first passed on that a target is leaving, by node and
   // target.
   std::map<std::pair<std::string, std::string>, Instant> LeavingSeen;
--- a/orioledoor/soak/soak_checker_test.cc
+++ b/orioledoor/soak/soak_checker_test.cc
@@ -14,6 +14,7 @@
 class SoakCheckerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SoakCheckerTest);
   CPPUNIT_TEST(detectsRepeatedRuns);
+  CPPUNIT_TEST(detectsRequestsThatOutliveTheirCallers);
   CPPUNIT_TEST(detectsRunsOfRejectedRequests);
   CPPUNIT_TEST(detectsTokensThatDoNotIncrease);
   CPPUNIT_TEST(detectsTwoHolders);
@@ -86,7 +87,28 @@
     CPPUNIT_ASSERT(this->Checker.violations().empty());
     this->Checker.recordArrival("a", "late", this->Now);
     this->expectViolation("DRAIN");
-    this->Checker.excuseNode("node-1");
+    this->Checker.excuseNode("node-1", this->Now);
+    this->Checker.recordArrival("a", "late", this->Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Checker.violations().size());
+  }
+
+  void detectsRequestsThatOutliveTheirCallers() {
+    for (const char *Attempt : {"kept", "early", "late", "excused"})
+      this->Checker.recordSent("node-1", Attempt, this->Now);
+    this->Checker.recordDeparture("excused", this->Now);
+    this->Checker.excuseNode("node-1", this->Now);
+    this->Now = this->Now + milliseconds(20);
+    this->Checker.recordDeparture("early", this->Now);
+    this->Checker.recordDeparture("late", this->Now);
+    this->Now = this->Now + milliseconds(490);
+    this->Checker.recordArrival("a", "early", this->Now);
+    this->Now = this->Now + milliseconds(20);
+    this->Checker.recordArrival("a", "kept", this->Now);
+    this->Checker.recordArrival("a", "excused", this->Now);
+    CPPUNIT_ASSERT(this->Checker.violations().empty());
+    this->Checker.recordArrival("a", "late", this->Now);
+    this->expectViolation("GONE");
+    this->Checker.excuseDepartures(this->Now);
     this->Checker.recordArrival("a", "late", this->Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Checker.violations().size());
   }
--- a/orioledoor/soak/soak_fleet.cc
+++ b/orioledoor/soak/soak_fleet.cc
@@ -177,12 +177,12 @@
                                    Now);
       Node.Stopping = false;
       Node.KillAt = Instant();
-      this->Checker.excuseNode(Node.Name);
+      this->Checker.excuseNode(Node.Name, Now);
       if (Node.StartAt == Instant())
         Node.StartAt = Now + RestartDelay;
     }
     if (Now <= Node.PausedUntil)
-      this->Checker.excuseNode(Node.Name);
+      this->Checker.excuseNode(Node.Name, Now);
     if (Node.KillAt != Instant() && Now >= Node.KillAt) {
       this->Checker.addViolation(
           "STOP", Node.Name + " did not exit within the grace period", Now);
--- a/orioledoor/soak/soak_load.cc
+++ b/orioledoor/soak/soak_load.cc
@@ -17,6 +17,11 @@
 // One step is 20 ms, so this is 150 requests per second.
 constexpr int RequestsPerStep = 3;
 constexpr milliseconds RequestTimeout(1200);
+// Share of the callers that leave, and the longest time until they do.
+constexpr int LeavePercent = 25;
+constexpr int MaxMillisUntilLeave = 600;
+// Longer steps may mean that this process observes events late.
+constexpr Duration MaxStepTime = milliseconds(100);
 // Time after the deadline within which a request must be answered.
 constexpr Duration AnswerMargin = milliseconds(1000);
 
@@ -28,8 +33,8 @@
 
 SoakLoad::SoakLoad(SoakFleet &Fleet, SoakChecker &Checker, std::uint64_t Seed,
                    bool ChecksLost)
-    : Fleet(Fleet), Checker(Checker), Random(Seed), ChecksLost(ChecksLost),
-      AttemptPrefix(Seed) {}
+    : Fleet(Fleet), Checker(Checker), Random(Seed), DepartureRandom(Seed + 1),
+      ChecksLost(ChecksLost), AttemptPrefix(Seed) {}
 
 void SoakLoad::checkLost(const PendingRequest &Request, Instant Now) {
   if (this->ChecksLost && Now - Request.At < RequestTimeout * 7 / 10)
@@ -41,7 +46,25 @@
   this->ServedKeys.clear();
 }
 
+void SoakLoad::letCallersLeave(Instant Now) {
+  if (Now - this->LastStepAt > MaxStepTime)
+    this->Checker.excuseDepartures(Now);
+  while (!this->Departures.empty() && this->Departures.begin()->first <= Now) {
+    Departure Next = std::move(this->Departures.begin()->second);
+    this->Departures.erase(this->Departures.begin());
+    if (this->OpenRequests.erase(Next.Attempt) == 0)
+      continue;
+    this->Fleet.client().cancel(Next.Call);
+    ++this->Counts.Left;
+    // A fault of the link may keep the close from the node.
+    if (Now > this->Fleet.node(Next.Node).LocalFaultUntil)
+      this->Checker.recordDeparture(Next.Attempt, Now);
+  }
+}
+
 void SoakLoad::step(Instant Now) {
+  this->letCallersLeave(Now);
+  this->LastStepAt = Now;
   for (int I = 0; I < RequestsPerStep && !this->Stopped; ++I)
     this->send(Now);
 }
@@ -80,16 +103,24 @@
   this->Checker.recordSent(this->Fleet.node(Request.Node).Name, Request.Attempt,
                            Now);
   ++this->Counts.Sent;
-  ++this->OpenRequests;
-  this->Fleet.client().call(Call,
-                            [this, Request](const wire::HttpResult &Result) {
-                              this->onResult(Request, Result);
-                            });
+  this->OpenRequests.insert(Request.Attempt);
+  std::uint64_t Id = this->Fleet.client().call(
+      Call, [this, Request](const wire::HttpResult &Result) {
+        this->onResult(Request, Result);
+      });
+  std::uniform_int_distribution Percent(0, 99);
+  std::uniform_int_distribution Millis(0, MaxMillisUntilLeave);
+  // Counted requests of a planned stop must not be cut, so their callers stay.
+  if (!this->ChecksLost && Percent(this->DepartureRandom) < LeavePercent)
+    this->Departures.emplace(Now + milliseconds(Millis(this->DepartureRandom)),
+                             Departure{.Call = Id,
+                                       .Attempt = Request.Attempt,
+                                       .Node = Request.Node});
 }
 
 void SoakLoad::onResult(const PendingRequest &Request,
                         const wire::HttpResult &Result) {
-  --this->OpenRequests;
+  this->OpenRequests.erase(Request.Attempt);
   Instant Now = readClock();
   if (Result.Failure) {
     ++this->Counts.Broken;
--- a/orioledoor/soak/soak_load.h
+++ b/orioledoor/soak/soak_load.h
@@ -1,5 +1,6 @@
 // Load generator of the soak: sends requests at a constant rate through all
-// nodes, and checks and counts their results.
+// nodes, and checks and counts their results. Some callers leave before the
+// answer.
 //
 //   SoakLoad Load(Fleet, Checker, Seed);
 //   Load.step(Now);                       // every 20 ms
@@ -8,6 +9,7 @@
 #define ORIOLEDOOR_SOAK_SOAK_LOAD_H
 
 #include <cstdint>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
@@ -34,6 +36,8 @@
   std::uint64_t Failed = 0;
   // Ended without an answer.
   std::uint64_t Broken = 0;
+  // Ended by callers that left.
+  std::uint64_t Left = 0;
 };
 
 // Not thread-safe.
@@ -51,7 +55,7 @@
   // Returns the number of sampled keys that were served since the last reset.
   std::size_t servedKeys() const { return this->ServedKeys.size(); }
   // Returns whether no request is in flight.
-  bool idle() const { return this->OpenRequests == 0; }
+  bool idle() const { return this->OpenRequests.empty(); }
   void stop() { this->Stopped = true; }
 
 private:
@@ -62,8 +66,16 @@
     std::int64_t Key = -1;
     Instant At;
   };
+  struct Departure {
+    // Id of the call at the client.
+    std::uint64_t Call = 0;
+    std::string Attempt;
+    std::size_t Node = 0;
+  };
 
   void send(Instant Now);
+  // Ends the requests whose callers leave by now.
+  void letCallersLeave(Instant Now);
   // Checks a result that is not an answer of a target.
   void checkLost(const PendingRequest &Request, Instant Now);
   void onResult(const PendingRequest &Request, const wire::HttpResult &Result);
@@ -71,11 +83,17 @@
   SoakFleet &Fleet;
   SoakChecker &Checker;
   std::mt19937_64 Random;
+  // Separate, so that the requests of a seed stay the same.
+  std::mt19937_64 DepartureRandom;
   bool ChecksLost;
   std::uint64_t AttemptPrefix;
   std::uint64_t LastAttempt = 0;
   std::uint64_t NextKey = 0;
-  std::uint64_t OpenRequests = 0;
+  // Attempt IDs of the requests in flight.
+  std::set<std::string> OpenRequests;
+  // Callers that leave if they have no answer by then.
+  std::multimap<Instant, Departure> Departures;
+  Instant LastStepAt;
   bool Stopped = false;
   SoakCounts Counts;
   std::set<std::int64_t> ServedKeys;
