Repeat cancellations that may be lost

Cause: CancelForward had no tag, so the transport dropped it without a sign when the send buffer of 128 batches was full or a connection could not be made, and one that was lost with its connection was never sent again. Only requests with a waiting caller were resumed. The class: a message that must arrive is sent once.

The entry keeps the cancelled requests until their deadlines and sends the cancellation again when the connection to the node breaks, and 100 ms after the transport reports that it was not sent. The receiver takes it any number of times.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -300,6 +300,7 @@
       Parked.push_back(Caller);
   std::ranges::sort(Overdue);
   std::ranges::sort(Parked);
+  this->retryCancels(Now, Out);
   for (std::uint64_t Caller : Overdue) {
     PendingRequest &Pending = this->PendingRequests.at(Caller);
     if (!Pending.ForwardedTo.empty()) {
@@ -334,11 +335,7 @@
                 {{"request", Pending.Request.AttemptId},
                  {"at", Pending.ForwardedTo},
                  {"after_ms", millis(Now - Pending.Request.FirstByteAt)}}});
-  if (!Pending.ForwardedTo.empty())
-    Out.push_back(
-        SendMessage{Pending.ForwardedTo,
-                    CancelForward{Pending.ForwardId, this->Options.Process}});
-  this->closeForward(Pending);
+  this->withdraw(Pending, Out);
   this->PendingRequests.erase(Found);
 }
 
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -104,6 +104,9 @@
   // sent to Node.
   void handleSendFailure(const std::string &Node, std::uint64_t Id, Instant Now,
                          Effects &Out);
+  // The CancelForward with this id was certainly not sent to Node.
+  void handleCancelNotSent(const std::string &Node, std::uint64_t Id,
+                           Instant Now);
   // The connection to Node broke. Requests that were forwarded there may be
   // lost.
   void handleConnectionLost(const std::string &Node, Instant Now, Effects &Out);
@@ -160,6 +163,16 @@
     std::optional<HttpAnswer> LastAnswer;
   };
 
+  // A cancelled Forward. The cancellation may have to be sent again, since it
+  // can be lost with its connection while the target runs the request.
+  struct Withdrawal {
+    std::string Node;
+    // The target stops by itself at this time.
+    Instant Until;
+    // The cancellation was not sent and is due at this time.
+    std::optional<Instant> RetryAt;
+  };
+
   // Chooses a target and forwards the request, or parks or ends it.
   void dispatch(PendingRequest &Pending, Instant Now, Effects &Out);
   void send(PendingRequest &Pending, const std::string &To, bool LastChoice,
@@ -175,6 +188,11 @@
                         Instant Now, Effects &Out);
   // Callers of the requests that are open at Node, in ascending order.
   std::vector<std::uint64_t> callersAt(const std::string &Node) const;
+  // Cancels the open Forward of a request at its node, and closes it locally.
+  void withdraw(PendingRequest &Pending, Effects &Out);
+  void sendCancel(std::uint64_t ForwardId, Withdrawal &Cancelled, Effects &Out);
+  // Sends the cancellations again that are due.
+  void retryCancels(Instant Now, Effects &Out);
   // Closes the open Forward of a request locally, without a result.
   void closeForward(PendingRequest &Pending);
   // Returns whether another attempt is allowed, and takes it out of the budget.
@@ -204,6 +222,8 @@
   // Callers of all pending requests with an open Forward, by the id of the
   // Forward.
   std::unordered_map<std::uint64_t, std::uint64_t> CallerByForward;
+  // By the id of the Forward, in the order in which they were sent.
+  std::map<std::uint64_t, Withdrawal> Withdrawals;
   std::map<std::string, RetryBudget> Budgets;
   ServiceShares Shares;
   // By route: the longest timeout that callers of a keyed route stated, which
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -16,6 +16,11 @@
 using internal::millis;
 using internal::MinAttemptTime;
 
+// Time until a cancellation that could not be sent is sent again. The transport
+// takes up to 300 ms to find that a node can't be reached, but notices a full
+// send buffer at once.
+constexpr Duration CancelRetryInterval = std::chrono::milliseconds(100);
+
 bool isTargetFailure(int Status) { return Status == 500 || Status == 503; }
 
 } // namespace
@@ -156,6 +161,38 @@
                                     .Body = Pending.Request.Content->Body}});
 }
 
+void EntryReducer::withdraw(PendingRequest &Pending, Effects &Out) {
+  if (Pending.ForwardedTo.empty())
+    return;
+  Withdrawal &Added = this->Withdrawals[Pending.ForwardId];
+  Added = {
+      .Node = Pending.ForwardedTo, .Until = Pending.Deadline, .RetryAt = {}};
+  this->sendCancel(Pending.ForwardId, Added, Out);
+  this->closeForward(Pending);
+}
+
+void EntryReducer::sendCancel(std::uint64_t ForwardId, Withdrawal &Cancelled,
+                              Effects &Out) {
+  Cancelled.RetryAt.reset();
+  Out.push_back(SendMessage{Cancelled.Node,
+                            CancelForward{ForwardId, this->Options.Process}});
+}
+
+void EntryReducer::retryCancels(Instant Now, Effects &Out) {
+  std::erase_if(this->Withdrawals,
+                [Now](const auto &Entry) { return Now >= Entry.second.Until; });
+  for (auto &[Id, Cancelled] : this->Withdrawals)
+    if (Cancelled.RetryAt && Now >= *Cancelled.RetryAt)
+      this->sendCancel(Id, Cancelled, Out);
+}
+
+void EntryReducer::handleCancelNotSent(const std::string &Node,
+                                       std::uint64_t Id, Instant Now) {
+  this->Directory.noteUnreachable(Node, Now);
+  if (auto Found = this->Withdrawals.find(Id); Found != this->Withdrawals.end())
+    Found->second.RetryAt = Now + CancelRetryInterval;
+}
+
 void EntryReducer::handleConfirm(const std::string &Node,
                                  const ConfirmForward &Asked, Effects &Out) {
   auto Found = this->CallerByForward.find(Asked.Id);
@@ -172,8 +209,11 @@
                                      Instant Now, Effects &Out) {
   this->Directory.noteUnreachable(Node, Now);
   auto Found = this->CallerByForward.find(Id);
-  if (Found == this->CallerByForward.end())
+  if (Found == this->CallerByForward.end()) {
+    // The request never arrived, or waits for a body that won't come.
+    this->Withdrawals.erase(Id);
     return;
+  }
   PendingRequest &Pending = this->PendingRequests.at(Found->second);
   if (Pending.ResumeSent) {
     // Whether the request runs is unknown. A request that is not idempotent
@@ -225,6 +265,9 @@
 
 void EntryReducer::handleConnectionLost(const std::string &Node, Instant Now,
                                         Effects &Out) {
+  for (auto &[Id, Cancelled] : this->Withdrawals)
+    if (Cancelled.Node == Node && Now < Cancelled.Until)
+      this->sendCancel(Id, Cancelled, Out);
   for (std::uint64_t Caller : this->callersAt(Node)) {
     PendingRequest &Pending = this->PendingRequests.at(Caller);
     if (this->withdrawWithheld(Node, Pending, Now, Out))
@@ -237,9 +280,7 @@
     // new connection.
     if (!Pending.MatchedRoute->Idempotent)
       continue;
-    Out.push_back(SendMessage{
-        Node, CancelForward{Pending.ForwardId, this->Options.Process}});
-    this->closeForward(Pending);
+    this->withdraw(Pending, Out);
     this->handleLost(Pending, "the connection to the target's node broke", Now,
                      Out);
   }
--- a/orioledoor/routing/entry_recovery_test.cc
+++ b/orioledoor/routing/entry_recovery_test.cc
@@ -9,6 +9,7 @@
 namespace orioledoor::routing {
 namespace {
 
+using std::chrono::milliseconds;
 using testing::BodyBytes;
 using testing::FarNode;
 using testing::NearNode;
@@ -21,6 +22,7 @@
   CPPUNIT_TEST(removedNodeThatIsGoneEndsItsRequests);
   CPPUNIT_TEST(resumesAtTheNewProcessOfANode);
   CPPUNIT_TEST(neverAnswers503AfterALostAttempt);
+  CPPUNIT_TEST(repeatsCancellationsThatMayBeLost);
   CPPUNIT_TEST(withholdsBodiesFromSlowLinks);
   CPPUNIT_TEST(retriesElsewhereBeforeTheBodyIsSent);
   CPPUNIT_TEST_SUITE_END();
@@ -57,6 +59,35 @@
     CPPUNIT_ASSERT_EQUAL(502, F.status());
   }
 
+  // Guards against targets that work on for callers that have left, since the
+  // cancellation was lost with its connection or never sent.
+  void repeatsCancellationsThatMayBeLost() {
+    Fixture F;
+    F.sendRequest(1, "/read/x");
+    std::uint64_t Id = F.sent()->Id;
+    F.Out.clear();
+    F.Entry.handleCallerDisconnect(1, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(Id, F.cancelled());
+    F.Out.clear();
+    F.Entry.handleConnectionLost(FarNode, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
+    F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(Id, F.cancelled());
+    F.Entry.handleCancelNotSent(NearNode, Id, F.Now);
+    F.advance(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
+    F.advance(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(Id, F.cancelled());
+    F.advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
+    // After the deadline, the target has stopped.
+    F.Entry.handleCancelNotSent(NearNode, Id, F.Now);
+    F.advance(std::chrono::seconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
+    F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
+  }
+
   // Guards against requests that are cut off at a target that works on them,
   // since the store lost renewals and the entry of its node vanished.
   void removedNodeThatLivesAnswers() {
--- a/orioledoor/routing/testing/entry_fixture.h
+++ b/orioledoor/routing/testing/entry_fixture.h
@@ -121,6 +121,14 @@
         }
     return nullptr;
   }
+  // Returns the Forward that was cancelled; 0 if there is none.
+  std::uint64_t cancelled() const {
+    for (const Effect &Output : this->Out)
+      if (const auto *Message = std::get_if<SendMessage>(&Output))
+        if (const auto *Found = std::get_if<CancelForward>(&Message->Body))
+          return Found->Id;
+    return 0;
+  }
   const HttpAnswer *reply() const {
     for (const Effect &Output : this->Out)
       if (const auto *Found = std::get_if<ReplyToCaller>(&Output))
--- a/orioledoor/sidecar/event.h
+++ b/orioledoor/sidecar/event.h
@@ -34,6 +34,11 @@
   std::string To{};
   std::uint64_t Id = 0;
 };
+// The CancelForward with this id was certainly not sent to the node To.
+struct CancelNotSent {
+  std::string To{};
+  std::uint64_t Id = 0;
+};
 struct PeerConnectionLost {
   std::string Peer{};
 };
@@ -86,13 +91,12 @@
 // Occurs every 20 ms.
 struct TimerTicked {};
 
-using Event =
-    std::variant<Started, CallerRequestReceived, CallerDisconnected,
-                 PeerMessageReceived, ForwardNotSent, PeerConnectionLost,
-                 TargetAnswered, TargetFailed, TargetReportReceived,
-                 TargetDeregistered, ConfigReadReplied, ConfigWatchUpdated,
-                 ConfigDecoded, StoreReplyReceived, StoreWatchUpdated,
-                 SettingsChanged, StopRequested, TimerTicked>;
+using Event = std::variant<
+    Started, CallerRequestReceived, CallerDisconnected, PeerMessageReceived,
+    ForwardNotSent, CancelNotSent, PeerConnectionLost, TargetAnswered,
+    TargetFailed, TargetReportReceived, TargetDeregistered, ConfigReadReplied,
+    ConfigWatchUpdated, ConfigDecoded, StoreReplyReceived, StoreWatchUpdated,
+    SettingsChanged, StopRequested, TimerTicked>;
 
 } // namespace orioledoor::sidecar
 
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -384,6 +384,10 @@
                                 this->RoutingEffects);
 }
 
+void SidecarReducer::on(const CancelNotSent &NotSent, Instant Now) {
+  this->Entry.handleCancelNotSent(NotSent.To, NotSent.Id, Now);
+}
+
 void SidecarReducer::on(PeerConnectionLost Lost, Instant Now) {
   this->Out.push_back(LogRecord{&events::PeerLost, {{"peer", Lost.Peer}}});
   this->Entry.handleConnectionLost(Lost.Peer, Now, this->RoutingEffects);
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -77,6 +77,7 @@
   void on(CallerDisconnected Disconnected, Instant Now);
   void on(PeerMessageReceived Received, Instant Now);
   void on(const ForwardNotSent &NotSent, Instant Now);
+  void on(const CancelNotSent &NotSent, Instant Now);
   void on(PeerConnectionLost Lost, Instant Now);
   void on(TargetAnswered Answered, Instant Now);
   void on(const TargetFailed &Failed, Instant Now);
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -51,6 +51,9 @@
 // A frame between nodes contains a body and its headers.
 constexpr std::size_t MaxForwardBody = wire::MaxPayloadBytes - (256U << 10);
 
+// Scope of the tags of cancellations.
+constexpr std::uint64_t CancelScope = 1;
+
 struct EventDeleter {
   void operator()(event *Owned) const { event_free(Owned); }
 };
@@ -172,6 +175,9 @@
     } else if (const auto *Body =
                    std::get_if<routing::ForwardBody>(&NewEffect.Body)) {
       Tag.Id = Body->Id;
+    } else if (const auto *Cancel =
+                   std::get_if<routing::CancelForward>(&NewEffect.Body)) {
+      Tag = {CancelScope, Cancel->Id};
     }
     std::string Bytes = routing::encodeMessage(NewEffect.Body);
     const routing::TargetDirectory &Directory = this->Reducer.directory();
@@ -349,7 +355,9 @@
              },
          .OnNotSent =
              [this](std::string_view To, wire::Channel, wire::FrameTag Tag) {
-               if (Tag.Id != 0)
+               if (Tag.Scope == CancelScope)
+                 this->dispatch(CancelNotSent{std::string(To), Tag.Id});
+               else if (Tag.Id != 0)
                  this->dispatch(ForwardNotSent{std::string(To), Tag.Id});
              },
          .OnConnectionLost =
