Send key maps only to nodes that lack them

Cause: a node answers each request for a key that its target does not hold with the whole key map, every 100 ms to each of 71 others. While a hot spot moves, its last owner gets requests from all, most of which know the map already. The class: a reply whose size and number nobody bounds, on the link that the requests need.

Forward states the revision of the key map that it was sent by. A map goes only to a node with an older one, and all maps together take an eighth of the link.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -180,6 +180,7 @@
   }
   if (Pending.Partitioned) {
     KeyOwner Owner = this->LookUpOwner(Pending.Service, Pending.Request.Key);
+    Pending.KeyMapRevision = Owner.MapRevision;
     const TargetView *View = this->Directory.find(Owner.Node);
     bool Leaves = this->Directory.hasDrained(Owner.Target, Now);
     if (View && Now < View->AvoidUntil)
@@ -246,6 +247,7 @@
                   .TimeLeft = Pending.Deadline - Now,
                   .LatencyLeft = Pending.LatencyDeadline - Now,
                   .Key = Pending.Partitioned ? Pending.Request.Key : NoKey,
+                  .KeyMapRevision = Pending.KeyMapRevision,
                   .Priority = static_cast<std::uint8_t>(
                       std::clamp(Pending.MatchedRoute->Priority, 0, 255)),
                   .Idempotent = Pending.MatchedRoute->Idempotent,
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -55,6 +55,8 @@
   // The key is being transferred and will soon be served, by this owner or
   // another.
   bool Moving = false;
+  // Store revision of the key map that says so; 0 if there is none.
+  std::int64_t MapRevision = 0;
 };
 
 struct EntryOptions {
@@ -133,6 +135,8 @@
     std::string Service;
     RequestClassId RequestClass = 0;
     bool Partitioned = false;
+    // Revision of the key map that the owner was last looked up in.
+    std::int64_t KeyMapRevision = 0;
     // The caller must have its answer by this time.
     Instant Deadline;
     // An answer by this time meets the latency target of the route.
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -50,6 +50,9 @@
   // Remaining time until the route's latency target; may be negative.
   Duration LatencyLeft{0};
   std::int32_t Key = NoKey;
+  // Store revision of the key map that named the receiver as the owner of the
+  // key; 0 if unknown.
+  std::int64_t KeyMapRevision = 0;
   std::uint8_t Priority = 0;
   bool Idempotent = false;
   // No other target is known to have capacity: queue the request if it can
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -178,14 +178,14 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 21)
+    start(this->Out, this->Sent, 22)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
         << Value.MaxUsefulWait << Value.RequestClass << Value.WithheldBytes
         << Value.Content->Method << Value.Content->Target << Value.Content->Host
         << Value.Content->Headers << Value.Content->Body << Value.ConfigVersion
-        << Value.SentAt;
+        << Value.SentAt << Value.KeyMapRevision;
   }
   void operator()(const ForwardResult &Value) const {
     start(this->Out, this->Sent, 9 + StatusFields + PaceFields)
@@ -259,6 +259,7 @@
       Content->Body;
   In.readIfPresent(Value.ConfigVersion);
   In.readIfPresent(Value.SentAt);
+  In.readIfPresent(Value.KeyMapRevision);
   Value.Content = std::move(Content);
   return Value;
 }
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -126,7 +126,8 @@
     return {};
   return {.Node = Row->Owner.Node,
           .Target = Row->Owner,
-          .Moving = static_cast<bool>(Row->Next)};
+          .Moving = static_cast<bool>(Row->Next),
+          .MapRevision = Stored->Revision};
 }
 
 void KeyOwnershipManager::recordLoad(const routing::KeyLoadNotice &Notice,
@@ -369,17 +370,22 @@
   }
 }
 
-void KeyOwnershipManager::sendKeyMap(const std::string &Node,
-                                     std::string_view Service, Instant Now,
-                                     Effects &Out) {
+std::size_t KeyOwnershipManager::sendKeyMap(const std::string &Node,
+                                            std::string_view Service,
+                                            std::int64_t KnownRevision,
+                                            Instant Now, Effects &Out) {
   const StoredKeyMap *Stored = this->findKeyMap(Service);
+  if (!Stored || Stored->Revision <= KnownRevision)
+    return 0;
   Instant &LastSentAt = this->KeyMapSentAt[Node];
-  if (!Stored || Now - LastSentAt < KeyMapSendInterval)
-    return;
+  if (Now - LastSentAt < KeyMapSendInterval)
+    return 0;
   LastSentAt = Now;
+  std::string Map = keyspace::encodeKeyMap(Stored->Map);
+  std::size_t Bytes = Map.size();
   Out.push_back(SendMessage{
-      Node, routing::KeyMapNotice{Stored->Revision,
-                                  keyspace::encodeKeyMap(Stored->Map)}});
+      Node, routing::KeyMapNotice{Stored->Revision, std::move(Map)}});
+  return Bytes;
 }
 
 bool KeyOwnershipManager::onStoreReply(const StoreReply &Reply, Instant Now,
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -7,6 +7,7 @@
 #ifndef ORIOLEDOOR_SIDECAR_KEY_OWNERSHIP_MANAGER_H
 #define ORIOLEDOOR_SIDECAR_KEY_OWNERSHIP_MANAGER_H
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -74,9 +75,10 @@
   bool receiveChange(const routing::KeyMapChangeNotice &Notice, Instant Now,
                      Effects &Out);
   // Sends the key map of Service to Node, which sent a request for a key that
-  // is not held here and so may not know the current owners.
-  void sendKeyMap(const std::string &Node, std::string_view Service,
-                  Instant Now, Effects &Out);
+  // is not held here, if the map is newer than KnownRevision. Returns the size
+  // of the map in bytes, or 0 if it was not sent.
+  std::size_t sendKeyMap(const std::string &Node, std::string_view Service,
+                         std::int64_t KnownRevision, Instant Now, Effects &Out);
 
   // Returns the peer address of the planning node, or an empty string if none
   // is known.
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -327,7 +327,7 @@
       KeyHold = this->Keys.holds(KeyNumber, Now) ? routing::KeyState::Held
                                                  : routing::KeyState::NotHeld;
       if (KeyHold == routing::KeyState::NotHeld && From != this->Options.Node)
-        this->Keys.sendKeyMap(From, Request->Service, Now, this->Out);
+        this->sendKeyMap(From, *Request, Now);
     }
     this->Gate.handleForward(From, std::move(*Request), KeyHold, Now,
                              this->RoutingEffects, Delay);
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -112,6 +112,10 @@
   Duration transferTime(std::size_t Bytes) const;
   void sendConfig(const std::string &To, const routing::FetchConfig &Request,
                   Instant Now);
+  // Sends the key map to a node whose request was for a key that the target
+  // does not hold, if the node lacks it.
+  void sendKeyMap(const std::string &To, const routing::Forward &Request,
+                  Instant Now);
   // Collects the effects of Out and RoutingEffects and delivers messages that
   // this node sent to itself.
   void deliverEffects(Instant Now);
@@ -132,6 +136,8 @@
   ConfigFollower Config;
   // Time from which the link may carry another configuration to a node.
   Instant ConfigSendAt;
+  // The same for key maps.
+  Instant KeyMapSendAt;
   Membership Members;
   routing::TransitDelays Delays;
   // Number of messages that arrived late.
--- a/orioledoor/sidecar/reducer_config.cc
+++ b/orioledoor/sidecar/reducer_config.cc
@@ -1,6 +1,6 @@
 // Handling of the configuration: applying new versions, announcing the version
 // in force to other nodes and sending the configuration to nodes that have an
-// older one.
+// older one. Also sends key maps, which share the link.
 #include <utility>
 
 #include "orioledoor/sidecar/events.h"
@@ -12,6 +12,9 @@
 // Sending configurations to other nodes uses at most this fraction (1/4) of the
 // link's time; the rest is left for requests.
 constexpr int ConfigLinkDivisor = 4;
+// The same for key maps. Most nodes learn of changes from the node that wrote
+// them; a whole map is for those that missed one.
+constexpr int KeyMapLinkDivisor = 8;
 
 } // namespace
 
@@ -99,6 +102,15 @@
   this->Out.push_back(SendMessage{To, routing::ConfigNotice{Table->Document}});
 }
 
+void SidecarReducer::sendKeyMap(const std::string &To,
+                                const routing::Forward &Request, Instant Now) {
+  if (Now < this->KeyMapSendAt)
+    return;
+  std::size_t Bytes = this->Keys.sendKeyMap(
+      To, Request.Service, Request.KeyMapRevision, Now, this->Out);
+  this->KeyMapSendAt = Now + this->transferTime(Bytes) * KeyMapLinkDivisor;
+}
+
 void SidecarReducer::apply(ConfigActions Actions) {
   if (Actions.NewConfig)
     this->Out.push_back(DecodeConfig{std::move(Actions.NewConfig->Value), ""});
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -32,6 +32,9 @@
   return Options;
 }
 
+// Store revision of the key map that a fleet starts with.
+constexpr std::int64_t KeyMapRevision = 9;
+
 class ReducerFixture {
 public:
   explicit ReducerFixture(const SidecarOptions &InitialOptions = options())
@@ -99,8 +102,8 @@
     Read.Entries = {{keyspace::KeyPlanner::nodeEntryKey(OwnAddress),
                      encodeNodeEntry(Entry), 10}};
     if (Map)
-      Read.Entries.push_back(
-          {std::string(KeysPrefix) + "keyed", keyspace::encodeKeyMap(*Map), 9});
+      Read.Entries.push_back({std::string(KeysPrefix) + "keyed",
+                              keyspace::encodeKeyMap(*Map), KeyMapRevision});
     this->reply(Read);
     this->dispatch(ConfigDecoded{Table});
   }
@@ -115,6 +118,22 @@
         TargetReportReceived{static_cast<std::uint64_t>(Sequence), Report});
   }
 
+  // Another node forwards a request for a key; it knows the map of MapRevision.
+  void forwardKeyed(const std::string &From, std::uint64_t Id,
+                    std::int64_t MapRevision) {
+    this->dispatch(PeerMessageReceived{
+        From, routing::Forward{
+                  .Id = Id,
+                  .Process = 9,
+                  .Service = "keyed",
+                  .AttemptId = "a",
+                  .TimeLeft = seconds(2),
+                  .LatencyLeft = seconds(1),
+                  .Key = 1,
+                  .KeyMapRevision = MapRevision,
+                  .Content = std::make_shared<routing::RequestContent>()}});
+  }
+
   Instant Now{std::int64_t{10'000'000}};
   SidecarReducer Reducer;
   Effects Out;
@@ -129,6 +148,23 @@
   return Map;
 }
 
+// Returns a map with as many rows as a service of 37 targets has after a few
+// moves.
+keyspace::KeyMap makeManyOwnerMap(const std::string &Node) {
+  constexpr std::uint32_t Rows = 64;
+  constexpr std::uint32_t KeysPerRow = (keyspace::LastKey + 1) / Rows;
+  keyspace::KeyMap Map;
+  Map.Service = "keyed";
+  Map.LastFence = 1;
+  for (std::uint32_t Row = 0; Row < Rows; ++Row)
+    Map.Rows.push_back({{Row * KeysPerRow, (Row + 1) * KeysPerRow - 1},
+                        {"i-" + std::to_string(Row), 1, Node},
+                        1,
+                        "",
+                        {}});
+  return Map;
+}
+
 class ReducerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReducerTest);
   CPPUNIT_TEST(becomesReadyWithRoutesAndMembers);
@@ -142,6 +178,8 @@
   CPPUNIT_TEST(ignoresOlderConfiguration);
   CPPUNIT_TEST(appliesConfigurationFromAnotherNode);
   CPPUNIT_TEST(limitsLinkUseBySendingConfigurations);
+  CPPUNIT_TEST(keyMapsGoToNodesThatLackThem);
+  CPPUNIT_TEST(formerOwnerOfHotKeysKeepsItsLinkFree);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -445,6 +483,50 @@
     CPPUNIT_ASSERT_EQUAL(2, Sent);
   }
 
+  // Guards against key maps that tell their receivers nothing new: while a key
+  // moves, its last owner gets requests from nodes that know the move.
+  void keyMapsGoToNodesThatLackThem() {
+    keyspace::KeyMap Map =
+        makeSingleOwnerMap({"i-9", 1, OtherAddress}, {"i-8", 1, OwnAddress});
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet(&Map);
+    Sidecar.report(1);
+    Sidecar.forwardKeyed(OtherAddress, 1, KeyMapRevision);
+    CPPUNIT_ASSERT(Sidecar.findMessage<routing::ForwardResult>());
+    CPPUNIT_ASSERT(!Sidecar.findMessage<routing::KeyMapNotice>());
+    Sidecar.forwardKeyed(OtherAddress, 2, KeyMapRevision - 1);
+    CPPUNIT_ASSERT(Sidecar.findMessage<routing::KeyMapNotice>());
+  }
+
+  // The load of a hot spot that has just moved: 70 nodes go on sending ten
+  // requests a second each to the last owner, whose link has 11 Mbit/s. Guards
+  // against answering each with a key map, which took 86% of the link and
+  // delayed requests, cancellations and answers by up to 1.1 s.
+  void formerOwnerOfHotKeysKeepsItsLinkFree() {
+    constexpr int Senders = 70;
+    constexpr int RequestsPerSender = 10;
+    SidecarOptions Slow = options();
+    Slow.LinkBytesPerSecond = 11e6 / 8;
+    keyspace::KeyMap Map = makeManyOwnerMap(OtherAddress);
+    ReducerFixture Sidecar(Slow);
+    Sidecar.joinFleet(&Map);
+    Sidecar.report(1);
+    std::size_t Bytes = 0;
+    std::uint64_t Id = 0;
+    for (int Round = 0; Round < RequestsPerSender; ++Round) {
+      for (int Sender = 0; Sender < Senders; ++Sender) {
+        Sidecar.forwardKeyed("tcp://10.0.1." + std::to_string(Sender) + ":7100",
+                             ++Id, KeyMapRevision - 1);
+        if (const auto *Sent = Sidecar.findMessage<routing::KeyMapNotice>())
+          Bytes += Sent->Map.size();
+      }
+      Sidecar.advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(Bytes > 0);
+    CPPUNIT_ASSERT(Bytes <
+                   static_cast<std::size_t>(Slow.LinkBytesPerSecond / 4));
+  }
+
 private:
   static std::shared_ptr<routing::RouteTable> makeTable(std::uint64_t Version) {
     auto Table = std::make_shared<routing::RouteTable>();
