Reject odd entries and reports instead of converting them

Here an odd entry did not end a process, but it became a member: the JSON library converts numbers of another type or out of range, any text counted as an address (port 70000, no port, a host name), and the key was not compared with the node that the entry names. The node with the lowest key plans the ownership of keys, so such an entry under a low key would have left the fleet without a planner, with up to four billion slots to prefer. A report whose id is not UTF-8 would have ended the process: the id goes into the JSON of the node's entry, and the library throws (type_error.316, tried alone).

Numbers are now read by readInteger, which keys, reports and entries share; addresses must parse; an entry must stand under its own key; rows of a key map are in order and in range; ids are printable and of 128 bytes at most.

--- a/orioledoor/keyspace/key_map.cc
+++ b/orioledoor/keyspace/key_map.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "orioledoor/base/error.h"
+#include "orioledoor/store/json_fields.h"
 
 namespace orioledoor::keyspace {
 namespace {
@@ -121,12 +122,17 @@
     std::vector<TargetRef> Targets;
     for (const json &Item : Document.at("targets"))
       Targets.push_back({Item.at(0), Item.at(1), Item.at(2)});
-    for (const json &Item : Document.at("rows"))
-      Map.Rows.push_back({.Keys = {Item.at(0), Item.at(1)},
-                          .Owner = targetAt(Targets, Item.at(2)),
-                          .Fence = Item.at(3),
-                          .Handover = Item.at(4),
-                          .Next = targetAt(Targets, Item.at(5))});
+    for (const json &Item : Document.at("rows")) {
+      // Rows are in ascending order and do not overlap.
+      std::uint32_t First = Map.Rows.empty() ? 0 : Map.Rows.back().Keys.To + 1;
+      auto From = readInteger(Item.at(0), First, LastKey);
+      Map.Rows.push_back(
+          {.Keys = {From, readInteger(Item.at(1), From, LastKey)},
+           .Owner = targetAt(Targets, Item.at(2)),
+           .Fence = readInteger<std::int64_t>(Item.at(3), 0),
+           .Handover = Item.at(4),
+           .Next = targetAt(Targets, Item.at(5))});
+    }
     for (const json &Item : Document.at("lost"))
       Map.Lost.push_back({targetAt(Targets, Item.at(0)), Item.at(1)});
     return Map;
--- a/orioledoor/platform/platform_codec_test.cc
+++ b/orioledoor/platform/platform_codec_test.cc
@@ -102,6 +102,18 @@
     CPPUNIT_ASSERT(!decodeReport(ReportPath, "\x81\xA1").ok());
     CPPUNIT_ASSERT(!decodeReport("/Instances.Heartbeat/", Report).ok());
     CPPUNIT_ASSERT(!decodeReport("/health", Report).ok());
+    // Guards against a process that ends, since the id of a target goes into
+    // JSON documents, which must be valid UTF-8.
+    for (const std::string &Id : {std::string("i-\xff"), std::string("i 1"),
+                                  std::string("i-\n"), std::string(500, 'i')})
+      CPPUNIT_ASSERT_MESSAGE(
+          Id, !decodeReport("/Instances.Heartbeat/" + Id, Report).ok());
+    CPPUNIT_ASSERT(!decodeReport(ReportPath, std::string(400'000, '[')).ok());
+    CPPUNIT_ASSERT(
+        !decodeReport(ReportPath,
+                      replaceText(Report, R"("slots":13)",
+                                  R"("slots":123456789012345678901234567890)"))
+             .ok());
   }
 
   void encodesReportAnswer() {
--- a/orioledoor/platform/report_codec.cc
+++ b/orioledoor/platform/report_codec.cc
@@ -1,6 +1,7 @@
 // Implements the JSON encoding of reports.
 #include "orioledoor/platform/report_codec.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <exception>
 #include <limits>
@@ -10,6 +11,7 @@
 
 #include "orioledoor/base/error.h"
 #include "orioledoor/platform/names.h"
+#include "orioledoor/store/json_fields.h"
 
 namespace orioledoor::platform {
 namespace {
@@ -20,17 +22,12 @@
 constexpr std::int64_t MaxKey = 65535;
 // No target runs more requests at once; a larger value is an error of the
 // sender.
-constexpr std::int64_t MaxSlots = 100'000;
+constexpr std::uint32_t MaxSlots = 100'000;
+// The platform's ids are shorter; this one ends up in a key of at most 200
+// bytes.
+constexpr std::size_t MaxInstanceBytes = 128;
 
-std::int64_t readInteger(const json &Value, std::int64_t Min,
-                         std::int64_t Max) {
-  if (!Value.is_number_integer())
-    throw std::out_of_range("not a whole number");
-  auto Number = Value.get<std::int64_t>();
-  if (Number < Min || Number > Max)
-    throw std::out_of_range("number out of range");
-  return Number;
-}
+bool isVisible(char C) { return C > ' ' && C < 0x7f; }
 
 std::string readNonEmptyString(const json &Value) {
   if (!Value.is_string() || Value.get_ref<const std::string &>().empty())
@@ -39,8 +36,8 @@
 }
 
 routing::KeyRange readKeyRange(const json &Row) {
-  auto From = readInteger(Row.at(0), 0, MaxKey);
-  auto To = readInteger(Row.at(1), From, MaxKey);
+  auto From = readInteger<std::int64_t>(Row.at(0), 0, MaxKey);
+  auto To = readInteger<std::int64_t>(Row.at(1), From, MaxKey);
   return {static_cast<std::uint32_t>(From), static_cast<std::uint32_t>(To)};
 }
 
@@ -56,22 +53,21 @@
   Report.Service = readNonEmptyString(Information.at("service"));
   Report.FailureDomain = readNonEmptyString(Information.at("zone"));
   Report.SoftwareVersion = readNonEmptyString(Information.at("version"));
-  Report.Slots = static_cast<std::uint32_t>(
-      readInteger(Information.at("slots"), 1, MaxSlots));
+  Report.Slots = readInteger(Information.at("slots"), 1U, MaxSlots);
   std::string State = readNonEmptyString(StatusFields.at("state"));
   if (State != "ready" && State != "draining")
     throw std::out_of_range("unknown state " + State);
   Report.Draining = State == "draining";
-  Report.Sequence = readInteger(StatusFields.at("sequence"), 0, MaxInt64);
+  Report.Sequence = readInteger<std::int64_t>(StatusFields.at("sequence"), 0);
   if (StatusFields.contains("coldRemainingMs"))
-    Report.ColdRemaining = std::chrono::milliseconds(
-        readInteger(StatusFields.at("coldRemainingMs"), 0, MaxInt64 / 2000));
+    Report.ColdRemaining = std::chrono::milliseconds(readInteger<std::int64_t>(
+        StatusFields.at("coldRemainingMs"), 0, MaxInt64 / 2000));
   if (Body.contains("born"))
-    Report.StartTimeMs = readInteger(Body.at("born"), 0, MaxInt64);
+    Report.StartTimeMs = readInteger<std::int64_t>(Body.at("born"), 0);
   if (Body.contains("holds"))
     for (const json &Row : Body.at("holds"))
       Report.Holds.push_back(
-          {readKeyRange(Row), readInteger(Row.at(2), 0, MaxInt64)});
+          {readKeyRange(Row), readInteger<std::int64_t>(Row.at(2), 0)});
   // The key ranges that the target released. The field is a list, despite its
   // name.
   if (Body.contains("freedCount"))
@@ -90,6 +86,11 @@
     return makeError(absl::StatusCode::kInvalidArgument, "read report", Path,
                      "the path names no instance");
   std::string_view Instance = Path.substr(Prefix.size());
+  // The id goes into JSON documents and log lines.
+  if (Instance.size() > MaxInstanceBytes ||
+      !std::ranges::all_of(Instance, isVisible))
+    return makeError(absl::StatusCode::kInvalidArgument, "read report", Path,
+                     "the instance is not a printable id");
   try {
     return readReport(Instance, json::parse(Body));
   } catch (const std::exception &Error) {
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -216,6 +216,12 @@
                          {"why", std::string(Decoded.status().message())}}});
     return;
   }
+  if (keyspace::KeyPlanner::nodeEntryKey(Decoded->Node) != Entry.Key) {
+    Out.Logs.push_back(
+        {&events::EntryUnreadable,
+         {{"key", Entry.Key}, {"why", "the entry belongs to another node"}}});
+    return;
+  }
   auto Found = this->Nodes.find(Entry.Key);
   // Changes may arrive from a read and from the watch in a different order than
   // they were made.
--- a/orioledoor/sidecar/node_entry.cc
+++ b/orioledoor/sidecar/node_entry.cc
@@ -7,6 +7,9 @@
 #include <nlohmann/json.hpp>
 
 #include "orioledoor/base/error.h"
+#include "orioledoor/catalogue/parse_endpoint.h"
+#include "orioledoor/catalogue/settings.h"
+#include "orioledoor/store/json_fields.h"
 
 namespace orioledoor::sidecar {
 namespace {
@@ -15,12 +18,26 @@
 using routing::TargetRef;
 using routing::TargetState;
 
+// Larger values are errors of the writer, and would attract all requests.
+constexpr std::uint32_t MaxSlots = 100'000;
+constexpr std::uint64_t MaxLinkBytesPerSecond = 1'000'000'000'000;
+
 json toJson(const TargetRef &Target) {
   return {Target.Instance, Target.StartTimeMs, Target.Node};
 }
 
 TargetRef targetFrom(const json &Item) {
-  return {Item.at(0), Item.at(1), Item.at(2)};
+  return {Item.at(0), readInteger<std::int64_t>(Item.at(1), 0), Item.at(2)};
+}
+
+// Returns the address of a node, to which others must be able to connect.
+std::string readNodeAddress(const json &Value) {
+  constexpr std::string_view Scheme = "tcp://";
+  auto Address = Value.get<std::string>();
+  if (!Address.starts_with(Scheme) ||
+      !parseEndpoint(std::string_view(Address).substr(Scheme.size())))
+    throw std::out_of_range("not the address of a node");
+  return Address;
 }
 
 } // namespace
@@ -44,20 +61,19 @@
   try {
     json Document = json::parse(Text);
     NodeEntry Entry;
-    Entry.Node = Document.at("node");
-    Entry.Process = Document.at("process");
+    Entry.Node = readNodeAddress(Document.at("node"));
+    Entry.Process = readInteger<std::uint64_t>(Document.at("process"), 0);
     Entry.Place = {Document.at("failure_domain"), Document.at("region")};
     Entry.Target = targetFrom(Document.at("target"));
     Entry.Service = Document.at("service");
-    int State = Document.at("state");
-    if (State < 0 || State > static_cast<int>(TargetState::Leaving))
-      throw std::out_of_range("unknown state");
-    Entry.State = static_cast<TargetState>(State);
-    Entry.Slots = Document.at("slots");
+    Entry.State = static_cast<TargetState>(readInteger(
+        Document.at("state"), 0, static_cast<int>(TargetState::Leaving)));
+    Entry.Slots = readInteger(Document.at("slots"), 0U, MaxSlots);
     // Entries of earlier releases do not have this field.
-    Entry.LinkBytesPerSecond =
-        Document.value("link_bytes_per_second", std::uint64_t{0});
-    Entry.Sequence = Document.at("sequence");
+    if (Document.contains("link_bytes_per_second"))
+      Entry.LinkBytesPerSecond = readInteger<std::uint64_t>(
+          Document.at("link_bytes_per_second"), 0, MaxLinkBytesPerSecond);
+    Entry.Sequence = readInteger<std::uint64_t>(Document.at("sequence"), 0);
     Entry.Ended = targetFrom(Document.at("ended"));
     return Entry;
   } catch (const std::exception &Error) {
