End a connection to a target with a refusal

A request for a key that is moving gets 421, waits, and goes to the same target again with the same attempt id: a second copy of the 421 on that connection passes for the answer of the new run, and the request is sent a third time. And a refusal without an attempt id was taken for the answer to whatever request was open.

A connection that carried Not-Executed is not used again, and such a response must repeat the attempt id, or the outcome counts as unknown.

--- a/orioledoor/platform/request_codec.cc
+++ b/orioledoor/platform/request_codec.cc
@@ -107,6 +107,7 @@
   Call.Headers.push_back({names::CallerService, Request.CallerService});
   Call.Headers.push_back({names::ExpectedInstance, Request.Instance});
   Call.EchoHeader = names::AttemptId;
+  Call.FinalHeader = names::NotExecuted;
   Call.Body = Request.Content->Body;
   return Call;
 }
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -85,6 +85,7 @@
     bool IsHead = false;
     // The header that the response must repeat; see HttpCall::EchoHeader.
     requests::Header ExpectedEcho;
+    std::string FinalHeader;
     // Set by the error callback of evhttp.
     std::optional<evhttp_request_error> Error;
   };
@@ -363,10 +364,18 @@
     const char *ConnectionHeader = evhttp_find_header(Headers, "Connection");
     bool Reusable = !(ConnectionHeader &&
                       internal::equalsIgnoreCase(ConnectionHeader, "close")) &&
+                    !isFinal(Found->second, Answer) &&
                     !this->hasUnreadInput(Conn);
     this->completeCall(Conn.CallId, std::move(Result), Reusable);
   }
 
+  // Returns whether the connection is not used again after this response.
+  static bool isFinal(const CallState &Call,
+                      const requests::HttpAnswer &Answer) {
+    return !Call.FinalHeader.empty() &&
+           internal::findHeader(Answer.Headers, Call.FinalHeader);
+  }
+
   // Returns what is wrong with a response, or an empty string if it is complete
   // and belongs to the call. Adds the length that the response to a HEAD
   // request states to its headers.
@@ -383,14 +392,16 @@
         std::string_view(ContentLength) != std::to_string(Answer.Body.size()))
       return "the answer states " + std::string(ContentLength) +
              " bytes and has " + std::to_string(Answer.Body.size());
-    const requests::Header &ExpectedEcho =
-        this->Calls.at(Conn.CallId).ExpectedEcho;
+    const CallState &Call = this->Calls.at(Conn.CallId);
+    const requests::Header &ExpectedEcho = Call.ExpectedEcho;
     const requests::Header *Echoed =
         ExpectedEcho.Name.empty()
             ? nullptr
             : internal::findHeader(Answer.Headers, ExpectedEcho.Name);
     if (Echoed && Echoed->Value != ExpectedEcho.Value)
       return "the answer belongs to another request";
+    if (!Echoed && isFinal(Call, Answer))
+      return "the answer does not say which request it belongs to";
     // Without the echoed header nothing shows which of the bytes belong to the
     // response.
     if (!Echoed && hasUnreadInput(Conn))
@@ -451,6 +462,7 @@
     State.OnDone = std::move(OnDone);
     State.UsesFreshConnection = Call.FreshConnection;
     State.IsHead = Call.Method == "HEAD";
+    State.FinalHeader = Call.FinalHeader;
     if (!Call.EchoHeader.empty())
       if (const requests::Header *Sent =
               internal::findHeader(Call.Headers, Call.EchoHeader))
--- a/orioledoor/wire/http_client.h
+++ b/orioledoor/wire/http_client.h
@@ -39,6 +39,10 @@
   // contains the header with another value, it belongs to another request and
   // the call fails.
   std::string EchoHeader{};
+  // Name of a response header after which the connection is not used again: a
+  // server may write such a response twice, and the request may come again.
+  // Such a response must contain EchoHeader, or the call fails.
+  std::string FinalHeader{};
   // Copied by call().
   std::string_view Body{};
   // Time after which the call fails as TimedOut.
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(expiredPermissionIsNotSent);
   CPPUNIT_TEST(connectionLostAfterWriting);
   CPPUNIT_TEST(truncatedResponsesAreErrors);
+  CPPUNIT_TEST(headsThatBreakOffAreErrors);
+  CPPUNIT_TEST(finalHeaderEndsTheConnection);
   CPPUNIT_TEST(responsesToOtherRequestsAreErrors);
   CPPUNIT_TEST(extraBytesAfterEchoedResponseCloseTheConnection);
   CPPUNIT_TEST(timeoutAndCancel);
@@ -160,6 +162,56 @@
     }
   }
 
+  // Guards against a head that breaks off and is taken for a complete response
+  // with an empty or short body.
+  void headsThatBreakOffAreErrors() {
+    for (std::string_view Whole :
+         {"HTTP/1.1 200 OK\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\n"
+          "hello",
+          "HTTP/1.1 200 OK\r\nServer-Signature: s\r\n\r\n"}) {
+      for (std::size_t Cut = 1; Cut < Whole.size(); ++Cut) {
+        HttpResult Result = this->call(Whole.substr(0, Cut), true);
+        CPPUNIT_ASSERT_MESSAGE(std::string(Whole.substr(0, Cut)),
+                               Result.Failure);
+        CPPUNIT_ASSERT_MESSAGE(std::string(Whole.substr(0, Cut)),
+                               *Result.Failure != TargetFailure::NotSent);
+      }
+      HttpResult Result = this->call(Whole, true);
+      CPPUNIT_ASSERT_MESSAGE(Result.Detail, !Result.Failure);
+    }
+  }
+
+  // Guards against a refusal that the target writes once more: on a connection
+  // in use again it would be taken for the response to the same request, which
+  // has been sent again and runs.
+  void finalHeaderEndsTheConnection() {
+    HttpCall Call;
+    Call.Headers = {{"Attempt-Id", "a1"}};
+    Call.EchoHeader = "Attempt-Id";
+    Call.FinalHeader = "Not-Executed";
+    HttpResult Result =
+        this->call("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: a1\r\n"
+                   "not-executed: 1\r\nContent-Length: 0\r\n\r\n",
+                   false, Call);
+    CPPUNIT_ASSERT(!Result.Failure);
+    close(this->Server);
+    this->Server = -1;
+    Result = this->call("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                        false, Call);
+    CPPUNIT_ASSERT(!Result.Failure);
+    CPPUNIT_ASSERT_EQUAL(200, Result.Answer.Status);
+    CPPUNIT_ASSERT_EQUAL(2, this->Accepted);
+    // A refusal of an unknown request says nothing about this one.
+    Call.FreshConnection = true;
+    close(this->Server);
+    this->Server = -1;
+    Result = this->call("HTTP/1.1 503 Service Unavailable\r\n"
+                        "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                        false, Call);
+    CPPUNIT_ASSERT(Result.Failure == TargetFailure::Truncated);
+  }
+
   void timeoutAndCancel() {
     HttpCall Call;
     Call.Timeout = std::chrono::milliseconds(50);
