Take the time left of a late request from its confirmation

If the clock of a VM loses time, all its messages seem late by that for up to two minutes, and their requests would have been refused as expired. A late message with a withheld body had its body fetched without a question.

ForwardConfirmed now states the time that is left, counted from the question, since the confirmation may be late as well; delays below 200 ms are subtracted as before. A late request is confirmed before its body is fetched. A Forward that could not be sent no longer ends the repetition of its cancellation: the report may be about a ResumeForward of the same id.

--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -101,7 +101,7 @@
                        Instant Now, Effects &Out);
   // Node asks whether the caller of a request still waits.
   void handleConfirm(const std::string &Node, const ConfirmForward &Asked,
-                     Effects &Out);
+                     Instant Now, Effects &Out);
   // The Forward, ForwardBody or ResumeForward with this id was certainly not
   // sent to Node.
   void handleSendFailure(const std::string &Node, std::uint64_t Id, Instant Now,
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -194,26 +194,27 @@
 }
 
 void EntryReducer::handleConfirm(const std::string &Node,
-                                 const ConfirmForward &Asked, Effects &Out) {
+                                 const ConfirmForward &Asked, Instant Now,
+                                 Effects &Out) {
   auto Found = this->CallerByForward.find(Asked.Id);
-  bool Waits = Asked.Process == this->Options.Process &&
-               Found != this->CallerByForward.end() &&
-               this->PendingRequests.at(Found->second).ForwardedTo == Node;
-  if (Waits)
-    Out.push_back(SendMessage{Node, ForwardConfirmed{Asked.Id, Asked.Process}});
-  else
+  if (Asked.Process != this->Options.Process ||
+      Found == this->CallerByForward.end()) {
     Out.push_back(SendMessage{Node, CancelForward{Asked.Id, Asked.Process}});
+    return;
+  }
+  const PendingRequest &Pending = this->PendingRequests.at(Found->second);
+  Out.push_back(
+      SendMessage{Node, ForwardConfirmed{.Id = Asked.Id,
+                                         .Process = Asked.Process,
+                                         .TimeLeft = Pending.Deadline - Now}});
 }
 
 void EntryReducer::handleSendFailure(const std::string &Node, std::uint64_t Id,
                                      Instant Now, Effects &Out) {
   this->Directory.noteUnreachable(Node, Now);
   auto Found = this->CallerByForward.find(Id);
-  if (Found == this->CallerByForward.end()) {
-    // The request never arrived, or waits for a body that won't come.
-    this->Withdrawals.erase(Id);
+  if (Found == this->CallerByForward.end())
     return;
-  }
   PendingRequest &Pending = this->PendingRequests.at(Found->second);
   if (Pending.ResumeSent) {
     // Whether the request runs is unknown. A request that is not idempotent
--- a/orioledoor/routing/entry_recovery_test.cc
+++ b/orioledoor/routing/entry_recovery_test.cc
@@ -73,6 +73,8 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
     F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
     CPPUNIT_ASSERT_EQUAL(Id, F.cancelled());
+    // The same connection may have carried a ResumeForward of this request.
+    F.Entry.handleSendFailure(NearNode, Id, F.Now, F.Out);
     F.Entry.handleCancelNotSent(NearNode, Id, F.Now);
     F.advance(milliseconds(50));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -156,6 +156,8 @@
 struct ForwardConfirmed {
   std::uint64_t Id = 0;
   std::uint64_t Process = 0;
+  // Remaining time of the caller when the message is sent.
+  Duration TimeLeft{0};
 };
 
 // Announces a changed state of the sender's target.
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -228,7 +228,8 @@
     start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
   }
   void operator()(const ForwardConfirmed &Value) const {
-    start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
+    start(this->Out, this->Sent, 3)
+        << Value.Id << Value.Process << Value.TimeLeft;
   }
   void operator()(const FetchConfig &Value) const {
     start(this->Out, this->Sent, 1) << Value.KnownVersion;
@@ -365,7 +366,7 @@
   }
   case 16: {
     ForwardConfirmed Value;
-    In >> Value.Id >> Value.Process;
+    In >> Value.Id >> Value.Process >> Value.TimeLeft;
     return Value;
   }
   default:
--- a/orioledoor/routing/target_confirmation_test.cc
+++ b/orioledoor/routing/target_confirmation_test.cc
@@ -22,7 +22,9 @@
   CPPUNIT_TEST(queuedRequestsAreConfirmedAfterAStandstill);
   CPPUNIT_TEST(localRequestsStartOnceTheLoopHasRun);
   CPPUNIT_TEST(cancellationThatOvertakesItsRequestHolds);
-  CPPUNIT_TEST(delayShortensTheTimeOfTheTarget);
+  CPPUNIT_TEST(targetGetsTheTimeThatIsReallyLeft);
+  CPPUNIT_TEST(wrongDelayCostsOnlyAQuestion);
+  CPPUNIT_TEST(lateRequestIsConfirmedBeforeItsBodyIsFetched);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -138,15 +140,37 @@
 
   // Guards against a target that works past the deadline of the caller, since
   // the time left was counted from the arrival of a late request.
-  void delayShortensTheTimeOfTheTarget() {
+  void targetGetsTheTimeThatIsReallyLeft() {
     Fixture F;
-    F.forwardLate(1, milliseconds(150));
-    for (const Effect &Output : F.Out)
-      if (const auto *Call = std::get_if<StartCall>(&Output))
-        CPPUNIT_ASSERT(Call->TimeLeft <= milliseconds(1850));
-    F.forwardLate(2, milliseconds(1995));
+    F.forwardLate(3, milliseconds(150));
+    CPPUNIT_ASSERT(F.startedTimeLeft() < milliseconds(1850));
+    F.forwardLate(1, LongDelay);
+    F.confirm(1, milliseconds(900));
+    CPPUNIT_ASSERT(F.startedTimeLeft() < milliseconds(900));
+    F.forwardLate(2, LongDelay);
+    F.confirm(2, milliseconds(5));
     CPPUNIT_ASSERT(F.endedWith(Outcome::Expired));
   }
+
+  // Guards against a VM whose requests are all refused, since its clock lost
+  // time and its messages seem to be half a minute late.
+  void wrongDelayCostsOnlyAQuestion() {
+    Fixture F;
+    F.forwardLate(1, std::chrono::seconds(30));
+    F.confirm(1, milliseconds(1900));
+    CPPUNIT_ASSERT(F.startedCallId());
+  }
+
+  void lateRequestIsConfirmedBeforeItsBodyIsFetched() {
+    Fixture F(1'250'000);
+    F.forwardWithheld(1, LongDelay);
+    CPPUNIT_ASSERT(findMessage<ConfirmForward>(F.Out));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.fetchedId());
+    F.confirm(1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, F.fetchedId());
+    F.receiveBody(1);
+    CPPUNIT_ASSERT(F.startedCallId());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetConfirmationTest);
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -73,7 +73,7 @@
   void handleShutdown(std::string_view Instance, Instant Now, Effects &Out);
 
   // From is the peer address of the sender. Delay: how much later than normal
-  // the message arrived; the times that it states are shortened by that.
+  // the message arrived, which is an estimate.
   void handleForward(const std::string &From, Forward Request, KeyState Key,
                      Instant Now, Effects &Out, Duration Delay = Duration(0));
   // Processes a body that was requested with FetchBody.
@@ -167,6 +167,10 @@
   void startQueuedCalls(Instant Now, Effects &Out);
   // Starts a call whose body is complete, or queues it for a slot.
   void admit(std::uint64_t Id, Instant Now, Effects &Out);
+  // Asks for the withheld body of a call when the link has capacity.
+  void awaitBody(std::uint64_t Id, Instant Now, Effects &Out);
+  // Time by which the target must answer, for a caller with this time left.
+  static Instant deadlineFor(Duration TimeLeft, Instant Now);
   // Admits a call some time after its arrival, if that is still possible.
   void admitLate(std::uint64_t Id, Instant Now, Effects &Out);
   // Returns whether the caller of a request with this delay may have left
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -125,8 +125,12 @@
                                Duration Delay) {
   if (this->DroppedOnArrival.contains({Request.Process, Request.Id}))
     return;
-  Request.TimeLeft -= Delay;
-  Request.LatencyLeft -= Delay;
+  // A longer delay may be an error of the clocks; the confirmation states the
+  // time that is left.
+  if (!needsConfirmation(Delay)) {
+    Request.TimeLeft -= Delay;
+    Request.LatencyLeft -= Delay;
+  }
   bool Withheld = Request.WithheldBytes > 0;
   std::uint64_t Digest =
       Withheld ? 0 : crashDigest(Request.CallerService, *Request.Content);
@@ -163,21 +167,28 @@
   ForwardedCall &Added = this->Calls[Id];
   Added.From = From;
   Added.ReceivedAt = Now;
-  Added.Deadline = Now + Request.TimeLeft - AnswerMargin;
+  Added.Deadline = deadlineFor(Request.TimeLeft, Now);
   Added.Rank = Rank;
   Added.StartBy = Now + std::max(MaxWait, Duration(0));
   Added.Digest = Digest;
   Added.Request = std::move(Request);
   this->CallIdByForward[{Added.Request.Process, Added.Request.Id}] = Id;
-  if (!Withheld) {
-    if (needsConfirmation(Delay))
-      this->confirm(Id, Now, Out);
-    else
-      this->admit(Id, Now, Out);
-    return;
-  }
-  Added.Fetching = true;
-  this->BodyFetches.push(Id, Added.Request.WithheldBytes, Added.StartBy);
+  if (needsConfirmation(Delay))
+    this->confirm(Id, Now, Out);
+  else if (Withheld)
+    this->awaitBody(Id, Now, Out);
+  else
+    this->admit(Id, Now, Out);
+}
+
+Instant TargetGate::deadlineFor(Duration TimeLeft, Instant Now) {
+  return Now + TimeLeft - AnswerMargin;
+}
+
+void TargetGate::awaitBody(std::uint64_t Id, Instant Now, Effects &Out) {
+  ForwardedCall &Call = this->Calls.at(Id);
+  Call.Fetching = true;
+  this->BodyFetches.push(Id, Call.Request.WithheldBytes, Call.StartBy);
   this->fetchBodies(Now, Out);
 }
 
--- a/orioledoor/routing/target_gate_confirmations.cc
+++ b/orioledoor/routing/target_gate_confirmations.cc
@@ -1,8 +1,6 @@
 // Confirmation of requests whose callers may have left unnoticed: the message
 // that brought the request was late, or this process stood still, so that a
 // cancellation may be waiting unread behind it.
-#include <algorithm>
-#include <utility>
 #include <vector>
 
 #include "orioledoor/routing/events.h"
@@ -60,10 +58,16 @@
   auto Asked = this->Confirmations.find(Id);
   if (Asked == this->Confirmations.end())
     return;
-  Duration Age = Now - Asked->second;
+  Instant AskedAt = Asked->second;
   this->Confirmations.erase(Asked);
-  if (Age > ConfirmationTimeout)
+  ForwardedCall &Call = this->Calls.at(Id);
+  // The time that the Forward stated was counted from its late arrival. The
+  // confirmation may be late as well, but was sent after the question.
+  Call.Deadline = deadlineFor(Confirmed.TimeLeft, AskedAt);
+  if (Now - AskedAt > ConfirmationTimeout)
     this->finishCall(Id, {.Code = Outcome::NoTarget}, Now, Out);
+  else if (Call.Request.WithheldBytes > 0 && Call.Request.Content->Body.empty())
+    this->awaitBody(Id, Now, Out);
   else
     this->admitLate(Id, Now, Out);
 }
--- a/orioledoor/routing/testing/gate_fixture.h
+++ b/orioledoor/routing/testing/gate_fixture.h
@@ -69,7 +69,7 @@
                   KeyState::NotKeyed, 0, Delay);
   }
   // Forwards a request whose body is withheld by its sender.
-  void forwardWithheld(std::uint64_t Id) {
+  void forwardWithheld(std::uint64_t Id, Duration Delay = Duration(0)) {
     auto Content = std::make_shared<RequestContent>();
     this->Out.clear();
     this->Gate.handleForward(Peer,
@@ -82,7 +82,7 @@
                               .LastChoice = true,
                               .WithheldBytes = BodyBytes,
                               .Content = Content},
-                             KeyState::NotKeyed, this->Now, this->Out);
+                             KeyState::NotKeyed, this->Now, this->Out, Delay);
   }
   void receiveBody(std::uint64_t Id, Duration Delay = Duration(0)) {
     this->Out.clear();
@@ -95,9 +95,11 @@
     this->Gate.handleCancel(Peer, {.Id = Id, .Process = 9}, this->Now,
                             this->Out);
   }
-  void confirm(std::uint64_t Id) {
+  void confirm(std::uint64_t Id,
+               Duration TimeLeft = std::chrono::milliseconds(1500)) {
     this->Out.clear();
-    this->Gate.handleConfirmed({.Id = Id, .Process = 9}, this->Now, this->Out);
+    this->Gate.handleConfirmed({.Id = Id, .Process = 9, .TimeLeft = TimeLeft},
+                               this->Now, this->Out);
   }
   // Returns the request whose body was requested; 0 if there is none.
   std::uint64_t fetchedId() const {
@@ -113,6 +115,12 @@
         return Found->CallId;
     return 0;
   }
+  Duration startedTimeLeft() const {
+    for (const Effect &Output : this->Out)
+      if (const auto *Found = std::get_if<StartCall>(&Output))
+        return Found->TimeLeft;
+    return Duration(0);
+  }
   std::string startedAttempt() const {
     for (const Effect &Output : this->Out)
       if (const auto *Found = std::get_if<StartCall>(&Output))
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -344,7 +344,7 @@
     this->Gate.handleBody(std::move(*BodyContent), Now, this->RoutingEffects,
                           Delay);
   } else if (auto *Asked = std::get_if<routing::ConfirmForward>(&Body)) {
-    this->Entry.handleConfirm(From, *Asked, this->RoutingEffects);
+    this->Entry.handleConfirm(From, *Asked, Now, this->RoutingEffects);
   } else if (auto *Confirmed = std::get_if<routing::ForwardConfirmed>(&Body)) {
     this->Gate.handleConfirmed(*Confirmed, Now, this->RoutingEffects);
   } else if (auto *Cancel = std::get_if<routing::CancelForward>(&Body)) {
