Reset the connection of a call that is given up

Cause: a cancelled call closed its connection in order. Bytes that the target had not taken yet, since it accepts a new connection a second late (a full accept queue drops the opening exchange, which TCP repeats after a second), were still delivered by the kernel, and the end of the connection after them. The class: giving up an operation without taking back what is under way.

So neither the entry nor the node beside the target was late; the socket was.

The connection of a cancelled or failed call is now reset (SO_LINGER with no time), which discards what is not acknowledged. The rename of a counter and a comment on clocks go with it.

--- a/orioledoor/base/instant.h
+++ b/orioledoor/base/instant.h
@@ -2,7 +2,9 @@
 //
 // An Instant counts microseconds of CLOCK_BOOTTIME, the local monotonic clock
 // that also advances while the VM is suspended. Instants of different processes
-// must not be compared, so messages between processes carry durations only.
+// must not be compared, so messages between processes carry durations. The one
+// exception is the time of sending, from which routing/transit_delays.h derives
+// delays.
 //
 //   Instant Now = readClock();
 //   Instant End = Now + std::chrono::milliseconds(800);
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -129,9 +129,8 @@
   std::uint64_t startedCalls() const { return this->StartedCalls; }
   // Number of requests that their senders cancelled before they had ended.
   std::uint64_t withdrawnCalls() const { return this->WithdrawnCalls; }
-  // Number of requests whose senders were asked whether their callers still
-  // wait.
-  std::uint64_t confirmedCalls() const { return this->ConfirmedCalls; }
+  // Number of requests that had to be confirmed by their senders.
+  std::uint64_t unconfirmedCalls() const { return this->UnconfirmedCalls; }
 
 private:
   struct ForwardedCall {
@@ -217,7 +216,7 @@
   Instant LimitStatedAt;
   std::uint64_t StartedCalls = 0;
   std::uint64_t WithdrawnCalls = 0;
-  std::uint64_t ConfirmedCalls = 0;
+  std::uint64_t UnconfirmedCalls = 0;
   StartPacer Pacer;
   // Until the current incarnation has answered this process, its limit is
   // unknown and few calls run at once.
--- a/orioledoor/routing/target_gate_confirmations.cc
+++ b/orioledoor/routing/target_gate_confirmations.cc
@@ -34,7 +34,7 @@
 void TargetGate::confirm(std::uint64_t Id, Instant Now, Effects &Out) {
   const ForwardedCall &Call = this->Calls.at(Id);
   this->Confirmations[Id] = Now;
-  ++this->ConfirmedCalls;
+  ++this->UnconfirmedCalls;
   if (Call.From != this->Options.Node)
     Out.push_back(SendMessage{
         Call.From, ConfirmForward{Call.Request.Id, Call.Request.Process}});
--- a/orioledoor/routing/testing/gate_fixture.h
+++ b/orioledoor/routing/testing/gate_fixture.h
@@ -14,7 +14,7 @@
 inline constexpr char Peer[] = "tcp://10.0.0.2:7100";
 inline constexpr std::uint64_t BodyBytes = 60'000;
 
-// Not thread-safe.
+// The gate, its clock, and the effects of the last call.
 class GateFixture {
 public:
   // At 1.25 MB/s the link transfers a body of 60 KB in 48 ms.
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -270,6 +270,16 @@
     this->scheduleDeferred();
   }
 
+  // Discards the connection of a call that was given up. A request that its
+  // server has not received yet, for example because it is late to accept the
+  // connection, must not arrive any more.
+  void abortConnection(Connection *Conn) {
+    bufferevent *Stream = evhttp_connection_get_bufferevent(Conn->Http);
+    if (int Descriptor = bufferevent_getfd(Stream); Descriptor >= 0)
+      internal::resetOnClose(Descriptor);
+    this->releaseConnection(Conn, false);
+  }
+
   // Marks the connection of a finished call as idle, or discards it.
   void releaseConnection(Connection *Conn, bool Reusable) {
     auto Found = this->BusyConnections.find(Conn);
@@ -301,9 +311,12 @@
     this->CompletedCalls.push_back(
         {Id, std::move(Found->second.OnDone), std::move(Result)});
     bool UsesFreshConnection = Found->second.UsesFreshConnection;
+    bool Failed = this->CompletedCalls.back().Result.Failure.has_value();
     this->Calls.erase(Found);
     this->TimerContexts.erase(Id);
-    if (Conn)
+    if (Conn && Failed)
+      this->abortConnection(Conn);
+    else if (Conn)
       this->releaseConnection(Conn, Reusable && !UsesFreshConnection);
     this->scheduleDeferred();
   }
@@ -524,7 +537,7 @@
     this->Calls.erase(Found);
     this->TimerContexts.erase(Id);
     if (Conn)
-      this->releaseConnection(Conn, false);
+      this->abortConnection(Conn);
   }
 };
 
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -1,6 +1,8 @@
 // Tests how HttpClient classifies failed calls, against a scripted server.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,6 +29,7 @@
   CPPUNIT_TEST(responsesToOtherRequestsAreErrors);
   CPPUNIT_TEST(extraBytesAfterEchoedResponseCloseTheConnection);
   CPPUNIT_TEST(timeoutAndCancel);
+  CPPUNIT_TEST(canceledCallsResetTheirConnections);
   CPPUNIT_TEST(canceledCallsWithAResultAreNotReported);
   CPPUNIT_TEST(connectTimeoutLimitsOnlyTheConnection);
   CPPUNIT_TEST(endlessResponsesAreAborted);
@@ -230,6 +233,40 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Client.openCalls());
   }
 
+  // Guards against a request that its server gets after the call was canceled:
+  // the bytes wait in the socket, for example because the server accepts the
+  // connection a second late, and an orderly close delivers them.
+  void canceledCallsResetTheirConnections() {
+    // Exceeds what the server's socket takes before the server reads.
+    const std::string Body(8U << 20, 'x');
+    HttpCall Call;
+    Call.Server = {"127.0.0.1", Port};
+    Call.Method = "POST";
+    Call.Target = "/a";
+    Call.Body = Body;
+    std::uint64_t Id = this->Client.call(Call, [](const HttpResult &) {});
+    int Accepted = -1;
+    char Byte;
+    CPPUNIT_ASSERT(this->Events.runUntil([&] {
+      if (Accepted < 0)
+        Accepted = accept4(this->Listener, nullptr, nullptr,
+                           SOCK_NONBLOCK | SOCK_CLOEXEC);
+      return Accepted >= 0 &&
+             recv(Accepted, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+    }));
+    this->Client.cancel(Id);
+    std::string Received;
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return !testing::receive(Accepted, Received); }));
+    CPPUNIT_ASSERT(Received.size() < Body.size());
+    tcp_info State{};
+    socklen_t Size = sizeof State;
+    getsockopt(Accepted, IPPROTO_TCP, TCP_INFO, &State, &Size);
+    // After an orderly close the server's end would wait for its own close.
+    CPPUNIT_ASSERT_EQUAL(int{TCP_CLOSE}, int{State.tcpi_state});
+    close(Accepted);
+  }
+
   // Guards against a callback into an object that canceled its call: a result
   // is delivered in the next iteration of the event loop, and the call may be
   // canceled before.
--- a/orioledoor/wire/internal/http_connection_setup.cc
+++ b/orioledoor/wire/internal/http_connection_setup.cc
@@ -45,4 +45,9 @@
   SetOption(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
+void resetOnClose(int Descriptor) {
+  linger Option{.l_onoff = 1, .l_linger = 0};
+  setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Option, sizeof Option);
+}
+
 } // namespace orioledoor::wire::internal
--- a/orioledoor/wire/internal/http_connection_setup.h
+++ b/orioledoor/wire/internal/http_connection_setup.h
@@ -17,6 +17,11 @@
 // probes, which detect a dead connection.
 void configureSocket(int Descriptor);
 
+// Makes the close of a socket reset its connection, which discards the bytes
+// that the peer has not acknowledged. An orderly close would still deliver
+// them.
+void resetOnClose(int Descriptor);
+
 } // namespace orioledoor::wire::internal
 
 #endif // ORIOLEDOOR_WIRE_INTERNAL_HTTP_CONNECTION_SETUP_H
