Ignore results that are meant for an earlier process

CancelForward, FetchBody and ResumeForward name the process already.

ForwardResult now names the process that asked, and the entry also ignores a result from a node other than the one that has the request. Results of earlier releases name none and are checked by their sender only.

Ruled out: a confirmation that ends a started call (calls in Confirmations are never started).

--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -29,9 +29,13 @@
                                 Instant Now, Effects &Out) {
   this->Directory.noteReached(From);
   auto Found = this->CallerByForward.find(Result.Id);
-  if (Found == this->CallerByForward.end())
+  bool IsOfEarlierProcess =
+      Result.Process != 0 && Result.Process != this->Options.Process;
+  if (Found == this->CallerByForward.end() || IsOfEarlierProcess)
     return;
   PendingRequest &Pending = this->PendingRequests.at(Found->second);
+  if (Pending.ForwardedTo != From)
+    return;
   this->closeForward(Pending);
   switch (Result.Code) {
   case Outcome::Answered:
--- a/orioledoor/routing/entry_recovery_test.cc
+++ b/orioledoor/routing/entry_recovery_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(resumesAtTheNewProcessOfANode);
   CPPUNIT_TEST(neverAnswers503AfterALostAttempt);
   CPPUNIT_TEST(repeatsCancellationsThatMayBeLost);
+  CPPUNIT_TEST(ignoresResultsOfAnEarlierProcess);
   CPPUNIT_TEST(withholdsBodiesFromSlowLinks);
   CPPUNIT_TEST(retriesElsewhereBeforeTheBodyIsSent);
   CPPUNIT_TEST_SUITE_END();
@@ -59,6 +60,30 @@
     CPPUNIT_ASSERT_EQUAL(502, F.status());
   }
 
+  // Guards against a request that runs twice, and against an answer that goes
+  // to the wrong caller: a VM that takes over the address of another one gets
+  // the results of its requests, whose ids it uses again.
+  void ignoresResultsOfAnEarlierProcess() {
+    Fixture F;
+    F.sendRequest(1, "/write/x");
+    std::uint64_t Id = F.sent()->Id;
+    std::uint64_t Process = F.sent()->Process;
+    for (Outcome Code : {Outcome::NoTarget, Outcome::Answered}) {
+      ForwardResult Stale{.Id = Id, .Process = Process + 1, .Code = Code};
+      Stale.Answer.Status = 200;
+      F.Out.clear();
+      F.Entry.handleResult(NearNode, Stale, F.Now, F.Out);
+      CPPUNIT_ASSERT(F.Out.empty());
+      Stale.Process = Process;
+      F.Entry.handleResult(FarNode, Stale, F.Now, F.Out);
+      CPPUNIT_ASSERT(F.Out.empty());
+    }
+    ForwardResult Own{.Id = Id, .Process = Process};
+    Own.Answer.Status = 200;
+    F.Entry.handleResult(NearNode, Own, F.Now, F.Out);
+    CPPUNIT_ASSERT_EQUAL(200, F.status());
+  }
+
   // Guards against targets that work on for callers that have left, since the
   // cancellation was lost with its connection or never sent.
   void repeatsCancellationsThatMayBeLost() {
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -97,6 +97,9 @@
 // Result of a forwarded request.
 struct ForwardResult {
   std::uint64_t Id = 0;
+  // Process that sent the Forward; 0 if unknown. A new process at its address
+  // uses the same ids again.
+  std::uint64_t Process = 0;
   Outcome Code = Outcome::Answered;
   // For Lost: the cause.
   std::string Detail{};
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -188,11 +188,12 @@
         << Value.SentAt << Value.KeyMapRevision;
   }
   void operator()(const ForwardResult &Value) const {
-    start(this->Out, this->Sent, 9 + StatusFields + PaceFields)
+    start(this->Out, this->Sent, 10 + StatusFields + PaceFields)
         << Value.Id << static_cast<std::uint8_t>(Value.Code) << Value.Detail
         << Value.RetryAfter << Value.Answer.Status << Value.Answer.Headers
         << Value.Answer.Body << Value.Status << Value.ConfigVersion
-        << Value.Status.StartInterval << Value.Status.StartWait << Value.SentAt;
+        << Value.Status.StartInterval << Value.Status.StartWait << Value.SentAt
+        << Value.Process;
   }
   void operator()(const CancelForward &Value) const {
     start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
@@ -274,6 +275,7 @@
   In.readIfPresent(Value.Status.StartInterval);
   In.readIfPresent(Value.Status.StartWait);
   In.readIfPresent(Value.SentAt);
+  In.readIfPresent(Value.Process);
   return Value;
 }
 
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -105,7 +105,8 @@
                  field("time_left_ms", millis(Request.TimeLeft)),
                  field("latency_left_ms", millis(Request.LatencyLeft)),
                  field("retry_after_ms", millis(RetryAfter))}});
-  ForwardResult Result{.Id = Request.Id, .Code = Reason};
+  ForwardResult Result{
+      .Id = Request.Id, .Process = Request.Process, .Code = Reason};
   Result.RetryAfter = RetryAfter;
   Result.Status = this->status(Now);
   Out.push_back(SendMessage{From, std::move(Result)});
@@ -340,6 +341,7 @@
   if (Call.Fetching)
     this->BodyFetches.end(Id);
   Result.Id = Call.Request.Id;
+  Result.Process = Call.Request.Process;
   Result.Status = this->status(Now);
   if (Result.Code != Outcome::Answered)
     Out.push_back(LogRecord{
@@ -378,6 +380,7 @@
   if (NeverReceived)
     this->DroppedOnArrival[Key] = Now;
   ForwardResult Result{.Id = Resumed.Id,
+                       .Process = Resumed.Process,
                        .Code =
                            NeverReceived ? Outcome::NoTarget : Outcome::Lost,
                        .Detail = "lost with the connection between the nodes"};
