--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -22,7 +22,8 @@
   Metrics.gauge("oriole_gate_rate_limit").set(Gate.rateLimit().value_or(0));
   Metrics.counter("oriole_gate_starts_total").set(Gate.startedCalls());
   Metrics.counter("oriole_gate_withdrawn_total").set(Gate.withdrawnCalls());
-  Metrics.counter("oriole_gate_confirmations_total").set(Gate.unconfirmedCalls());
+  Metrics.counter("oriole_gate_confirmations_total")
+      .set(Gate.unconfirmedCalls());
 }
 
 void setStoreMetrics(MetricsRegistry &Metrics,
