--- a/review/harness/fleet.cc
+++ b/review/harness/fleet.cc
@@ -2,6 +2,7 @@
 #include "fleet.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -12,6 +13,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -660,6 +662,9 @@
 
 void Machine::startNode() {
   pid_t Parent = getpid();
+  int Started[2];
+  if (pipe2(Started, O_CLOEXEC) != 0)
+    throw std::runtime_error("cannot make a pipe");
   this->Pid = fork();
   if (this->Pid == 0) {
     // The node ends with this process, however that ends.
@@ -677,6 +682,13 @@
     execve(Program, Arguments, Environment);
     _exit(2);
   }
+  // The pipe closes with the execve(); before it, the child has the memory of
+  // this process.
+  close(Started[1]);
+  char Byte;
+  while (read(Started[0], &Byte, 1) < 0 && errno == EINTR)
+    continue;
+  close(Started[0]);
   this->Record.write("machine " + this->Options.Name + ": node starts");
 }
 
