--- a/review/harness/fleet.cc
+++ b/review/harness/fleet.cc
@@ -21,6 +21,9 @@
 namespace review {
 namespace {
 
+// "A 2xx response acknowledges the heartbeat if it [...] is at most 4 KiB."
+constexpr std::size_t MaxAnswerBytes = 4096;
+
 constexpr char Base64Digits[] =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
@@ -395,6 +398,16 @@
   return this->Held;
 }
 
+std::size_t Backend::largestAnswer() {
+  std::lock_guard Lock(this->Mutex);
+  return this->LargestAnswer;
+}
+
+int Backend::oversizedAnswers() {
+  std::lock_guard Lock(this->Mutex);
+  return this->OversizedAnswers;
+}
+
 std::vector<Run> Backend::runs() {
   std::lock_guard Lock(this->Mutex);
   return this->Runs;
@@ -460,8 +473,13 @@
       Headers Fields = Echo;
       Fields.emplace_back("Server-Signature",
                           this->Id + "." + AttemptId);
-      Response = formatResponse(200, Fields, "answer of " + this->Id + " to " +
-                                                 AttemptId + "\n");
+      std::string Answer =
+          "answer of " + this->Id + " to " + AttemptId + "\n";
+      Answer.insert(0, std::string(
+                           std::max(this->Options.AnswerBytes, Answer.size()) -
+                               Answer.size(),
+                           '.'));
+      Response = formatResponse(200, Fields, Answer);
     }
     if (!Connection.write(Response))
       return;
@@ -556,9 +574,17 @@
                         {"Content-Type", "application/json"}},
                        Body.dump(), Millis(1000), Answer, this->Control.Ip);
   std::lock_guard Lock(this->Mutex);
-  if (this->Life != SentLife || !Complete || Answer.status() != 200 ||
-      Answer.Body.size() > 4096)
+  if (this->Life != SentLife || !Complete || Answer.status() != 200)
     return;
+  this->LargestAnswer = std::max(this->LargestAnswer, Answer.Body.size());
+  if (Answer.Body.size() > MaxAnswerBytes) {
+    if (this->OversizedAnswers++ % 10 == 0)
+      this->Record.write("backend " + this->Name +
+                         ": the answer to a heartbeat has " +
+                         std::to_string(Answer.Body.size()) +
+                         " bytes and is none");
+    return;
+  }
   this->Freed = Json::array();
   Json Parsed = Json::parse(Answer.Body, nullptr, false);
   if (Parsed.is_object() && Parsed.contains("holds"))
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -109,6 +109,8 @@
   bool Partitioned = false;
   int Slots = 18;
   int WorkMs = 30;
+  // Least size of the body of an answer.
+  std::size_t AnswerBytes = 0;
 };
 
 // One run of a request at a backend.
@@ -139,6 +141,10 @@
   // The keys that this backend holds now.
   std::vector<HeldRow> heldRows();
   std::vector<Run> runs();
+  // Answers to heartbeats: the largest body, and how many bodies were too large
+  // to be an acknowledgment.
+  std::size_t largestAnswer();
+  int oversizedAnswers();
   // A fault: called for each request with the number of its connection. The
   // bytes that it returns are sent before the request runs.
   std::function<std::string(const HttpMessage &Request, int Connection)>
@@ -175,6 +181,8 @@
   Json Freed = Json::array();
   int Running = 0;
   std::vector<Run> Runs;
+  std::size_t LargestAnswer = 0;
+  int OversizedAnswers = 0;
   std::unique_ptr<Server> Http;
 };
 
