Let two of four targets be faulty in the review case on late bytes

Cause: the router avoids a target after its first failure, so that the case had one or two chances in a run.

--- a/review/cases/late_bytes.cc
+++ b/review/cases/late_bytes.cc
@@ -1,6 +1,7 @@
 // A faulty backend sends additional bytes after some of its complete responses.
 // They arrive late, where the next response is expected, and carry neither an
 // attempt id nor a signature.
+#include <array>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -13,17 +14,21 @@
 namespace {
 
 // The largest dose of `garble` with `extra late`: 0.6 of the servers, 0.03 of
-// their answers, for 5 s. Here it is one of two servers, and every 34th answer.
+// their answers, for 5 s. Here it is two of four servers, and every 34th answer.
 constexpr int AnswersPerFault = 34;
 constexpr double FaultSeconds = 5;
-constexpr int Clients = 6;
+constexpr std::size_t MachineCount = 4;
+constexpr std::size_t FaultyCount = 2;
+constexpr std::size_t Clients = 12;
 constexpr int PauseMs = 15;
 
 Verdict run(Recorder &Record) {
   BackendOptions Plain{.Service = "licencias", .WorkMs = 20};
   Fleet &Machines =
       Fleet::create({{"m0", "santander", "cantabrico", Plain},
-                     {"m1", "bilbao", "cantabrico", Plain}},
+                     {"m1", "bilbao", "cantabrico", Plain},
+                     {"m2", "logrono", "ebro", Plain},
+                     {"m3", "burgos", "meseta-norte", Plain}},
                     Record);
   Machines.putConfig(makeConfig(
       7, Json::array({makeService("licencias", false)}),
@@ -34,25 +39,28 @@
   sleepMs(3000);
 
   std::mutex Mutex;
-  std::map<int, bool> Due;
-  int Answers = 0;
+  std::map<std::uint64_t, bool> Due;
+  std::array<int, FaultyCount> Answers{};
   int Faults = 0;
   std::atomic<double> FaultsFrom{1e9};
-  if (troubleWanted())
-    Machines[0].Server->SendBefore = [&](const HttpMessage &Request,
-                                         int Connection) -> std::string {
+  for (std::size_t Faulty = 0; troubleWanted() && Faulty < FaultyCount;
+       ++Faulty)
+    Machines[Faulty].Server->SendBefore =
+        [&, Faulty](const HttpMessage &Request,
+                    std::uint64_t Connection) -> std::string {
       std::lock_guard Lock(Mutex);
       double Since = Record.seconds() - FaultsFrom;
       if (Since < 0 || Since > FaultSeconds)
         return "";
       bool SendNow = std::exchange(Due[Connection], false);
       // The answer to this request is followed by additional bytes.
-      if (++Answers % AnswersPerFault == 0)
+      if (++Answers[Faulty] % AnswersPerFault == 0)
         Due[Connection] = true;
       if (!SendNow)
         return "";
       ++Faults;
-      Record.write("backend m0: late additional bytes of an earlier answer, "
+      Record.write("backend m" + std::to_string(Faulty) +
+                   ": late additional bytes of an earlier answer, "
                    "where " +
                    Request.field("Attempt-Id") + " is answered");
       return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -64,13 +72,13 @@
   std::atomic<int> Good{0};
   std::atomic<int> Unsigned{0};
   std::vector<std::thread> Threads;
-  for (int I = 0; I < Clients; ++I)
+  for (std::size_t I = 0; I < Clients; ++I)
     Threads.emplace_back([&, I] {
       for (int N = 0; Record.seconds() < End; ++N) {
         std::string Id = newId("");
         bool Safe = N % 2 == 0;
         ClientResult Result = sendRequest(
-            Machines[static_cast<std::size_t>(I) % 2], Safe ? "GET" : "POST",
+            Machines[I % MachineCount], Safe ? "GET" : "POST",
             Safe ? "/vigencia/licence" : "/concesion/grant", Id, 2000, -1,
             Safe ? "" : "grant");
         int Status = Result.Answer.status();
@@ -94,8 +102,8 @@
     Each.join();
   std::lock_guard Lock(Mutex);
   Record.write("additional bytes sent " + std::to_string(Faults) +
-               " times after " + std::to_string(Answers) +
-               " answers of m0");
+               " times after " + std::to_string(Answers[0] + Answers[1]) +
+               " answers of m0 and m1");
   Record.write("MIXED: successes without the backend's signature or with "
                "another body: " +
                std::to_string(Unsigned) + "; proper ones: " +
--- a/review/harness/fleet.cc
+++ b/review/harness/fleet.cc
@@ -459,7 +459,7 @@
       }
     }
     if (this->SendBefore && StartedLife != 0)
-      if (std::string Bytes = this->SendBefore(Request, Connection.fd());
+      if (std::string Bytes = this->SendBefore(Request, Connection.id());
           !Bytes.empty() && !Connection.write(Bytes))
         return;
     if (StartedLife != 0) {
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -147,7 +147,8 @@
   int oversizedAnswers();
   // A fault: called for each request with the number of its connection. The
   // bytes that it returns are sent before the request runs.
-  std::function<std::string(const HttpMessage &Request, int Connection)>
+  std::function<std::string(const HttpMessage &Request,
+                            std::uint64_t Connection)>
       SendBefore;
   // Heartbeats pause while this is set.
   std::atomic<bool> Silent{false};
--- a/review/harness/net.cc
+++ b/review/harness/net.cc
@@ -2,6 +2,7 @@
 #include "net.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <cstring>
 #include <random>
@@ -81,6 +82,11 @@
              : std::atoi(this->StartLine.c_str() + Start + 1);
 }
 
+Stream::Stream(int Socket) : Socket(Socket) {
+  static std::atomic<std::uint64_t> LastId{0};
+  this->Id = ++LastId;
+}
+
 Stream::~Stream() { ::close(this->Socket); }
 
 bool Stream::write(const std::string &Bytes) const {
--- a/review/harness/net.h
+++ b/review/harness/net.h
@@ -43,12 +43,13 @@
 // A connected socket with a read buffer. Closes the socket when destroyed.
 class Stream {
 public:
-  explicit Stream(int Socket) : Socket(Socket) {}
+  explicit Stream(int Socket);
   Stream(const Stream &) = delete;
   Stream &operator=(const Stream &) = delete;
   ~Stream();
 
-  int fd() const { return this->Socket; }
+  // Different for each connection of this process.
+  std::uint64_t id() const { return this->Id; }
   bool write(const std::string &Bytes) const;
   // Reads one message; a body needs a Content-Length or chunks. False at the
   // end of the connection, after an error, and after Deadline.
@@ -62,6 +63,7 @@
   bool readBytes(std::string &To, std::size_t Count, Clock::time_point Deadline);
 
   int Socket;
+  std::uint64_t Id;
   std::string Buffer;
 };
 
