Use larger answers in the review case on planned stops

Cause: what the kernel buffers was close to the size of the answer. Change: answers of 8.2 MB at 1.67 MB/s instead of 7 MB at 1.43 MB/s.

--- a/review/cases/slow_download.cc
+++ b/review/cases/slow_download.cc
@@ -14,9 +14,9 @@
 
 namespace {
 
-constexpr std::size_t AnswerBytes = 7'000'000;
-// About 11 Mbit/s: the whole answer takes 4.9 s.
-constexpr double BytesPerSecond = 1'430'000;
+constexpr std::size_t AnswerBytes = 8'200'000;
+// About 13 Mbit/s: the whole answer takes 4.9 s.
+constexpr double BytesPerSecond = 1'670'000;
 constexpr int ReceiveBuffer = 64 << 10;
 // The requests are sent this long after the SIGTERM: the platform learns from
 // the second failed readiness probe, after one to two seconds, that the node
