--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -381,6 +381,7 @@
                  {"status", std::to_string(Status)},
                  {"why", std::string(Reason)},
                  {"at", Pending.ForwardedTo},
+                 {"caller_service", this->Options.CallerService},
                  {"sends", std::to_string(Pending.TargetAttempts)},
                  {"took_ms", millis(Now - Pending.Request.FirstByteAt)}}});
   this->finish(Pending.Request.Caller,
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -86,6 +86,9 @@
   void setNewerTableKnown(bool Known) { this->NewerTableKnown = Known; }
   const SharedRouteTable &table() const { return this->Table; }
   void setCallerService(std::string Service);
+  const std::string &callerService() const {
+    return this->Options.CallerService;
+  }
 
   void handleRequest(CallerRequest Request, Instant Now, Effects &Out);
   // Answers a request that was not accepted and logs the refusal. RetryAfter is
--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -18,6 +18,9 @@
 inline constexpr EventDefinition SettingsRefused{
     4105, Severity::Error, "SETTINGS_REFUSED",
     "the changed settings file is invalid; the previous settings remain"};
+inline constexpr EventDefinition CallerServiceChanged{
+    4106, Severity::Info, "CALLER_SERVICE_CHANGED",
+    "requests that begin on this VM bear another caller service from now on"};
 inline constexpr EventDefinition ConfigInForce{
     4111, Severity::Info, "CONFIG_IN_FORCE", "a configuration came into force"};
 inline constexpr EventDefinition ConfigRefused{
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -417,7 +417,7 @@
   this->ReportedAt = Now;
   if (Verdict == routing::ReportVerdict::NewIncarnation) {
     this->Keys.resetGrants();
-    this->Entry.setCallerService(Report.Service);
+    this->setCallerService(Report.Service, "report of " + Report.Instance);
   }
   this->EndedTarget = {};
   this->publishStatus(Now);
@@ -475,7 +475,18 @@
   this->Out.push_back(
       LogRecord{&events::SettingsReloaded, {{"service", Changed.Service}}});
   if (!this->Gate.target())
-    this->Entry.setCallerService(Changed.Service);
+    this->setCallerService(std::move(Changed.Service), "settings");
+}
+
+void SidecarReducer::setCallerService(std::string Service,
+                                      std::string_view Source) {
+  if (Service == this->Entry.callerService())
+    return;
+  this->Out.push_back(LogRecord{&events::CallerServiceChanged,
+                                {{"service", Service},
+                                 {"previous", this->Entry.callerService()},
+                                 {"source", std::string(Source)}}});
+  this->Entry.setCallerService(std::move(Service));
 }
 
 void SidecarReducer::on(StopRequested, Instant Now) {
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "orioledoor/routing/entry.h"
 #include "orioledoor/routing/target_directory.h"
@@ -92,6 +93,9 @@
   void on(StopRequested, Instant Now);
   void on(TimerTicked, Instant Now);
 
+  // Sets the service that requests of callers on this VM bear; Source is for
+  // the log.
+  void setCallerService(std::string Service, std::string_view Source);
   void receiveMessage(const std::string &From, routing::Message Body,
                       Instant Now);
   void apply(ConfigActions Actions);
