Let the settings decide the service that requests bear

Cause: a node took the service from any readable report with a start time that was not earlier, and a changed settings file only while it knew no target. A report of another writer changed the service of the VM, and took its keys. Change: the settings decide. A report counts if it names their address and their service, or if it is of the incarnation that was accepted under an earlier service; others get 409 and REPORT_REFUSED (4117). A request keeps the service under which it began, also when it is sent again. The file is compared each 200 ms and before a report that contradicts it is judged, since it may change without a signal. Ruled out: the callers' own header.

--- a/orioledoor/daemon/main.cc
+++ b/orioledoor/daemon/main.cc
@@ -2,9 +2,7 @@
 // SIGINT.
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,6 +15,7 @@
 
 #include "orioledoor/catalogue/parse_catalogue.h"
 #include "orioledoor/catalogue/settings.h"
+#include "orioledoor/catalogue/settings_file.h"
 #include "orioledoor/catalogue/sidecar_settings.h"
 #include "orioledoor/daemon/loop_watchdog.h"
 #include "orioledoor/daemon/node.h"
@@ -34,6 +33,9 @@
 // Exit statuses.
 constexpr int UsageError = 2;
 constexpr int SettingsError = 3;
+// The settings file may change without a signal. Until a change is noticed,
+// requests bear the service that the file named before.
+constexpr timeval SettingsCheckInterval{0, 200'000};
 
 struct EventBaseDeleter {
   void operator()(event_base *Owned) const { event_base_free(Owned); }
@@ -51,13 +53,6 @@
   return Level == "error" ? Severity::Error : Severity::Info;
 }
 
-absl::StatusOr<std::string> readFile(const std::string &FileName) {
-  std::ifstream File(FileName);
-  if (!File)
-    return absl::NotFoundError(FileName + ": cannot be opened for reading");
-  return std::string((std::istreambuf_iterator<char>(File)), {});
-}
-
 template <typename NodeType>
 EventPtr stopOnSignal(event_base *Base, int Signal, NodeType &Node) {
   EventPtr SignalEvent(evsignal_new(
@@ -96,21 +91,26 @@
   return EXIT_SUCCESS;
 }
 
-// Reloads the settings of a sidecar node on SIGHUP.
+// Reloads the settings of a sidecar node on SIGHUP, and when the file differs.
 struct SettingsReloader {
   sidecar::SidecarNode &Node;
-  std::string FileName;
+  SettingsFile &File;
+
+  void reload() const { this->apply(this->File.read()); }
+  void reloadIfChanged() const {
+    if (std::optional<std::string> Text = this->File.readIfChanged())
+      this->apply(*std::move(Text));
+  }
 
-  void reload() const {
-    absl::StatusOr<std::string> Text = readFile(this->FileName);
+private:
+  void apply(const absl::StatusOr<std::string> &Text) const {
     this->Node.reload(Text.ok()
-                          ? parseSidecarSettings(*Text, this->FileName)
+                          ? parseSidecarSettings(*Text, this->File.name())
                           : absl::StatusOr<SidecarSettings>(Text.status()));
   }
 };
 
-int runSidecar(const SidecarSettings &NodeSettings,
-               const std::string &FileName) {
+int runSidecar(const SidecarSettings &NodeSettings, SettingsFile &File) {
   StartupSignals Signals;
   // A log reader that falls behind loses lines instead of blocking requests.
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
@@ -124,7 +124,7 @@
   }
   EventPtr OnTerm = stopOnSignal(Base.get(), SIGTERM, **Started);
   EventPtr OnInterrupt = stopOnSignal(Base.get(), SIGINT, **Started);
-  SettingsReloader Reloader{**Started, FileName};
+  SettingsReloader Reloader{**Started, File};
   EventPtr OnHangup(evsignal_new(
       Base.get(), SIGHUP,
       [](evutil_socket_t, short, void *Context) {
@@ -132,6 +132,14 @@
       },
       &Reloader));
   event_add(OnHangup.get(), nullptr);
+  (*Started)->setSettingsSource([&Reloader] { Reloader.reloadIfChanged(); });
+  EventPtr SettingsTimer(event_new(
+      Base.get(), -1, EV_PERSIST,
+      [](evutil_socket_t, short, void *Context) {
+        static_cast<SettingsReloader *>(Context)->reloadIfChanged();
+      },
+      &Reloader));
+  evtimer_add(SettingsTimer.get(), &SettingsCheckInterval);
   Signals.deliver();
   LoopWatchdog Watchdog({.OnStall = [] {
     // Bypasses the logger, since the logger may be the blocked call.
@@ -209,11 +217,12 @@
                              ? Parsed["settings"].as<std::string>()
                              : std::string(EnvironmentFile);
   bool CheckOnly = Parsed.contains("check");
-  absl::StatusOr<std::string> Text = readFile(FileName);
+  SettingsFile File(FileName);
+  absl::StatusOr<std::string> Text = File.read();
   if (Text.ok() && isSidecarDocument(*Text))
     return checkAndRun(parseSidecarSettings(*Text, FileName), CheckOnly,
                        [&](const SidecarSettings &NodeSettings) {
-                         return runSidecar(NodeSettings, FileName);
+                         return runSidecar(NodeSettings, File);
                        });
   return checkAndRun(Text.ok() ? parseSettings(*Text, FileName)
                                : absl::StatusOr<Settings>(Text.status()),
--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -123,6 +123,7 @@
   PendingRequest Added;
   Added.Table = this->Table;
   Added.MatchedRoute = Matched;
+  Added.CallerService = this->Options.CallerService;
   Added.Service = this->Shares.pick(*Matched);
   Added.RequestClass = requestClassOf(Added.Service, *Matched);
   const ServicePolicy *Policy = this->Table->service(Added.Service);
@@ -243,7 +244,7 @@
                   .Process = this->Options.Process,
                   .Service = Pending.Service,
                   .AttemptId = Pending.Request.AttemptId,
-                  .CallerService = this->Options.CallerService,
+                  .CallerService = Pending.CallerService,
                   .TimeLeft = Pending.Deadline - Now,
                   .LatencyLeft = Pending.LatencyDeadline - Now,
                   .Key = Pending.Partitioned ? Pending.Request.Key : NoKey,
@@ -381,7 +382,7 @@
                  {"status", std::to_string(Status)},
                  {"why", std::string(Reason)},
                  {"at", Pending.ForwardedTo},
-                 {"caller_service", this->Options.CallerService},
+                 {"caller_service", Pending.CallerService},
                  {"sends", std::to_string(Pending.TargetAttempts)},
                  {"took_ms", millis(Now - Pending.Request.FirstByteAt)}}});
   this->finish(Pending.Request.Caller,
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -63,7 +63,7 @@
   std::string Node{};
   // Id of this process in messages to other nodes.
   std::uint64_t Process = 0;
-  // Service of the target on this VM; sent with requests as their origin.
+  // Service of this VM, sent with requests as their origin.
   std::string CallerService{};
   RetryBudgetOptions Budget{};
 };
@@ -85,6 +85,7 @@
   // of 404.
   void setNewerTableKnown(bool Known) { this->NewerTableKnown = Known; }
   const SharedRouteTable &table() const { return this->Table; }
+  // Sets the service that requests bear from now on; open ones keep theirs.
   void setCallerService(std::string Service);
   const std::string &callerService() const {
     return this->Options.CallerService;
@@ -135,6 +136,8 @@
     // Keeps MatchedRoute alive.
     SharedRouteTable Table;
     const Route *MatchedRoute = nullptr;
+    // Service of this VM when the request arrived. Retries bear it, too.
+    std::string CallerService;
     std::string Service;
     RequestClassId RequestClass = 0;
     bool Partitioned = false;
--- a/orioledoor/sidecar/effect.h
+++ b/orioledoor/sidecar/effect.h
@@ -24,6 +24,12 @@
   std::uint64_t Id = 0;
   routing::ReportAnswer Answer{};
 };
+// Answers a report that does not come from the target on this VM; its sender
+// must not take that for an acknowledgment.
+struct RefuseReport {
+  std::uint64_t Id = 0;
+  std::string Why{};
+};
 // StoreReplyReceived with the id of the request follows.
 struct CallStore {
   StoreRequest Request{};
@@ -68,9 +74,9 @@
 
 using Effect =
     std::variant<ReplyToCaller, SendMessage, StartCall, CancelCall, LogRecord,
-                 ReplyToReport, CallStore, WatchStore, SetWatchPause,
-                 ReadConfig, WatchConfig, SetConfigWatchSchedule, DecodeConfig,
-                 ApplyLimits, StopAccepting, Exit>;
+                 ReplyToReport, RefuseReport, CallStore, WatchStore,
+                 SetWatchPause, ReadConfig, WatchConfig, SetConfigWatchSchedule,
+                 DecodeConfig, ApplyLimits, StopAccepting, Exit>;
 using Effects = std::vector<Effect>;
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/event.h
+++ b/orioledoor/sidecar/event.h
@@ -55,7 +55,8 @@
   routing::CallFailure Failure = routing::CallFailure::Broken;
   std::string Detail{};
 };
-// A heartbeat report of the target; answered by ReplyToReport with the same id.
+// A heartbeat report of the target; answered by ReplyToReport or
+// RefuseReport with the same id.
 struct TargetReportReceived {
   std::uint64_t Id = 0;
   routing::TargetReport Report{};
--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -38,6 +38,9 @@
 inline constexpr EventDefinition ConfigSent{
     4116, Severity::Info, "CONFIG_SENT",
     "the configuration in force was sent to a node that has an older one"};
+inline constexpr EventDefinition ReportRefused{
+    4117, Severity::Warn, "REPORT_REFUSED",
+    "a report does not come from the target that the settings name"};
 inline constexpr EventDefinition StoreLost{4121, Severity::Warn, "STORE_LOST",
                                            "the store does not answer"};
 inline constexpr EventDefinition StoreRegained{
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -239,15 +239,16 @@
   routing::TargetStatus Status = this->Gate.status(Now);
   this->Directory.update(Status, Now);
   NodeEntry SelfEntry = this->Members.selfEntry();
+  const std::string &Service =
+      Status.Service.empty() ? this->Options.Service : Status.Service;
   if (Status.Target == this->PublishedTarget &&
-      Status.State == this->PublishedState &&
+      Status.State == this->PublishedState && SelfEntry.Service == Service &&
       SelfEntry.Ended == this->EndedTarget && SelfEntry.Slots == Status.Slots)
     return;
   this->PublishedTarget = Status.Target;
   this->PublishedState = Status.State;
   SelfEntry.Target = this->Gate.target();
-  if (!Status.Service.empty())
-    SelfEntry.Service = Status.Service;
+  SelfEntry.Service = Service;
   SelfEntry.State = Status.State;
   SelfEntry.Slots = Status.Slots;
   SelfEntry.Sequence = Status.Sequence;
@@ -406,8 +407,35 @@
                                this->RoutingEffects);
 }
 
+std::string_view
+SidecarReducer::mismatchOf(const routing::TargetReport &Report) const {
+  if (Report.Address != this->Options.TargetAddress)
+    return "the address is not that of the target in the settings";
+  // The settings may already name the successor of a target that still works.
+  const TargetRef &Known = this->Gate.target();
+  bool IsKnown = Known && Report.Instance == Known.Instance &&
+                 Report.StartTimeMs == Known.StartTimeMs &&
+                 Report.Service == this->Gate.service();
+  if (!IsKnown && Report.Service != this->Options.Service)
+    return "the service is not that of the settings";
+  return {};
+}
+
 void SidecarReducer::on(TargetReportReceived Received, Instant Now) {
   const routing::TargetReport &Report = Received.Report;
+  if (std::string_view Mismatch = this->mismatchOf(Report); !Mismatch.empty()) {
+    ++this->RefusedReports;
+    this->Out.push_back(
+        LogRecord{&events::ReportRefused,
+                  {{"instance", Report.Instance},
+                   {"why", std::string(Mismatch)},
+                   {"service", Report.Service},
+                   {"address", Report.Address},
+                   {"expected_service", this->Options.Service},
+                   {"expected_address", this->Options.TargetAddress}}});
+    this->Out.push_back(RefuseReport{Received.Id, std::string(Mismatch)});
+    return;
+  }
   routing::ReportVerdict Verdict =
       this->Gate.handleReport(Report, Now, this->RoutingEffects);
   if (Verdict == routing::ReportVerdict::Stale) {
@@ -415,10 +443,8 @@
     return;
   }
   this->ReportedAt = Now;
-  if (Verdict == routing::ReportVerdict::NewIncarnation) {
+  if (Verdict == routing::ReportVerdict::NewIncarnation)
     this->Keys.resetGrants();
-    this->setCallerService(Report.Service, "report of " + Report.Instance);
-  }
   this->EndedTarget = {};
   this->publishStatus(Now);
   if (this->Deferred)
@@ -471,22 +497,18 @@
   this->updateWatches();
 }
 
-void SidecarReducer::on(SettingsChanged Changed, Instant) {
+void SidecarReducer::on(SettingsChanged Changed, Instant Now) {
   this->Out.push_back(
       LogRecord{&events::SettingsReloaded, {{"service", Changed.Service}}});
-  if (!this->Gate.target())
-    this->setCallerService(std::move(Changed.Service), "settings");
-}
-
-void SidecarReducer::setCallerService(std::string Service,
-                                      std::string_view Source) {
-  if (Service == this->Entry.callerService())
+  if (Changed.Service == this->Options.Service)
     return;
   this->Out.push_back(LogRecord{&events::CallerServiceChanged,
-                                {{"service", Service},
-                                 {"previous", this->Entry.callerService()},
-                                 {"source", std::string(Source)}}});
-  this->Entry.setCallerService(std::move(Service));
+                                {{"service", Changed.Service},
+                                 {"previous", this->Options.Service},
+                                 {"target", this->Gate.target().Instance}}});
+  this->Options.Service = std::move(Changed.Service);
+  this->Entry.setCallerService(this->Options.Service);
+  this->publishStatus(Now);
 }
 
 void SidecarReducer::on(StopRequested, Instant Now) {
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -33,8 +33,11 @@
   // Process id, unique across all processes of the fleet.
   std::uint64_t Process = 0;
   routing::Location Place;
-  // Service of the target on this VM; used until the target reports its own.
+  // Service and address of the target on this VM, as the settings name them.
+  // Requests that begin here bear this service, and reports of a target must
+  // name both.
   std::string Service;
+  std::string TargetAddress;
   Duration DrainTime = std::chrono::seconds(2);
   Duration StopGrace = std::chrono::seconds(6);
   // Bandwidth of this VM's link; 0 if it is not known.
@@ -65,6 +68,8 @@
   const routing::TargetDirectory &directory() const { return this->Directory; }
   // Number of messages of other nodes whose delay was logged.
   std::uint64_t delayedMessages() const { return this->DelayedMessages; }
+  // Number of reports that did not come from the target on this VM.
+  std::uint64_t refusedReports() const { return this->RefusedReports; }
 
 private:
   // A report whose answer is delayed until keys arrive, at most until Until.
@@ -93,9 +98,9 @@
   void on(StopRequested, Instant Now);
   void on(TimerTicked, Instant Now);
 
-  // Sets the service that requests of callers on this VM bear; Source is for
-  // the log.
-  void setCallerService(std::string Service, std::string_view Source);
+  // Returns why a report can't come from the target on this VM, or an empty
+  // string if it can.
+  std::string_view mismatchOf(const routing::TargetReport &Report) const;
   void receiveMessage(const std::string &From, routing::Message Body,
                       Instant Now);
   void apply(ConfigActions Actions);
@@ -146,6 +151,7 @@
   routing::TransitDelays Delays;
   // Number of messages that arrived late.
   std::uint64_t DelayedMessages = 0;
+  std::uint64_t RefusedReports = 0;
   KeyOwnershipManager Keys;
   routing::TargetGate Gate;
   routing::EntryReducer Entry;
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -11,134 +11,21 @@
 #include "orioledoor/keyspace/key_planner.h"
 #include "orioledoor/routing/events.h"
 #include "orioledoor/sidecar/reducer.h"
+#include "orioledoor/sidecar/testing/reducer_fixture.h"
 
 namespace orioledoor::sidecar {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::KeyMapRevision;
+using testing::OwnAddress;
+using testing::ReducerFixture;
 
-constexpr char OwnAddress[] = "tcp://10.0.0.1:7100";
 // Sorts first, so this node plans the owners of keys.
 constexpr char PlannerAddress[] = "tcp://10.0.0.0:7100";
 constexpr char OtherAddress[] = "tcp://10.0.0.2:7100";
 
-SidecarOptions options() {
-  SidecarOptions Options;
-  Options.Node = OwnAddress;
-  Options.Process = 1;
-  Options.Place = {"d1", "r1"};
-  Options.Service = "keyed";
-  return Options;
-}
-
-// Store revision of the key map that a fleet starts with.
-constexpr std::int64_t KeyMapRevision = 9;
-
-class ReducerFixture {
-public:
-  explicit ReducerFixture(const SidecarOptions &InitialOptions = options())
-      : Reducer(InitialOptions) {
-    this->dispatch(Started{});
-  }
-
-  void dispatch(Event NewEvent) {
-    this->Out = this->Reducer.handle(std::move(NewEvent), this->Now);
-  }
-  void advance(Duration Time) {
-    Instant End = this->Now + Time;
-    Effects AllEffects;
-    while (this->Now < End) {
-      this->Now = this->Now + milliseconds(20);
-      for (Effect &NewEffect : this->Reducer.handle(TimerTicked{}, this->Now))
-        AllEffects.push_back(std::move(NewEffect));
-    }
-    this->Out = std::move(AllEffects);
-  }
-  template <typename T> const T *find() const {
-    for (const Effect &NewEffect : this->Out)
-      if (const auto *Found = std::get_if<T>(&NewEffect))
-        return Found;
-    return nullptr;
-  }
-  template <typename T> const T *findMessage() const {
-    for (const Effect &NewEffect : this->Out)
-      if (const auto *Message = std::get_if<SendMessage>(&NewEffect))
-        if (const auto *Found = std::get_if<T>(&Message->Body))
-          return Found;
-    return nullptr;
-  }
-  // Sends a request for which no route matches and returns the status of the
-  // answer.
-  int statusForCaller(std::uint64_t Caller) {
-    this->dispatch(CallerRequestReceived{
-        {.Caller = Caller,
-         .AttemptId = "a",
-         .Content = std::make_shared<routing::RequestContent>()}});
-    const auto *Reply = this->find<ReplyToCaller>();
-    CPPUNIT_ASSERT(Reply);
-    return Reply->Answer.Status;
-  }
-  // Answers the open store call.
-  void reply(StoreReply Reply) {
-    const auto *Call = this->find<CallStore>();
-    CPPUNIT_ASSERT(Call);
-    Reply.Id = Call->Request.Id;
-    this->dispatch(StoreReplyReceived{std::move(Reply)});
-  }
-  void joinFleet(const keyspace::KeyMap *Map = nullptr) {
-    auto Table = std::make_shared<routing::RouteTable>();
-    Table->Version = 1;
-    Table->Services["keyed"] = {"keyed", "/health", 0, true};
-    Table->finish();
-    StoreReply Granted{.Lease = 5, .TimeToLive = seconds(3)};
-    this->reply(Granted);
-    StoreReply Written{.Succeeded = true, .Revision = 10};
-    this->reply(Written);
-    StoreReply Read{.Revision = 10};
-    NodeEntry Entry;
-    Entry.Node = OwnAddress;
-    Entry.Process = 1;
-    Read.Entries = {{keyspace::KeyPlanner::nodeEntryKey(OwnAddress),
-                     encodeNodeEntry(Entry), 10}};
-    if (Map)
-      Read.Entries.push_back({std::string(KeysPrefix) + "keyed",
-                              keyspace::encodeKeyMap(*Map), KeyMapRevision});
-    this->reply(Read);
-    this->dispatch(ConfigDecoded{Table});
-  }
-  void report(std::int64_t Sequence) {
-    routing::TargetReport Report;
-    Report.Instance = "i-1";
-    Report.Service = "keyed";
-    Report.Slots = 2;
-    Report.StartTimeMs = 1;
-    Report.Sequence = Sequence;
-    this->dispatch(
-        TargetReportReceived{static_cast<std::uint64_t>(Sequence), Report});
-  }
-
-  // Another node forwards a request for a key; it knows the map of MapRevision.
-  void forwardKeyed(const std::string &From, std::uint64_t Id,
-                    std::int64_t MapRevision) {
-    this->dispatch(PeerMessageReceived{
-        From, routing::Forward{
-                  .Id = Id,
-                  .Process = 9,
-                  .Service = "keyed",
-                  .AttemptId = "a",
-                  .TimeLeft = seconds(2),
-                  .LatencyLeft = seconds(1),
-                  .Key = 1,
-                  .KeyMapRevision = MapRevision,
-                  .Content = std::make_shared<routing::RequestContent>()}});
-  }
-
-  Instant Now{std::int64_t{10'000'000}};
-  SidecarReducer Reducer;
-  Effects Out;
-};
-
 keyspace::KeyMap makeSingleOwnerMap(const routing::TargetRef &Owner,
                                     const routing::TargetRef &Next) {
   keyspace::KeyMap Map;
@@ -466,7 +353,7 @@
   // node with a 1 MB/s link has the new one. Its requests must not be delayed
   // by sending configurations.
   void limitsLinkUseBySendingConfigurations() {
-    SidecarOptions Slow = options();
+    SidecarOptions Slow = testing::newOptions();
     Slow.LinkBytesPerSecond = 1e6;
     ReducerFixture Sidecar(Slow);
     Sidecar.joinFleet();
@@ -505,7 +392,7 @@
   void formerOwnerOfHotKeysKeepsItsLinkFree() {
     constexpr int Senders = 70;
     constexpr int RequestsPerSender = 10;
-    SidecarOptions Slow = options();
+    SidecarOptions Slow = testing::newOptions();
     Slow.LinkBytesPerSecond = 11e6 / 8;
     keyspace::KeyMap Map = makeManyOwnerMap(OtherAddress);
     ReducerFixture Sidecar(Slow);
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -11,6 +11,8 @@
 
 #include <event2/event.h>
 
+#include "orioledoor/base/error.h"
+#include "orioledoor/catalogue/parse_endpoint.h"
 #include "orioledoor/platform/config_codec.h"
 #include "orioledoor/platform/names.h"
 #include "orioledoor/platform/platform_store.h"
@@ -65,7 +67,7 @@
 }
 
 std::string peerAddress(const Endpoint &Address) {
-  return "tcp://" + Address.Host + ":" + std::to_string(Address.Port);
+  return "tcp://" + formatEndpoint(Address);
 }
 
 routing::CallFailure toCallFailure(requests::TargetFailure Failure) {
@@ -88,6 +90,7 @@
   Options.Process = newProcessId();
   Options.Place = {Settings.FailureDomain, Settings.Region};
   Options.Service = Settings.Service;
+  Options.TargetAddress = formatEndpoint(Settings.Target);
   Options.ConfigKey = platform::names::ConfigKey;
   Options.DrainTime = Settings.DrainTime;
   Options.StopGrace = Settings.StopGrace;
@@ -125,6 +128,7 @@
   // Events that occurred while another one is being handled.
   std::vector<Event> PendingEvents;
   bool Dispatching = false;
+  std::function<void()> ReadSettingsAgain;
 
   Impl(event_base *Base, const SidecarSettings &Settings, Logger &Log)
       : Base(Base), Settings(Settings), Log(Log),
@@ -225,6 +229,14 @@
                        platform::encodeReportAnswer(NewEffect.Answer)});
   }
 
+  void execute(const RefuseReport &NewEffect) {
+    this->ControlServer->reply(
+        NewEffect.Id,
+        wire::errorAnswer(409,
+                          makeError(absl::StatusCode::kFailedPrecondition,
+                                    "accept report", "target", NewEffect.Why)));
+  }
+
   void execute(CallStore NewEffect) {
     this->Store.call(std::move(NewEffect.Request), [this](StoreReply Reply) {
       this->dispatch(StoreReplyReceived{std::move(Reply)});
@@ -272,6 +284,8 @@
       this->ControlServer->reply(Id, wire::errorAnswer(400, Report.status()));
       return;
     }
+    if (Report->Service != this->Settings.Service && this->ReadSettingsAgain)
+      this->ReadSettingsAgain();
     this->dispatch(TargetReportReceived{Id, *std::move(Report)});
   }
 
@@ -484,9 +498,14 @@
                         {{"why", std::string(Settings.status().message())}}});
     return;
   }
+  this->Pimpl->Settings.Service = Settings->Service;
   this->Pimpl->dispatch(SettingsChanged{Settings->Service});
 }
 
+void SidecarNode::setSettingsSource(std::function<void()> ReadAgain) {
+  this->Pimpl->ReadSettingsAgain = std::move(ReadAgain);
+}
+
 void SidecarNode::requestStop() { this->Pimpl->dispatch(StopRequested{}); }
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/sidecar_node.h
+++ b/orioledoor/sidecar/sidecar_node.h
@@ -6,6 +6,7 @@
 #ifndef ORIOLEDOOR_SIDECAR_SIDECAR_NODE_H
 #define ORIOLEDOOR_SIDECAR_SIDECAR_NODE_H
 
+#include <functional>
 #include <memory>
 
 #include "absl/status/statusor.h"
@@ -30,6 +31,11 @@
   SidecarNode(const SidecarNode &) = delete;
   SidecarNode &operator=(const SidecarNode &) = delete;
 
+  // Sets a function that reads the settings again and may call reload(). It
+  // runs before a report that names another service than the settings is
+  // judged, since the settings may have changed without a signal.
+  void setSettingsSource(std::function<void()> ReadAgain);
+
   // Applies a changed settings file. Changed addresses take effect at the next
   // start.
   void reload(const absl::StatusOr<SidecarSettings> &Settings);
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -64,6 +64,7 @@
   Options.Process = Machine.Process = this->NextProcess++;
   Options.Place = {"domain-" + std::to_string(Machine.Index), "region"};
   Options.Service = this->Table->Services.begin()->first;
+  Options.TargetAddress = ModelTarget::Address;
   Machine.Reducer = std::make_unique<SidecarReducer>(Options);
   Machine.DelayedEvents.clear();
   Machine.WatchAfter = -1;
--- a/orioledoor/sidecar/testing/model_target.cc
+++ b/orioledoor/sidecar/testing/model_target.cc
@@ -10,6 +10,7 @@
   routing::TargetReport Report;
   Report.Instance = this->Instance;
   Report.StartTimeMs = this->Born;
+  Report.Address = Address;
   Report.Service = this->Service;
   Report.Slots = 18;
   Report.Draining = this->Draining;
--- a/orioledoor/sidecar/testing/model_target.h
+++ b/orioledoor/sidecar/testing/model_target.h
@@ -19,6 +19,9 @@
 // Not thread-safe.
 class ModelTarget {
 public:
+  // The address that each target states; also that of the settings.
+  static constexpr char Address[] = "10.0.0.1:8301";
+
   ModelTarget(std::string Service, std::string Instance, std::int64_t Born,
               double ClockRate)
       : Service(std::move(Service)), Instance(std::move(Instance)), Born(Born),
--- a/orioledoor/soak/soak_checker.cc
+++ b/orioledoor/soak/soak_checker.cc
@@ -1,6 +1,8 @@
 // Tracks runs by request, and fencing tokens and holders by key.
 #include "orioledoor/soak/soak_checker.h"
 
+#include <utility>
+
 namespace orioledoor::soak {
 namespace {
 
@@ -89,8 +91,29 @@
 }
 
 void SoakChecker::recordSent(const std::string &Node,
-                             const std::string &Attempt, Instant Now) {
-  this->SentRequests[Attempt] = {.Node = Node, .At = Now, .LeftAt = {}};
+                             const std::string &Attempt, RequestParts Parts,
+                             Instant Now) {
+  this->SentRequests[Attempt] = {
+      .Node = Node, .Parts = std::move(Parts), .At = Now, .LeftAt = {}};
+}
+
+void SoakChecker::checkParts(const std::string &Target,
+                             const std::string &Attempt,
+                             const RequestParts &Seen, Instant Now) {
+  auto Sent = this->SentRequests.find(Attempt);
+  if (Sent == this->SentRequests.end()) {
+    this->addViolation(
+        "UNASKED", Target + " got " + Attempt + ", which no caller sent", Now);
+    return;
+  }
+  if (Seen == Sent->second.Parts)
+    return;
+  this->addViolation("UNASKED",
+                     Target + " got " + Attempt + " of " + Sent->second.Node +
+                         " as " + Seen.Method + " " + Seen.Target + " with " +
+                         std::to_string(Seen.Body.size()) +
+                         " bytes from the service " + Seen.CallerService,
+                     Now);
 }
 
 void SoakChecker::recordLeavingAnswer(const std::string &Node,
--- a/orioledoor/soak/soak_checker.h
+++ b/orioledoor/soak/soak_checker.h
@@ -30,6 +30,18 @@
   std::string Detail{};
 };
 
+// The parts of a request that a target must receive as its caller sent them,
+// and the service of the VM where it began.
+struct RequestParts {
+  std::string Method{};
+  // Path and query.
+  std::string Target{};
+  std::string Body{};
+  std::string CallerService{};
+
+  friend bool operator==(const RequestParts &, const RequestParts &) = default;
+};
+
 // Not thread-safe.
 class SoakChecker {
 public:
@@ -68,7 +80,11 @@
                      Instant Now);
   // Records that a caller sent a request to Node.
   void recordSent(const std::string &Node, const std::string &Attempt,
-                  Instant Now);
+                  RequestParts Parts, Instant Now);
+  // Checks that a request which reached a target was sent by a caller, and
+  // unchanged. Seen: what the target received.
+  void checkParts(const std::string &Target, const std::string &Attempt,
+                  const RequestParts &Seen, Instant Now);
   // Records that Node passed on an answer which states that Target is leaving.
   void recordLeavingAnswer(const std::string &Node, const std::string &Target,
                            Instant Now);
@@ -96,6 +112,7 @@
   };
   struct SentRequest {
     std::string Node;
+    RequestParts Parts;
     Instant At;
     std::optional<Instant> LeftAt;
   };
--- a/orioledoor/soak/soak_checker_test.cc
+++ b/orioledoor/soak/soak_checker_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(SoakCheckerTest);
   CPPUNIT_TEST(detectsRepeatedRuns);
   CPPUNIT_TEST(detectsRequestsThatOutliveTheirCallers);
+  CPPUNIT_TEST(detectsRequestsThatNoCallerSent);
   CPPUNIT_TEST(detectsRunsOfRejectedRequests);
   CPPUNIT_TEST(detectsTokensThatDoNotIncrease);
   CPPUNIT_TEST(detectsTwoHolders);
@@ -76,10 +77,10 @@
   void detectsRequestsToLeavingTargets() {
     this->Checker.recordLeavingAnswer("node-1", "a", this->Now);
     this->Now = this->Now + milliseconds(1900);
-    this->Checker.recordSent("node-1", "early", this->Now);
+    this->Checker.recordSent("node-1", "early", {}, this->Now);
     this->Now = this->Now + milliseconds(200);
-    this->Checker.recordSent("node-1", "late", this->Now);
-    this->Checker.recordSent("node-2", "other", this->Now);
+    this->Checker.recordSent("node-1", "late", {}, this->Now);
+    this->Checker.recordSent("node-2", "other", {}, this->Now);
     // The time at which the caller sent the request counts.
     this->Checker.recordArrival("a", "early", this->Now);
     this->Checker.recordArrival("a", "other", this->Now);
@@ -94,7 +95,7 @@
 
   void detectsRequestsThatOutliveTheirCallers() {
     for (const char *Attempt : {"kept", "early", "late", "excused"})
-      this->Checker.recordSent("node-1", Attempt, this->Now);
+      this->Checker.recordSent("node-1", Attempt, {}, this->Now);
     this->Checker.recordDeparture("excused", this->Now);
     this->Checker.excuseNode("node-1", this->Now);
     this->Now = this->Now + milliseconds(20);
@@ -113,6 +114,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Checker.violations().size());
   }
 
+  void detectsRequestsThatNoCallerSent() {
+    RequestParts Parts{"POST", "/write/x?a=1", "body", "plain"};
+    this->Checker.recordSent("node-1", "one", Parts, this->Now);
+    this->Checker.checkParts("a", "one", Parts, this->Now);
+    CPPUNIT_ASSERT(this->Checker.violations().empty());
+    Parts.CallerService = "x15dc77";
+    this->Checker.checkParts("a", "one", Parts, this->Now);
+    this->expectViolation("UNASKED");
+    this->Checker.checkParts("a", "two", Parts, this->Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->Checker.violations().size());
+  }
+
   void detectsRunsOfRejectedRequests() {
     this->Checker.recordRejection("one", this->Now);
     CPPUNIT_ASSERT(this->Checker.violations().empty());
--- a/orioledoor/soak/soak_config_probe.cc
+++ b/orioledoor/soak/soak_config_probe.cc
@@ -56,6 +56,12 @@
       {platform::names::AttemptId, "c-" + std::to_string(++this->LastAttempt)},
       {platform::names::DeadlineRemaining,
        std::to_string(RequestTimeout.count())}};
+  const SoakNode &Node = this->Fleet.node(NodeIndex);
+  this->Checker.recordSent(Node.Name, Call.Headers.front().Value,
+                           {.Method = Call.Method,
+                            .Target = Call.Target,
+                            .CallerService = Node.Target->service()},
+                           readClock());
   this->Fleet.client().call(
       Call, [this, NodeIndex, Path, Exists](const wire::HttpResult &Result) {
         if (Result.Failure)
--- a/orioledoor/soak/soak_fleet.cc
+++ b/orioledoor/soak/soak_fleet.cc
@@ -83,6 +83,9 @@
   Node->StoreLink = MakeRelay(5, this->Store.port());
   Node->TargetLink = MakeRelay(6, Node->Target->port());
   Node->CallerLink = MakeRelay(7, BasePort);
+  // The node reaches the target through the relay, so that is its address.
+  Node->Target->setReportedAddress("127.0.0.1:" +
+                                   std::to_string(Node->TargetLink->port()));
   Node->Outbound = {"127.0.0.1", Node->CallerLink->port()};
   this->writeSettings(*Node, Index);
   std::string Base = this->Options.Directory + "/" + Node->Name;
--- a/orioledoor/soak/soak_load.cc
+++ b/orioledoor/soak/soak_load.cc
@@ -83,8 +83,10 @@
   switch (this->Random() % 4) {
   case 0:
     Call.Method = "POST";
-    Call.Target = "/write/x";
+    // Each request has a query and a body of its own, so that mixed ones show.
+    Call.Target = "/write/x?attempt=" + Request.Attempt + "&q=a?b";
     Body.assign(1 + this->Random() % 20'000, 'x');
+    Body += Request.Attempt;
     break;
   case 1:
     break;
@@ -100,7 +102,14 @@
   Call.Headers.push_back({platform::names::AttemptId, Request.Attempt});
   Call.Headers.push_back({platform::names::DeadlineRemaining,
                           std::to_string(RequestTimeout.count())});
-  this->Checker.recordSent(this->Fleet.node(Request.Node).Name, Request.Attempt,
+  // The router replaces what callers send.
+  Call.Headers.push_back({platform::names::CallerService, "forged"});
+  const SoakNode &Node = this->Fleet.node(Request.Node);
+  this->Checker.recordSent(Node.Name, Request.Attempt,
+                           {.Method = Call.Method,
+                            .Target = Call.Target,
+                            .Body = Body,
+                            .CallerService = Node.Target->service()},
                            Now);
   ++this->Counts.Sent;
   this->OpenRequests.insert(Request.Attempt);
--- a/orioledoor/soak/soak_target.cc
+++ b/orioledoor/soak/soak_target.cc
@@ -20,6 +20,7 @@
 // Report interval while released keys are still in use.
 constexpr Duration ReleaseInterval = milliseconds(100);
 constexpr Duration ReportTimeout = milliseconds(1000);
+constexpr Duration ForeignReportInterval = milliseconds(1500);
 constexpr Duration StepInterval = milliseconds(20);
 // Time for which a leaving target continues to serve.
 constexpr Duration LeaveDelay = milliseconds(2600);
@@ -55,6 +56,8 @@
       }) {
   Events.every(StepInterval, [this] {
     this->changeLimit(readClock());
+    if (readClock() >= this->NextForeignReportAt)
+      this->sendForeignReport();
     if (this->isUp() && !this->ReportPending &&
         readClock() >= this->NextReportAt)
       this->sendReport();
@@ -146,20 +149,37 @@
   Report.SoftwareVersion = "v1";
   Report.FailureDomain = "north-a";
   Report.Slots = this->Options.Slots;
-  Report.Address = "127.0.0.1:" + std::to_string(this->port());
-  std::string Body = platform::testing::encodeReport(Report);
-  this->Client.call(
-      {.Server = this->Options.Node,
-       .Method = "POST",
-       .Target = platform::testing::reportPath(this->Model->instance()),
-       .Headers = {{"Content-Type", "application/json"}},
-       .Body = Body,
-       .Timeout = ReportTimeout},
-      [this,
-       Incarnation = this->IncarnationNumber](const wire::HttpResult &Result) {
-        if (Incarnation == this->IncarnationNumber)
-          this->onReportAnswer(Result);
-      });
+  Report.Address = this->ReportedAddress;
+  this->send(Report, [this, Incarnation = this->IncarnationNumber](
+                         const wire::HttpResult &Result) {
+    if (Incarnation == this->IncarnationNumber)
+      this->onReportAnswer(Result);
+  });
+}
+
+void SoakTarget::sendForeignReport() {
+  this->NextForeignReportAt = readClock() + ForeignReportInterval;
+  bool NamesOtherAddress = ++this->ForeignReports % 3 == 0;
+  routing::TargetReport Report;
+  Report.Instance = "foreign-" + std::to_string(this->ForeignReports);
+  Report.Service = NamesOtherAddress ? this->Options.Service : "unknown";
+  Report.SoftwareVersion = "v1";
+  Report.FailureDomain = "north-a";
+  Report.Address = NamesOtherAddress ? "127.0.0.9:1" : this->ReportedAddress;
+  Report.StartTimeMs = this->LastStartMillis + 1;
+  Report.Sequence = 1;
+  this->send(Report, [](const wire::HttpResult &) {});
+}
+
+void SoakTarget::send(const routing::TargetReport &Report,
+                      wire::HttpClient::Callback OnDone) {
+  this->Client.call({.Server = this->Options.Node,
+                     .Method = "POST",
+                     .Target = platform::testing::reportPath(Report.Instance),
+                     .Headers = {{"Content-Type", "application/json"}},
+                     .Body = platform::testing::encodeReport(Report),
+                     .Timeout = ReportTimeout},
+                    std::move(OnDone));
 }
 
 void SoakTarget::onReportAnswer(const wire::HttpResult &Result) {
@@ -201,6 +221,16 @@
       (this->Options.Partitioned && !this->Model->holds(Key, Now)))
     return this->reject(Request, 421);
   std::string Attempt = Request->header(platform::names::AttemptId);
+  std::string Target(Request->path());
+  if (!Request->query().empty())
+    Target.append("?").append(Request->query());
+  this->Checker.checkParts(
+      this->identity(), Attempt,
+      {.Method = std::string(Request->method()),
+       .Target = std::move(Target),
+       .Body = std::string(Request->body()),
+       .CallerService = Request->header(platform::names::CallerService)},
+      Now);
   if (Now >= this->ArrivalsExcusedUntil)
     this->Checker.recordArrival(this->identity(), Attempt, Now);
   else
--- a/orioledoor/soak/soak_target.h
+++ b/orioledoor/soak/soak_target.h
@@ -46,6 +46,11 @@
   SoakTarget(standins::Loop &Events, wire::HttpClient &Client,
              SoakChecker &Checker, SoakTargetOptions Options);
 
+  // Sets the address that reports state. The default is the own one.
+  void setReportedAddress(std::string Address) {
+    this->ReportedAddress = std::move(Address);
+  }
+  const std::string &service() const { return this->Options.Service; }
   // Starts a new incarnation with a new start time. SameInstance: keeps the
   // instance ID.
   void start(bool SameInstance = false);
@@ -78,6 +83,12 @@
   // Headers of each answer, except for the attempt ID.
   standins::HeaderList answerHeaders() const;
   void sendReport();
+  // Sends what another writer may report at the address of the node: another
+  // service or another address, from a later start than this target's.
+  void sendForeignReport();
+  // Sends a report that is not this target's next one.
+  void send(const routing::TargetReport &Report,
+            wire::HttpClient::Callback OnDone);
   void onReportAnswer(const wire::HttpResult &Result);
   void handleRequest(const ExchangePtr &Request);
   void reject(const ExchangePtr &Request, int Status);
@@ -101,6 +112,9 @@
   std::uint64_t InstanceNumber = 0;
   std::int64_t LastStartMillis = 0;
   std::uint32_t RunningRequests = 0;
+  std::string ReportedAddress;
+  Instant NextForeignReportAt;
+  std::uint64_t ForeignReports = 0;
   // Whether a report is in flight; if not, the next one is due at NextReportAt.
   bool ReportPending = false;
   Instant NextReportAt;
