State the length of the body of any request to a target

Cause: evhttp frames the bodies of POST, PUT and PATCH only. A body with GET, DELETE or OPTIONS was written without a length, so that the target reads its bytes as the next request on the connection: a caller can have any request run there, under any id and caller service. Change: the client states Content-Length itself. Before: bodiesAreFramedWithEveryMethod failed: "GET /a HTTP/1.1 / Host / empty line / body". After: it holds.

--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -515,9 +515,13 @@
     internal::addHeaders(*Headers, Call.Headers);
     if (Call.FreshConnection)
       evhttp_add_header(Headers, "Connection", "close");
-    if (!Call.Body.empty())
+    // evhttp frames the body of some methods only.
+    if (!Call.Body.empty()) {
+      evhttp_add_header(Headers, "Content-Length",
+                        std::to_string(Call.Body.size()).c_str());
       evbuffer_add(evhttp_request_get_output_buffer(Request), Call.Body.data(),
                    Call.Body.size());
+    }
     if (evhttp_make_request(Conn->Http, Request, *Command,
                             Call.Target.c_str()) != 0)
       this->failCall(Id, TargetFailure::ConnectionLost,
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(canceledCallsResetTheirConnections);
   CPPUNIT_TEST(canceledCallsWithAResultAreNotReported);
   CPPUNIT_TEST(connectTimeoutLimitsOnlyTheConnection);
+  CPPUNIT_TEST(bodiesAreFramedWithEveryMethod);
   CPPUNIT_TEST(endlessResponsesAreAborted);
   CPPUNIT_TEST(totalResponseMemoryIsLimited);
   CPPUNIT_TEST_SUITE_END();
@@ -50,7 +51,8 @@
   HttpResult call(std::string_view Script, bool CloseAfter,
                   HttpCall Call = HttpCall()) {
     Call.Server = {"127.0.0.1", Port};
-    Call.Method = "POST";
+    if (Call.Method.empty())
+      Call.Method = "POST";
     Call.Target = "/a";
     Call.Body = "body";
     std::optional<HttpResult> Result;
@@ -215,6 +217,25 @@
     CPPUNIT_ASSERT(Result.Failure == TargetFailure::Truncated);
   }
 
+  // Guards against a body without a length: its server would take the bytes for
+  // the next request on the connection and run what no client has sent.
+  void bodiesAreFramedWithEveryMethod() {
+    for (const char *Method :
+         {"GET", "DELETE", "OPTIONS", "POST", "PUT", "PATCH"}) {
+      HttpCall Call;
+      Call.Method = Method;
+      HttpResult Result = this->call(
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, Call);
+      CPPUNIT_ASSERT_MESSAGE(Method + Result.Detail, !Result.Failure);
+      std::string_view Received = this->ReceivedRequest;
+      std::size_t First = Received.find("Content-Length: 4\r\n");
+      CPPUNIT_ASSERT_MESSAGE(this->ReceivedRequest, First != Received.npos);
+      CPPUNIT_ASSERT_MESSAGE(this->ReceivedRequest,
+                             Received.find("Content-Length", First + 1) ==
+                                 Received.npos);
+    }
+  }
+
   void timeoutAndCancel() {
     HttpCall Call;
     Call.Timeout = std::chrono::milliseconds(50);
