Take only answers that name their request

Cause: an answer without the id of the request counted as long as nothing followed it. Change: an answer must repeat the id. Otherwise the connection is reset, and the request counts as one that may have run.

--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -413,7 +413,7 @@
             : internal::findHeader(Answer.Headers, ExpectedEcho.Name);
     if (Echoed && Echoed->Value != ExpectedEcho.Value)
       return "the answer belongs to another request";
-    if (!Echoed && isFinal(Call, Answer))
+    if (!Echoed && !ExpectedEcho.Name.empty())
       return "the answer does not say which request it belongs to";
     // Without the echoed header nothing shows which of the bytes belong to the
     // response.
--- a/orioledoor/wire/http_client.h
+++ b/orioledoor/wire/http_client.h
@@ -35,13 +35,12 @@
   // Value of the Host header; if empty, the address of the server.
   std::string Host{};
   std::vector<requests::Header> Headers{};
-  // Name of a request header that identifies the request. If the response
-  // contains the header with another value, it belongs to another request and
-  // the call fails.
+  // Name of a request header that identifies the request. A response with
+  // another value belongs to another request, and one without the header may be
+  // any bytes of a faulty server; the call fails then.
   std::string EchoHeader{};
   // Name of a response header after which the connection is not used again: a
   // server may write such a response twice, and the request may come again.
-  // Such a response must contain EchoHeader, or the call fails.
   std::string FinalHeader{};
   // Copied by call().
   std::string_view Body{};
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(headsThatBreakOffAreErrors);
   CPPUNIT_TEST(finalHeaderEndsTheConnection);
   CPPUNIT_TEST(responsesToOtherRequestsAreErrors);
+  CPPUNIT_TEST(responsesWithoutTheEchoedHeaderAreErrors);
   CPPUNIT_TEST(extraBytesAfterEchoedResponseCloseTheConnection);
   CPPUNIT_TEST(timeoutAndCancel);
   CPPUNIT_TEST(canceledCallsResetTheirConnections);
@@ -134,6 +135,26 @@
     CPPUNIT_ASSERT(Result.Failure == TargetFailure::Truncated);
   }
 
+  // Guards against late bytes of a faulty server that are taken for the
+  // response to the request that was sent meanwhile, since they look like a
+  // response.
+  void responsesWithoutTheEchoedHeaderAreErrors() {
+    HttpCall Call;
+    Call.Headers = {{"Attempt-Id", "a1"}};
+    Call.EchoHeader = "Attempt-Id";
+    HttpResult Result = this->call(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, Call);
+    CPPUNIT_ASSERT(Result.Failure == TargetFailure::Truncated);
+    close(this->Server);
+    this->Server = -1;
+    // Nothing more is read from that connection.
+    Result = this->call("HTTP/1.1 200 OK\r\nattempt-id: a1\r\n"
+                        "Content-Length: 2\r\n\r\nok",
+                        false, Call);
+    CPPUNIT_ASSERT_MESSAGE(Result.Detail, !Result.Failure);
+    CPPUNIT_ASSERT_EQUAL(2, this->Accepted);
+  }
+
   // The echoed header identifies the response. Guards against taking the bytes
   // after it, which belong to no request, for the next response.
   void extraBytesAfterEchoedResponseCloseTheConnection() {
