Send whole answers before a stopping process ends

Cause: a request counted as done when its answer was handed to the HTTP server, not when it was written. Change: the process is idle only when every answer has been written to its socket, and goes on to the end of its grace otherwise.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -90,6 +90,12 @@
   this->Options.CallerService = std::move(Service);
 }
 
+void EntryReducer::limitDeadlines(Instant Latest) {
+  this->LatestDeadline = Latest;
+  for (auto &[Caller, Pending] : this->PendingRequests)
+    Pending.Deadline = std::min(Pending.Deadline, Latest);
+}
+
 RetryBudget &EntryReducer::budgetOf(const std::string &Service) {
   return this->Budgets.try_emplace(Service, this->Options.Budget).first->second;
 }
@@ -137,6 +143,8 @@
   if (Matched->Timeout.count() > 0)
     Allowed = std::min(Allowed, Matched->Timeout);
   Added.Deadline = Request.FirstByteAt + Allowed;
+  if (this->LatestDeadline)
+    Added.Deadline = std::min(Added.Deadline, *this->LatestDeadline);
   Added.LatencyDeadline =
       Request.FirstByteAt +
       (Matched->TargetLatency.count() > 0 ? Matched->TargetLatency : Allowed);
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -91,6 +91,9 @@
     return this->Options.CallerService;
   }
 
+  // Ends all requests, open ones and later ones, by Latest.
+  void limitDeadlines(Instant Latest);
+
   void handleRequest(CallerRequest Request, Instant Now, Effects &Out);
   // Answers a request that was not accepted and logs the refusal. RetryAfter is
   // only used with status 503.
@@ -223,6 +226,8 @@
   RetryBudget &budgetOf(const std::string &Service);
 
   EntryOptions Options;
+  // Set once the process stops; no request lasts longer.
+  std::optional<Instant> LatestDeadline;
   TargetDirectory &Directory;
   OwnerLookup LookUpOwner;
   SharedRouteTable Table;
--- a/orioledoor/sidecar/event.h
+++ b/orioledoor/sidecar/event.h
@@ -3,6 +3,7 @@
 #ifndef ORIOLEDOOR_SIDECAR_EVENT_H
 #define ORIOLEDOOR_SIDECAR_EVENT_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -90,7 +91,11 @@
 };
 struct StopRequested {};
 // Occurs every 20 ms.
-struct TimerTicked {};
+struct TimerTicked {
+  // Number of callers to whom parts of answers are still to be sent; only
+  // stated while the process stops.
+  std::size_t UnsentAnswers = 0;
+};
 
 using Event = std::variant<
     Started, CallerRequestReceived, CallerDisconnected, PeerMessageReceived,
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -32,6 +32,8 @@
 // The process ends at the latest this long before the stop grace period is
 // over.
 constexpr Duration StopMargin = milliseconds(500);
+// Requests that are still open this long before the process ends are answered.
+constexpr Duration FinalAnswerTime = milliseconds(150);
 // A target that stays silent after its last hold has ended holds no keys. The
 // margin covers a report in transit.
 constexpr Duration EndedMargin = milliseconds(300);
@@ -515,13 +517,15 @@
   if (this->StopRequestedAt != Instant())
     return;
   this->StopRequestedAt = Now;
+  this->Entry.limitDeadlines(Now + this->Options.StopGrace - StopMargin -
+                             FinalAnswerTime);
   this->Out.push_back(
       LogRecord{&events::SidecarStopping,
                 {{"entry_open", std::to_string(this->Entry.openRequests())},
                  {"gate_open", std::to_string(this->Gate.openRequests())}}});
 }
 
-void SidecarReducer::advanceShutdown(Instant Now) {
+void SidecarReducer::advanceShutdown(std::size_t UnsentAnswers, Instant Now) {
   if (this->StopRequestedAt == Instant() || this->ExitRequested)
     return;
   Duration SinceStop = Now - this->StopRequestedAt;
@@ -531,7 +535,8 @@
     this->Gate.close(Now, this->RoutingEffects);
     this->publishStatus(Now);
   }
-  bool Idle = this->Entry.openRequests() == 0 && this->Gate.openRequests() == 0;
+  bool Idle = this->Entry.openRequests() == 0 &&
+              this->Gate.openRequests() == 0 && UnsentAnswers == 0;
   if (!Idle || !this->AcceptStopped)
     this->LastBusyAt = Now;
   if (Now - this->LastBusyAt >= ShutdownQuietTime ||
@@ -540,7 +545,8 @@
     this->Out.push_back(
         LogRecord{&events::SidecarStopped,
                   {{"entry_open", std::to_string(this->Entry.openRequests())},
-                   {"gate_open", std::to_string(this->Gate.openRequests())}}});
+                   {"gate_open", std::to_string(this->Gate.openRequests())},
+                   {"unsent", std::to_string(UnsentAnswers)}}});
     this->Out.push_back(Exit{});
   }
 }
@@ -562,7 +568,7 @@
   }
 }
 
-void SidecarReducer::on(TimerTicked, Instant Now) {
+void SidecarReducer::on(const TimerTicked &Ticked, Instant Now) {
   this->LastTickAt = Now;
   this->StandstillHandled = false;
   this->Gate.tick(Now, this->RoutingEffects);
@@ -583,7 +589,7 @@
   this->apply(this->Config.tick(Now));
   this->publishStatus(Now);
   this->Keys.tick(this->Entry.table(), Now, this->Out);
-  this->advanceShutdown(Now);
+  this->advanceShutdown(Ticked.UnsentAnswers, Now);
 }
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -66,6 +66,8 @@
   const routing::EntryReducer &entry() const { return this->Entry; }
   const Membership &membership() const { return this->Members; }
   const routing::TargetDirectory &directory() const { return this->Directory; }
+  // Returns whether a graceful stop was requested.
+  bool isStopping() const { return this->StopRequestedAt != Instant(); }
   // Number of messages of other nodes whose delay was logged.
   std::uint64_t delayedMessages() const { return this->DelayedMessages; }
   // Number of reports that did not come from the target on this VM.
@@ -96,7 +98,7 @@
   void on(const StoreWatchUpdated &Watched, Instant Now);
   void on(SettingsChanged Changed, Instant Now);
   void on(StopRequested, Instant Now);
-  void on(TimerTicked, Instant Now);
+  void on(const TimerTicked &Ticked, Instant Now);
 
   // Returns why a report can't come from the target on this VM, or an empty
   // string if it can.
@@ -136,7 +138,8 @@
   void updateDirectory(Instant Now);
   // Answers the deferred report if there is no reason to wait any longer.
   void answerDeferredReport(Instant Now);
-  void advanceShutdown(Instant Now);
+  // UnsentAnswers: see TimerTicked.
+  void advanceShutdown(std::size_t UnsentAnswers, Instant Now);
   void updateWatches();
   bool isPartitioned(std::string_view Service) const;
 
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -56,6 +56,8 @@
   CPPUNIT_TEST_SUITE(ReducerTest);
   CPPUNIT_TEST(becomesReadyWithRoutesAndMembers);
   CPPUNIT_TEST(answersOpenRequestsBeforeItExits);
+  CPPUNIT_TEST(sendsWholeAnswersBeforeItExits);
+  CPPUNIT_TEST(answersLastingRequestsBeforeTheGraceEnds);
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
@@ -101,6 +103,55 @@
     CPPUNIT_ASSERT(Sidecar.find<Exit>());
   }
 
+  // Guards against a process that exits while parts of answers wait for callers
+  // that read slowly, although the grace period goes on.
+  void sendsWholeAnswersBeforeItExits() {
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet();
+    Sidecar.dispatch(StopRequested{});
+    auto ExitsWithin = [&Sidecar](Duration Time, std::size_t UnsentAnswers) {
+      Instant End = Sidecar.Now + Time;
+      bool Exits = false;
+      while (Sidecar.Now < End) {
+        Sidecar.Now = Sidecar.Now + milliseconds(20);
+        Sidecar.dispatch(TimerTicked{UnsentAnswers});
+        Exits |= Sidecar.find<Exit>() != nullptr;
+      }
+      return Exits;
+    };
+    CPPUNIT_ASSERT(!ExitsWithin(milliseconds(5000), 1));
+    CPPUNIT_ASSERT(ExitsWithin(milliseconds(460), 0));
+    // The platform ends the process after 6 s.
+    ReducerFixture Slow;
+    Slow.joinFleet();
+    Slow.dispatch(StopRequested{});
+    Sidecar.Now = Slow.Now;
+    for (int Tick = 0; Tick < 276 && !Slow.find<Exit>(); ++Tick) {
+      Slow.Now = Slow.Now + milliseconds(20);
+      Slow.dispatch(TimerTicked{1});
+    }
+    CPPUNIT_ASSERT(Slow.find<Exit>());
+  }
+
+  // Guards against requests that are taken late in the stop and are still open
+  // when the process ends, so that their callers get no answer.
+  void answersLastingRequestsBeforeTheGraceEnds() {
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet();
+    Sidecar.addReadRoute();
+    Sidecar.dispatch(StopRequested{});
+    Sidecar.advance(milliseconds(2900));
+    Sidecar.sendRead(1, milliseconds(4000));
+    CPPUNIT_ASSERT(Sidecar.findMessage<routing::Forward>());
+    bool Answered = false;
+    for (int Tick = 0; Tick < 200 && !Sidecar.find<Exit>(); ++Tick) {
+      Sidecar.Now = Sidecar.Now + milliseconds(20);
+      Sidecar.dispatch(TimerTicked{});
+      Answered |= Sidecar.find<ReplyToCaller>() != nullptr;
+    }
+    CPPUNIT_ASSERT(Answered);
+  }
+
   // Guards against requests on kept-alive connections that are accepted seconds
   // after the stop signal and abandoned when the process ends.
   void rejectsRequestsLateInTheStop() {
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -349,7 +349,9 @@
   void tick() {
     Instant Now = readClock();
     this->recordTick(Now);
-    this->dispatch(TimerTicked{});
+    this->dispatch(TimerTicked{this->Reducer.isStopping()
+                                   ? this->OutboundServer->unsentConnections()
+                                   : 0});
     this->Peers->tick(Now);
     if (Now - this->DropsReportedAt < DropReportInterval)
       return;
--- a/orioledoor/wire/http_server.cc
+++ b/orioledoor/wire/http_server.cc
@@ -256,6 +256,13 @@
   return this->Pimpl->ConnectionsByRequestId.size();
 }
 
+std::size_t HttpServer::unsentConnections() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Pimpl->Connections, [](const auto &Entry) {
+        return Entry.second->hasUnsentBytes();
+      }));
+}
+
 std::uint64_t HttpServer::rejectedRequests() const {
   return this->Pimpl->RejectedRequests;
 }
--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -99,6 +99,10 @@
   // Returns the number of requests that were received and not yet answered.
   std::size_t openRequests() const;
 
+  // Returns the number of connections with responses that are not written to
+  // their sockets yet. Takes time in proportion to the connections.
+  std::size_t unsentConnections() const;
+
   // Returns the number of requests that the server rejected because they could
   // not be parsed.
   std::uint64_t rejectedRequests() const;
--- a/orioledoor/wire/http_server_test.cc
+++ b/orioledoor/wire/http_server_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(disconnectedCallerIsReported);
   CPPUNIT_TEST(requestsOfCallersThatLeftDuringADelayAreDropped);
   CPPUNIT_TEST(firstRequestOfAClosedConnectionIsDropped);
+  CPPUNIT_TEST(responsesThatCallersHaveNotTakenCountAsUnsent);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,6 +52,28 @@
     CPPUNIT_ASSERT(Answer.ends_with("/d\n"));
   }
 
+  // Guards against a process that takes a response for sent, and ends, while
+  // its caller has only read a part of it.
+  void responsesThatCallersHaveNotTakenCountAsUnsent() {
+    int Caller = testing::connectTo(Port);
+    testing::sendAll(Caller, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(
+        this->Events.runUntil([this] { return !this->HeldRequests.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Server->unsentConnections());
+    // Exceeds what the sockets take.
+    this->Server->reply(this->HeldRequests[0],
+                        {200, {}, std::string(16U << 20, 'x')});
+    this->Events.runUntil([] { return false; }, {},
+                          std::chrono::milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Server->unsentConnections());
+    std::string Received;
+    this->Events.runUntil(
+        [this] { return this->Server->unsentConnections() == 0; },
+        [&] { testing::receive(Caller, Received); }, std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Server->unsentConnections());
+    close(Caller);
+  }
+
   // Guards against a truncated upload that runs or that affects requests of
   // other callers.
   void truncatedBodyGets408() {
--- a/orioledoor/wire/internal/server_connection.cc
+++ b/orioledoor/wire/internal/server_connection.cc
@@ -249,6 +249,11 @@
   }
 }
 
+bool ServerConnection::hasUnsentBytes() const {
+  return this->HeldBytes > 0 ||
+         evbuffer_get_length(bufferevent_get_output(this->Stream.get())) > 0;
+}
+
 void ServerConnection::finishIfIdle() {
   if (!this->InputDone || !this->Exchanges.empty() || this->Lingering ||
       evbuffer_get_length(bufferevent_get_output(this->Stream.get())) != 0)
--- a/orioledoor/wire/internal/server_connection.h
+++ b/orioledoor/wire/internal/server_connection.h
@@ -73,6 +73,9 @@
   // byte of the request arrived.
   Duration respond(std::uint64_t Id, const requests::HttpAnswer &Answer);
 
+  // Whether responses, or parts of them, wait to be written to the socket.
+  bool hasUnsentBytes() const;
+
 private:
   // A request whose response has not been written.
   struct Exchange {
