Keep the rows of a target within one answer to its report

Cause: each moved row keeps its own token, so rows never merged, and whoever was left got all of them. An answer of more than 4 KiB counts for nothing. Change: a plan replaces lost owners under one token, so that the rows of a new owner merge; once the targets that are left have 40 rows, they get runs of adjacent rows; adjacent rows of a target with more than 60 merge under a new token; an answer that is still too long grants what fits, first what the target has, then the widest rows.

--- a/orioledoor/keyspace/key_balance.cc
+++ b/orioledoor/keyspace/key_balance.cc
@@ -19,9 +19,6 @@
 // Moves per plan of a large service. Each one ends with a write of the key map
 // and a message to every node, most of them within the same second.
 constexpr std::size_t LargeServiceMoves = 40;
-// Rows per target. The answer to a report, 4 KiB, can list about 70.
-constexpr std::size_t MaxRowsPerTarget = 40;
-
 // A range of a target's keys with its share of the demand, in requests per
 // second.
 struct KeySegment {
@@ -41,11 +38,6 @@
   double utilization() const { return this->Rate / this->Capacity; }
 };
 
-std::size_t countRows(const KeyMap &Map, const TargetRef &Target) {
-  return static_cast<std::size_t>(
-      std::ranges::count(Map.Rows, Target, &KeyRow::Owner));
-}
-
 // Splits the rows of a target at the quantiles of its demand. Rows with a
 // pending move are left out.
 std::vector<KeySegment> splitAtQuantiles(const KeyMap &Map,
@@ -149,6 +141,11 @@
 
 } // namespace
 
+std::size_t countRows(const KeyMap &Map, const TargetRef &Target) {
+  return static_cast<std::size_t>(
+      std::ranges::count(Map.Rows, Target, &KeyRow::Owner));
+}
+
 std::size_t maxMoves(std::size_t Targets) {
   // A skewed demand overloads a share of the targets, however many there are.
   return std::clamp(Targets, SmallServiceMoves, LargeServiceMoves);
--- a/orioledoor/keyspace/key_balance.h
+++ b/orioledoor/keyspace/key_balance.h
@@ -20,6 +20,13 @@
   std::vector<std::uint32_t> Quantiles;
 };
 
+// Rows up to which a target is given further ones one by one. The answer to a
+// report, 4 KiB, can list about 70.
+inline constexpr std::size_t MaxRowsPerTarget = 40;
+
+// Returns the number of rows that Target owns.
+std::size_t countRows(const KeyMap &Map, const TargetRef &Target);
+
 struct KeyMove {
   KeyRange Keys;
   TargetRef From;
--- a/orioledoor/keyspace/key_grantor.cc
+++ b/orioledoor/keyspace/key_grantor.cc
@@ -2,6 +2,8 @@
 #include "orioledoor/keyspace/key_grantor.h"
 
 #include <algorithm>
+#include <string>
+#include <tuple>
 #include <utility>
 
 namespace orioledoor::keyspace {
@@ -50,6 +52,16 @@
   return Parts;
 }
 
+// Upper bound on the bytes of a row in the answer: two keys, a token, the
+// handover in quotes, and what separates them.
+std::size_t rowBytes(const routing::GrantedRange &Range) {
+  constexpr std::size_t Separators = 8;
+  return std::to_string(Range.Keys.From).size() +
+         std::to_string(Range.Keys.To).size() +
+         std::to_string(Range.Fence).size() + Range.Handover.size() +
+         Separators;
+}
+
 } // namespace
 
 GrantDecision KeyGrantor::answerReport(const routing::TargetReport &Report,
@@ -94,6 +106,7 @@
     this->GrantedUntil = Instant();
     return Decision;
   }
+  this->limitGrants(PreviousGrants);
   HoldTime = std::chrono::duration_cast<milliseconds>(HoldTime);
   this->GrantedUntil = Now + HoldTime;
   this->HoldsEnd = std::max(
@@ -102,6 +115,33 @@
   return Decision;
 }
 
+void KeyGrantor::limitGrants(
+    std::span<const routing::GrantedRange> PreviousGrants) {
+  std::size_t Bytes = 0;
+  for (const routing::GrantedRange &Range : this->Granted)
+    Bytes += rowBytes(Range);
+  if (Bytes <= this->Options.MaxRowBytes)
+    return;
+  // Keys that the target has are not taken away; of the others, the widest rows
+  // serve most requests.
+  auto Rank = [&PreviousGrants](const routing::GrantedRange &Range) {
+    bool IsNew =
+        std::ranges::find(PreviousGrants, Range) == PreviousGrants.end();
+    return std::tuple(
+        IsNew, static_cast<std::int64_t>(Range.Keys.From) - Range.Keys.To,
+        Range.Keys.From);
+  };
+  std::ranges::sort(this->Granted, {}, Rank);
+  std::size_t Kept = 0;
+  Bytes = 0;
+  while (Bytes + rowBytes(this->Granted[Kept]) <= this->Options.MaxRowBytes)
+    Bytes += rowBytes(this->Granted[Kept++]);
+  this->Granted.resize(Kept);
+  std::ranges::sort(this->Granted, {}, [](const routing::GrantedRange &Range) {
+    return Range.Keys.From;
+  });
+}
+
 void KeyGrantor::reset() {
   this->Granted.clear();
   this->Handovers.clear();
--- a/orioledoor/keyspace/key_grantor.h
+++ b/orioledoor/keyspace/key_grantor.h
@@ -9,7 +9,9 @@
 #ifndef ORIOLEDOOR_KEYSPACE_KEY_GRANTOR_H
 #define ORIOLEDOOR_KEYSPACE_KEY_GRANTOR_H
 
+#include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -36,6 +38,9 @@
   Duration HoldTime = std::chrono::seconds(5);
   // The longest hold time that the platform allows.
   Duration MaxHoldTime = std::chrono::seconds(10);
+  // Bytes of the granted rows in an answer; the platform ignores answers of
+  // more than 4 KiB. The rest is for the fields around the rows.
+  std::size_t MaxRowBytes = 4000;
 };
 
 // Not thread-safe. Uses no clock, socket or random source.
@@ -60,6 +65,9 @@
   Instant holdsEnd() const { return this->HoldsEnd; }
 
 private:
+  // Leaves out grants that exceed Options.MaxRowBytes.
+  void limitGrants(std::span<const routing::GrantedRange> PreviousGrants);
+
   KeyGrantorOptions Options;
   // Grants of the last answer.
   std::vector<routing::GrantedRange> Granted;
--- a/orioledoor/keyspace/key_planner.cc
+++ b/orioledoor/keyspace/key_planner.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <utility>
 
 #include "orioledoor/keyspace/key_balance.h"
@@ -13,6 +14,14 @@
 
 // Load reports older than this no longer describe the demand.
 constexpr Duration MaxLoadReportAge = std::chrono::milliseconds(2500);
+// Rows of one target above which its adjacent ones are merged under a new
+// token. It must be above what moves lead to (MaxRowsPerTarget), since tokens
+// of rows that can't be merged would change for nothing, and below the 70 to
+// 100 rows that an answer can list.
+constexpr std::size_t MaxSeparateRows = 60;
+// Runs of adjacent rows into which the keys of lost targets are divided once
+// the targets that are left have many rows.
+constexpr double RunsPerService = 16;
 
 const PlannerNode *findNode(std::span<const PlannerNode> Nodes,
                             std::string_view Address) {
@@ -157,13 +166,38 @@
   return Changed;
 }
 
+const PlannerNode *
+KeyPlanner::chooseReplacement(const KeyMap &Map,
+                              std::span<const PlannerNode *const> Ready,
+                              const TargetRef &Adjacent) const {
+  const PlannerNode *Least = leastLoaded(Map, Ready);
+  if (!Least || countRows(Map, Least->Target) < MaxRowsPerTarget)
+    return Least;
+  auto Found = std::ranges::find(Ready, Adjacent, &PlannerNode::Target);
+  if (Found == Ready.end())
+    return Least;
+  // Rows that are given to one target side by side become one. The targets take
+  // turns only when their shares differ by much.
+  auto Share = [&Map](const PlannerNode &Node) {
+    return static_cast<double>(countKeys(Map, Node.Target)) /
+           std::max<std::uint32_t>(Node.Slots, 1);
+  };
+  double MaxExcess = static_cast<double>(LastKey + 1) / RunsPerService /
+                     std::max<std::uint32_t>(Least->Slots, 1);
+  return Share(**Found) <= Share(*Least) + MaxExcess ? *Found : Least;
+}
+
 bool KeyPlanner::planReplacements(KeyPlan &Plan,
                                   std::span<const PlannerNode> Nodes,
                                   Instant Now) {
   KeyMap &Map = Plan.Map;
   std::vector<const PlannerNode *> Ready = readyNodes(Nodes, this->Service);
   bool Changed = false;
+  // One token for the whole plan, so that the rows of one new owner merge.
+  const std::int64_t Fence = Map.LastFence + 1;
+  TargetRef Adjacent;
   for (KeyRow &Row : Map.Rows) {
+    const TargetRef Before = std::exchange(Adjacent, {});
     const LostTarget *Lost = Map.findLost(Row.Owner);
     auto FirstSeen =
         Lost ? this->MarkSeenAt.find(Lost->Mark) : this->MarkSeenAt.end();
@@ -180,8 +214,9 @@
       NewOwner = CurrentNode->Target;
     else if (Row.Next && isReady(Nodes, this->Service, Row.Next))
       NewOwner = Row.Next;
-    else if (const PlannerNode *LeastLoadedNode = leastLoaded(Map, Ready))
-      NewOwner = LeastLoadedNode->Target;
+    else if (const PlannerNode *Chosen =
+                 this->chooseReplacement(Map, Ready, Before))
+      NewOwner = Chosen->Target;
     if (!NewOwner)
       continue;
     // The node of the owner may withdraw its statement that the target has
@@ -192,7 +227,9 @@
         std::ranges::find(Plan.Conditions, Condition) == Plan.Conditions.end())
       Plan.Conditions.push_back(std::move(Condition));
     Plan.Reason += "replaced " + Row.Owner.Instance + "; ";
-    Row = {.Keys = Row.Keys, .Owner = NewOwner, .Fence = ++Map.LastFence};
+    Row = {.Keys = Row.Keys, .Owner = NewOwner, .Fence = Fence};
+    Map.LastFence = Fence;
+    Adjacent = NewOwner;
     Changed = true;
   }
   return Changed;
@@ -223,6 +260,42 @@
   return Changed;
 }
 
+bool KeyPlanner::planMerges(KeyPlan &Plan) {
+  KeyMap &Map = Plan.Map;
+  // Each change of an owner has a new token.
+  if (std::exchange(this->MergesCheckedAt, Map.LastFence) == Map.LastFence)
+    return false;
+  std::map<TargetRef, std::size_t> RowCounts;
+  for (const KeyRow &Row : Map.Rows)
+    ++RowCounts[Row.Owner];
+  const std::int64_t Fence = Map.LastFence + 1;
+  std::vector<KeyRow> Merged;
+  bool Changed = false;
+  for (const KeyRow &Row : Map.Rows) {
+    KeyRow *Last = Merged.empty() ? nullptr : &Merged.back();
+    bool Adjacent = Last && Last->Keys.To + 1 == Row.Keys.From &&
+                    Last->Owner == Row.Owner && !Last->Next && !Row.Next;
+    if (!Adjacent || RowCounts.at(Row.Owner) <= MaxSeparateRows) {
+      Merged.push_back(Row);
+      continue;
+    }
+    // The owner has these keys already, so a handover has been used, and any
+    // token above theirs is right.
+    Last->Keys.To = Row.Keys.To;
+    Last->Fence = Fence;
+    Last->Handover.clear();
+    Changed = true;
+  }
+  if (!Changed)
+    return false;
+  Plan.Reason += "merged rows; ";
+  Map.Rows = std::move(Merged);
+  Map.LastFence = Fence;
+  // The plan may never be written.
+  this->MergesCheckedAt = -1;
+  return true;
+}
+
 void KeyPlanner::updateMoving(const KeyMap &Map, Instant Now) {
   for (const KeyRow &Row : Map.Rows)
     if (Row.Next)
@@ -329,9 +402,11 @@
   Changed |= this->planReplacements(Plan, Nodes, Now);
   Changed |= this->planDepartures(Plan, Nodes);
   Changed |= !Changed && this->planRebalancing(Plan, Nodes, Now);
+  if (Changed)
+    Plan.Map.mergeAdjacentRows();
+  Changed |= this->planMerges(Plan);
   if (!Changed)
     return std::nullopt;
-  Plan.Map.mergeAdjacentRows();
   return Plan;
 }
 
--- a/orioledoor/keyspace/key_planner.h
+++ b/orioledoor/keyspace/key_planner.h
@@ -119,11 +119,19 @@
   bool planLostMarks(KeyPlan &Plan, std::span<const PlannerNode> Nodes,
                      bool StoreUpToDate, Instant Now);
   // Assigns the rows of ended and lost owners to other targets.
+  // Returns the ready target that gets a row of a lost one, or null if there is
+  // none. Adjacent: the target that got the row before in the same plan.
+  const PlannerNode *
+  chooseReplacement(const KeyMap &Map,
+                    std::span<const PlannerNode *const> Ready,
+                    const TargetRef &Adjacent) const;
   bool planReplacements(KeyPlan &Plan, std::span<const PlannerNode> Nodes,
                         Instant Now);
   // Moves the keys of leaving owners to other targets and cancels moves to
   // targets that are gone.
   bool planDepartures(KeyPlan &Plan, std::span<const PlannerNode> Nodes);
+  // Merges adjacent rows of targets that have too many for one answer.
+  bool planMerges(KeyPlan &Plan);
   // Moves half of a long row to each target without keys.
   bool planKeysForNewTargets(KeyPlan &Plan, std::span<const PlannerNode> Nodes);
   // Moves keys from overloaded targets to targets with spare capacity.
@@ -141,6 +149,9 @@
   std::vector<TargetRef> LastReadyTargets;
   Instant ReadyChangedAt;
   Instant RebalancedAt;
+  // Last token of the map whose rows were found to need no merges; -1 if there
+  // is none.
+  std::int64_t MergesCheckedAt = -1;
 };
 
 } // namespace orioledoor::keyspace
--- a/orioledoor/keyspace/keyspace_test.cc
+++ b/orioledoor/keyspace/keyspace_test.cc
@@ -56,6 +56,8 @@
   CPPUNIT_TEST(authorityRequiresReadKeyMaps);
   CPPUNIT_TEST(plansInitialOwnersOnceTargetsAreStable);
   CPPUNIT_TEST(replacesLostOwnerAfterItsHoldsEnded);
+  CPPUNIT_TEST(survivorsGetFewRows);
+  CPPUNIT_TEST(answersGrantWhatFits);
   CPPUNIT_TEST(removesLostMarkOfReturnedOwner);
   CPPUNIT_TEST(replacesRestartedTargetImmediately);
   CPPUNIT_TEST(ignoresEntriesOfEarlierProcess);
@@ -249,6 +251,83 @@
     CPPUNIT_ASSERT(Replaced->Map.find(0)->Fence > 2);
   }
 
+  // Guards against a target that is left with hundreds of rows, whose answers
+  // to reports exceed what the platform accepts, so that no key is served
+  // again.
+  void survivorsGetFewRows() {
+    constexpr int Targets = 8;
+    constexpr std::uint32_t Rows = 320;
+    constexpr std::size_t MaxRows = 70;
+    for (int Survivors : {1, 2, 3}) {
+      KeyMap Map;
+      Map.Service = "s";
+      Map.LastFence = Rows;
+      constexpr std::uint32_t KeysPerRow = (LastKey + 1) / Rows;
+      for (std::uint32_t Row = 0; Row < Rows; ++Row)
+        Map.Rows.push_back(
+            {{Row * KeysPerRow,
+              Row + 1 == Rows ? LastKey : (Row + 1) * KeysPerRow - 1},
+             target(1 + static_cast<int>(Row % Targets)),
+             Row + 1,
+             "",
+             {}});
+      // All targets ended, and a few came back as new processes.
+      std::vector<PlannerNode> Nodes;
+      for (int Index = 1; Index <= Survivors; ++Index)
+        Nodes.push_back(makeNode(Index, 2));
+      KeyPlanner Planner("s", {});
+      Instant Now{std::int64_t{10'000'000}};
+      for (int Step = 0; Step < 200; ++Step) {
+        if (auto Plan = Planner.plan(&Map, Nodes, true, Now))
+          Map = Plan->Map;
+        Now = Now + milliseconds(100);
+      }
+      for (int Index = 1; Index <= Survivors; ++Index) {
+        auto Owned = static_cast<std::size_t>(
+            std::ranges::count(Map.Rows, target(Index, 2), &KeyRow::Owner));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(Owned) + " rows, " +
+                                   std::to_string(Survivors) + " survivors",
+                               Owned > 0 && Owned <= MaxRows);
+      }
+      CPPUNIT_ASSERT(std::ranges::all_of(Map.Rows, [](const KeyRow &Row) {
+        return Row.Owner.StartTimeMs == 2 && Row.Fence > Rows;
+      }));
+    }
+  }
+
+  // Guards against an answer that the target ignores because of its size, and
+  // that leaves it without any key.
+  void answersGrantWhatFits() {
+    KeyMap Map;
+    Map.Service = "s";
+    constexpr std::uint32_t Rows = 512;
+    constexpr std::uint32_t KeysPerRow = (LastKey + 1) / Rows;
+    for (std::uint32_t Row = 0; Row < Rows; ++Row)
+      Map.Rows.push_back({{Row * KeysPerRow, (Row + 1) * KeysPerRow - 1},
+                          target(1),
+                          Row + 1,
+                          "5c0e7a21d94b36f8",
+                          {}});
+    // The widest row goes first.
+    Map.Rows[400].Keys.From = Map.Rows[399].Keys.From;
+    Map.Rows.erase(Map.Rows.begin() + 399);
+    Instant Now{std::int64_t{10'000'000}};
+    KeyGrantor Grantor({});
+    routing::ReportAnswer Answer =
+        Grantor.answerReport({}, target(1), &Map, Now + seconds(8), Now).Answer;
+    CPPUNIT_ASSERT(Answer.Grants.size() >= 80 && Answer.Grants.size() <= 140);
+    CPPUNIT_ASSERT(Answer.HoldTime > seconds(1));
+    CPPUNIT_ASSERT(Grantor.holds(400 * KeysPerRow, Now));
+    // The node counts only what it granted, and goes on with it.
+    std::size_t Held = 0;
+    for (std::uint32_t Row = 0; Row < Rows; ++Row)
+      Held += Grantor.holds(Row * KeysPerRow, Now) ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(Answer.Grants.size() + 1, Held);
+    CPPUNIT_ASSERT(
+        Grantor.answerReport({}, target(1), &Map, Now + seconds(9), Now)
+            .Answer.Grants == Answer.Grants);
+  }
+
   void removesLostMarkOfReturnedOwner() {
     KeyPlanner Planner("s", {});
     Instant Now{std::int64_t{10'000'000}};
