--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -49,6 +49,13 @@
   soak::SoakFleetOptions Fleet;
   double Seconds = 20;
   bool PlannedStops = false;
+  bool ServiceChanges = false;
+
+  soak::SoakFaultKinds kinds() const {
+    return this->PlannedStops     ? soak::SoakFaultKinds::PlannedStops
+           : this->ServiceChanges ? soak::SoakFaultKinds::ServiceChanges
+                                  : soak::SoakFaultKinds::All;
+  }
 };
 
 class Soak {
@@ -58,9 +65,8 @@
         Load(this->Fleet, this->Checker, Options.Fleet.Seed,
              Options.PlannedStops),
         ConfigProbe(this->Fleet, this->Checker),
-        Faults(this->Events, this->Fleet, Options.Fleet.Seed,
-               Options.PlannedStops ? soak::SoakFaultKinds::PlannedStops
-                                    : soak::SoakFaultKinds::All) {}
+        Faults(this->Events, this->Fleet, Options.Fleet.Seed, Options.kinds()) {
+  }
 
   int run() {
     this->Fleet.start();
@@ -175,8 +181,11 @@
       "planned-stops", po::bool_switch(&Options.PlannedStops),
       "only stops of several nodes at once, changes of the configuration, and "
       "a store that is down, slow or loses answers; no request may be cut off")(
-      "port", po::value(&Options.Fleet.FirstPort),
-      "first port; each node uses 8");
+      "service-changes", po::bool_switch(&Options.ServiceChanges),
+      "only VMs that change their service, beside crashes of targets and "
+      "faults "
+      "of the store")("port", po::value(&Options.Fleet.FirstPort),
+                      "first port; each node uses 8");
   if (auto Status =
           standins::parseCommandLine("fault_soak", Description, Argc, Argv))
     return *Status;
--- a/orioledoor/soak/soak_checker.cc
+++ b/orioledoor/soak/soak_checker.cc
@@ -17,6 +17,9 @@
 // The platform's drain time. Callers see an answer after the node passed it on,
 // so the check is not stricter than the rule.
 constexpr Duration DrainTime = std::chrono::seconds(2);
+// Time within which a node notices changed settings without a signal, and
+// within which a request that was sent before may be read.
+constexpr Duration ServiceChangeTime = std::chrono::milliseconds(500);
 // The platform's bound on requests that reach a target after their callers have
 // left.
 constexpr Duration MaxArrivalAfterDeparture = std::chrono::milliseconds(500);
@@ -106,7 +109,14 @@
         "UNASKED", Target + " got " + Attempt + ", which no caller sent", Now);
     return;
   }
-  if (Seen == Sent->second.Parts)
+  RequestParts Expected = Sent->second.Parts;
+  // Around a change, either service is right.
+  if (auto Changed = this->ServiceChangedAt.find(Sent->second.Node);
+      Changed != this->ServiceChangedAt.end() &&
+      Sent->second.At > Changed->second - ServiceChangeTime &&
+      Sent->second.At < Changed->second + ServiceChangeTime)
+    Expected.CallerService = Seen.CallerService;
+  if (Seen == Expected)
     return;
   this->addViolation("UNASKED",
                      Target + " got " + Attempt + " of " + Sent->second.Node +
--- a/orioledoor/soak/soak_checker.h
+++ b/orioledoor/soak/soak_checker.h
@@ -81,6 +81,10 @@
   // Records that a caller sent a request to Node.
   void recordSent(const std::string &Node, const std::string &Attempt,
                   RequestParts Parts, Instant Now);
+  // Records that the settings of Node name another service from now on.
+  void recordServiceChange(const std::string &Node, Instant Now) {
+    this->ServiceChangedAt[Node] = Now;
+  }
   // Checks that a request which reached a target was sent by a caller, and
   // unchanged. Seen: what the target received.
   void checkParts(const std::string &Target, const std::string &Attempt,
@@ -131,6 +135,8 @@
   std::map<std::string, LimitedTarget> LimitedTargets;
   // By attempt ID.
   std::unordered_map<std::string, SentRequest> SentRequests;
+  // When the service of a VM changed last, by node.
+  std::map<std::string, Instant> ServiceChangedAt;
   // Earlier departures are not checked: at one node, and at all.
   std::map<std::string, Instant> NodesExcusedAt;
   Instant DeparturesExcusedAt;
--- a/orioledoor/soak/soak_faults.cc
+++ b/orioledoor/soak/soak_faults.cc
@@ -119,6 +119,23 @@
   Node.Process->signal(SIGTERM);
 }
 
+void SoakFaults::changeService(std::size_t Index, Instant Now) {
+  SoakNode &Node = this->Fleet.node(Index);
+  if (!this->Fleet.changeService(Index, Now))
+    return;
+  Duration Time = this->randomDuration(100, 4000);
+  bool Announced = this->Random() % 2 == 0;
+  this->recordFault(&Node,
+                    Announced ? "service changes, SIGHUP" : "service changes",
+                    Time, Now);
+  if (Announced && Node.Process->running())
+    Node.Process->signal(SIGHUP);
+  this->runAfter(Time, [&Target = *Node.Target] {
+    if (!Target.isUp())
+      Target.start();
+  });
+}
+
 void SoakFaults::stopSeveralNodes(Instant Now) {
   std::vector<std::size_t> Order(this->Fleet.size());
   std::iota(Order.begin(), Order.end(), std::size_t{0});
@@ -217,6 +234,17 @@
       return this->stopSeveralNodes(Now);
     }
   }
+  if (this->Kinds == SoakFaultKinds::ServiceChanges) {
+    std::size_t Index = this->Random() % this->Fleet.size();
+    switch (this->Random() % 4) {
+    case 0:
+      return this->disturbStore(Now);
+    case 1:
+      return this->injectTargetFault(this->Fleet.node(Index), Now);
+    default:
+      return this->changeService(Index, Now);
+    }
+  }
   SoakNode &Node = this->Fleet.node(this->Random() % this->Fleet.size());
   switch (this->Random() % 4) {
   case 0:
--- a/orioledoor/soak/soak_faults.h
+++ b/orioledoor/soak/soak_faults.h
@@ -31,6 +31,9 @@
   // Planned stops of several nodes at once, changes of the configuration, and a
   // store that is down, slow or loses answers. No request may be cut off.
   PlannedStops,
+  // VMs that change their service beside crashes of targets and faults of the
+  // store. Requests must bear the service of the settings.
+  ServiceChanges,
 };
 
 // Not thread-safe.
@@ -51,6 +54,9 @@
 
   void signalNode(SoakNode &Node, Instant Now);
   void stopNode(SoakNode &Node, Instant Now);
+  // Makes the VM of a node one of the other service, whose target starts later.
+  // Half of the changes are announced by SIGHUP.
+  void changeService(std::size_t Index, Instant Now);
   // Stops one to half of the nodes at the same moment.
   void stopSeveralNodes(Instant Now);
   // Makes the store unusable, slow, or lose answers, for longer than a lease
--- a/orioledoor/soak/soak_fleet.cc
+++ b/orioledoor/soak/soak_fleet.cc
@@ -139,6 +139,23 @@
   Model.commit();
 }
 
+bool SoakFleet::changeService(std::size_t Index, Instant Now) {
+  SoakNode &Node = *this->Nodes[Index];
+  SoakTarget &Target = *Node.Target;
+  auto Others = std::ranges::count_if(this->Nodes, [&](const auto &Each) {
+    return Each->Target.get() != &Target && Each->Target->isUp() &&
+           Each->Target->service() == Target.service();
+  });
+  if (!Target.isUp() || Target.isLeaving() || Others == 0)
+    return false;
+  bool Partitioned = !Target.isPartitioned();
+  Target.crash();
+  Target.setService(Partitioned ? KeyedService : PlainService, Partitioned);
+  this->writeSettings(Node, Index);
+  this->Checker.recordServiceChange(Node.Name, Now);
+  return true;
+}
+
 std::uint64_t SoakFleet::versionBefore(Instant Time) const {
   return static_cast<std::uint64_t>(
       std::ranges::upper_bound(this->Versions, Time) - this->Versions.begin());
--- a/orioledoor/soak/soak_fleet.h
+++ b/orioledoor/soak/soak_fleet.h
@@ -86,6 +86,10 @@
   void step(Instant Now);
   // Writes the next version of the configuration.
   void writeConfiguration();
+  // Ends the target of a node and makes the VM one of the other service: the
+  // settings file changes at once, without a signal. Returns false, and changes
+  // nothing, if its service has no other target or if it is down.
+  bool changeService(std::size_t Index, Instant Now);
   // Returns the newest version that was written up to Time, or 0 if there is
   // none.
   std::uint64_t versionBefore(Instant Time) const;
--- a/orioledoor/soak/soak_target.h
+++ b/orioledoor/soak/soak_target.h
@@ -51,6 +51,11 @@
     this->ReportedAddress = std::move(Address);
   }
   const std::string &service() const { return this->Options.Service; }
+  // Sets the service of the next incarnation. To be called while it is down.
+  void setService(std::string Service, bool Partitioned) {
+    this->Options.Service = std::move(Service);
+    this->Options.Partitioned = Partitioned;
+  }
   // Starts a new incarnation with a new start time. SameInstance: keeps the
   // instance ID.
   void start(bool SameInstance = false);
