State that a target has ended which a restarted node never heard of

Cause: a node states that its target has ended only if that target reported to the same process. Change: a node without a target states this of the owner that the key maps name beside it, once holds that an earlier process granted are over. Before: statesThatASilentTargetOfAnEarlierProcessHasEnded failed. After: it holds.

--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -137,6 +137,18 @@
       .first->second.recordLoad(Notice, Now);
 }
 
+routing::TargetRef
+KeyOwnershipManager::ownerBeside(std::string_view Node) const {
+  for (const auto &[Service, Stored] : this->Members.keyMaps()) {
+    auto Found = std::ranges::find_if(
+        Stored.Map.Rows,
+        [Node](const keyspace::KeyRow &Row) { return Row.Owner.Node == Node; });
+    if (Found != Stored.Map.Rows.end())
+      return Found->Owner;
+  }
+  return {};
+}
+
 std::string KeyOwnershipManager::planningNode() const {
   for (const auto &[Key, Node] : this->Members.nodes())
     if (!Node.MissingSince)
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -57,6 +57,9 @@
     this->Meter.recordRequest(Key, Now);
   }
   void recordLoad(const routing::KeyLoadNotice &Notice, Instant Now);
+  // Returns a target beside Node that owns keys, or an empty reference if there
+  // is none. Takes time in proportion to the rows of all maps.
+  routing::TargetRef ownerBeside(std::string_view Node) const;
   // Sends the demand for the target's keys to the planning node. Capacity is
   // the number of requests per second that the target can serve.
   void reportLoad(std::string_view Service, const routing::TargetRef &Target,
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -37,6 +37,8 @@
 // A target that stays silent after its last hold has ended holds no keys. The
 // margin covers a report in transit.
 constexpr Duration EndedMargin = milliseconds(300);
+// Length of a hold by this node's clock; a target's clock may run 2% slow.
+constexpr int SlowClockPercent = 102;
 // Share of the platform's retry allowance that the fleet plans to use. The
 // calls that retried requests cause count against the allowance as well.
 constexpr double RetryAllowanceShare = 0.3;
@@ -263,6 +265,7 @@
 }
 
 void SidecarReducer::on(Started, Instant Now) {
+  this->StartedAt = Now;
   // The watch of the configuration opens before the members are known. Until
   // then a lone node's schedule is in force, whose requests are short.
   this->updateWatches();
@@ -578,6 +581,11 @@
   this->apply(std::move(Output), Now);
   this->answerDeferredReport(Now);
   const TargetRef &Target = this->Gate.target();
+  // Holds that an earlier process of this node granted have ended, too.
+  if (!Target && Now - this->StartedAt > this->Options.Keys.Grants.HoldTime *
+                                                 SlowClockPercent / 100 +
+                                             EndedMargin)
+    this->EndedTarget = this->Keys.ownerBeside(this->Options.Node);
   if (Target && this->isPartitioned(this->Gate.service())) {
     if (Now > this->Keys.holdsEnd() + EndedMargin &&
         Now - this->ReportedAt > this->Options.Keys.Grants.HoldTime)
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -164,6 +164,7 @@
   routing::TargetRef PublishedTarget;
   routing::TargetState PublishedState = routing::TargetState::Absent;
   routing::TargetRef EndedTarget;
+  Instant StartedAt;
   Instant ReportedAt;
   Instant LastTickAt;
   // The standstill since the last tick is known to the gate.
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(answersLastingRequestsBeforeTheGraceEnds);
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
+  CPPUNIT_TEST(statesThatASilentTargetOfAnEarlierProcessHasEnded);
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
   CPPUNIT_TEST(appliesKeyMapChangesInOrder);
   CPPUNIT_TEST(learnsOfNewNodesFromThem);
@@ -206,6 +207,24 @@
     CPPUNIT_ASSERT(SecondSidecar.find<ReplyToReport>()->Answer.Grants.empty());
   }
 
+  // Guards against keys that stay with a target which is gone for good, since
+  // the node beside it restarted and is taken for a sign that it lives.
+  void statesThatASilentTargetOfAnEarlierProcessHasEnded() {
+    routing::TargetRef Earlier{"i-1", 1, OwnAddress};
+    keyspace::KeyMap Map = makeSingleOwnerMap(Earlier, {});
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet(&Map);
+    // The earlier process may have granted holds of 5 s until its end, on a
+    // clock that runs 2% slow.
+    Sidecar.advance(milliseconds(5100));
+    CPPUNIT_ASSERT(!Sidecar.Reducer.membership().selfEntry().Ended);
+    Sidecar.advance(milliseconds(800));
+    CPPUNIT_ASSERT(Sidecar.Reducer.membership().selfEntry().Ended == Earlier);
+    // It was only silent.
+    Sidecar.report(1);
+    CPPUNIT_ASSERT(!Sidecar.Reducer.membership().selfEntry().Ended);
+  }
+
   // The planner moved keys to targets that had stated a limit on their request
   // rate, since it was told the capacity of their slots.
   void reportsTheStatedLimitAsCapacity() {
