Bound the bodies of all callers' requests that a node holds

Cause: each body was bounded, their sum was not. Change: bodies that are being received or not answered may take an eighth of memory_mb, a new setting; a request beyond that gets 503 at once, which is true since it was not handed on. oriole_entry_rejected_total counts it. Before: bodiesBeyondTheMemoryLimitGet503 failed without the check. After: it holds.

--- a/orioledoor/catalogue/parse_sidecar_settings.cc
+++ b/orioledoor/catalogue/parse_sidecar_settings.cc
@@ -36,12 +36,13 @@
 
 SidecarSettings readSidecar(const YamlValue &Document) {
   YamlMapping Root(Document, {"sidecar"});
-  YamlMapping Fields(Root.require("sidecar"),
-                     {"node_name", "region", "failure_domain", "outbound",
-                      "control", "ready", "metrics", "peer", "target",
-                      "service", "store", "drain_ms", "stop_grace_s",
-                      "max_hold_ms", "retry_ratio", "retry_extra",
-                      "retry_window_s", "link_mbps", "log_level"});
+  YamlMapping Fields(
+      Root.require("sidecar"),
+      {"node_name",      "region",      "failure_domain", "outbound",
+       "control",        "ready",       "metrics",        "peer",
+       "target",         "service",     "store",          "drain_ms",
+       "stop_grace_s",   "max_hold_ms", "retry_ratio",    "retry_extra",
+       "retry_window_s", "link_mbps",   "memory_mb",      "log_level"});
   SidecarSettings Result;
   Result.NodeName = internal::readText(Fields.require("node_name"));
   Result.Region = internal::readText(Fields.require("region"));
@@ -77,6 +78,8 @@
     Result.RetryExtra = internal::readNumber(*Extra, 0, 1e9);
   if (auto Link = Fields.find("link_mbps"))
     Result.LinkMbps = internal::readNumber(*Link, 0, 1e6);
+  if (auto Memory = Fields.find("memory_mb"))
+    Result.MemoryMb = internal::readNumber(*Memory, 64, 1e6);
   if (auto Level = Fields.find("log_level")) {
     constexpr std::array Levels{"debug", "info", "warn", "error"};
     Result.LogLevel = Levels.at(
--- a/orioledoor/catalogue/parse_sidecar_settings_test.cc
+++ b/orioledoor/catalogue/parse_sidecar_settings_test.cc
@@ -34,6 +34,7 @@
     CPPUNIT_ASSERT(Parsed->Store.Port == 8309);
     CPPUNIT_ASSERT(Parsed->StopGrace == std::chrono::seconds(6));
     CPPUNIT_ASSERT(Parsed->RetryExtra == 62);
+    CPPUNIT_ASSERT(Parsed->MemoryMb == 260);
     CPPUNIT_ASSERT(
         !isSidecarDocument(readFile("examples/licence-desk/settings.yaml")));
   }
@@ -47,6 +48,7 @@
         {"drain_ms: 2000", "drain_ms: soon"},
         {"drain_ms: 2000", "drain_ms: 0"},
         {"retry_ratio: 0.2", "retry_ratio: -1"},
+        {"memory_mb: 260", "memory_mb: 0"},
         {"  retry_extra", "  retry_extras"},
         {"region: \"cantabrico\"", "region: \"\""}};
     for (const auto &[From, To] : InvalidEdits) {
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -62,6 +62,8 @@
   Metrics.counter("oriole_peer_delayed_messages_total")
       .set(Reducer.delayedMessages());
   Metrics.counter("oriole_reports_refused_total").set(Reducer.refusedReports());
+  Metrics.counter("oriole_entry_rejected_total")
+      .set(Outbound.rejectedRequests());
   Metrics.counter("oriole_entry_abandoned_total")
       .set(Outbound.abandonedRequests());
   Metrics.counter("oriole_peer_connections_lost_total")
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -53,6 +53,11 @@
 // A frame between nodes contains a body and its headers.
 constexpr std::size_t MaxForwardBody = wire::MaxPayloadBytes - (256U << 10);
 
+// Share of the memory for bodies of callers' requests. A node has each of them
+// up to three times (as received, in a message, in a call), and as many of
+// other nodes' callers.
+constexpr double HeldBodyShare = 1.0 / 8;
+
 // Scope of the tags of cancellations.
 constexpr std::uint64_t CancelScope = 1;
 
@@ -407,6 +412,9 @@
                        wire::HttpServerCallbacks Callbacks) {
       wire::HttpServerOptions Options{.Listen = Address};
       Options.MaxBodyBytes = MaxForwardBody;
+      Options.MaxHeldBodyBytes = std::max(
+          MaxForwardBody, static_cast<std::size_t>(this->Settings.MemoryMb *
+                                                   HeldBodyShare * 1e6));
       auto Opened = Server::open(this->Base, Options, std::move(Callbacks));
       if (!Opened.ok())
         return Opened.status();
--- a/orioledoor/wire/http_server.cc
+++ b/orioledoor/wire/http_server.cc
@@ -72,6 +72,8 @@
   internal::EventPtr ReleaseEvent;
   std::uint64_t NextId = 1;
   std::uint64_t RejectedRequests = 0;
+  // Bytes of bodies that count towards Options.MaxHeldBodyBytes.
+  std::size_t HeldBodyBytes = 0;
   std::uint64_t AbandonedRequests = 0;
   std::optional<Instant> LastTickAt;
   // Requests that arrived during a delay may still be unread until then.
@@ -117,6 +119,15 @@
     this->Callbacks.OnRequest(Id, std::move(Request));
   }
 
+  bool holdBodyBytes(std::size_t Bytes) override {
+    this->HeldBodyBytes += Bytes;
+    return this->HeldBodyBytes <= this->Options.MaxHeldBodyBytes;
+  }
+
+  void releaseBodyBytes(std::size_t Bytes) override {
+    this->HeldBodyBytes -= Bytes;
+  }
+
   void recordRejection() override { ++this->RejectedRequests; }
 
   void recordAbandoned() override { ++this->AbandonedRequests; }
--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -56,6 +56,9 @@
   Endpoint Listen;
   std::size_t MaxHeaderBytes = 16U << 10;
   std::size_t MaxBodyBytes = 4U << 20;
+  // Bytes of the bodies of all requests that are being received or not answered
+  // yet. A request that exceeds it gets 503.
+  std::size_t MaxHeldBodyBytes = 32U << 20;
   // Time without progress after which a connection is closed.
   std::chrono::seconds IdleTimeout{30};
 };
--- a/orioledoor/wire/http_server_test.cc
+++ b/orioledoor/wire/http_server_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(requestsOfCallersThatLeftDuringADelayAreDropped);
   CPPUNIT_TEST(firstRequestOfAClosedConnectionIsDropped);
   CPPUNIT_TEST(responsesThatCallersHaveNotTakenCountAsUnsent);
+  CPPUNIT_TEST(bodiesBeyondTheMemoryLimitGet503);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +75,51 @@
     close(Caller);
   }
 
+  // Guards against a burst of uploads that takes all memory of the process:
+  // each body is allowed, their sum is not.
+  void bodiesBeyondTheMemoryLimitGet503() {
+    std::string Upload = "POST /hold HTTP/1.1\r\nHost: h\r\n"
+                         "Content-Length: 900\r\n\r\n" +
+                         std::string(900, 'x');
+    std::vector<int> Callers;
+    for (std::size_t Count = 1; Count <= 2; ++Count) {
+      Callers.push_back(testing::connectTo(Port));
+      testing::sendAll(Callers.back(), Upload);
+      CPPUNIT_ASSERT(this->Events.runUntil(
+          [&] { return this->HeldRequests.size() == Count; }));
+    }
+    std::string Answer = this->exchange(Upload);
+    CPPUNIT_ASSERT_MESSAGE(Answer, isError(Answer, "503"));
+    CPPUNIT_ASSERT(Answer.find("Retry-After: ") != std::string::npos);
+    // A request without a body has room.
+    CPPUNIT_ASSERT(
+        this->exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n").ends_with("/a\n"));
+    // The bodies of answered requests and of callers that left don't count.
+    this->Server->reply(this->HeldRequests[0], {200, {}, "\n"});
+    close(Callers[1]);
+    CPPUNIT_ASSERT(this->Events.runUntil(
+        [&] { return !this->DisconnectedRequests.empty(); }));
+    for (std::size_t Count = 3; Count <= 4; ++Count) {
+      Callers.push_back(testing::connectTo(Port));
+      testing::sendAll(Callers.back(), Upload);
+      CPPUNIT_ASSERT(this->Events.runUntil(
+          [&] { return this->HeldRequests.size() == Count; }));
+    }
+    // An incomplete body counts as far as it has come.
+    int Slow = testing::connectTo(Port);
+    testing::sendAll(Slow, std::string_view(Upload).substr(0, 700));
+    std::string Refused;
+    CPPUNIT_ASSERT(this->Events.runUntil([&] {
+      testing::receive(Slow, Refused);
+      return Refused.find("not-run") != std::string::npos;
+    }));
+    CPPUNIT_ASSERT_MESSAGE(Refused, isError(Refused, "503"));
+    close(Slow);
+    close(Callers[0]);
+    close(Callers[2]);
+    close(Callers[3]);
+  }
+
   // Guards against a truncated upload that runs or that affects requests of
   // other callers.
   void truncatedBodyGets408() {
--- a/orioledoor/wire/internal/request_parser.cc
+++ b/orioledoor/wire/internal/request_parser.cc
@@ -207,6 +207,15 @@
   return Used;
 }
 
+void RequestParser::discard(int Status) {
+  this->Message.reset();
+  this->fail(Status);
+}
+
+std::size_t RequestParser::bodyBytes() const {
+  return this->Message ? this->Message->Request.Body.size() : 0;
+}
+
 bool RequestParser::expectsContinue() const {
   return this->CurrentState == State::Receiving && this->Message &&
          this->Message->ExpectsContinue;
--- a/orioledoor/wire/internal/request_parser.h
+++ b/orioledoor/wire/internal/request_parser.h
@@ -51,10 +51,17 @@
 
   State state() const { return this->CurrentState; }
 
-  // The status of the error response to a malformed request: 400, 413, 431 or
-  // 501.
+  // Drops the received part of the current request, which gets an error response
+  // with this status.
+  void discard(int Status);
+
+  // The status of the error response to a request that can't be handed on: 400,
+  // 413, 431, 501, or what discard() stated.
   int errorStatus() const { return this->ErrorStatus; }
 
+  // Bytes of the body of the current request that were received.
+  std::size_t bodyBytes() const;
+
   // Whether the caller waits for "100 Continue" before it sends the body.
   bool expectsContinue() const;
 
--- a/orioledoor/wire/internal/server_connection.cc
+++ b/orioledoor/wire/internal/server_connection.cc
@@ -40,11 +40,16 @@
     return "the request line and headers are too large";
   case 501:
     return "the method is not supported";
+  case 503:
+    return "the node has no memory for another body";
   default:
     return "the request is malformed";
   }
 }
 
+// In seconds. Most of the bodies that are held are passed on by then.
+constexpr char MemoryRetryAfter[] = "0.2";
+
 bool hasBody(int Status) { return Status != 204 && Status != 304; }
 
 // Returns a Date header line. Formats it once a second.
@@ -153,6 +158,8 @@
         reinterpret_cast<const char *>(evbuffer_pullup(Input, -1));
     std::size_t Used = this->Parser.parse({Bytes, Available});
     evbuffer_drain(Input, Used);
+    if (!this->holdReceivedBody())
+      this->Parser.discard(503);
     if (this->Parser.state() == RequestParser::State::Malformed)
       this->reject(this->Parser.errorStatus());
     else if (this->Parser.state() == RequestParser::State::Complete)
@@ -167,8 +174,15 @@
   this->Processing = false;
 }
 
+bool ServerConnection::holdReceivedBody() {
+  std::size_t Bytes = this->Parser.bodyBytes();
+  std::size_t New = Bytes - std::exchange(this->ReceivedBodyBytes, Bytes);
+  return New == 0 || this->Owner.holdBodyBytes(New);
+}
+
 void ServerConnection::acceptRequest() {
   Exchange &Added = this->Exchanges.emplace_back();
+  Added.BodyBytes = std::exchange(this->ReceivedBodyBytes, 0);
   IncomingRequest Request = this->Parser.takeRequest(Added.Last);
   Instant Now = readClock();
   // libevent reports the end of the input only after the request, which would
@@ -204,11 +218,14 @@
 
 void ServerConnection::reject(int Status) {
   this->Owner.recordRejection();
+  this->Owner.releaseBodyBytes(std::exchange(this->ReceivedBodyBytes, 0));
   this->InputDone = true;
   requests::HttpAnswer Answer{
       Status,
       {{"Content-Type", "application/json"}, {"Oriole-Outcome", "not-run"}},
       errorBody("not-run", "receive request", "", errorMessageFor(Status))};
+  if (Status == 503)
+    Answer.Headers.push_back({"Retry-After", MemoryRetryAfter});
   Exchange &Added = this->Exchanges.emplace_back();
   Added.Last = true;
   Added.Response = formatResponse(Answer, false, true);
@@ -233,6 +250,7 @@
     Found->Last = this->InputDone = true;
   Found->Response = formatResponse(Answer, Found->IsHead, Found->Last);
   Found->Id = 0;
+  this->Owner.releaseBodyBytes(std::exchange(Found->BodyBytes, 0));
   this->HeldBytes += Found->Response.size();
   this->flush();
   this->processInput();
@@ -307,9 +325,13 @@
     return;
   bufferevent_disable(this->Stream.get(), EV_READ | EV_WRITE);
   std::vector<std::uint64_t> OpenIds;
-  for (const Exchange &Each : std::exchange(this->Exchanges, {}))
+  std::size_t BodyBytes = std::exchange(this->ReceivedBodyBytes, 0);
+  for (const Exchange &Each : std::exchange(this->Exchanges, {})) {
+    BodyBytes += Each.BodyBytes;
     if (Each.Id != 0)
       OpenIds.push_back(Each.Id);
+  }
+  this->Owner.releaseBodyBytes(BodyBytes);
   this->Owner.release(*this, OpenIds);
 }
 
--- a/orioledoor/wire/internal/server_connection.h
+++ b/orioledoor/wire/internal/server_connection.h
@@ -41,6 +41,10 @@
   virtual std::uint64_t addRequest(ServerConnection &Connection) = 0;
   // Hands a request on. May call respond() of the connection.
   virtual void handleRequest(std::uint64_t Id, IncomingRequest Request) = 0;
+  // Counts bytes of a body. Returns whether the server has memory for them.
+  virtual bool holdBodyBytes(std::size_t Bytes) = 0;
+  // The body of this many bytes is no longer held.
+  virtual void releaseBodyBytes(std::size_t Bytes) = 0;
   // A request was answered by the connection itself, since it is malformed,
   // incomplete or too slow.
   virtual void recordRejection() = 0;
@@ -82,6 +86,8 @@
     std::uint64_t Id = 0;
     Instant FirstByteAt;
     bool IsHead = false;
+    // Bytes of its body, while the request is not answered.
+    std::size_t BodyBytes = 0;
     // The connection ends with the response.
     bool Last = false;
     // Empty until the request is answered.
@@ -95,6 +101,9 @@
   // Parses and hands on the received requests within the limits.
   void processInput();
   bool mayParse() const;
+  // Counts the body of the request that is being received. Returns whether
+  // there is memory for it.
+  bool holdReceivedBody();
   void acceptRequest();
   // Whether the caller has closed the connection, or its sending side, after
   // the request that was parsed last.
@@ -121,6 +130,8 @@
   std::deque<Exchange> Exchanges;
   // Bytes in Exchange::Response that wait for earlier responses.
   std::size_t HeldBytes = 0;
+  // Bytes of the body of the request that is being received.
+  std::size_t ReceivedBodyBytes = 0;
   // When the first byte of the request that is being received arrived.
   std::optional<Instant> FirstByteAt;
   // No further request is parsed.
--- a/orioledoor/wire/testing/http_server_fixture.h
+++ b/orioledoor/wire/testing/http_server_fixture.h
@@ -29,6 +29,7 @@
     this->ReceivedCount = 0;
     HttpServerOptions Options{.Listen = {"127.0.0.1", Port}};
     Options.MaxBodyBytes = 1000;
+    Options.MaxHeldBodyBytes = 2000;
     auto Opened = HttpServer::open(
         this->Events.base(), Options,
         {.OnRequest =
