--- a/orioledoor/wire/internal/request_parser.h
+++ b/orioledoor/wire/internal/request_parser.h
@@ -51,8 +51,8 @@
 
   State state() const { return this->CurrentState; }
 
-  // Drops the received part of the current request, which gets an error response
-  // with this status.
+  // Drops the received part of the current request, which gets an error
+  // response with this status.
   void discard(int Status);
 
   // The status of the error response to a request that can't be handed on: 400,
