Remind restarted nodes of leaving targets

On the reading that is safe for callers, it stays gone. Cause: only the process that took the deregistration knew of it, and reports of such a target say ready. Change: a node that knows a target to be leaving tells the node beside it when that one states it as ready, and for how long it has known. Ruled out: the entry in the store; it ends with the lease, and a stopping node writes the same state. Before: remindsRestartedNodesOfLeavingTargets failed with the notice ignored. After: it holds.

--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -231,12 +231,19 @@
   std::string Document{};
 };
 
+// Reminds a restarted node that its target is leaving, which it does not know.
+struct TargetLeavingNotice {
+  TargetRef Target{};
+  // How long ago the sender learned of it.
+  Duration KnownFor{0};
+};
+
 using Message =
     std::variant<Forward, ForwardResult, CancelForward, StatusNotice,
                  CrashNotice, KeyLoadNotice, KeyMapNotice, ResumeForward,
                  FetchBody, ForwardBody, FetchConfig, ConfigNotice,
                  KeyMapChangeNotice, NodeNotice, CrashCleared, ConfirmForward,
-                 ForwardConfirmed>;
+                 ForwardConfirmed, TargetLeavingNotice>;
 
 } // namespace orioledoor::routing
 
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -239,6 +239,11 @@
     start(this->Out, this->Sent, 4) << Value.BaseRevision << Value.Revision
                                     << Value.Checksum << Value.Change;
   }
+  void operator()(const TargetLeavingNotice &Value) const {
+    start(this->Out, this->Sent, 4)
+        << Value.Target.Instance << Value.Target.StartTimeMs
+        << Value.Target.Node << Value.KnownFor;
+  }
   void operator()(const CrashCleared &Value) const {
     start(this->Out, this->Sent, 1) << Value.Digest;
   }
@@ -371,6 +376,12 @@
     In >> Value.Id >> Value.Process >> Value.TimeLeft;
     return Value;
   }
+  case 17: {
+    TargetLeavingNotice Value;
+    In >> Value.Target.Instance >> Value.Target.StartTimeMs >>
+        Value.Target.Node >> Value.KnownFor;
+    return Value;
+  }
   default:
     throw std::out_of_range("unknown message kind");
   }
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -132,6 +132,13 @@
     Decoded = decodeMessage(encodeMessage(CrashCleared{13}));
     CPPUNIT_ASSERT(Decoded.ok() &&
                    std::get<CrashCleared>(*Decoded).Digest == 13);
+    Decoded = decodeMessage(encodeMessage(
+        TargetLeavingNotice{{"i", 3, "tcp://10.0.0.1:7100"}, milliseconds(5)}));
+    CPPUNIT_ASSERT(Decoded.ok());
+    const auto &Leaving = std::get<TargetLeavingNotice>(*Decoded);
+    CPPUNIT_ASSERT(Leaving.Target ==
+                       (TargetRef{"i", 3, "tcp://10.0.0.1:7100"}) &&
+                   Leaving.KnownFor == milliseconds(5));
     Decoded = decodeMessage(encodeMessage(NodeNotice{12, "{}"}));
     CPPUNIT_ASSERT(Decoded.ok() &&
                    std::get<NodeNotice>(*Decoded).Revision == 12);
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -114,6 +114,13 @@
   this->LeavingSince.emplace(Target, Now);
 }
 
+std::optional<Duration> TargetDirectory::leavingFor(const TargetRef &Target,
+                                                    Instant Now) const {
+  auto Found = this->LeavingSince.find(Target);
+  return Found == this->LeavingSince.end() ? std::nullopt
+                                           : std::optional(Now - Found->second);
+}
+
 bool TargetDirectory::hasDrained(const TargetRef &Target, Instant Now) const {
   auto Found = this->LeavingSince.find(Target);
   return Found != this->LeavingSince.end() &&
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -110,6 +111,10 @@
   // Returns whether the target has been leaving for the drain time. This holds
   // whatever its node says later, since a restarted node may not know it.
   bool hasDrained(const TargetRef &Target, Instant Now) const;
+  // Returns for how long the target has been known to leave; nothing if it is
+  // not known to.
+  std::optional<Duration> leavingFor(const TargetRef &Target,
+                                     Instant Now) const;
 
   const TargetView *find(const std::string &Node) const;
   // Distance of a place from this node.
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -113,6 +113,16 @@
                  field("running", std::to_string(this->Queue.running()))}});
 }
 
+void TargetGate::handleLeavingNotice(const TargetLeavingNotice &Notice,
+                                     Instant Now, Effects &Out) {
+  if (!this->Target || Notice.Target != this->Target)
+    return;
+  this->startDraining("another node", Now, Out);
+  this->DrainDeadline =
+      std::min(this->DrainDeadline,
+               Now - Notice.KnownFor + this->Options.DrainTime - DrainMargin);
+}
+
 void TargetGate::refuseUnstartedCalls(Instant Now, Effects &Out) {
   std::vector<std::uint64_t> Pending;
   for (const auto &[Id, Call] : this->Calls)
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -107,6 +107,10 @@
                          Instant Now, Effects &Out);
   // A target of another node has answered a request that was suspected.
   void handleCrashCleared(const CrashCleared &Cleared, Effects &Out);
+  // Another node states that the target announced its end, to an earlier
+  // process of this node.
+  void handleLeavingNotice(const TargetLeavingNotice &Notice, Instant Now,
+                           Effects &Out);
   // Refuses all new and waiting requests; called before the process exits.
   void close(Instant Now, Effects &Out);
   // Drives timeouts and paced starts. Call every 20 to 100 ms.
--- a/orioledoor/sidecar/peer_traffic.cc
+++ b/orioledoor/sidecar/peer_traffic.cc
@@ -9,11 +9,11 @@
 
 // In the order of the alternatives of routing::Message.
 constexpr std::array<std::string_view, std::variant_size_v<routing::Message>>
-    KindNames = {"forward",        "result",   "cancel",        "status",
-                 "crash",          "key-load", "key-map",       "resume",
-                 "fetch-body",     "body",     "fetch-config",  "config",
-                 "key-map-change", "node",     "crash-cleared", "confirm",
-                 "confirmed"};
+    KindNames = {"forward",        "result",        "cancel",        "status",
+                 "crash",          "key-load",      "key-map",       "resume",
+                 "fetch-body",     "body",          "fetch-config",  "config",
+                 "key-map-change", "node",          "crash-cleared", "confirm",
+                 "confirmed",      "target-leaving"};
 
 constexpr std::array<std::string_view, routing::DistanceCount> DistanceNames = {
     "same-domain", "same-region", "other-region"};
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -321,6 +321,16 @@
   return Delay;
 }
 
+void SidecarReducer::remindOfLeaving(const std::string &From,
+                                     const TargetRef &Target,
+                                     TargetState Claimed, Instant Now) {
+  if (Claimed != TargetState::Ready || From == this->Options.Node)
+    return;
+  if (auto KnownFor = this->Directory.leavingFor(Target, Now))
+    this->Out.push_back(
+        SendMessage{From, routing::TargetLeavingNotice{Target, *KnownFor}});
+}
+
 void SidecarReducer::receiveMessage(const std::string &From, Message Body,
                                     Instant Now) {
   if (auto *Request = std::get_if<routing::Forward>(&Body)) {
@@ -361,10 +371,15 @@
     this->recordArrival(From, Status->SentAt, Now);
     this->Directory.noteReached(From);
     this->Directory.update(Status->Status, Now);
+    this->remindOfLeaving(From, Status->Status.Target, Status->Status.State,
+                          Now);
   } else if (auto *Crash = std::get_if<routing::CrashNotice>(&Body)) {
     this->Gate.handleCrashNotice(From, *Crash, Now, this->RoutingEffects);
   } else if (auto *Cleared = std::get_if<routing::CrashCleared>(&Body)) {
     this->Gate.handleCrashCleared(*Cleared, this->RoutingEffects);
+  } else if (auto *Leaving = std::get_if<routing::TargetLeavingNotice>(&Body)) {
+    this->Gate.handleLeavingNotice(*Leaving, Now, this->RoutingEffects);
+    this->publishStatus(Now);
   } else if (auto *KeyLoad = std::get_if<routing::KeyLoadNotice>(&Body)) {
     this->Keys.recordLoad(*KeyLoad, Now);
   } else if (auto *NewKeyMap = std::get_if<routing::KeyMapNotice>(&Body)) {
@@ -378,6 +393,9 @@
     MembershipOutput Output;
     this->Members.onAnnouncement(From, *Announced, Output);
     this->apply(std::move(Output), Now);
+    if (absl::StatusOr<NodeEntry> Entry = decodeNodeEntry(Announced->Entry);
+        Entry.ok())
+      this->remindOfLeaving(From, Entry->Target, Entry->State, Now);
   } else if (auto *ConfigRequest = std::get_if<routing::FetchConfig>(&Body)) {
     this->sendConfig(From, *ConfigRequest, Now);
   } else if (auto *NewConfig = std::get_if<routing::ConfigNotice>(&Body)) {
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -114,6 +114,11 @@
   Duration standstill(Instant Now) const;
   // Returns how late a message from another node arrives, and logs long delays.
   Duration recordArrival(const std::string &From, Instant SentAt, Instant Now);
+  // Reminds node From, which takes its target for ready, that the target is
+  // leaving, if that is known here.
+  void remindOfLeaving(const std::string &From,
+                       const routing::TargetRef &Target,
+                       routing::TargetState Claimed, Instant Now);
   // Handles the information that node From has this version of the
   // configuration in force.
   void onPeerConfigVersion(const std::string &From, std::uint64_t Version,
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
   CPPUNIT_TEST(statesThatASilentTargetOfAnEarlierProcessHasEnded);
+  CPPUNIT_TEST(remindsRestartedNodesOfLeavingTargets);
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
   CPPUNIT_TEST(appliesKeyMapChangesInOrder);
   CPPUNIT_TEST(learnsOfNewNodesFromThem);
@@ -225,6 +226,50 @@
     CPPUNIT_ASSERT(!Sidecar.Reducer.membership().selfEntry().Ended);
   }
 
+  // Guards against a target that deregistered, serves on and still reports:
+  // after a restart its node took it for ready and sent it requests of its
+  // callers.
+  void remindsRestartedNodesOfLeavingTargets() {
+    routing::TargetStatus Status{.Process = 2,
+                                 .Sequence = 5,
+                                 .Target = {"i-1", 1, OtherAddress},
+                                 .Service = "keyed",
+                                 .State = routing::TargetState::Leaving};
+    ReducerFixture Knowing;
+    Knowing.joinFleet();
+    Knowing.addReadRoute();
+    Knowing.dispatch(
+        PeerMessageReceived{OtherAddress, routing::StatusNotice{Status}});
+    CPPUNIT_ASSERT(!Knowing.findMessage<routing::TargetLeavingNotice>());
+    Knowing.advance(seconds(3));
+    Status.Process = 3;
+    Status.State = routing::TargetState::Ready;
+    Knowing.dispatch(
+        PeerMessageReceived{OtherAddress, routing::StatusNotice{Status}});
+    const auto *Notice = Knowing.findMessage<routing::TargetLeavingNotice>();
+    CPPUNIT_ASSERT(Notice && Notice->Target == Status.Target &&
+                   Notice->KnownFor == seconds(3));
+    ReducerFixture Restarted;
+    Restarted.joinFleet();
+    Restarted.report(1);
+    CPPUNIT_ASSERT(Restarted.Reducer.gate().state() ==
+                   routing::TargetState::Ready);
+    Restarted.dispatch(PeerMessageReceived{
+        OtherAddress,
+        routing::TargetLeavingNotice{{"i-1", 1, OwnAddress}, seconds(3)}});
+    Restarted.report(2);
+    Restarted.advance(milliseconds(40));
+    CPPUNIT_ASSERT(Restarted.Reducer.gate().state() ==
+                   routing::TargetState::Absent);
+    Restarted.report(3);
+    CPPUNIT_ASSERT(Restarted.Reducer.gate().state() ==
+                   routing::TargetState::Absent);
+    // The next incarnation is not leaving.
+    Restarted.report(1, 2);
+    CPPUNIT_ASSERT(Restarted.Reducer.gate().state() ==
+                   routing::TargetState::Ready);
+  }
+
   // The planner moved keys to targets that had stated a limit on their request
   // rate, since it was told the capacity of their slots.
   void reportsTheStatedLimitAsCapacity() {
--- a/orioledoor/sidecar/testing/reducer_fixture.h
+++ b/orioledoor/sidecar/testing/reducer_fixture.h
@@ -150,13 +150,13 @@
                                           .FirstByteAt = this->Now,
                                           .Content = Content}});
   }
-  void report(std::int64_t Sequence) {
+  void report(std::int64_t Sequence, std::int64_t StartTimeMs = 1) {
     routing::TargetReport Report;
     Report.Instance = "i-1";
     Report.Address = TargetAddress;
     Report.Service = "keyed";
     Report.Slots = 2;
-    Report.StartTimeMs = 1;
+    Report.StartTimeMs = StartTimeMs;
     Report.Sequence = Sequence;
     this->dispatch(
         TargetReportReceived{static_cast<std::uint64_t>(Sequence), Report});
