--- a/orioledoor/catalogue/sidecar_settings.h
+++ b/orioledoor/catalogue/sidecar_settings.h
@@ -50,8 +50,8 @@
   std::chrono::milliseconds RetryWindow{10000};
   // Bandwidth of this VM's network link in Mbit/s; 0 means unknown.
   double LinkMbps = 0;
-  // Memory of the process in MB, above which the platform ends it. The default is
-  // that of the smallest VMs.
+  // Memory of the process in MB, above which the platform ends it. The default
+  // is that of the smallest VMs.
   double MemoryMb = 160;
   // One of debug, info, warn, error.
   std::string LogLevel = "info";
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -87,9 +87,6 @@
   const SharedRouteTable &table() const { return this->Table; }
   // Sets the service that requests bear from now on; open ones keep theirs.
   void setCallerService(std::string Service);
-  const std::string &callerService() const {
-    return this->Options.CallerService;
-  }
 
   // Ends all requests, open ones and later ones, by Latest.
   void limitDeadlines(Instant Latest);
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -127,7 +127,6 @@
     ReducerFixture Slow;
     Slow.joinFleet();
     Slow.dispatch(StopRequested{});
-    Sidecar.Now = Slow.Now;
     for (int Tick = 0; Tick < 276 && !Slow.find<Exit>(); ++Tick) {
       Slow.Now = Slow.Now + milliseconds(20);
       Slow.dispatch(TimerTicked{1});
