Let requests carry the service of their VM, and split the node's reducer

Cause: reading the change once more. Change: the caller service is set in the request when it arrives, and only there; the grantor tells its longest hold, the map of members the entry; key maps are searched when owners have changed; messages, reports and the tests of the stop have files of their own. Result: no change of behaviour.

--- a/orioledoor/keyspace/key_grantor.cc
+++ b/orioledoor/keyspace/key_grantor.cc
@@ -149,6 +149,12 @@
   this->HoldsEnd = Instant();
 }
 
+Duration KeyGrantor::longestHold() const {
+  return std::min(this->Options.HoldTime, this->Options.MaxHoldTime) *
+             SlowClockPercent / 100 +
+         HoldMargin;
+}
+
 bool KeyGrantor::holds(std::uint32_t Key, Instant Now) const {
   return Now < this->GrantedUntil &&
          std::ranges::any_of(
--- a/orioledoor/keyspace/key_planner.cc
+++ b/orioledoor/keyspace/key_planner.cc
@@ -54,13 +54,16 @@
   return Sum;
 }
 
+double keysPerSlot(const KeyMap &Map, const PlannerNode &Node) {
+  return static_cast<double>(countKeys(Map, Node.Target)) /
+         std::max<std::uint32_t>(Node.Slots, 1);
+}
+
 // Returns the ready target with the fewest keys per slot.
 const PlannerNode *leastLoaded(const KeyMap &Map,
                                std::span<const PlannerNode *const> Ready) {
-  auto Found = std::ranges::min_element(Ready, {}, [&Map](const auto *Node) {
-    return static_cast<double>(countKeys(Map, Node->Target)) /
-           std::max<std::uint32_t>(Node->Slots, 1);
-  });
+  auto Found = std::ranges::min_element(
+      Ready, {}, [&Map](const auto *Node) { return keysPerSlot(Map, *Node); });
   return Found == Ready.end() ? nullptr : *Found;
 }
 
@@ -178,13 +181,11 @@
     return Least;
   // Rows that are given to one target side by side become one. The targets take
   // turns only when their shares differ by much.
-  auto Share = [&Map](const PlannerNode &Node) {
-    return static_cast<double>(countKeys(Map, Node.Target)) /
-           std::max<std::uint32_t>(Node.Slots, 1);
-  };
   double MaxExcess = static_cast<double>(LastKey + 1) / RunsPerService /
                      std::max<std::uint32_t>(Least->Slots, 1);
-  return Share(**Found) <= Share(*Least) + MaxExcess ? *Found : Least;
+  return keysPerSlot(Map, **Found) <= keysPerSlot(Map, *Least) + MaxExcess
+             ? *Found
+             : Least;
 }
 
 bool KeyPlanner::planReplacements(KeyPlan &Plan,
--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -86,10 +86,6 @@
   this->MaxTimeLeftByRoute.clear();
 }
 
-void EntryReducer::setCallerService(std::string Service) {
-  this->Options.CallerService = std::move(Service);
-}
-
 void EntryReducer::limitDeadlines(Instant Latest) {
   this->LatestDeadline = Latest;
   for (auto &[Caller, Pending] : this->PendingRequests)
@@ -129,7 +125,6 @@
   PendingRequest Added;
   Added.Table = this->Table;
   Added.MatchedRoute = Matched;
-  Added.CallerService = this->Options.CallerService;
   Added.Service = this->Shares.pick(*Matched);
   Added.RequestClass = requestClassOf(Added.Service, *Matched);
   const ServicePolicy *Policy = this->Table->service(Added.Service);
@@ -252,7 +247,7 @@
                   .Process = this->Options.Process,
                   .Service = Pending.Service,
                   .AttemptId = Pending.Request.AttemptId,
-                  .CallerService = Pending.CallerService,
+                  .CallerService = Pending.Request.CallerService,
                   .TimeLeft = Pending.Deadline - Now,
                   .LatencyLeft = Pending.LatencyDeadline - Now,
                   .Key = Pending.Partitioned ? Pending.Request.Key : NoKey,
@@ -390,7 +385,7 @@
                  {"status", std::to_string(Status)},
                  {"why", std::string(Reason)},
                  {"at", Pending.ForwardedTo},
-                 {"caller_service", Pending.CallerService},
+                 {"caller_service", Pending.Request.CallerService},
                  {"sends", std::to_string(Pending.TargetAttempts)},
                  {"took_ms", millis(Now - Pending.Request.FirstByteAt)}}});
   this->finish(Pending.Request.Caller,
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -37,6 +37,9 @@
   // Id of the caller's request at the sidecar; ReplyToCaller carries it.
   std::uint64_t Caller = 0;
   std::string AttemptId{};
+  // Service of this VM when the request arrived; it is sent with the request as
+  // its origin, whatever the caller stated.
+  std::string CallerService{};
   // How long the caller waits, counted from FirstByteAt; empty if it did not
   // state a timeout.
   std::optional<Duration> TimeLeft{};
@@ -63,8 +66,6 @@
   std::string Node{};
   // Id of this process in messages to other nodes.
   std::uint64_t Process = 0;
-  // Service of this VM, sent with requests as their origin.
-  std::string CallerService{};
   RetryBudgetOptions Budget{};
 };
 
@@ -85,8 +86,6 @@
   // of 404.
   void setNewerTableKnown(bool Known) { this->NewerTableKnown = Known; }
   const SharedRouteTable &table() const { return this->Table; }
-  // Sets the service that requests bear from now on; open ones keep theirs.
-  void setCallerService(std::string Service);
 
   // Ends all requests, open ones and later ones, by Latest.
   void limitDeadlines(Instant Latest);
@@ -136,8 +135,6 @@
     // Keeps MatchedRoute alive.
     SharedRouteTable Table;
     const Route *MatchedRoute = nullptr;
-    // Service of this VM when the request arrived. Retries bear it, too.
-    std::string CallerService;
     std::string Service;
     RequestClassId RequestClass = 0;
     bool Partitioned = false;
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -71,7 +71,7 @@
                  {"service", Pending.Service},
                  {"status", std::to_string(Result.Answer.Status)},
                  {"instance", Result.Status.Target.Instance},
-                 {"caller_service", Pending.CallerService},
+                 {"caller_service", Pending.Request.CallerService},
                  {"sends", std::to_string(Pending.TargetAttempts)},
                  {"took_ms", millis(Now - Pending.Request.FirstByteAt)}}});
   this->finish(Pending.Request.Caller, std::move(Result.Answer), Out);
--- a/orioledoor/routing/testing/entry_fixture.h
+++ b/orioledoor/routing/testing/entry_fixture.h
@@ -52,7 +52,6 @@
       : Directory({"d1", "r1"}, OwnNode),
         Entry({.Node = OwnNode,
                .Process = Process,
-               .CallerService = "mine",
                .Budget = {.Ratio = 0, .ExtraPerWindow = 3}},
               this->Directory,
               [this](std::string_view, std::int32_t) { return this->Owner; }) {
@@ -83,6 +82,7 @@
     this->Out.clear();
     this->Entry.handleRequest({.Caller = Caller,
                                .AttemptId = "a" + std::to_string(Caller),
+                               .CallerService = "mine",
                                .TimeLeft = std::chrono::milliseconds(2500),
                                .Key = Key,
                                .FirstByteAt = this->Now,
@@ -104,6 +104,7 @@
     this->Out.clear();
     this->Entry.handleRequest({.Caller = Caller,
                                .AttemptId = "u" + std::to_string(Caller),
+                               .CallerService = "mine",
                                .TimeLeft = std::chrono::milliseconds(2500),
                                .FirstByteAt = this->Now,
                                .Content = Content},
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -48,6 +48,7 @@
   bool holds(std::uint32_t Key, Instant Now) const {
     return this->Grantor.holds(Key, Now);
   }
+  Duration longestHold() const { return this->Grantor.longestHold(); }
   Instant holdsEnd() const { return this->Grantor.holdsEnd(); }
   // Returns the owner of a key as far as this node knows.
   routing::KeyOwner ownerOf(std::string_view Service, std::int32_t Key) const;
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -34,11 +34,6 @@
 constexpr Duration StopMargin = milliseconds(500);
 // Requests that are still open this long before the process ends are answered.
 constexpr Duration FinalAnswerTime = milliseconds(150);
-// A target that stays silent after its last hold has ended holds no keys. The
-// margin covers a report in transit.
-constexpr Duration EndedMargin = milliseconds(300);
-// Length of a hold by this node's clock; a target's clock may run 2% slow.
-constexpr int SlowClockPercent = 102;
 // Share of the platform's retry allowance that the fleet plans to use. The
 // calls that retried requests cause count against the allowance as well.
 constexpr double RetryAllowanceShare = 0.3;
@@ -50,11 +45,6 @@
 constexpr Duration DeputyWatchPause = milliseconds(1000);
 constexpr Duration MemberWatchPause = milliseconds(5'000);
 constexpr std::size_t DeputyCount = 2;
-// A target accepts keys only in the answer to its report and discards answers
-// that take longer than a second. The answer to a target that is about to
-// receive keys is deferred until the keys are available, at most for this time;
-// otherwise they would wait for the next report.
-constexpr Duration MaxReportDeferral = milliseconds(600);
 // Number of nodes among which the constant part of the retry budget is divided
 // until the members are known.
 constexpr double AssumedFleetSize = 30;
@@ -62,9 +52,6 @@
 // its part of the 500 ms that the platform allows between the departure of a
 // caller and the arrival of its request at a target.
 constexpr Duration MinStandstill = milliseconds(200);
-// Shortest delay of a message that is logged. Pings of the transport report a
-// connection without progress about as soon.
-constexpr Duration MinLoggedDelay = milliseconds(250);
 
 NodeEntry makeSelfEntry(const SidecarOptions &Options) {
   NodeEntry Entry;
@@ -93,7 +80,6 @@
       Entry(
           {.Node = this->Options.Node,
            .Process = this->Options.Process,
-           .CallerService = this->Options.Service,
            .Budget = {.Ratio = this->Options.RetryRatio * RetryAllowanceShare,
                       .ExtraPerWindow = this->Options.RetryExtra *
                                         RetryAllowanceShare / AssumedFleetSize,
@@ -195,6 +181,7 @@
 }
 
 void SidecarReducer::onOwnersChanged(Instant Now) {
+  this->OwnersChanged = true;
   // The target is served first, so that it holds the keys before the requests
   // for them are sent.
   this->answerDeferredReport(Now);
@@ -290,6 +277,7 @@
     return;
   }
   this->Directory.update(this->Gate.status(Now), Now);
+  Received.Request.CallerService = this->Options.Service;
   this->Entry.handleRequest(std::move(Received.Request), Now,
                             this->RoutingEffects);
 }
@@ -299,110 +287,6 @@
                                      this->RoutingEffects);
 }
 
-void SidecarReducer::on(PeerMessageReceived Received, Instant Now) {
-  this->receiveMessage(Received.From, std::move(Received.Body), Now);
-}
-
-Duration SidecarReducer::recordArrival(const std::string &From, Instant SentAt,
-                                       Instant Now) {
-  if (From == this->Options.Node || SentAt == Instant())
-    return Duration(0);
-  // Without an earlier message to compare it with, a message may be as late as
-  // this process is.
-  Duration Delay =
-      this->Delays.note(From, SentAt, Now).value_or(this->standstill(Now));
-  if (Delay >= MinLoggedDelay) {
-    ++this->DelayedMessages;
-    this->Out.push_back(
-        LogRecord{&events::MessageDelayed,
-                  {{"peer", From},
-                   {"delay_ms", std::to_string(Delay / milliseconds(1))}}});
-  }
-  return Delay;
-}
-
-void SidecarReducer::remindOfLeaving(const std::string &From,
-                                     const TargetRef &Target,
-                                     TargetState Claimed, Instant Now) {
-  if (Claimed != TargetState::Ready || From == this->Options.Node)
-    return;
-  if (auto KnownFor = this->Directory.leavingFor(Target, Now))
-    this->Out.push_back(
-        SendMessage{From, routing::TargetLeavingNotice{Target, *KnownFor}});
-}
-
-void SidecarReducer::receiveMessage(const std::string &From, Message Body,
-                                    Instant Now) {
-  if (auto *Request = std::get_if<routing::Forward>(&Body)) {
-    Duration Delay = this->recordArrival(From, Request->SentAt, Now);
-    this->onPeerConfigVersion(From, Request->ConfigVersion, Now);
-    routing::KeyState KeyHold = routing::KeyState::NotKeyed;
-    if (Request->Key != routing::NoKey) {
-      auto KeyNumber = static_cast<std::uint32_t>(Request->Key);
-      this->Keys.recordRequest(KeyNumber, Now);
-      KeyHold = this->Keys.holds(KeyNumber, Now) ? routing::KeyState::Held
-                                                 : routing::KeyState::NotHeld;
-      if (KeyHold == routing::KeyState::NotHeld && From != this->Options.Node)
-        this->sendKeyMap(From, *Request, Now);
-    }
-    this->Gate.handleForward(From, std::move(*Request), KeyHold, Now,
-                             this->RoutingEffects, Delay);
-  } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
-    this->recordArrival(From, Result->SentAt, Now);
-    this->onPeerConfigVersion(From, Result->ConfigVersion, Now);
-    this->Directory.update(Result->Status, Now);
-    this->Entry.handleResult(From, std::move(*Result), Now,
-                             this->RoutingEffects);
-  } else if (auto *BodyRequest = std::get_if<routing::FetchBody>(&Body)) {
-    this->Entry.handleFetchBody(From, *BodyRequest, Now, this->RoutingEffects);
-  } else if (auto *BodyContent = std::get_if<routing::ForwardBody>(&Body)) {
-    Duration Delay = this->recordArrival(From, BodyContent->SentAt, Now);
-    this->Gate.handleBody(std::move(*BodyContent), Now, this->RoutingEffects,
-                          Delay);
-  } else if (auto *Asked = std::get_if<routing::ConfirmForward>(&Body)) {
-    this->Entry.handleConfirm(From, *Asked, Now, this->RoutingEffects);
-  } else if (auto *Confirmed = std::get_if<routing::ForwardConfirmed>(&Body)) {
-    this->Gate.handleConfirmed(*Confirmed, Now, this->RoutingEffects);
-  } else if (auto *Cancel = std::get_if<routing::CancelForward>(&Body)) {
-    this->Gate.handleCancel(From, *Cancel, Now, this->RoutingEffects);
-  } else if (auto *Resume = std::get_if<routing::ResumeForward>(&Body)) {
-    this->Gate.handleResume(From, *Resume, Now, this->RoutingEffects);
-  } else if (auto *Status = std::get_if<routing::StatusNotice>(&Body)) {
-    this->recordArrival(From, Status->SentAt, Now);
-    this->Directory.noteReached(From);
-    this->Directory.update(Status->Status, Now);
-    this->remindOfLeaving(From, Status->Status.Target, Status->Status.State,
-                          Now);
-  } else if (auto *Crash = std::get_if<routing::CrashNotice>(&Body)) {
-    this->Gate.handleCrashNotice(From, *Crash, Now, this->RoutingEffects);
-  } else if (auto *Cleared = std::get_if<routing::CrashCleared>(&Body)) {
-    this->Gate.handleCrashCleared(*Cleared, this->RoutingEffects);
-  } else if (auto *Leaving = std::get_if<routing::TargetLeavingNotice>(&Body)) {
-    this->Gate.handleLeavingNotice(*Leaving, Now, this->RoutingEffects);
-    this->publishStatus(Now);
-  } else if (auto *KeyLoad = std::get_if<routing::KeyLoadNotice>(&Body)) {
-    this->Keys.recordLoad(*KeyLoad, Now);
-  } else if (auto *NewKeyMap = std::get_if<routing::KeyMapNotice>(&Body)) {
-    if (this->Keys.receiveKeyMap(*NewKeyMap, this->Out))
-      this->onOwnersChanged(Now);
-  } else if (auto *KeyMapChange =
-                 std::get_if<routing::KeyMapChangeNotice>(&Body)) {
-    if (this->Keys.receiveChange(*KeyMapChange, Now, this->Out))
-      this->onOwnersChanged(Now);
-  } else if (auto *Announced = std::get_if<routing::NodeNotice>(&Body)) {
-    MembershipOutput Output;
-    this->Members.onAnnouncement(From, *Announced, Output);
-    this->apply(std::move(Output), Now);
-    if (absl::StatusOr<NodeEntry> Entry = decodeNodeEntry(Announced->Entry);
-        Entry.ok())
-      this->remindOfLeaving(From, Entry->Target, Entry->State, Now);
-  } else if (auto *ConfigRequest = std::get_if<routing::FetchConfig>(&Body)) {
-    this->sendConfig(From, *ConfigRequest, Now);
-  } else if (auto *NewConfig = std::get_if<routing::ConfigNotice>(&Body)) {
-    this->Out.push_back(DecodeConfig{std::move(NewConfig->Document), From});
-  }
-}
-
 void SidecarReducer::on(const ForwardNotSent &NotSent, Instant Now) {
   this->Entry.handleSendFailure(NotSent.To, NotSent.Id, Now,
                                 this->RoutingEffects);
@@ -430,78 +314,6 @@
                                this->RoutingEffects);
 }
 
-std::string_view
-SidecarReducer::mismatchOf(const routing::TargetReport &Report) const {
-  if (Report.Address != this->Options.TargetAddress)
-    return "the address is not that of the target in the settings";
-  // The settings may already name the successor of a target that still works.
-  const TargetRef &Known = this->Gate.target();
-  bool IsKnown = Known && Report.Instance == Known.Instance &&
-                 Report.StartTimeMs == Known.StartTimeMs &&
-                 Report.Service == this->Gate.service();
-  if (!IsKnown && Report.Service != this->Options.Service)
-    return "the service is not that of the settings";
-  return {};
-}
-
-void SidecarReducer::on(TargetReportReceived Received, Instant Now) {
-  const routing::TargetReport &Report = Received.Report;
-  if (std::string_view Mismatch = this->mismatchOf(Report); !Mismatch.empty()) {
-    ++this->RefusedReports;
-    this->Out.push_back(
-        LogRecord{&events::ReportRefused,
-                  {{"instance", Report.Instance},
-                   {"why", std::string(Mismatch)},
-                   {"service", Report.Service},
-                   {"address", Report.Address},
-                   {"expected_service", this->Options.Service},
-                   {"expected_address", this->Options.TargetAddress}}});
-    this->Out.push_back(RefuseReport{Received.Id, std::string(Mismatch)});
-    return;
-  }
-  routing::ReportVerdict Verdict =
-      this->Gate.handleReport(Report, Now, this->RoutingEffects);
-  if (Verdict == routing::ReportVerdict::Stale) {
-    this->Out.push_back(ReplyToReport{Received.Id, {}});
-    return;
-  }
-  this->ReportedAt = Now;
-  if (Verdict == routing::ReportVerdict::NewIncarnation)
-    this->Keys.resetGrants();
-  this->EndedTarget = {};
-  this->publishStatus(Now);
-  if (this->Deferred)
-    this->Out.push_back(ReplyToReport{this->Deferred->Report.Id, {}});
-  bool ExpectsKeys =
-      this->isPartitioned(Report.Service) &&
-      this->Gate.state() == TargetState::Ready &&
-      this->Keys.expectsKeys(Report.Service, this->Gate.target());
-  this->Deferred = {std::move(Received),
-                    ExpectsKeys ? Now + MaxReportDeferral : Now};
-  this->answerDeferredReport(Now);
-}
-
-void SidecarReducer::answerDeferredReport(Instant Now) {
-  if (!this->Deferred)
-    return;
-  const routing::TargetReport &Report = this->Deferred->Report.Report;
-  if (Now < this->Deferred->Until && this->Gate.state() == TargetState::Ready &&
-      this->Keys.expectsKeys(Report.Service, this->Gate.target()))
-    return;
-  routing::ReportAnswer Answer;
-  if (this->isPartitioned(Report.Service))
-    Answer =
-        this->Keys.answerReport(Report, this->Gate.target(), Now, this->Out);
-  this->Out.push_back(
-      ReplyToReport{this->Deferred->Report.Id, std::move(Answer)});
-  this->Deferred.reset();
-}
-
-void SidecarReducer::on(const TargetDeregistered &Deregistered, Instant Now) {
-  this->Gate.handleShutdown(Deregistered.Instance, Now, this->RoutingEffects);
-  this->publishStatus(Now);
-}
-
 void SidecarReducer::on(const StoreReplyReceived &Replied, Instant Now) {
   MembershipOutput Output;
   if (this->Members.onStoreReply(Replied.Reply, Now, Output)) {
@@ -530,7 +342,6 @@
                                  {"previous", this->Options.Service},
                                  {"target", this->Gate.target().Instance}}});
   this->Options.Service = std::move(Changed.Service);
-  this->Entry.setCallerService(this->Options.Service);
   this->publishStatus(Now);
 }
 
@@ -599,19 +410,11 @@
   this->apply(std::move(Output), Now);
   this->answerDeferredReport(Now);
   const TargetRef &Target = this->Gate.target();
-  // Holds that an earlier process of this node granted have ended, too.
-  if (!Target && Now - this->StartedAt > this->Options.Keys.Grants.HoldTime *
-                                                 SlowClockPercent / 100 +
-                                             EndedMargin)
-    this->EndedTarget = this->Keys.ownerBeside(this->Options.Node);
-  if (Target && this->isPartitioned(this->Gate.service())) {
-    if (Now > this->Keys.holdsEnd() + EndedMargin &&
-        Now - this->ReportedAt > this->Options.Keys.Grants.HoldTime)
-      this->EndedTarget = Target;
-    if (this->Gate.state() == TargetState::Ready)
-      this->Keys.reportLoad(this->Gate.service(), Target, this->Gate.capacity(),
-                            Now, this->Out);
-  }
+  this->updateEndedTarget(Now);
+  if (Target && this->isPartitioned(this->Gate.service()) &&
+      this->Gate.state() == TargetState::Ready)
+    this->Keys.reportLoad(this->Gate.service(), Target, this->Gate.capacity(),
+                          Now, this->Out);
   this->apply(this->Config.tick(Now));
   this->publishStatus(Now);
   this->Keys.tick(this->Entry.table(), Now, this->Out);
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -66,6 +66,8 @@
   const routing::EntryReducer &entry() const { return this->Entry; }
   const Membership &membership() const { return this->Members; }
   const routing::TargetDirectory &directory() const { return this->Directory; }
+  // Returns the service of this VM, as the settings name it.
+  const std::string &service() const { return this->Options.Service; }
   // Returns whether a graceful stop was requested.
   bool isStopping() const { return this->StopRequestedAt != Instant(); }
   // Number of messages of other nodes whose delay was logged.
@@ -141,6 +143,9 @@
   void publishStatus(Instant Now);
   void onOwnersChanged(Instant Now);
   void updateDirectory(Instant Now);
+  // Sets EndedTarget once a target, of this process or an earlier one, has been
+  // silent for so long that it holds no keys.
+  void updateEndedTarget(Instant Now);
   // Answers the deferred report if there is no reason to wait any longer.
   void answerDeferredReport(Instant Now);
   // UnsentAnswers: see TimerTicked.
@@ -169,6 +174,8 @@
   routing::TargetRef PublishedTarget;
   routing::TargetState PublishedState = routing::TargetState::Absent;
   routing::TargetRef EndedTarget;
+  // The owners of keys changed since EndedTarget was taken from them.
+  bool OwnersChanged = true;
   Instant StartedAt;
   Instant ReportedAt;
   Instant LastTickAt;
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -1,6 +1,6 @@
-// Tests the node as a whole where its parts interact: readiness, graceful stop,
-// deferred answers to reports, and the exchange of configurations between
-// nodes.
+// Tests the node as a whole where its parts interact: readiness, answers to
+// reports, ended and leaving targets, and the exchange of configurations and
+// key maps between nodes.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -9,7 +9,6 @@
 
 #include "orioledoor/keyspace/key_map_change.h"
 #include "orioledoor/keyspace/key_planner.h"
-#include "orioledoor/routing/events.h"
 #include "orioledoor/sidecar/reducer.h"
 #include "orioledoor/sidecar/testing/reducer_fixture.h"
 
@@ -55,10 +54,6 @@
 class ReducerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReducerTest);
   CPPUNIT_TEST(becomesReadyWithRoutesAndMembers);
-  CPPUNIT_TEST(answersOpenRequestsBeforeItExits);
-  CPPUNIT_TEST(sendsWholeAnswersBeforeItExits);
-  CPPUNIT_TEST(answersLastingRequestsBeforeTheGraceEnds);
-  CPPUNIT_TEST(rejectsRequestsLateInTheStop);
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
   CPPUNIT_TEST(statesThatASilentTargetOfAnEarlierProcessHasEnded);
   CPPUNIT_TEST(remindsRestartedNodesOfLeavingTargets);
@@ -89,95 +84,6 @@
     CPPUNIT_ASSERT(!SecondSidecar.Reducer.ready());
   }
 
-  // Guards against a process that exits while answers are still in its buffers
-  // and callers have not yet learned that it stops.
-  void answersOpenRequestsBeforeItExits() {
-    ReducerFixture Sidecar;
-    Sidecar.joinFleet();
-    Sidecar.dispatch(StopRequested{});
-    Sidecar.advance(milliseconds(2500));
-    CPPUNIT_ASSERT(!Sidecar.find<StopAccepting>() && !Sidecar.find<Exit>());
-    Sidecar.advance(milliseconds(200));
-    CPPUNIT_ASSERT(Sidecar.find<StopAccepting>() && !Sidecar.find<Exit>());
-    Sidecar.advance(milliseconds(250));
-    CPPUNIT_ASSERT(!Sidecar.find<Exit>());
-    Sidecar.advance(milliseconds(300));
-    CPPUNIT_ASSERT(Sidecar.find<Exit>());
-  }
-
-  // Guards against a process that exits while parts of answers wait for callers
-  // that read slowly, although the grace period goes on.
-  void sendsWholeAnswersBeforeItExits() {
-    ReducerFixture Sidecar;
-    Sidecar.joinFleet();
-    Sidecar.dispatch(StopRequested{});
-    auto ExitsWithin = [&Sidecar](Duration Time, std::size_t UnsentAnswers) {
-      Instant End = Sidecar.Now + Time;
-      bool Exits = false;
-      while (Sidecar.Now < End) {
-        Sidecar.Now = Sidecar.Now + milliseconds(20);
-        Sidecar.dispatch(TimerTicked{UnsentAnswers});
-        Exits |= Sidecar.find<Exit>() != nullptr;
-      }
-      return Exits;
-    };
-    CPPUNIT_ASSERT(!ExitsWithin(milliseconds(5000), 1));
-    CPPUNIT_ASSERT(ExitsWithin(milliseconds(460), 0));
-    // The platform ends the process after 6 s.
-    ReducerFixture Slow;
-    Slow.joinFleet();
-    Slow.dispatch(StopRequested{});
-    for (int Tick = 0; Tick < 276 && !Slow.find<Exit>(); ++Tick) {
-      Slow.Now = Slow.Now + milliseconds(20);
-      Slow.dispatch(TimerTicked{1});
-    }
-    CPPUNIT_ASSERT(Slow.find<Exit>());
-  }
-
-  // Guards against requests that are taken late in the stop and are still open
-  // when the process ends, so that their callers get no answer.
-  void answersLastingRequestsBeforeTheGraceEnds() {
-    ReducerFixture Sidecar;
-    Sidecar.joinFleet();
-    Sidecar.addReadRoute();
-    Sidecar.dispatch(StopRequested{});
-    Sidecar.advance(milliseconds(2900));
-    Sidecar.sendRead(1, milliseconds(4000));
-    CPPUNIT_ASSERT(Sidecar.findMessage<routing::Forward>());
-    bool Answered = false;
-    for (int Tick = 0; Tick < 200 && !Sidecar.find<Exit>(); ++Tick) {
-      Sidecar.Now = Sidecar.Now + milliseconds(20);
-      Sidecar.dispatch(TimerTicked{});
-      Answered |= Sidecar.find<ReplyToCaller>() != nullptr;
-    }
-    CPPUNIT_ASSERT(Answered);
-  }
-
-  // Guards against requests on kept-alive connections that are accepted seconds
-  // after the stop signal and abandoned when the process ends.
-  void rejectsRequestsLateInTheStop() {
-    ReducerFixture Sidecar;
-    Sidecar.joinFleet();
-    Sidecar.dispatch(StopRequested{});
-    auto Content = std::make_shared<routing::RequestContent>();
-    auto StatusAfter = [&](Duration Time) {
-      Sidecar.advance(Time);
-      Sidecar.dispatch(CallerRequestReceived{{.Caller = 1,
-                                              .AttemptId = "a",
-                                              .FirstByteAt = Sidecar.Now,
-                                              .Content = Content}});
-      const auto *Reply = Sidecar.find<ReplyToCaller>();
-      CPPUNIT_ASSERT(Reply);
-      // The log must state the reason for every request id that was rejected.
-      const auto *Line = Sidecar.find<LogRecord>();
-      CPPUNIT_ASSERT(Line && Line->Event == &routing::events::RequestRefused);
-      return Reply->Answer.Status;
-    };
-    // No route matches, so a 404 shows that the request was accepted.
-    CPPUNIT_ASSERT_EQUAL(404, StatusAfter(milliseconds(2900)));
-    CPPUNIT_ASSERT_EQUAL(503, StatusAfter(milliseconds(100)));
-  }
-
   // Hot keys that change owners must not wait for the next report of their new
   // owner, which takes 435 ms on average.
   void defersReportAnswerUntilKeysArrive() {
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -289,7 +289,7 @@
       this->ControlServer->reply(Id, wire::errorAnswer(400, Report.status()));
       return;
     }
-    if (Report->Service != this->Settings.Service && this->ReadSettingsAgain)
+    if (Report->Service != this->Reducer.service() && this->ReadSettingsAgain)
       this->ReadSettingsAgain();
     this->dispatch(TargetReportReceived{Id, *std::move(Report)});
   }
@@ -508,7 +508,6 @@
                         {{"why", std::string(Settings.status().message())}}});
     return;
   }
-  this->Pimpl->Settings.Service = Settings->Service;
   this->Pimpl->dispatch(SettingsChanged{Settings->Service});
 }
 
