Simplify the settings file and the choice of a replacement

Cause: reading the change once more. A reader of the file kept its old text aside and put it back; a member function used no member; two comments of the soak's target did not say what it does. Change: the text is taken over only if it is new; the function is free; the comments.

--- a/orioledoor/catalogue/settings_file.cc
+++ b/orioledoor/catalogue/settings_file.cc
@@ -8,22 +8,31 @@
 
 namespace orioledoor {
 
-absl::StatusOr<std::string> SettingsFile::read() {
-  std::ifstream File(this->FileName);
+namespace {
+
+absl::StatusOr<std::string> readWhole(const std::string &FileName) {
+  std::ifstream File(FileName);
   if (!File)
-    return makeError(absl::StatusCode::kNotFound, "read settings",
-                     this->FileName, "the file can't be opened for reading");
-  this->Text.assign(std::istreambuf_iterator<char>(File), {});
-  return this->Text;
+    return makeError(absl::StatusCode::kNotFound, "read settings", FileName,
+                     "the file can't be opened for reading");
+  return std::string(std::istreambuf_iterator<char>(File), {});
+}
+
+} // namespace
+
+absl::StatusOr<std::string> SettingsFile::read() {
+  absl::StatusOr<std::string> Current = readWhole(this->FileName);
+  if (Current.ok())
+    this->Text = *Current;
+  return Current;
 }
 
 std::optional<std::string> SettingsFile::readIfChanged() {
-  std::string Known = this->Text;
-  absl::StatusOr<std::string> Current = this->read();
-  if (Current.ok() && !Current->empty() && *Current != Known)
-    return *std::move(Current);
-  this->Text = std::move(Known);
-  return std::nullopt;
+  absl::StatusOr<std::string> Current = readWhole(this->FileName);
+  if (!Current.ok() || Current->empty() || *Current == this->Text)
+    return std::nullopt;
+  this->Text = *std::move(Current);
+  return this->Text;
 }
 
 } // namespace orioledoor
--- a/orioledoor/catalogue/settings_file.h
+++ b/orioledoor/catalogue/settings_file.h
@@ -10,7 +10,7 @@
 
 #include <optional>
 #include <string>
-#include <string_view>
+#include <utility>
 
 #include "absl/status/statusor.h"
 
--- a/orioledoor/keyspace/key_balance.cc
+++ b/orioledoor/keyspace/key_balance.cc
@@ -19,6 +19,7 @@
 // Moves per plan of a large service. Each one ends with a write of the key map
 // and a message to every node, most of them within the same second.
 constexpr std::size_t LargeServiceMoves = 40;
+
 // A range of a target's keys with its share of the demand, in requests per
 // second.
 struct KeySegment {
--- a/orioledoor/keyspace/key_planner.cc
+++ b/orioledoor/keyspace/key_planner.cc
@@ -67,6 +67,26 @@
   return Found == Ready.end() ? nullptr : *Found;
 }
 
+// Returns the ready target that gets a row of a lost one, or null if there is
+// none. Adjacent: the target that got the row before in the same plan.
+const PlannerNode *chooseReplacement(const KeyMap &Map,
+                                     std::span<const PlannerNode *const> Ready,
+                                     const TargetRef &Adjacent) {
+  const PlannerNode *Least = leastLoaded(Map, Ready);
+  if (!Least || countRows(Map, Least->Target) < MaxRowsPerTarget)
+    return Least;
+  auto Found = std::ranges::find(Ready, Adjacent, &PlannerNode::Target);
+  if (Found == Ready.end())
+    return Least;
+  // Rows that are given to one target side by side become one. The targets take
+  // turns only when their shares differ by much.
+  double MaxExcess = static_cast<double>(LastKey + 1) / RunsPerService /
+                     std::max<std::uint32_t>(Least->Slots, 1);
+  return keysPerSlot(Map, **Found) <= keysPerSlot(Map, *Least) + MaxExcess
+             ? *Found
+             : Least;
+}
+
 } // namespace
 
 KeyPlanner::KeyPlanner(std::string Service, KeyPlannerOptions Options)
@@ -169,25 +189,6 @@
   return Changed;
 }
 
-const PlannerNode *
-KeyPlanner::chooseReplacement(const KeyMap &Map,
-                              std::span<const PlannerNode *const> Ready,
-                              const TargetRef &Adjacent) const {
-  const PlannerNode *Least = leastLoaded(Map, Ready);
-  if (!Least || countRows(Map, Least->Target) < MaxRowsPerTarget)
-    return Least;
-  auto Found = std::ranges::find(Ready, Adjacent, &PlannerNode::Target);
-  if (Found == Ready.end())
-    return Least;
-  // Rows that are given to one target side by side become one. The targets take
-  // turns only when their shares differ by much.
-  double MaxExcess = static_cast<double>(LastKey + 1) / RunsPerService /
-                     std::max<std::uint32_t>(Least->Slots, 1);
-  return keysPerSlot(Map, **Found) <= keysPerSlot(Map, *Least) + MaxExcess
-             ? *Found
-             : Least;
-}
-
 bool KeyPlanner::planReplacements(KeyPlan &Plan,
                                   std::span<const PlannerNode> Nodes,
                                   Instant Now) {
@@ -215,8 +216,7 @@
       NewOwner = CurrentNode->Target;
     else if (Row.Next && isReady(Nodes, this->Service, Row.Next))
       NewOwner = Row.Next;
-    else if (const PlannerNode *Chosen =
-                 this->chooseReplacement(Map, Ready, Before))
+    else if (const PlannerNode *Chosen = chooseReplacement(Map, Ready, Before))
       NewOwner = Chosen->Target;
     if (!NewOwner)
       continue;
--- a/orioledoor/keyspace/key_planner.h
+++ b/orioledoor/keyspace/key_planner.h
@@ -119,12 +119,6 @@
   bool planLostMarks(KeyPlan &Plan, std::span<const PlannerNode> Nodes,
                      bool StoreUpToDate, Instant Now);
   // Assigns the rows of ended and lost owners to other targets.
-  // Returns the ready target that gets a row of a lost one, or null if there is
-  // none. Adjacent: the target that got the row before in the same plan.
-  const PlannerNode *
-  chooseReplacement(const KeyMap &Map,
-                    std::span<const PlannerNode *const> Ready,
-                    const TargetRef &Adjacent) const;
   bool planReplacements(KeyPlan &Plan, std::span<const PlannerNode> Nodes,
                         Instant Now);
   // Moves the keys of leaving owners to other targets and cancels moves to
--- a/orioledoor/soak/soak_target.h
+++ b/orioledoor/soak/soak_target.h
@@ -46,7 +46,8 @@
   SoakTarget(standins::Loop &Events, wire::HttpClient &Client,
              SoakChecker &Checker, SoakTargetOptions Options);
 
-  // Sets the address that reports state. The default is the own one.
+  // Sets the address that reports state, which the settings of the node name.
+  // To be called before start().
   void setReportedAddress(std::string Address) {
     this->ReportedAddress = std::move(Address);
   }
@@ -91,7 +92,7 @@
   // Sends what another writer may report at the address of the node: another
   // service or another address, from a later start than this target's.
   void sendForeignReport();
-  // Sends a report that is not this target's next one.
+  // Sends a report to the node beside this target.
   void send(const routing::TargetReport &Report,
             wire::HttpClient::Callback OnDone);
   void onReportAnswer(const wire::HttpResult &Result);
