--- a/orioledoor/catalogue/parse_sidecar_settings.cc
+++ b/orioledoor/catalogue/parse_sidecar_settings.cc
@@ -42,7 +42,8 @@
        "control",        "ready",       "metrics",        "peer",
        "target",         "service",     "store",          "drain_ms",
        "stop_grace_s",   "max_hold_ms", "retry_ratio",    "retry_extra",
-       "retry_window_s", "link_mbps",   "memory_mb",      "log_level"});
+       "retry_window_s", "link_mbps",   "memory_mb",      "log_level",
+       "cold_overage",   "cold_slack",  "evacuation_ms"});
   SidecarSettings Result;
   Result.NodeName = internal::readText(Fields.require("node_name"));
   Result.Region = internal::readText(Fields.require("region"));
@@ -76,6 +77,12 @@
     Result.RetryRatio = internal::readNumber(*Ratio, 0, 10);
   if (auto Extra = Fields.find("retry_extra"))
     Result.RetryExtra = internal::readNumber(*Extra, 0, 1e9);
+  if (auto Overage = Fields.find("cold_overage"))
+    Result.ColdOverage = internal::readNumber(*Overage, 0, 1000);
+  if (auto Slack = Fields.find("cold_slack"))
+    Result.ColdSlack = internal::readNumber(*Slack, 0, 1e6);
+  Result.EvacuationTime =
+      readMillis(Fields, "evacuation_ms", Result.EvacuationTime);
   if (auto Link = Fields.find("link_mbps"))
     Result.LinkMbps = internal::readNumber(*Link, 0, 1e6);
   if (auto Memory = Fields.find("memory_mb"))
--- a/orioledoor/catalogue/sidecar_settings.h
+++ b/orioledoor/catalogue/sidecar_settings.h
@@ -48,6 +48,13 @@
   double RetryRatio = 0.2;
   double RetryExtra = 60;
   std::chrono::milliseconds RetryWindow{10000};
+  // A cold target gets at most the rate that it tolerates times ColdOverage,
+  // plus ColdSlack requests, in any second. 0: cold targets are not limited.
+  double ColdOverage = 0;
+  double ColdSlack = 0;
+  // Time from the announcement of an evacuation until no request reaches the
+  // targets of the failure domain; 0: failure domains are not evacuated.
+  std::chrono::milliseconds EvacuationTime{0};
   // Bandwidth of this VM's network link in Mbit/s; 0 means unknown.
   double LinkMbps = 0;
   // Memory of the process in MB, above which the platform ends it. The default
--- a/orioledoor/platform/config_codec.cc
+++ b/orioledoor/platform/config_codec.cc
@@ -71,12 +71,16 @@
   if (!Result.Prefix.starts_with('/') || !Result.Prefix.ends_with('/'))
     throw std::out_of_range("prefix \"" + Result.Prefix + "\"");
   Result.Services = readServices(Object);
-  // Requests of the kinds "unsafe" and "upload" run at most once.
-  Result.Idempotent = Object.at("kind").get<std::string>() == "safe";
+  // Requests of the kinds "unsafe" and "upload" run at most once. "download" is
+  // "safe" with large answers.
+  auto Kind = Object.at("kind").get<std::string>();
+  Result.Idempotent = Kind == "safe" || Kind == "download";
   Result.Timeout = readMilliseconds(Object, "timeoutMs");
   Result.TargetLatency = readMilliseconds(Object, "targetLatencyMs");
   Result.Priority = readFieldOr(Object, "priority", DefaultPriority);
   Result.Attempts = std::max(1, readFieldOr(Object, "attempts", 1));
+  Result.AllowedRegions =
+      readFieldOr<std::vector<std::string>>(Object, "allowedRegions", {});
   return Result;
 }
 
@@ -90,6 +94,10 @@
         readFieldOr<std::string>(Service, "healthPath", "/health");
     Policy.MaxConnections = readFieldOr(Service, "maxConnections", 0U);
     Policy.Partitioned = readFieldOr(Service, "partitioned", false);
+    Policy.ColdRequestsPerSecond =
+        std::max(0.0, readFieldOr<double>(Service, "coldPerS", 0));
+    Policy.ColdTime = milliseconds(static_cast<std::int64_t>(
+        1000 * std::max(0.0, readFieldOr<double>(Service, "coldStartS", 0))));
     Table.Services.emplace(Policy.Name, Policy);
   }
   if (Object.contains("limits") && !Object.at("limits").is_null()) {
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -70,6 +70,9 @@
   // Time of the sender's clock when the message was sent, in whole
   // milliseconds; see transit_delays.h. Instant() if it is not known.
   Instant SentAt{};
+  // A target made this request on behalf of one that it runs. Refusing it
+  // wastes the slot that its parent has held so far.
+  bool OfRunningWork = false;
   // Never null.
   SharedContent Content{};
 };
@@ -111,6 +114,9 @@
   std::uint64_t ConfigVersion = 0;
   // As in Forward.
   Instant SentAt{};
+  // For keyed requests: the share of the requests for this key that its target
+  // can serve, 0 to 1. Entry nodes refuse the others at once.
+  float KeyShare = 1;
 };
 
 // The caller has disconnected and the request is to be cancelled.
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -85,6 +85,8 @@
 // StartInterval and StartWait come last in a message, since earlier releases do
 // not know them.
 constexpr std::uint32_t PaceFields = 2;
+// SlowdownPercent, SlowdownAge and AnswerQueuedBytes come after those.
+constexpr std::uint32_t LoadFields = 3;
 
 class FieldReader {
 public:
@@ -126,7 +128,7 @@
   }
   FieldReader &operator>>(TargetState &Value) {
     auto Number = this->nextField().as<std::uint8_t>();
-    if (Number > static_cast<std::uint8_t>(TargetState::Leaving))
+    if (Number > static_cast<std::uint8_t>(TargetState::Evacuated))
       throw std::out_of_range("unknown state");
     Value = static_cast<TargetState>(Number);
     return *this;
@@ -167,6 +169,12 @@
   const msgpack::object *End;
 };
 
+void readLoad(FieldReader &In, TargetStatus &Status) {
+  In.readIfPresent(Status.SlowdownPercent);
+  In.readIfPresent(Status.SlowdownAge);
+  In.readIfPresent(Status.AnswerQueuedBytes);
+}
+
 FieldWriter start(Packer &Out, const Message &Sent, std::uint32_t Fields) {
   Out.pack_array(Fields + 1);
   Out.pack(static_cast<std::uint8_t>(Sent.index()));
@@ -178,30 +186,34 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 22)
+    start(this->Out, this->Sent, 23)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
         << Value.MaxUsefulWait << Value.RequestClass << Value.WithheldBytes
         << Value.Content->Method << Value.Content->Target << Value.Content->Host
         << Value.Content->Headers << Value.Content->Body << Value.ConfigVersion
-        << Value.SentAt << Value.KeyMapRevision;
+        << Value.SentAt << Value.KeyMapRevision
+        << static_cast<std::uint8_t>(Value.OfRunningWork);
   }
   void operator()(const ForwardResult &Value) const {
-    start(this->Out, this->Sent, 10 + StatusFields + PaceFields)
+    start(this->Out, this->Sent, 11 + StatusFields + PaceFields + LoadFields)
         << Value.Id << static_cast<std::uint8_t>(Value.Code) << Value.Detail
         << Value.RetryAfter << Value.Answer.Status << Value.Answer.Headers
         << Value.Answer.Body << Value.Status << Value.ConfigVersion
         << Value.Status.StartInterval << Value.Status.StartWait << Value.SentAt
-        << Value.Process;
+        << Value.Process << Value.Status.SlowdownPercent
+        << Value.Status.SlowdownAge << Value.Status.AnswerQueuedBytes
+        << Value.KeyShare;
   }
   void operator()(const CancelForward &Value) const {
     start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
   }
   void operator()(const StatusNotice &Value) const {
-    start(this->Out, this->Sent, 1 + StatusFields + PaceFields)
+    start(this->Out, this->Sent, 1 + StatusFields + PaceFields + LoadFields)
         << Value.Status << Value.Status.StartInterval << Value.Status.StartWait
-        << Value.SentAt;
+        << Value.SentAt << Value.Status.SlowdownPercent
+        << Value.Status.SlowdownAge << Value.Status.AnswerQueuedBytes;
   }
   void operator()(const CrashNotice &Value) const {
     start(this->Out, this->Sent, 2) << Value.Digest << Value.Crashes;
@@ -267,6 +279,9 @@
   In.readIfPresent(Value.ConfigVersion);
   In.readIfPresent(Value.SentAt);
   In.readIfPresent(Value.KeyMapRevision);
+  std::uint8_t OfRunningWork = 0;
+  In.readIfPresent(OfRunningWork);
+  Value.OfRunningWork = OfRunningWork != 0;
   Value.Content = std::move(Content);
   return Value;
 }
@@ -281,6 +296,8 @@
   In.readIfPresent(Value.Status.StartWait);
   In.readIfPresent(Value.SentAt);
   In.readIfPresent(Value.Process);
+  readLoad(In, Value.Status);
+  In.readIfPresent(Value.KeyShare);
   return Value;
 }
 
@@ -310,6 +327,7 @@
     In.readIfPresent(Value.Status.StartInterval);
     In.readIfPresent(Value.Status.StartWait);
     In.readIfPresent(Value.SentAt);
+    readLoad(In, Value.Status);
     return Value;
   }
   case 4: {
--- a/orioledoor/routing/route_table.h
+++ b/orioledoor/routing/route_table.h
@@ -47,6 +47,9 @@
   // Maximum number of targets that one attempt of a caller may be sent to; at
   // least 1.
   int Attempts = 1;
+  // Regions in which requests may run and in which their bodies may be stored;
+  // empty if all may.
+  std::vector<std::string> AllowedRegions{};
 };
 
 struct ServicePolicy {
@@ -57,6 +60,11 @@
   std::uint32_t MaxConnections = 0;
   // Each key is served by exactly one target.
   bool Partitioned = false;
+  // Requests per second that a target tolerates while it is cold; 0 if it is
+  // not limited.
+  double ColdRequestsPerSecond = 0;
+  // Time for which a target is cold after its start.
+  Duration ColdTime{0};
 };
 
 // Limits for callers' requests.
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(messagesRoundTrip);
   CPPUNIT_TEST(decodesRequestsOfThePreviousRelease);
   CPPUNIT_TEST(carriesTheRateLimitInTheStatus);
+  CPPUNIT_TEST(carriesTheLoadInTheStatus);
   CPPUNIT_TEST(rejectsInvalidMessages);
   CPPUNIT_TEST(budgetLimitsRetriesPerWindow);
   CPPUNIT_TEST(uploadsStayNear);
@@ -188,6 +189,39 @@
     CPPUNIT_ASSERT(std::get<StatusNotice>(*Decoded).Status.Running == 3);
   }
 
+  // Guards against entry nodes that do not learn of slow phases of a target, of
+  // answers that wait for its link, and of hot keys; and against nodes of two
+  // releases that reject each other's messages.
+  void carriesTheLoadInTheStatus() {
+    StatusNotice Sent{statusOf("n", 3)};
+    Sent.Status.SlowdownPercent = 300;
+    Sent.Status.SlowdownAge = milliseconds(40);
+    Sent.Status.AnswerQueuedBytes = 90'000;
+    auto Decoded = decodeMessage(encodeMessage(
+        ForwardResult{.Id = 7, .Status = Sent.Status, .KeyShare = 0.25F}));
+    CPPUNIT_ASSERT(Decoded.ok());
+    const auto &Result = std::get<ForwardResult>(*Decoded);
+    CPPUNIT_ASSERT_EQUAL(0.25F, Result.KeyShare);
+    CPPUNIT_ASSERT_EQUAL(300U, Result.Status.SlowdownPercent);
+    Decoded = decodeMessage(encodeMessage(Sent));
+    CPPUNIT_ASSERT(Decoded.ok());
+    const TargetStatus &Status = std::get<StatusNotice>(*Decoded).Status;
+    CPPUNIT_ASSERT(Status.SlowdownAge == milliseconds(40) &&
+                   Status.AnswerQueuedBytes == 90'000);
+    Forward Call{.Id = 7, .OfRunningWork = true};
+    Call.Content = std::make_shared<RequestContent>();
+    Decoded = decodeMessage(encodeMessage(Call));
+    CPPUNIT_ASSERT(Decoded.ok() && std::get<Forward>(*Decoded).OfRunningWork);
+    // Earlier releases send none of these fields. Three bytes encode them if
+    // they are 0.
+    std::string Bytes = encodeMessage(StatusNotice{statusOf("n", 3)});
+    Bytes.resize(Bytes.size() - 3);
+    Bytes[2] = static_cast<char>(Bytes[2] - 3);
+    Decoded = decodeMessage(Bytes);
+    CPPUNIT_ASSERT(Decoded.ok());
+    CPPUNIT_ASSERT(std::get<StatusNotice>(*Decoded).Status.Running == 3);
+  }
+
   void rejectsInvalidMessages() {
     CPPUNIT_ASSERT(!decodeMessage("").ok());
     CPPUNIT_ASSERT(!decodeMessage("\x91\x63").ok());
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -16,18 +16,11 @@
 #include <string_view>
 
 #include "orioledoor/base/instant.h"
+#include "orioledoor/routing/location.h"
 #include "orioledoor/routing/target_status.h"
 
 namespace orioledoor::routing {
 
-// Location of a VM.
-struct Location {
-  std::string FailureDomain;
-  std::string Region;
-
-  friend bool operator==(const Location &, const Location &) = default;
-};
-
 // How far two VMs are apart.
 enum class Distance : std::uint8_t { SameDomain, SameRegion, OtherRegion };
 inline constexpr std::size_t DistanceCount = 3;
@@ -67,6 +60,8 @@
   std::size_t Bytes = 0;
   // Nodes that the request was already sent to.
   std::span<const std::string> Excluded{};
+  // Regions in which the request may run; empty if all may.
+  std::span<const std::string> AllowedRegions{};
 };
 
 struct TargetChoice {
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -23,6 +23,7 @@
 #include "orioledoor/routing/body_fetch_queue.h"
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
+#include "orioledoor/routing/location.h"
 #include "orioledoor/routing/recent_results.h"
 #include "orioledoor/routing/start_pacer.h"
 #include "orioledoor/routing/target_signals.h"
@@ -42,6 +43,15 @@
   std::uint64_t Process = 0;
   // Link capacity of this VM; 0 if unknown.
   double LinkBytesPerSecond = 0;
+  // Region and failure domain of this VM.
+  Location Place{};
+  // Bound on the requests that reach a cold target in any second: its tolerated
+  // rate times ColdOverage, plus ColdSlack. 0 if there is none.
+  double ColdOverage = 0;
+  double ColdSlack = 0;
+  // Time from the announcement of an evacuation until no request reaches the
+  // targets; 0 if failure domains are not evacuated.
+  Duration EvacuationTime{0};
 };
 
 // How a report relates to the reports received before.
--- a/orioledoor/routing/target_status.h
+++ b/orioledoor/routing/target_status.h
@@ -19,6 +19,9 @@
   Ready,
   // About to stop; gets no new requests.
   Leaving,
+  // Alive, but its failure domain is evacuated: it gets no new requests until
+  // the evacuation ends.
+  Evacuated,
 };
 
 struct TargetStatus {
@@ -46,6 +49,13 @@
   // the time until another request may start; 0 without a limit.
   Duration StartInterval{0};
   Duration StartWait{0};
+  // How long work takes at the target at the moment, in percent of its usual
+  // time, and the age of that figure; 0 if the target does not state it.
+  std::uint32_t SlowdownPercent = 0;
+  Duration SlowdownAge{0};
+  // Bytes of answers that the node expects to send to other nodes over its link
+  // or has not sent yet.
+  std::uint64_t AnswerQueuedBytes = 0;
 };
 
 } // namespace orioledoor::routing
--- a/orioledoor/sidecar/node_entry.cc
+++ b/orioledoor/sidecar/node_entry.cc
@@ -67,7 +67,7 @@
     Entry.Target = targetFrom(Document.at("target"));
     Entry.Service = Document.at("service");
     Entry.State = static_cast<TargetState>(readInteger(
-        Document.at("state"), 0, static_cast<int>(TargetState::Leaving)));
+        Document.at("state"), 0, static_cast<int>(TargetState::Evacuated)));
     Entry.Slots = readInteger(Document.at("slots"), 0U, MaxSlots);
     // Entries of earlier releases do not have this field.
     if (Document.contains("link_bytes_per_second"))
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -76,7 +76,11 @@
       Gate({.Node = this->Options.Node,
             .DrainTime = this->Options.DrainTime,
             .Process = this->Options.Process,
-            .LinkBytesPerSecond = this->Options.LinkBytesPerSecond}),
+            .LinkBytesPerSecond = this->Options.LinkBytesPerSecond,
+            .Place = this->Options.Place,
+            .ColdOverage = this->Options.ColdOverage,
+            .ColdSlack = this->Options.ColdSlack,
+            .EvacuationTime = this->Options.EvacuationTime}),
       Entry(
           {.Node = this->Options.Node,
            .Process = this->Options.Process,
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -49,6 +49,10 @@
   double RetryRatio = 0.2;
   double RetryExtra = 60;
   Duration RetryWindow = std::chrono::seconds(10);
+  // As in TargetGateOptions.
+  double ColdOverage = 0;
+  double ColdSlack = 0;
+  Duration EvacuationTime{0};
   KeyOwnershipOptions Keys;
   MembershipOptions Members;
 };
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -103,6 +103,9 @@
   Options.RetryRatio = Settings.RetryRatio;
   Options.RetryExtra = Settings.RetryExtra;
   Options.RetryWindow = Settings.RetryWindow;
+  Options.ColdOverage = Settings.ColdOverage;
+  Options.ColdSlack = Settings.ColdSlack;
+  Options.EvacuationTime = Settings.EvacuationTime;
   Options.Keys.Grants.MaxHoldTime = Settings.MaxHoldTime;
   return Options;
 }
@@ -267,8 +270,11 @@
   // --------------------------------------------------------------------
 
   void onCallerRequest(std::uint64_t Id, wire::IncomingRequest Request) {
-    this->dispatch(CallerRequestReceived{
-        platform::decodeCallerRequest(Id, std::move(Request))});
+    bool FromTarget = Request.CallerAddress == this->Settings.Target.Host;
+    routing::CallerRequest Decoded =
+        platform::decodeCallerRequest(Id, std::move(Request));
+    Decoded.FromTarget = FromTarget;
+    this->dispatch(CallerRequestReceived{std::move(Decoded)});
   }
 
   // Reports of the target
--- a/orioledoor/store/store_types.h
+++ b/orioledoor/store/store_types.h
@@ -104,6 +104,9 @@
   std::chrono::seconds TimeToLive{0};
   // The store's revision at the time of the reply.
   std::int64_t Revision = 0;
+  // Rises each time the store comes back from an older copy, which lacks the
+  // last changes and gives their revisions out again; 0 if it is not stated.
+  std::int64_t Era = 0;
 };
 
 // A change reported by a watch. Deleted entries have an empty Value.
@@ -126,6 +129,8 @@
   // All changes up to this revision have been delivered. A new watch that
   // starts from it misses nothing.
   std::int64_t Revision = 0;
+  // As in StoreReply.
+  std::int64_t Era = 0;
 };
 
 } // namespace orioledoor
--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -50,6 +50,8 @@
   std::string Body;
   Instant FirstByteAt;
   bool FromLoopback = false;
+  // IP address of the caller.
+  std::string CallerAddress{};
 };
 
 struct HttpServerOptions {
