--- a/orioledoor/platform/request_codec.cc
+++ b/orioledoor/platform/request_codec.cc
@@ -67,7 +67,6 @@
   routing::CallerRequest Request;
   Request.Caller = Caller;
   Request.FirstByteAt = Incoming.FirstByteAt;
-  Request.CallerAddress = std::move(Incoming.CallerAddress);
   if (const Header *AttemptIdHeader =
           findHeader(Incoming.Headers, names::AttemptId))
     Request.AttemptId = AttemptIdHeader->Value;
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -45,10 +45,6 @@
   std::optional<Duration> TimeLeft{};
   std::int32_t Key = NoKey;
   Instant FirstByteAt{};
-  // IP address of the caller; empty if it is not known.
-  std::string CallerAddress{};
-  // The target of this VM made the request.
-  bool FromTarget = false;
   SharedContent Content{};
 };
 
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -70,9 +70,6 @@
   // Time of the sender's clock when the message was sent, in whole
   // milliseconds; see transit_delays.h. Instant() if it is not known.
   Instant SentAt{};
-  // A target made this request on behalf of one that it runs. Refusing it
-  // wastes the slot that its parent has held so far.
-  bool OfRunningWork = false;
   // Never null.
   SharedContent Content{};
 };
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -186,15 +186,14 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 23)
+    start(this->Out, this->Sent, 22)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
         << Value.MaxUsefulWait << Value.RequestClass << Value.WithheldBytes
         << Value.Content->Method << Value.Content->Target << Value.Content->Host
         << Value.Content->Headers << Value.Content->Body << Value.ConfigVersion
-        << Value.SentAt << Value.KeyMapRevision
-        << static_cast<std::uint8_t>(Value.OfRunningWork);
+        << Value.SentAt << Value.KeyMapRevision;
   }
   void operator()(const ForwardResult &Value) const {
     start(this->Out, this->Sent, 11 + StatusFields + PaceFields + LoadFields)
@@ -279,9 +278,6 @@
   In.readIfPresent(Value.ConfigVersion);
   In.readIfPresent(Value.SentAt);
   In.readIfPresent(Value.KeyMapRevision);
-  std::uint8_t OfRunningWork = 0;
-  In.readIfPresent(OfRunningWork);
-  Value.OfRunningWork = OfRunningWork != 0;
   Value.Content = std::move(Content);
   return Value;
 }
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -103,9 +103,6 @@
   Options.RetryRatio = Settings.RetryRatio;
   Options.RetryExtra = Settings.RetryExtra;
   Options.RetryWindow = Settings.RetryWindow;
-  Options.ColdOverage = Settings.ColdOverage;
-  Options.ColdSlack = Settings.ColdSlack;
-  Options.EvacuationTime = Settings.EvacuationTime;
   Options.Keys.Grants.MaxHoldTime = Settings.MaxHoldTime;
   return Options;
 }
@@ -270,11 +267,8 @@
   // --------------------------------------------------------------------
 
   void onCallerRequest(std::uint64_t Id, wire::IncomingRequest Request) {
-    bool FromTarget = Request.CallerAddress == this->Settings.Target.Host;
-    routing::CallerRequest Decoded =
-        platform::decodeCallerRequest(Id, std::move(Request));
-    Decoded.FromTarget = FromTarget;
-    this->dispatch(CallerRequestReceived{std::move(Decoded)});
+    this->dispatch(CallerRequestReceived{
+        platform::decodeCallerRequest(Id, std::move(Request))});
   }
 
   // Reports of the target
--- a/orioledoor/wire/http_server.cc
+++ b/orioledoor/wire/http_server.cc
@@ -34,19 +34,6 @@
 // the listener would report it again at once.
 constexpr std::int64_t AcceptPauseMicros = 50'000;
 
-// Returns the IP address as text, or an empty string if it has no text form.
-std::string addressText(const sockaddr *Address) {
-  char Text[INET6_ADDRSTRLEN] = "";
-  const void *Bytes =
-      Address->sa_family == AF_INET
-          ? static_cast<const void *>(
-                &reinterpret_cast<const sockaddr_in *>(Address)->sin_addr)
-          : &reinterpret_cast<const sockaddr_in6 *>(Address)->sin6_addr;
-  const char *Done =
-      evutil_inet_ntop(Address->sa_family, Bytes, Text, sizeof Text);
-  return Done ? Text : "";
-}
-
 bool isLoopback(const sockaddr *Address) {
   if (Address->sa_family == AF_INET) {
     const auto *SocketAddress = reinterpret_cast<const sockaddr_in *>(Address);
@@ -111,7 +98,7 @@
         *Server, Stream,
         internal::RequestLimits{Server->Options.MaxHeaderBytes,
                                 Server->Options.MaxBodyBytes},
-        Server->Options.IdleTimeout, isLoopback(Address), addressText(Address));
+        Server->Options.IdleTimeout, isLoopback(Address));
     ServerConnection *Key = Added.get();
     Server->Connections[Key] = std::move(Added);
   }
--- a/orioledoor/wire/http_server.h
+++ b/orioledoor/wire/http_server.h
@@ -50,8 +50,6 @@
   std::string Body;
   Instant FirstByteAt;
   bool FromLoopback = false;
-  // IP address of the caller.
-  std::string CallerAddress{};
 };
 
 struct HttpServerOptions {
--- a/orioledoor/wire/internal/server_connection.cc
+++ b/orioledoor/wire/internal/server_connection.cc
@@ -99,9 +99,8 @@
 ServerConnection::ServerConnection(ServerConnectionOwner &Owner,
                                    bufferevent *Stream, RequestLimits Limits,
                                    std::chrono::seconds IdleTimeout,
-                                   bool FromLoopback, std::string CallerAddress)
-    : Owner(Owner), Stream(Stream), Parser(Limits), FromLoopback(FromLoopback),
-      CallerAddress(std::move(CallerAddress)) {
+                                   bool FromLoopback)
+    : Owner(Owner), Stream(Stream), Parser(Limits), FromLoopback(FromLoopback) {
   timeval Timeout{static_cast<time_t>(IdleTimeout.count()), 0};
   bufferevent_setcb(Stream, onRead, onWritten, onEvent, this);
   bufferevent_set_timeouts(Stream, &Timeout, &Timeout);
@@ -205,7 +204,6 @@
   this->FirstByteAt = Now;
   Request.FirstByteAt = Added.FirstByteAt;
   Request.FromLoopback = this->FromLoopback;
-  Request.CallerAddress = this->CallerAddress;
   this->Owner.handleRequest(Added.Id, std::move(Request));
 }
 
--- a/orioledoor/wire/internal/server_connection.h
+++ b/orioledoor/wire/internal/server_connection.h
@@ -69,7 +69,7 @@
   // Takes ownership of Stream. Owner must outlive the connection.
   ServerConnection(ServerConnectionOwner &Owner, bufferevent *Stream,
                    RequestLimits Limits, std::chrono::seconds IdleTimeout,
-                   bool FromLoopback, std::string CallerAddress);
+                   bool FromLoopback);
   ServerConnection(const ServerConnection &) = delete;
   ServerConnection &operator=(const ServerConnection &) = delete;
 
@@ -126,8 +126,6 @@
   std::unique_ptr<bufferevent, BuffereventDeleter> Stream;
   RequestParser Parser;
   bool FromLoopback;
-  // IP address of the caller.
-  std::string CallerAddress;
   // In the order of the requests.
   std::deque<Exchange> Exchanges;
   // Bytes in Exchange::Response that wait for earlier responses.
