--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -103,6 +103,9 @@
   Options.RetryRatio = Settings.RetryRatio;
   Options.RetryExtra = Settings.RetryExtra;
   Options.RetryWindow = Settings.RetryWindow;
+  Options.ColdOverage = Settings.ColdOverage;
+  Options.ColdSlack = Settings.ColdSlack;
+  Options.EvacuationTime = Settings.EvacuationTime;
   Options.Keys.Grants.MaxHoldTime = Settings.MaxHoldTime;
   return Options;
 }
