--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -22,6 +22,10 @@
 // Limit for strings; covers the largest request body.
 constexpr std::size_t MaxStringBytes = 80U << 20;
 
+// Statuses of answers that end a request.
+constexpr int MinFinalStatus = 200;
+constexpr int MaxFinalStatus = 599;
+
 // Output stream for msgpack::packer.
 struct StringSink {
   std::string Bytes;
@@ -294,6 +298,14 @@
   In.readIfPresent(Value.Process);
   readLoad(In, Value.Status);
   In.readIfPresent(Value.KeyShare);
+  // Earlier releases pass on whatever number a target writes as its status.
+  bool IsFinal = Value.Answer.Status >= MinFinalStatus &&
+                 Value.Answer.Status <= MaxFinalStatus;
+  if (Value.Code == Outcome::Answered && !IsFinal) {
+    Value.Code = Outcome::Lost;
+    Value.Detail =
+        "the answer has the status " + std::to_string(Value.Answer.Status);
+  }
   return Value;
 }
 
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(decodesRequestsOfThePreviousRelease);
   CPPUNIT_TEST(carriesTheRateLimitInTheStatus);
   CPPUNIT_TEST(carriesTheLoadInTheStatus);
+  CPPUNIT_TEST(answersWithImpossibleStatusesAreLost);
   CPPUNIT_TEST(rejectsInvalidMessages);
   CPPUNIT_TEST(budgetLimitsRetriesPerWindow);
   CPPUNIT_TEST(uploadsStayNear);
@@ -218,6 +219,23 @@
     CPPUNIT_ASSERT(std::get<StatusNotice>(*Decoded).Status.Running == 3);
   }
 
+  // Guards against a node of an earlier release that passes on a status which
+  // no caller can read.
+  void answersWithImpossibleStatusesAreLost() {
+    for (int Status : {0, 99, 103, 600, 1000}) {
+      ForwardResult Sent{.Id = 7, .Code = Outcome::Answered};
+      Sent.Answer.Status = Status;
+      auto Decoded = decodeMessage(encodeMessage(Sent));
+      CPPUNIT_ASSERT(Decoded.ok());
+      CPPUNIT_ASSERT(std::get<ForwardResult>(*Decoded).Code == Outcome::Lost);
+    }
+    ForwardResult Sent{.Id = 7, .Code = Outcome::Answered};
+    Sent.Answer.Status = 200;
+    CPPUNIT_ASSERT(
+        std::get<ForwardResult>(*decodeMessage(encodeMessage(Sent))).Code ==
+        Outcome::Answered);
+  }
+
   void rejectsInvalidMessages() {
     CPPUNIT_ASSERT(!decodeMessage("").ok());
     CPPUNIT_ASSERT(!decodeMessage("\x91\x63").ok());
--- a/orioledoor/wire/http_client.cc
+++ b/orioledoor/wire/http_client.cc
@@ -24,6 +24,9 @@
 
 using requests::TargetFailure;
 
+// Statuses of answers that end an exchange.
+constexpr int MinFinalStatus = 200;
+constexpr int MaxFinalStatus = 599;
 constexpr std::size_t MaxResponseHeaderBytes = 64U << 10;
 // The largest value in the store is 1 MB, a third more in base64, and a watch
 // event carries two values.
@@ -394,6 +397,10 @@
   // request states to its headers.
   std::string validateResponse(const Connection &Conn, const evkeyvalq &Headers,
                                requests::HttpAnswer &Answer, bool IsHead) {
+    // evhttp accepts any number as the status and takes provisional answers
+    // other than 100 for the final one.
+    if (Answer.Status < MinFinalStatus || Answer.Status > MaxFinalStatus)
+      return "the answer has the status " + std::to_string(Answer.Status);
     if (internal::hasAmbiguousFraming(Headers))
       return "the framing of the answer is ambiguous";
     const char *ContentLength = evhttp_find_header(&Headers, "Content-Length");
--- a/orioledoor/wire/http_client_test.cc
+++ b/orioledoor/wire/http_client_test.cc
@@ -25,6 +25,9 @@
   CPPUNIT_TEST(connectionLostAfterWriting);
   CPPUNIT_TEST(truncatedResponsesAreErrors);
   CPPUNIT_TEST(headsThatBreakOffAreErrors);
+  CPPUNIT_TEST(impossibleStatusesAreErrors);
+  CPPUNIT_TEST(answersThatBreakOffDuringTheUploadAreErrors);
+  CPPUNIT_TEST(bodiesOfBodilessAnswersAreDropped);
   CPPUNIT_TEST(finalHeaderEndsTheConnection);
   CPPUNIT_TEST(responsesToOtherRequestsAreErrors);
   CPPUNIT_TEST(responsesWithoutTheEchoedHeaderAreErrors);
@@ -207,6 +210,91 @@
     }
   }
 
+  // Guards against handing a status to the caller that no client can read, or a
+  // provisional one as the final answer.
+  void impossibleStatusesAreErrors() {
+    for (std::string_view Status :
+         {"000", "099", "1000", "2000", "-200", "20x", "abc", "", "101", "102",
+          "103", "199", "600", "999"}) {
+      std::string Script = "HTTP/1.1 " + std::string(Status) +
+                           " Status\r\nServer-Signature: s\r\n"
+                           "Content-Length: 2\r\n\r\nok";
+      HttpResult Result = this->call(Script, true);
+      CPPUNIT_ASSERT_MESSAGE(Script, Result.Failure);
+      CPPUNIT_ASSERT_MESSAGE(Script, *Result.Failure != TargetFailure::NotSent);
+    }
+  }
+
+  // Guards against a part of an answer that reaches the caller as complete: a
+  // target answers a long upload at once without a length, sends a part and
+  // closes or resets the connection while the upload is still being written.
+  void answersThatBreakOffDuringTheUploadAreErrors() {
+    for (bool EndsOrderly : {false, true}) {
+      HttpCall Call;
+      Call.Server = {"127.0.0.1", Port};
+      Call.Method = "POST";
+      Call.Target = "/a";
+      // More than the buffers of the sockets take.
+      std::string Upload(32U << 20, 'u');
+      Call.Body = Upload;
+      std::optional<HttpResult> Result;
+      this->Client.call(
+          Call, [&Result](HttpResult Ended) { Result = std::move(Ended); });
+      int Sides = 0;
+      CPPUNIT_ASSERT(this->Events.runUntil(
+          [&Result] { return Result.has_value(); },
+          [&] {
+            if (this->Server < 0) {
+              this->Server = accept4(this->Listener, nullptr, nullptr,
+                                     SOCK_NONBLOCK | SOCK_CLOEXEC);
+              if (this->Server >= 0)
+                testing::sendAll(this->Server,
+                                 "HTTP/1.1 200 OK\r\nServer-Signature: "
+                                 "s\r\n\r\npart of the answer");
+            } else if (++Sides == 20 && EndsOrderly) {
+              shutdown(this->Server, SHUT_WR);
+            } else if (Sides == 40) {
+              // The unread upload makes this a reset.
+              close(this->Server);
+              this->Server = -1;
+            }
+          }));
+      CPPUNIT_ASSERT_MESSAGE(Result->Answer.Body, Result->Failure);
+      CPPUNIT_ASSERT(*Result->Failure != TargetFailure::NotSent);
+      if (this->Server >= 0)
+        close(this->Server);
+      this->Server = -1;
+    }
+  }
+
+  // Guards against a body of a 204 or 304 that becomes part of the answer, and
+  // against its bytes as the answer to the next request.
+  void bodiesOfBodilessAnswersAreDropped() {
+    HttpCall Call;
+    Call.Headers = {{"Attempt-Id", "a1"}};
+    Call.EchoHeader = "Attempt-Id";
+    for (std::string_view Status : {"204", "304"}) {
+      int Before = this->Accepted;
+      HttpResult Result =
+          this->call("HTTP/1.1 " + std::string(Status) +
+                         " Status\r\nAttempt-Id: a1\r\n\r\nHTTP/1.1 200 "
+                         "OK\r\nAttempt-Id: a1\r\n\r\n",
+                     false, Call);
+      CPPUNIT_ASSERT_MESSAGE(Result.Detail, !Result.Failure);
+      CPPUNIT_ASSERT_EQUAL(std::string(), Result.Answer.Body);
+      close(this->Server);
+      this->Server = -1;
+      Result = this->call("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
+                          "Connection: close\r\nContent-Length: 2\r\n\r\nok",
+                          false, Call);
+      CPPUNIT_ASSERT_MESSAGE(Result.Detail, !Result.Failure);
+      CPPUNIT_ASSERT_EQUAL(std::string("ok"), Result.Answer.Body);
+      CPPUNIT_ASSERT_EQUAL(Before + 2, this->Accepted);
+      close(this->Server);
+      this->Server = -1;
+    }
+  }
+
   // Guards against a refusal that the target writes once more: on a connection
   // in use again it would be taken for the response to the same request, which
   // has been sent again and runs.
