--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -70,6 +70,9 @@
   // Time of the sender's clock when the message was sent, in whole
   // milliseconds; see transit_delays.h. Instant() if it is not known.
   Instant SentAt{};
+  // For keyed requests: the number of requests for the key for which this one
+  // stands, those included that the sender has refused; see HotKeyMeter.
+  std::uint32_t KeyDemand = 1;
   // Never null.
   SharedContent Content{};
 };
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -190,14 +190,14 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 22)
+    start(this->Out, this->Sent, 23)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
         << Value.MaxUsefulWait << Value.RequestClass << Value.WithheldBytes
         << Value.Content->Method << Value.Content->Target << Value.Content->Host
         << Value.Content->Headers << Value.Content->Body << Value.ConfigVersion
-        << Value.SentAt << Value.KeyMapRevision;
+        << Value.SentAt << Value.KeyMapRevision << Value.KeyDemand - 1;
   }
   void operator()(const ForwardResult &Value) const {
     start(this->Out, this->Sent, 11 + StatusFields + PaceFields + LoadFields)
@@ -282,6 +282,10 @@
   In.readIfPresent(Value.ConfigVersion);
   In.readIfPresent(Value.SentAt);
   In.readIfPresent(Value.KeyMapRevision);
+  // One less is sent, as most requests stand for themselves.
+  std::uint32_t OtherDemand = 0;
+  In.readIfPresent(OtherDemand);
+  Value.KeyDemand = OtherDemand + 1;
   Value.Content = std::move(Content);
   return Value;
 }
