--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -29,7 +29,8 @@
 
 TargetGate::TargetGate(TargetGateOptions Options)
     : Options(std::move(Options)),
-      BodyFetches(this->Options.LinkBytesPerSecond) {}
+      BodyFetches(this->Options.LinkBytesPerSecond),
+      Link(this->Options.LinkBytesPerSecond) {}
 
 ReportVerdict TargetGate::handleReport(const TargetReport &Report, Instant Now,
                                        Effects &Out) {
@@ -155,7 +156,10 @@
 
 void TargetGate::close(Instant Now, Effects &Out) {
   this->Closed = true;
+  // No new requests need the rest of the link.
+  this->Link.setPacing(AnswerPacing::WholeLink, Now);
   this->refuseUnstartedCalls(Now, Out);
+  this->sendAnswers(Now, Out);
 }
 
 void TargetGate::tick(Instant Now, Effects &Out) {
@@ -187,6 +191,9 @@
   this->endConfirmations(Now, Out);
   this->startQueuedCalls(Now, Out);
   this->refuseOverdueCalls(Now, Out);
+  this->dropLateAnswers(Now, Out);
+  this->sendAnswers(Now, Out);
+  this->CommittedBytes = this->Link.committedBytes(Now);
 }
 
 double TargetGate::capacity() const {
@@ -215,7 +222,8 @@
           .FailureShare = this->FailureShare,
           .LinkQueuedBytes = this->BodyFetches.queuedBytes(),
           .StartInterval = this->Pacer.interval(),
-          .StartWait = this->Pacer.waitFor(this->Queue.waiting(), Now)};
+          .StartWait = this->Pacer.waitFor(this->Queue.waiting(), Now),
+          .AnswerQueuedBytes = this->Link.committedBytes(Now)};
 }
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -7,7 +7,8 @@
 //   Gate.handleAnswer(Call, Answer, NotRun, Now, Out);
 //
 // Each forwarded request ends with exactly one ForwardResult to its sender,
-// unless the sender cancelled it.
+// unless the sender cancelled it. A large answer may leave some time after the
+// call has ended, when the link has capacity for it.
 #ifndef ORIOLEDOOR_ROUTING_TARGET_GATE_H
 #define ORIOLEDOOR_ROUTING_TARGET_GATE_H
 
@@ -20,6 +21,8 @@
 #include <utility>
 
 #include "orioledoor/routing/admission_queue.h"
+#include "orioledoor/routing/answer_link.h"
+#include "orioledoor/routing/answer_sizes.h"
 #include "orioledoor/routing/body_fetch_queue.h"
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
@@ -123,7 +126,10 @@
                            Effects &Out);
   // Refuses all new and waiting requests; called before the process exits.
   void close(Instant Now, Effects &Out);
-  // Drives timeouts and paced starts. Call every 20 to 100 ms.
+  // Sends the answers that wait for the link at once, and later ones as well;
+  // called when the process is about to exit.
+  void flushAnswers(Instant Now, Effects &Out);
+  // Drives timeouts, paced starts and waiting answers. Call every 20 to 100 ms.
   void tick(Instant Now, Effects &Out);
 
   // Returns the status to send to other nodes, with a new sequence number.
@@ -132,7 +138,11 @@
   const TargetRef &target() const { return this->Target; }
   TargetState state() const { return this->State; }
   std::string_view service() const { return this->Report.Service; }
+  // Requests without a result, and those whose answers wait for the link.
   std::size_t openRequests() const { return this->Calls.size(); }
+  const AnswerLink &answerLink() const { return this->Link; }
+  // Bytes that the link was committed to at the last tick.
+  std::uint64_t committedAnswerBytes() const { return this->CommittedBytes; }
   const AdmissionQueue &queue() const { return this->Queue; }
   // Requests per second that the target accepts; empty if it names no limit.
   std::optional<double> rateLimit() const { return this->RateLimit; }
@@ -145,6 +155,11 @@
   std::uint64_t withdrawnCalls() const { return this->WithdrawnCalls; }
   // Number of requests that had to be confirmed by their senders.
   std::uint64_t unconfirmedCalls() const { return this->UnconfirmedCalls; }
+  // Number of requests that were refused because their answers would have
+  // waited too long for the link.
+  std::uint64_t refusedForLink() const { return this->RefusedForLink; }
+  // Number of answers that waited for the link until their time was over.
+  std::uint64_t droppedAnswers() const { return this->DroppedAnswers; }
 
 private:
   struct ForwardedCall {
@@ -164,6 +179,8 @@
     Instant StartedAt;
     // Incarnation of the target that the call was sent to.
     std::uint32_t Incarnation = 0;
+    // Set while the answer waits for the link; the slot is free again.
+    std::optional<ForwardResult> Finished;
   };
 
   // Returns the outcome if Request must be refused at once.
@@ -199,10 +216,23 @@
   void refuseOverdueCalls(Instant Now, Effects &Out);
   // Ends all calls that have not started.
   void refuseUnstartedCalls(Instant Now, Effects &Out);
+  // Ends a call. Its answer may have to wait for the link.
   void finishCall(std::uint64_t Id, ForwardResult Result, Instant Now,
                   Effects &Out);
+  // Removes a call and sends its result.
+  void sendResult(std::uint64_t Id, ForwardResult Result, Instant Now,
+                  Effects &Out);
+  // Bytes that the answer of a request is expected to take of the link.
+  std::uint64_t expectedAnswerBytes(const std::string &From,
+                                    const Forward &Request) const;
+  // Sends the waiting answers that the link has capacity for.
+  void sendAnswers(Instant Now, Effects &Out);
+  // Ends the calls whose callers left while the answer waited for the link.
+  void dropLateAnswers(Instant Now, Effects &Out);
+  // Detail is for the log.
   void refuse(const std::string &From, const Forward &Request, Outcome Reason,
-              Duration RetryAfter, Instant Now, Effects &Out);
+              Duration RetryAfter, Instant Now, Effects &Out,
+              std::string_view Detail = {});
   // AnnouncedBy: how the target said that it is leaving, for the log.
   void startDraining(std::string_view AnnouncedBy, Instant Now, Effects &Out);
   void setRateLimit(std::optional<double> RequestsPerSecond, Effects &Out);
@@ -231,6 +261,9 @@
   std::uint64_t StartedCalls = 0;
   std::uint64_t WithdrawnCalls = 0;
   std::uint64_t UnconfirmedCalls = 0;
+  std::uint64_t CommittedBytes = 0;
+  std::uint64_t RefusedForLink = 0;
+  std::uint64_t DroppedAnswers = 0;
   StartPacer Pacer;
   // Until the current incarnation has answered this process, its limit is
   // unknown and few calls run at once.
@@ -239,13 +272,16 @@
   std::optional<Instant> ProbingSince;
   AdmissionQueue Queue;
   BodyFetchQueue BodyFetches;
+  AnswerSizes Sizes;
+  // Invariant: has a commitment for each call of another node.
+  AnswerLink Link;
   ClassServiceTimes ServiceTimes;
   CrashGuard Crashes;
   float FailureShare = 0;
   std::uint64_t NextCallId = 1;
   mutable std::uint64_t NextSequence = 1;
-  // Invariant: each call is in BodyFetches or Confirmations, waits in Queue or
-  // holds a slot.
+  // Invariant: each call is in BodyFetches or Confirmations, waits in Queue,
+  // holds a slot, or its answer waits in Link.
   std::map<std::uint64_t, ForwardedCall> Calls;
   std::map<ForwardKey, std::uint64_t> CallIdByForward;
   // Calls that wait for a confirmation, with the time of the question.
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -5,12 +5,14 @@
 #include <vector>
 
 #include "orioledoor/routing/events.h"
+#include "orioledoor/routing/internal/answer_margin.h"
 #include "orioledoor/routing/internal/log_text.h"
 #include "orioledoor/routing/target_gate.h"
 
 namespace orioledoor::routing {
 namespace {
 
+using internal::AnswerMargin;
 using internal::field;
 using internal::millis;
 using std::chrono::milliseconds;
@@ -44,8 +46,6 @@
 // lost. All slots are in use after three to five seconds.
 constexpr std::uint32_t InitialProbes = 2;
 constexpr Duration ProbeInterval = milliseconds(250);
-// Reserved for the way of the answer back to the caller.
-constexpr Duration AnswerMargin = milliseconds(15);
 
 std::string_view outcomeName(Outcome Reason) {
   switch (Reason) {
@@ -93,11 +93,12 @@
 
 void TargetGate::refuse(const std::string &From, const Forward &Request,
                         Outcome Reason, Duration RetryAfter, Instant Now,
-                        Effects &Out) {
+                        Effects &Out, std::string_view Detail) {
   Out.push_back(
       LogRecord{&events::CallRefused,
                 {field("request", Request.AttemptId), field("from", From),
                  field("why", std::string(outcomeName(Reason))),
+                 field("detail", std::string(Detail)),
                  field("instance", this->Target.Instance),
                  field("running", std::to_string(this->Queue.running())),
                  field("waiting", std::to_string(this->Queue.waiting())),
@@ -164,7 +165,27 @@
                  std::max(ExpectedWait, BusyRetryAfter), Now, Out);
     return;
   }
+  std::uint64_t AnswerBytes = this->expectedAnswerBytes(From, Request);
+  Duration LinkWait =
+      AnswerBytes > 0 ? this->Link.expectedWait(AnswerBytes, Request.Priority,
+                                                ExpectedWait + ServiceTime, Now)
+                      : Duration(0);
+  // An answer that would be late is allowed the same wait as a request that
+  // would be late: it holds up other answers.
+  Duration MaxLinkWait =
+      std::max(Request.LatencyLeft - ServiceTime -
+                   this->Link.transferTime(AnswerBytes) - ReturnTime,
+               ServiceTime / LateWaitDivisor);
+  if (LinkWait > MaxLinkWait) {
+    ++this->RefusedForLink;
+    this->refuse(From, Request, Outcome::Busy,
+                 std::max(LinkWait, BusyRetryAfter), Now, Out,
+                 "the answer would wait too long for the link");
+    return;
+  }
   std::uint64_t Id = this->NextCallId++;
+  if (From != this->Options.Node)
+    this->Link.reserve(Id, Request.Priority, AnswerBytes);
   ForwardedCall &Added = this->Calls[Id];
   Added.From = From;
   Added.ReceivedAt = Now;
@@ -331,8 +352,9 @@
   }
 }
 
-void TargetGate::finishCall(std::uint64_t Id, ForwardResult Result, Instant Now,
+void TargetGate::sendResult(std::uint64_t Id, ForwardResult Result, Instant Now,
                             Effects &Out) {
+  this->Link.release(Id);
   auto Found = this->Calls.find(Id);
   ForwardedCall Call = std::move(Found->second);
   this->Calls.erase(Found);
@@ -396,7 +418,7 @@
 void TargetGate::handleAnswer(std::uint64_t Id, HttpAnswer Answer, bool NotRun,
                               Instant Now, Effects &Out) {
   auto Found = this->Calls.find(Id);
-  if (Found == this->Calls.end())
+  if (Found == this->Calls.end() || Found->second.Finished)
     return;
   this->ConnectionRefused = false;
   Duration HoldTime = Now - Found->second.StartedAt;
@@ -424,7 +446,7 @@
                                    std::string_view Detail, Instant Now,
                                    Effects &Out) {
   auto Found = this->Calls.find(Id);
-  if (Found == this->Calls.end())
+  if (Found == this->Calls.end() || Found->second.Finished)
     return;
   this->ConnectionRefused = Failure == CallFailure::NotSent;
   if (Failure == CallFailure::Broken)
@@ -455,7 +477,10 @@
   ForwardedCall Call = std::move(this->Calls.at(Id));
   this->Calls.erase(Id);
   ++this->WithdrawnCalls;
-  if (Call.Started) {
+  this->Link.release(Id);
+  if (Call.Finished) {
+    // The target has answered; the answer is dropped.
+  } else if (Call.Started) {
     this->Queue.release();
     Out.push_back(CancelCall{Id});
     this->startQueuedCalls(Now, Out);
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -24,6 +24,14 @@
   Metrics.counter("oriole_gate_withdrawn_total").set(Gate.withdrawnCalls());
   Metrics.counter("oriole_gate_confirmations_total")
       .set(Gate.unconfirmedCalls());
+  Metrics.gauge("oriole_gate_answer_committed_bytes")
+      .set(static_cast<double>(Gate.committedAnswerBytes()));
+  Metrics.gauge("oriole_gate_answers_waiting")
+      .set(static_cast<double>(Gate.answerLink().waiting()));
+  Metrics.counter("oriole_gate_refused_for_link_total")
+      .set(Gate.refusedForLink());
+  Metrics.counter("oriole_gate_answers_dropped_total")
+      .set(Gate.droppedAnswers());
 }
 
 void setStoreMetrics(MetricsRegistry &Metrics,
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -371,8 +371,11 @@
     this->Gate.close(Now, this->RoutingEffects);
     this->publishStatus(Now);
   }
-  bool Idle = this->Entry.openRequests() == 0 &&
-              this->Gate.openRequests() == 0 && UnsentAnswers == 0;
+  if (SinceStop >= this->Options.StopGrace - StopMargin - FinalAnswerTime)
+    this->Gate.flushAnswers(Now, this->RoutingEffects);
+  bool Idle =
+      this->Entry.openRequests() == 0 && this->Gate.openRequests() == 0 &&
+      this->Gate.answerLink().committedBytes(Now) == 0 && UnsentAnswers == 0;
   if (!Idle || !this->AcceptStopped)
     this->LastBusyAt = Now;
   if (Now - this->LastBusyAt >= ShutdownQuietTime ||
