--- a/orioledoor/routing/admission_queue.h
+++ b/orioledoor/routing/admission_queue.h
@@ -14,21 +14,28 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 #include "orioledoor/base/instant.h"
 
 namespace orioledoor::routing {
 
-// Position of a request in the queue: ordered by priority, then by the time its
-// answer is due. Calls that targets make on behalf of requests that hold slots
-// elsewhere are due long before new requests, so they start first.
+// Position of a request in the queue: ordered by priority, then calls that
+// targets make on behalf of requests that hold slots elsewhere, then by the
+// time the answer is due. Such calls that were not recognized are usually due
+// long before new requests, so they start first as well.
 struct QueueRank {
   // 0 is the most urgent.
   std::uint8_t Priority = 0;
   Instant DueAt{};
+  bool OfRunningWork = false;
 
-  friend auto operator<=>(const QueueRank &, const QueueRank &) = default;
+  friend bool operator==(const QueueRank &, const QueueRank &) = default;
+  friend auto operator<=>(const QueueRank &Left, const QueueRank &Right) {
+    return std::tuple(Left.Priority, !Left.OfRunningWork, Left.DueAt) <=>
+           std::tuple(Right.Priority, !Right.OfRunningWork, Right.DueAt);
+  }
 };
 
 struct WaitingRequest {
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -72,6 +72,13 @@
 inline constexpr EventDefinition AnswerDropped{
     2255, Severity::Warn, "ANSWER_DROPPED",
     "an answer waited for the link until the time of its caller was over"};
+inline constexpr EventDefinition ServiceThrottled{
+    2256, Severity::Info, "SERVICE_THROTTLED",
+    "the entry node refuses part of the requests for a service that refused "
+    "most of the recent ones"};
+inline constexpr EventDefinition CallsRecognized{
+    2257, Severity::Info, "CALLS_RECOGNIZED",
+    "whether only targets of one service send a class of requests has changed"};
 
 } // namespace orioledoor::routing::events
 
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -24,6 +24,7 @@
 #include "orioledoor/routing/answer_link.h"
 #include "orioledoor/routing/answer_sizes.h"
 #include "orioledoor/routing/body_fetch_queue.h"
+#include "orioledoor/routing/caller_profile.h"
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/location.h"
@@ -191,6 +192,9 @@
   bool mayStart(Instant Now) const;
   // Calls that may run at once while the limit of the target is not known.
   std::uint32_t allowedProbes(Instant Now) const;
+  // Records the sender of a request. Returns whether its class is only called
+  // on behalf of requests that run elsewhere.
+  bool noteCaller(const Forward &Request, Effects &Out);
   // Estimated time that a new request of this rank waits until it may start.
   Duration expectedWait(const QueueRank &Rank, Instant Now) const;
   void startCall(std::uint64_t Id, Instant Now, Effects &Out);
@@ -273,6 +277,7 @@
   AdmissionQueue Queue;
   BodyFetchQueue BodyFetches;
   AnswerSizes Sizes;
+  CallerProfile Profile;
   // Invariant: has a commitment for each call of another node.
   AnswerLink Link;
   ClassServiceTimes ServiceTimes;
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -133,6 +133,7 @@
     Request.TimeLeft -= Delay;
     Request.LatencyLeft -= Delay;
   }
+  bool OfRunningWork = this->noteCaller(Request, Out);
   bool Withheld = Request.WithheldBytes > 0;
   std::uint64_t Digest =
       Withheld ? 0 : crashDigest(Request.CallerService, *Request.Content);
@@ -145,7 +146,8 @@
   // those that can.
   bool MeetsLatency = Request.LatencyLeft > ServiceTime;
   QueueRank Rank{Request.Priority,
-                 Now + (MeetsLatency ? Request.LatencyLeft : Request.TimeLeft)};
+                 Now + (MeetsLatency ? Request.LatencyLeft : Request.TimeLeft),
+                 OfRunningWork};
   Duration ExpectedWait = this->expectedWait(Rank, Now);
   Duration Transfer(0);
   if (Withheld) {
@@ -153,9 +155,12 @@
     Transfer =
         this->BodyFetches.transferTime(Request.WithheldBytes) + FetchRoundTrip;
   }
+  // A call of running work that is refused makes its parent request fail, whose
+  // slot was then held for nothing; one that is late does not.
+  Duration WaitLimit = OfRunningWork ? Request.TimeLeft : Request.LatencyLeft;
   Duration MaxWait =
-      std::max(Request.LatencyLeft - Transfer -
-                   ServiceTime * SlowRequestPercent / 100 - ReturnTime,
+      std::max(WaitLimit - Transfer - ServiceTime * SlowRequestPercent / 100 -
+                   ReturnTime,
                std::min(ServiceTime / LateWaitDivisor,
                         Request.TimeLeft - Transfer - ServiceTime));
   if (!Request.LastChoice)
@@ -203,6 +208,20 @@
     this->admit(Id, Now, Out);
 }
 
+bool TargetGate::noteCaller(const Forward &Request, Effects &Out) {
+  bool Before = this->Profile.isCallOfRunningWork(Request.RequestClass);
+  this->Profile.note(Request.RequestClass, Request.CallerService);
+  bool After = this->Profile.isCallOfRunningWork(Request.RequestClass);
+  if (Before != After)
+    Out.push_back(
+        LogRecord{&events::CallsRecognized,
+                  {field("class", std::to_string(Request.RequestClass)),
+                   field("caller_service", Request.CallerService),
+                   field("calls", After ? "yes" : "no"),
+                   field("example", Request.Content->Target)}});
+  return After;
+}
+
 Instant TargetGate::deadlineFor(Duration TimeLeft, Instant Now) {
   return Now + TimeLeft - AnswerMargin;
 }
