--- a/orioledoor/platform/config_codec.cc
+++ b/orioledoor/platform/config_codec.cc
@@ -23,6 +23,8 @@
 // Priority of a route that states none: as urgent as the calls that targets
 // make on behalf of requests that already hold a slot.
 constexpr int DefaultPriority = 0;
+// One day. It keeps the conversion to a duration defined.
+constexpr double MaxColdStartSeconds = 86'400;
 
 // Reads a version, which is written as eight hexadecimal digits.
 std::uint64_t readVersion(const std::string &Text) {
@@ -97,7 +99,8 @@
     Policy.ColdRequestsPerSecond =
         std::max(0.0, readFieldOr<double>(Service, "coldPerS", 0));
     Policy.ColdTime = milliseconds(static_cast<std::int64_t>(
-        1000 * std::max(0.0, readFieldOr<double>(Service, "coldStartS", 0))));
+        1000 * std::clamp(readFieldOr<double>(Service, "coldStartS", 0), 0.0,
+                          MaxColdStartSeconds)));
     Table.Services.emplace(Policy.Name, Policy);
   }
   if (Object.contains("limits") && !Object.at("limits").is_null()) {
--- a/orioledoor/platform/names.h
+++ b/orioledoor/platform/names.h
@@ -14,6 +14,9 @@
 // Requests per second that the target accepts from all nodes together; it
 // applies until a response states another limit or none.
 inline constexpr char ServerLimit[] = "Server-Limit";
+// "running,waiting,slots" with an optional fourth figure, which says in percent
+// how long work takes at the target now; 100 is usual.
+inline constexpr char ServerLoad[] = "Server-Load";
 // Present on each response of a target that is about to stop.
 inline constexpr char ServerLeaving[] = "Server-Leaving";
 // Present on a response to a request that the target did not run.
--- a/orioledoor/platform/platform_codec_test.cc
+++ b/orioledoor/platform/platform_codec_test.cc
@@ -240,6 +240,24 @@
       CPPUNIT_ASSERT_MESSAGE(Text, Unreadable->RateLimitUnreadable);
       CPPUNIT_ASSERT_MESSAGE(Text, !Unreadable->RateLimit);
     }
+    auto Load =
+        decodeTargetSignals({200, {{"Server-Load", "7, 2,12,300"}}, ""})->Load;
+    CPPUNIT_ASSERT(Load.value().Running == 7 && Load->Waiting == 2 &&
+                   Load->Slots == 12 && Load->SlowdownPercent == 300);
+    CPPUNIT_ASSERT_EQUAL(
+        0U, decodeTargetSignals({200, {{"Server-Load", "0,0,12"}}, ""})
+                ->Load.value()
+                .SlowdownPercent);
+    CPPUNIT_ASSERT(!Plain->Load && !Plain->LoadUnreadable);
+    // An absurd slowdown would divert all requests from the target.
+    for (const char *Text :
+         {"", "7,2", "7,2,12,", "7,2,12,100,1", "7,2,0,100", "7,2,12,0",
+          "7,2,12,10001", "-7,2,12,100", "7,2,12,nan", "7,2,12,1e2", "7;2;12",
+          "99999999999,2,12,100", "7,2,12,100 x"}) {
+      auto Unreadable = decodeTargetSignals({200, {{"Server-Load", Text}}, ""});
+      CPPUNIT_ASSERT_MESSAGE(Text,
+                             Unreadable->LoadUnreadable && !Unreadable->Load);
+    }
     // Another instance may have answered.
     CPPUNIT_ASSERT(!decodeTargetSignals({421, {{"Server-Limit", "5"}}, ""}));
   }
--- a/orioledoor/platform/request_codec.cc
+++ b/orioledoor/platform/request_codec.cc
@@ -25,6 +25,10 @@
 constexpr std::int64_t MaxKey = 65535;
 // One day. Longer deadlines have the effect of none.
 constexpr std::int64_t MaxDeadlineMs = 86'400'000;
+// More requests or slots do not fit on one VM.
+constexpr std::uint32_t MaxStatedRequests = 1'000'000;
+// A target that takes a hundred times as long has stopped in effect.
+constexpr std::uint32_t MaxPercent = 10'000;
 
 // Headers that the router sets itself; the values that callers send are
 // dropped.
@@ -60,6 +64,33 @@
   return Rate;
 }
 
+// Returns a load of three or four integers between commas, all within their
+// bounds.
+std::optional<routing::StatedLoad> parseLoad(std::string_view Text) {
+  std::array<std::uint32_t, 4> Figures{};
+  std::size_t Count = 0;
+  for (const char *Next = Text.data(), *End = Next + Text.size();;) {
+    if (Count == Figures.size())
+      return std::nullopt;
+    while (Next != End && *Next == ' ')
+      ++Next;
+    auto [Stop, Error] = std::from_chars(Next, End, Figures[Count]);
+    if (Error != std::errc())
+      return std::nullopt;
+    ++Count;
+    if (Stop == End)
+      break;
+    if (*Stop != ',')
+      return std::nullopt;
+    Next = Stop + 1;
+  }
+  auto [Running, Waiting, Slots, Percent] = Figures;
+  if (Count < 3 || std::max({Running, Waiting, Slots}) > MaxStatedRequests ||
+      Slots == 0 || (Count == 4 && (Percent == 0 || Percent > MaxPercent)))
+    return std::nullopt;
+  return routing::StatedLoad{Running, Waiting, Slots, Percent};
+}
+
 } // namespace
 
 routing::CallerRequest decodeCallerRequest(std::uint64_t Caller,
@@ -128,6 +159,10 @@
     Signals.RateLimit = parseRate(Limit->Value);
     Signals.RateLimitUnreadable = !Signals.RateLimit;
   }
+  if (const Header *Load = findHeader(Answer.Headers, names::ServerLoad)) {
+    Signals.Load = parseLoad(Load->Value);
+    Signals.LoadUnreadable = !Signals.Load;
+  }
   return Signals;
 }
 
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -69,6 +69,18 @@
     2230, Severity::Info, "SUSPICION_CLEARED",
     "another target answered a request that was suspected of a crash"};
 
+inline constexpr EventDefinition TargetCold{
+    2245, Severity::Info, "TARGET_COLD",
+    "the target counts as cold; requests to it are started at a limited pace"};
+inline constexpr EventDefinition TargetWarm{
+    2246, Severity::Info, "TARGET_WARM", "the target no longer counts as cold"};
+inline constexpr EventDefinition ColdTimeExcessive{
+    2247, Severity::Warn, "COLD_TIME_EXCESSIVE",
+    "a report states a longer cold time than the configuration"};
+inline constexpr EventDefinition TargetLoadUnreadable{
+    2248, Severity::Warn, "TARGET_LOAD_UNREADABLE",
+    "the target stated a load that is malformed or out of range"};
+
 } // namespace orioledoor::routing::events
 
 #endif // ORIOLEDOOR_ROUTING_EVENTS_H
--- a/orioledoor/routing/start_pacer.cc
+++ b/orioledoor/routing/start_pacer.cc
@@ -34,7 +34,7 @@
     return Duration(0);
   Instant DueAt = std::max(this->NextDueAt, Now) +
                   this->Interval * static_cast<std::int64_t>(Ahead);
-  return std::max(DueAt - BurstTime - Now, Duration(0));
+  return std::max(DueAt - this->Burst - Now, Duration(0));
 }
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/start_pacer.h
+++ b/orioledoor/routing/start_pacer.h
@@ -21,7 +21,7 @@
 Duration startInterval(double RequestsPerSecond);
 
 // Starts come at least one interval apart in the mean. Unused intervals of the
-// last BurstTime may be used at once. Not thread-safe. All operations are
+// last burst time may be used at once. Not thread-safe. All operations are
 // constant.
 class StartPacer {
 public:
@@ -30,6 +30,8 @@
   // An interval of 0 means that starts are not limited.
   void setInterval(Duration Mean) { this->Interval = Mean; }
   Duration interval() const { return this->Interval; }
+  // A burst time of N intervals lets N + 1 requests start at once.
+  void setBurstTime(Duration Time) { this->Burst = Time; }
 
   bool mayStart(Instant Now) const;
   void noteStart(Instant Now);
@@ -39,6 +41,7 @@
 
 private:
   Duration Interval{0};
+  Duration Burst = BurstTime;
   // Time at which the next start is due if none comes early. Starts that were
   // made without a limit are not counted.
   Instant NextDueAt;
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "orioledoor/routing/internal/drain_margin.h"
+#include "orioledoor/routing/target_slowdown.h"
 
 namespace orioledoor::routing {
 namespace {
@@ -183,6 +184,14 @@
   return Found == this->Baselines.end() ? 0 : Found->second;
 }
 
+double TargetDirectory::presentSlowdown(const TargetView &View, Instant Now) {
+  const TargetStatus &Status = View.Status;
+  return Status.SlowdownPercent > 0 &&
+                 Status.SlowdownAge + (Now - View.StatusAt) < SlowdownLifetime
+             ? Status.SlowdownPercent / 100.0
+             : 1.0;
+}
+
 TargetDirectory::ServiceTimeEstimate TargetDirectory::estimateServiceTime(
     const TargetView &View, RequestClassId RequestClass, Instant Now) const {
   double Baseline = this->baselineOf(RequestClass);
@@ -197,7 +206,9 @@
   auto Found =
       std::ranges::find(Times, RequestClass, &ClassServiceTime::RequestClass);
   if (Found != Times.end())
-    return {static_cast<double>(Found->Mean.count()), true};
+    return {static_cast<double>(Found->Mean.count()) *
+                presentSlowdown(View, Now),
+            true};
   // Estimate the slowdown of this target from its other request classes.
   double Slowdown = 0;
   int Known = 0;
@@ -207,7 +218,9 @@
       Slowdown += static_cast<double>(ClassTime.Mean.count()) / OtherBaseline;
       ++Known;
     }
-  return Known > 0 ? ServiceTimeEstimate{Baseline * Slowdown / Known, true}
+  return Known > 0 ? ServiceTimeEstimate{Baseline * Slowdown / Known *
+                                             presentSlowdown(View, Now),
+                                         true}
                    : ServiceTimeEstimate{Baseline, false};
 }
 
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -132,6 +132,9 @@
   ServiceTimeEstimate estimateServiceTime(const TargetView &View,
                                           RequestClassId RequestClass,
                                           Instant Now) const;
+  // Present slowdown of a target relative to its stated times; 1 if it is not
+  // known.
+  static double presentSlowdown(const TargetView &View, Instant Now);
   // Typical time at fast targets; 0 if no target has a measurement.
   double baselineOf(RequestClassId RequestClass) const;
   void updateBaselines(const TargetStatus &Status);
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -29,6 +29,9 @@
 
 TargetGate::TargetGate(TargetGateOptions Options)
     : Options(std::move(Options)),
+      ColdStarts({.Overage = this->Options.ColdOverage,
+                  .Slack = this->Options.ColdSlack,
+                  .ReportGap = this->Options.SilenceTime}),
       BodyFetches(this->Options.LinkBytesPerSecond) {}
 
 ReportVerdict TargetGate::handleReport(const TargetReport &Report, Instant Now,
@@ -53,6 +56,7 @@
         Report.ColdRemaining.count() == 0)
       this->ServiceTimes.clear();
     this->Report = Report;
+    this->noteColdTime(Now, Out);
     this->Queue.setSlots(Report.Slots);
     if (this->State == TargetState::Absent && !this->Drained)
       this->State = TargetState::Ready;
@@ -79,7 +83,11 @@
   this->State = TargetState::Ready;
   this->Drained = false;
   this->FailureShare = 0;
+  this->Slowdown.clear();
   this->ServiceTimes.clear();
+  this->ColdStarts.noteNewIncarnation();
+  this->updateColdPolicy();
+  this->noteColdTime(Now, Out);
   // Calls to the previous incarnation end when their connections break.
   this->Queue.setSlots(Report.Slots);
   Out.push_back(LogRecord{&events::TargetReady,
@@ -184,6 +192,7 @@
                    field("silent_ms", millis(Now - this->LastReportAt))}});
     this->refuseUnstartedCalls(Now, Out);
   }
+  this->updateCold(Now, Out);
   this->endConfirmations(Now, Out);
   this->startQueuedCalls(Now, Out);
   this->refuseOverdueCalls(Now, Out);
@@ -195,11 +204,20 @@
                              : AssumedServiceTime;
   double OfSlots =
       this->Queue.slots() * 1e6 / static_cast<double>(ServiceTime.count());
+  if (this->Cold)
+    OfSlots = std::min(OfSlots, std::max(this->coldPace(), MinCapacity));
   return this->RateLimit
              ? std::min(OfSlots, std::max(*this->RateLimit, MinCapacity))
              : OfSlots;
 }
 
+std::vector<ClassServiceTime> TargetGate::statedTimes(Instant Now) const {
+  std::vector<ClassServiceTime> Times = this->ServiceTimes.recent(Now);
+  for (ClassServiceTime &ClassTime : Times)
+    ClassTime.Mean = this->Slowdown.atMean(ClassTime.Mean);
+  return Times;
+}
+
 TargetStatus TargetGate::status(Instant Now) const {
   return {.Process = this->Options.Process,
           .Sequence = this->NextSequence++,
@@ -211,11 +229,16 @@
           .Running = this->Queue.running(),
           .Queued = static_cast<std::uint32_t>(this->Queue.waiting()),
           .ServiceTime = this->Queue.serviceTime(),
-          .Times = this->ServiceTimes.recent(Now),
+          .Times = this->statedTimes(Now),
           .FailureShare = this->FailureShare,
           .LinkQueuedBytes = this->BodyFetches.queuedBytes(),
-          .StartInterval = this->Pacer.interval(),
-          .StartWait = this->Pacer.waitFor(this->Queue.waiting(), Now)};
+          .StartInterval =
+              std::max(this->Pacer.interval(), this->countsAsCold(Now)
+                                                   ? this->ColdStarts.interval()
+                                                   : Duration(0)),
+          .StartWait = this->waitForPace(this->Queue.waiting(), Now),
+          .SlowdownPercent = this->Slowdown.percentOfMean(),
+          .SlowdownAge = this->Slowdown.age(Now)};
 }
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,15 +22,19 @@
 
 #include "orioledoor/routing/admission_queue.h"
 #include "orioledoor/routing/body_fetch_queue.h"
+#include "orioledoor/routing/cold_start_limit.h"
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/location.h"
 #include "orioledoor/routing/recent_results.h"
 #include "orioledoor/routing/start_pacer.h"
 #include "orioledoor/routing/target_signals.h"
+#include "orioledoor/routing/target_slowdown.h"
 
 namespace orioledoor::routing {
 
+class RouteTable;
+
 struct TargetGateOptions {
   // Peer address of this node.
   std::string Node{};
@@ -76,6 +81,8 @@
 public:
   explicit TargetGate(TargetGateOptions Options);
 
+  // A configuration came into force. Not null.
+  void setTable(std::shared_ptr<const RouteTable> Table);
   // Processes a heartbeat report of the target.
   ReportVerdict handleReport(const TargetReport &Report, Instant Now,
                              Effects &Out);
@@ -137,8 +144,22 @@
   // Requests per second that the target accepts; empty if it names no limit.
   std::optional<double> rateLimit() const { return this->RateLimit; }
   // Estimate of the requests per second that the target can serve: what its
-  // slots allow, or its limit if that is lower. Above 0.
+  // slots allow, or its limit or the pace of a cold target if that is lower.
+  // Above 0.
   double capacity() const;
+  // Whether the target counted as cold at the last report, failed call or tick.
+  bool isCold() const { return this->Cold; }
+  // Hook for reasons beside reports and failed connections: while it returns
+  // true, the target counts as cold although its reports do not say so.
+  bool isSuspectedCold() const { return false; }
+  // Requests per second that may be started while the target is cold; 0 if
+  // cold targets of its service are not limited.
+  double coldPace() const { return this->ColdStarts.rate(); }
+  // How long work takes at the target, in percent of its usual time, as it
+  // last stated; 0 if it states nothing.
+  std::uint32_t slowdownPercent() const {
+    return this->Slowdown.latestPercent();
+  }
   // Number of calls to targets that were started.
   std::uint64_t startedCalls() const { return this->StartedCalls; }
   // Number of requests that their senders cancelled before they had ended.
@@ -206,12 +227,27 @@
   // AnnouncedBy: how the target said that it is leaving, for the log.
   void startDraining(std::string_view AnnouncedBy, Instant Now, Effects &Out);
   void setRateLimit(std::optional<double> RequestsPerSecond, Effects &Out);
+  // Time until a request may start that has Ahead others before it, slots
+  // aside: by the stated limit or the pace of a cold target, if that is longer.
+  Duration waitForPace(std::size_t Ahead, Instant Now) const;
+  // Whether the target counts as cold and its starts are therefore limited.
+  bool countsAsCold(Instant Now) const;
+  // Looks the cold limit of the target's service up in Table.
+  void updateColdPolicy();
+  // Takes over the cold time of Report.
+  void noteColdTime(Instant Now, Effects &Out);
+  // Logs changes of Cold.
+  void updateCold(Instant Now, Effects &Out);
+  // Means by request class for other nodes, at the mean slowdown.
+  std::vector<ClassServiceTime> statedTimes(Instant Now) const;
   // Updates the failure share with the result of a call.
   void noteOutcome(bool Failed);
   // Expected time that a request of this class holds a slot.
   Duration expectedServiceTime(RequestClassId RequestClass, Instant Now) const;
 
   TargetGateOptions Options;
+  // Null until a configuration came into force.
+  std::shared_ptr<const RouteTable> Table;
   TargetRef Target;
   TargetReport Report;
   // Counts the incarnations of the target that reported to this process.
@@ -232,6 +268,8 @@
   std::uint64_t WithdrawnCalls = 0;
   std::uint64_t UnconfirmedCalls = 0;
   StartPacer Pacer;
+  ColdStartLimit ColdStarts;
+  bool Cold = false;
   // Until the current incarnation has answered this process, its limit is
   // unknown and few calls run at once.
   bool SignalsKnown = false;
@@ -239,6 +277,8 @@
   std::optional<Instant> ProbingSince;
   AdmissionQueue Queue;
   BodyFetchQueue BodyFetches;
+  TargetSlowdown Slowdown;
+  // Times at a slowdown of 100 percent.
   ClassServiceTimes ServiceTimes;
   CrashGuard Crashes;
   float FailureShare = 0;
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -116,7 +116,7 @@
                                          Instant Now) const {
   if (Duration Measured = this->ServiceTimes.meanOf(RequestClass, Now);
       Measured.count() > 0)
-    return Measured;
+    return this->Slowdown.atPresent(Measured, Now);
   return this->Queue.serviceTime().count() > 0 ? this->Queue.serviceTime()
                                                : DefaultServiceTime;
 }
@@ -257,7 +257,8 @@
 void TargetGate::refuseOverdueCalls(Instant Now, Effects &Out) {
   for (const WaitingRequest &Waiting : this->Queue.takeOverdue(Now)) {
     ForwardResult Result{.Code = Outcome::Busy};
-    Result.RetryAfter = BusyRetryAfter;
+    Result.RetryAfter =
+        std::max(this->waitForPace(this->Queue.waiting(), Now), BusyRetryAfter);
     this->finishCall(Waiting.Id, std::move(Result), Now, Out);
   }
   for (std::uint64_t Id : this->BodyFetches.takeOverdue(Now)) {
@@ -285,14 +286,21 @@
 }
 
 bool TargetGate::mayStart(Instant Now) const {
-  return this->Pacer.mayStart(Now) &&
+  return this->waitForPace(0, Now) == Duration(0) &&
          (this->SignalsKnown ||
           this->Queue.running() < this->allowedProbes(Now));
 }
 
 Duration TargetGate::expectedWait(const QueueRank &Rank, Instant Now) const {
   return std::max(this->Queue.expectedWait(Rank),
-                  this->Pacer.waitFor(this->Queue.waitingBefore(Rank), Now));
+                  this->waitForPace(this->Queue.waitingBefore(Rank), Now));
+}
+
+Duration TargetGate::waitForPace(std::size_t Ahead, Instant Now) const {
+  Duration Wait = this->Pacer.waitFor(Ahead, Now);
+  return this->countsAsCold(Now)
+             ? std::max(Wait, this->ColdStarts.waitFor(Ahead, Now))
+             : Wait;
 }
 
 void TargetGate::startCall(std::uint64_t Id, Instant Now, Effects &Out) {
@@ -304,6 +312,7 @@
     this->ProbingSince = Now;
   ++this->StartedCalls;
   this->Pacer.noteStart(Now);
+  this->ColdStarts.noteStart(this->countsAsCold(Now), Now);
   Out.push_back(StartCall{.CallId = Id,
                           .Instance = this->Target.Instance,
                           .AttemptId = Call.Request.AttemptId,
@@ -406,7 +415,8 @@
     this->Queue.release();
   } else {
     this->Queue.release(HoldTime);
-    this->ServiceTimes.note(Found->second.Request.RequestClass, HoldTime, Now);
+    this->ServiceTimes.note(Found->second.Request.RequestClass,
+                            this->Slowdown.withoutSlowdown(HoldTime, Now), Now);
   }
   this->noteOutcome(Answer.Status >= 500);
   if (!NotRun)
@@ -429,6 +439,13 @@
   this->ConnectionRefused = Failure == CallFailure::NotSent;
   if (Failure == CallFailure::Broken)
     this->Crashes.noteBrokenCall(Found->second.Digest, Now);
+  // The connections of an earlier incarnation break when it ends, which says
+  // nothing about the present one.
+  if (Failure != CallFailure::TimedOut &&
+      Found->second.Incarnation == this->Incarnation) {
+    this->ColdStarts.noteConnectionFailure();
+    this->updateCold(Now, Out);
+  }
   this->Queue.release();
   this->noteOutcome(true);
   ForwardResult Result{.Code = Failure == CallFailure::NotSent
--- a/orioledoor/routing/target_status.h
+++ b/orioledoor/routing/target_status.h
@@ -38,7 +38,8 @@
   std::uint32_t Queued = 0;
   // Moving average of the time that a request of any class holds a slot.
   Duration ServiceTime{0};
-  // The same by request class, for recently measured classes.
+  // The same by request class, for recently measured classes, at the target's
+  // mean slowdown.
   std::vector<ClassServiceTime> Times{};
   // Share of recent calls that failed at the target, 0 to 1.
   float FailureShare = 0;
@@ -49,8 +50,8 @@
   // the time until another request may start; 0 without a limit.
   Duration StartInterval{0};
   Duration StartWait{0};
-  // How long work takes at the target at the moment, in percent of its usual
-  // time, and the age of that figure; 0 if the target does not state it.
+  // How long work takes at the target at the moment, in percent of Times, and
+  // the age of that figure; 0 if the target does not state it.
   std::uint32_t SlowdownPercent = 0;
   Duration SlowdownAge{0};
   // Bytes of answers that the node expects to send to other nodes over its link
--- a/orioledoor/routing/testing/target_load.h
+++ b/orioledoor/routing/testing/target_load.h
@@ -1,5 +1,6 @@
 // Keyed requests at a constant rate for one target, in virtual time. The target
-// can limit its request rate or leave, and the node beside it can be restarted.
+// can limit its request rate, be cold or leave, and the node beside it can be
+// restarted.
 //
 //   TargetLoad Load({.RequestsPerSecond = 110});
 //   Load.setLimit(35);
@@ -15,9 +16,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "orioledoor/routing/route_table.h"
 #include "orioledoor/routing/target_gate.h"
 
 namespace orioledoor::routing::testing {
@@ -28,6 +31,12 @@
   Duration ServiceTime = std::chrono::milliseconds(70);
   Duration LatencyTarget = std::chrono::milliseconds(250);
   Duration TimeLeft = std::chrono::seconds(1);
+  // Requests per second that a cold target tolerates; 0 if it is not limited.
+  double ColdPerSecond = 0;
+  double ColdOverage = 0;
+  double ColdSlack = 0;
+  // Time for which the target is cold after its start.
+  Duration ColdTime = std::chrono::seconds(3);
 };
 
 // Not thread-safe. Deterministic.
@@ -48,19 +57,58 @@
   // Replaces the process beside the target; calls in progress are lost.
   void restartNode() {
     this->Ends.clear();
-    this->Gate = std::make_unique<TargetGate>(TargetGateOptions{
-        .Node = "tcp://10.0.0.1:7100", .Process = ++this->Process});
+    this->Gate = std::make_unique<TargetGate>(
+        TargetGateOptions{.Node = "tcp://10.0.0.1:7100",
+                          .Process = ++this->Process,
+                          .ColdOverage = this->Options.ColdOverage,
+                          .ColdSlack = this->Options.ColdSlack});
+    auto Table = std::make_shared<RouteTable>();
+    Table->Services["keyed"] = {.Name = "keyed",
+                                .Partitioned = true,
+                                .ColdRequestsPerSecond =
+                                    this->Options.ColdPerSecond,
+                                .ColdTime = this->Options.ColdTime};
+    this->Gate->setTable(std::move(Table));
+    this->report(this->ColdRemaining);
+  }
+
+  // Reports the remaining cold time to the node, and for later restarts of it.
+  void report(Duration Remaining) {
+    this->ColdRemaining = Remaining;
     TargetReport Report;
     Report.Instance = "i-1";
     Report.Service = "keyed";
     Report.Slots = this->Options.Slots;
-    Report.StartTimeMs = 1;
+    Report.StartTimeMs = this->StartTimeMs;
+    Report.ColdRemaining = Remaining;
     Report.Sequence = ++this->ReportSequence;
     Effects Out;
     this->Gate->handleReport(Report, this->Now, Out);
     this->execute(Out);
   }
 
+  // The target restarts and reports the remaining cold time. The connections of
+  // its calls break before or after the report.
+  void restartTarget(Duration Remaining, bool BreaksFirst) {
+    ++this->StartTimeMs;
+    if (!BreaksFirst)
+      this->report(Remaining);
+    this->failCalls(CallFailure::Broken);
+    if (BreaksFirst)
+      this->report(Remaining);
+  }
+
+  // Ends all calls without an answer.
+  void failCalls(CallFailure Failure) {
+    for (const auto &[End, Call] : std::exchange(this->Ends, {})) {
+      Effects Out;
+      this->Gate->handleCallFailure(Call, Failure, "", this->Now, Out);
+      this->execute(Out);
+    }
+  }
+
+  const TargetGate &gate() const { return *this->Gate; }
+
   void run(Duration Time) {
     constexpr Duration Step = std::chrono::milliseconds(1);
     constexpr Duration TickInterval = std::chrono::milliseconds(20);
@@ -161,6 +209,8 @@
   TargetLoadOptions Options;
   std::optional<double> Limit;
   bool Leaving = false;
+  Duration ColdRemaining{0};
+  std::int64_t StartTimeMs = 1;
   std::uint64_t Process = 0;
   std::int64_t ReportSequence = 0;
   std::unique_ptr<TargetGate> Gate;
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -20,6 +20,9 @@
   Metrics.gauge("oriole_gate_slot_seconds")
       .set(static_cast<double>(Gate.queue().serviceTime().count()) / 1e6);
   Metrics.gauge("oriole_gate_rate_limit").set(Gate.rateLimit().value_or(0));
+  Metrics.gauge("oriole_gate_cold").set(Gate.isCold() ? 1 : 0);
+  Metrics.gauge("oriole_gate_cold_pace").set(Gate.coldPace());
+  Metrics.gauge("oriole_gate_slowdown_percent").set(Gate.slowdownPercent());
   Metrics.counter("oriole_gate_starts_total").set(Gate.startedCalls());
   Metrics.counter("oriole_gate_withdrawn_total").set(Gate.withdrawnCalls());
   Metrics.counter("oriole_gate_confirmations_total")
--- a/orioledoor/sidecar/reducer_config.cc
+++ b/orioledoor/sidecar/reducer_config.cc
@@ -48,6 +48,7 @@
       this->transferTime(Decoded.Table->Document.size()));
   this->Config.setVersionInForce(Decoded.Table->Version, Now);
   this->Out.push_back(ApplyLimits{Decoded.Table->Limits});
+  this->Gate.setTable(Decoded.Table);
   this->Entry.setTable(std::move(Decoded.Table));
   this->Entry.setNewerTableKnown(this->Config.isBehind());
 }
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(statesThatASilentTargetOfAnEarlierProcessHasEnded);
   CPPUNIT_TEST(remindsRestartedNodesOfLeavingTargets);
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
+  CPPUNIT_TEST(reportsTheColdPaceAsCapacity);
   CPPUNIT_TEST(appliesKeyMapChangesInOrder);
   CPPUNIT_TEST(learnsOfNewNodesFromThem);
   CPPUNIT_TEST(spreadsConfigWatchesOverTheFleet);
@@ -210,6 +211,36 @@
     CPPUNIT_ASSERT_EQUAL(5.0, Load->Capacity);
   }
 
+  // A cold target would get keys for all of its slots, and its keyed requests
+  // far more than it tolerates.
+  void reportsTheColdPaceAsCapacity() {
+    SidecarOptions Options = testing::newOptions();
+    Options.ColdOverage = 1.5;
+    Options.ColdSlack = 8;
+    ReducerFixture Sidecar(Options);
+    Sidecar.joinFleet();
+    NodeEntry Planner;
+    Planner.Node = PlannerAddress;
+    Planner.Process = 2;
+    Sidecar.dispatch(PeerMessageReceived{
+        PlannerAddress, routing::NodeNotice{11, encodeNodeEntry(Planner)}});
+    auto Table = std::make_shared<routing::RouteTable>();
+    Table->Version = 1'000;
+    Table->Services["keyed"] = {.Name = "keyed",
+                                .Partitioned = true,
+                                .ColdRequestsPerSecond = 4,
+                                .ColdTime = seconds(3)};
+    Sidecar.dispatch(ConfigDecoded{Table, ""});
+    Sidecar.report(1, 1, seconds(3));
+    Sidecar.advance(milliseconds(400));
+    const auto *Load = Sidecar.findMessage<routing::KeyLoadNotice>();
+    CPPUNIT_ASSERT(Load);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(6.0, Load->Capacity, 0.01);
+    const routing::TargetStatus Status =
+        Sidecar.Reducer.gate().status(Sidecar.Now);
+    CPPUNIT_ASSERT(Status.StartInterval == Duration(166'667));
+  }
+
   // Guards against owners that are not known, since the messages of two nodes
   // overtook each other or one was lost.
   void appliesKeyMapChangesInOrder() {
--- a/orioledoor/sidecar/testing/reducer_fixture.h
+++ b/orioledoor/sidecar/testing/reducer_fixture.h
@@ -150,7 +150,8 @@
                                           .FirstByteAt = this->Now,
                                           .Content = Content}});
   }
-  void report(std::int64_t Sequence, std::int64_t StartTimeMs = 1) {
+  void report(std::int64_t Sequence, std::int64_t StartTimeMs = 1,
+              Duration ColdRemaining = Duration(0)) {
     routing::TargetReport Report;
     Report.Instance = "i-1";
     Report.Address = TargetAddress;
@@ -158,6 +159,7 @@
     Report.Slots = 2;
     Report.StartTimeMs = StartTimeMs;
     Report.Sequence = Sequence;
+    Report.ColdRemaining = ColdRemaining;
     this->dispatch(
         TargetReportReceived{static_cast<std::uint64_t>(Sequence), Report});
   }
