--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -79,6 +79,17 @@
 inline constexpr EventDefinition CallsRecognized{
     2257, Severity::Info, "CALLS_RECOGNIZED",
     "whether only targets of one service send a class of requests has changed"};
+inline constexpr EventDefinition TargetCold{
+    2245, Severity::Info, "TARGET_COLD",
+    "the target counts as cold; requests to it are started at a limited pace"};
+inline constexpr EventDefinition TargetWarm{
+    2246, Severity::Info, "TARGET_WARM", "the target no longer counts as cold"};
+inline constexpr EventDefinition ColdTimeExcessive{
+    2247, Severity::Warn, "COLD_TIME_EXCESSIVE",
+    "a report states a longer cold time than the configuration"};
+inline constexpr EventDefinition TargetLoadUnreadable{
+    2248, Severity::Warn, "TARGET_LOAD_UNREADABLE",
+    "the target stated a load that is malformed or out of range"};
 
 } // namespace orioledoor::routing::events
 
