--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -35,8 +35,10 @@
 // may be about to appear: one cycle of the store's watch plus one heartbeat.
 constexpr Duration NoOwnerRetryAfter = milliseconds(600);
 constexpr Duration NoTableRetryAfter = milliseconds(500);
-// Typical size of an answer, used to estimate the transfer cost.
-constexpr std::size_t ExpectedAnswerBytes = 2048;
+// Stands for the target latency of a route without one when a target is chosen.
+// Its requests would otherwise queue in their failure domain for half of their
+// timeout, which may be 30 s, while other targets are idle.
+constexpr Duration UnstatedLatency = milliseconds(1000);
 
 // A body is withheld until the receiving node requests it if its transfer would
 // occupy that node's link for longer than a round trip between failure domains.
@@ -201,12 +203,20 @@
                    NoOwnerRetryAfter, Now, Out);
     return;
   }
-  ChoiceInput Input{.Service = Pending.Service,
-                    .RequestClass = Pending.RequestClass,
-                    .Bytes = Pending.Request.Content->Body.size() +
-                             ExpectedAnswerBytes,
-                    .Excluded = Pending.TriedNodes};
+  ChoiceInput Input{
+      .Service = Pending.Service,
+      .RequestClass = Pending.RequestClass,
+      .Bytes = Pending.Request.Content->Body.size(),
+      .AnswerBytes = this->Sizes.meanOf(Pending.RequestClass),
+      .TargetLatency =
+          Pending.MatchedRoute->TargetLatency.count() > 0
+              ? Pending.MatchedRoute->TargetLatency
+              : std::min(UnstatedLatency,
+                         Pending.Deadline - Pending.Request.FirstByteAt),
+      .Refusals = Pending.Refusals,
+      .Excluded = Pending.TriedNodes};
   TargetChoice Choice = this->Directory.choose(Input, Now);
+  this->logSpill(Pending, Choice, Out);
   if (!Choice.Node) {
     if (Pending.LastAnswer)
       this->finish(Pending.Request.Caller, std::move(*Pending.LastAnswer), Out);
@@ -221,10 +231,23 @@
   }
   bool LastChoice =
       Pending.Refusals + 1 >= MaxRefusals ||
-      this->Directory.countReady(Pending.Service, Pending.TriedNodes) <= 1;
+      this->Directory.countReady(Pending.Service, Pending.TriedNodes, 2) <= 1;
   this->send(Pending, *Choice.Node, LastChoice, Now, Out, Choice.CostGapToNext);
 }
 
+void EntryReducer::logSpill(const PendingRequest &Pending,
+                            const TargetChoice &Choice, Effects &Out) const {
+  for (const std::optional<SpillStep> &Step : Choice.Steps)
+    if (Step && (Step->From == 0 || Step->To == 0))
+      Out.push_back(LogRecord{Step->From == 0 ? &events::SpillStarted
+                                              : &events::SpillEnded,
+                              {{"service", Pending.Service},
+                               {"route", Pending.MatchedRoute->Name},
+                               {"boundary", boundaryName(Step->Boundary)},
+                               {"here_ms", millis(Step->Here)},
+                               {"there_ms", millis(Step->There)}}});
+}
+
 void EntryReducer::send(PendingRequest &Pending, const std::string &To,
                         bool LastChoice, Instant Now, Effects &Out,
                         Duration MaxUsefulWait) {
@@ -241,7 +264,7 @@
       View->transferTime(BodyBytes) >= MinWithheldTransferTime;
   Pending.TriedNodes.push_back(To);
   this->CallerByForward[Pending.ForwardId] = Pending.Request.Caller;
-  this->Directory.noteSent(To);
+  this->Directory.noteSent(To, this->Sizes.meanOf(Pending.RequestClass));
   Out.push_back(SendMessage{
       To, Forward{.Id = Pending.ForwardId,
                   .Process = this->Options.Process,
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "orioledoor/routing/answer_sizes.h"
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/retry_budget.h"
 #include "orioledoor/routing/route_table.h"
@@ -180,6 +181,9 @@
     std::optional<Instant> RetryAt;
   };
 
+  // Logs the steps by which a share of the requests leaves 0 or returns to it.
+  void logSpill(const PendingRequest &Pending, const TargetChoice &Choice,
+                Effects &Out) const;
   // Chooses a target and forwards the request, or parks or ends it.
   void dispatch(PendingRequest &Pending, Instant Now, Effects &Out);
   void send(PendingRequest &Pending, const std::string &To, bool LastChoice,
@@ -234,6 +238,7 @@
   // By the id of the Forward, in the order in which they were sent.
   std::map<std::uint64_t, Withdrawal> Withdrawals;
   std::map<std::string, RetryBudget> Budgets;
+  AnswerSizes Sizes;
   ServiceShares Shares;
   // By route: the longest timeout that callers of a keyed route stated, which
   // is the timeout of a first attempt.
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -59,6 +59,8 @@
                                 Instant Now, Effects &Out) {
   ++Pending.TargetAttempts;
   Pending.MayHaveRun = true;
+  if (!isTargetFailure(Result.Answer.Status))
+    this->Sizes.note(Pending.RequestClass, Result.Answer.Body.size());
   if (isTargetFailure(Result.Answer.Status) &&
       Pending.MatchedRoute->Idempotent && this->tryConsumeRetry(Pending, Now)) {
     Pending.LastAnswer = std::move(Result.Answer);
@@ -84,6 +86,8 @@
   bool Retry = false;
   switch (Result.Code) {
   case Outcome::Busy:
+    this->Directory.noteBusy(Pending.TriedNodes.back(), Pending.RequestClass,
+                             Result.RetryAfter, Now);
     // A key has one owner, so no other target could serve it.
     Retry = !Pending.Partitioned && ++Pending.Refusals < MaxRefusals;
     break;
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -69,6 +69,13 @@
     2230, Severity::Info, "SUSPICION_CLEARED",
     "another target answered a request that was suspected of a crash"};
 
+inline constexpr EventDefinition SpillStarted{
+    2250, Severity::Info, "SPILL_STARTED",
+    "requests of a class begin to leave the failure domain or the region"};
+inline constexpr EventDefinition SpillEnded{
+    2251, Severity::Info, "SPILL_ENDED",
+    "requests of a class stay in the failure domain or the region again"};
+
 } // namespace orioledoor::routing::events
 
 #endif // ORIOLEDOOR_ROUTING_EVENTS_H
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -1,9 +1,10 @@
-// Target choice by estimated service time, load and distance.
+// Target choice by estimated service time, load, transfer and distance.
 #include "orioledoor/routing/target_directory.h"
 
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <tuple>
 
 #include "orioledoor/routing/internal/drain_margin.h"
 
@@ -16,13 +17,18 @@
 // between failure domains and 8 ms between regions.
 constexpr Duration DomainRoundTrip = milliseconds(3);
 constexpr Duration RegionRoundTrip = milliseconds(16);
-// Cost of a KiB that leaves the failure domain or the region, as the additional
-// time that a caller may wait instead. Both users pay for the traffic between
-// regions. With these values, a 60 KiB upload goes to another failure domain
-// once its own target is 150 ms slower, and to another region once both are 600
-// ms slower.
-constexpr double DomainMsPerKiB = 2.5;
-constexpr double RegionMsPerKiB = 10;
+// A failure domain with fewer targets of the service leaves no choice, so small
+// requests are distributed over the region. This is the usual case of fleets of
+// 18 VMs, where one busy target would otherwise hold the requests of its domain
+// while the other target of the region is idle.
+constexpr std::size_t MinDomainTargets = 2;
+// A request is small if it and its answer together have at most this size: they
+// take a link of 10 Mbit/s 6.6 ms, about as long as the round trips take.
+constexpr std::uint64_t SmallTransferBytes = 8 << 10;
+// Longest time for which a target that refused a request is skipped. Targets
+// state a Retry-After of at least 1 s, which is meant for callers; slots become
+// free within one service time.
+constexpr Duration MaxBusyTime = milliseconds(250);
 // A status older than this does not describe the current load.
 constexpr Duration StatusLifetime = std::chrono::seconds(1);
 // Measured service times older than this do not describe the target's current
@@ -36,6 +42,8 @@
 constexpr double BaselineRiseRate = 0.002;
 // Bounds the memory when routes are added and removed.
 constexpr std::size_t MaxBaselines = 1024;
+constexpr std::size_t MaxSpills = 1024;
+constexpr std::size_t MaxBusyClasses = 16;
 // Assumed service time without a measurement.
 constexpr Duration DefaultServiceTime = milliseconds(100);
 // Additional cost of a target that fails every request.
@@ -50,6 +58,24 @@
 // A target ends seconds after the drain time, in rare cases a minute.
 constexpr Duration LeavingRetention = std::chrono::minutes(5);
 
+Duration roundTripOf(Distance Ring) {
+  switch (Ring) {
+  case Distance::SameDomain:
+    return Duration(0);
+  case Distance::SameRegion:
+    return DomainRoundTrip;
+  case Distance::OtherRegion:
+    break;
+  }
+  return RegionRoundTrip;
+}
+
+// Once the avoidance time of an unreachable node is over, a single request
+// probes whether it is reachable again.
+bool isAvoided(const TargetView &View, Instant Now) {
+  return Now < View.AvoidUntil || (View.Failures > 0 && View.Outstanding > 0);
+}
+
 bool excluded(std::span<const std::string> Names, const std::string &Name) {
   return std::ranges::find(Names, Name) != Names.end();
 }
@@ -63,20 +89,50 @@
   return std::max(Wait - StatusAge, Duration(0));
 }
 
+bool TargetView::isBusy(RequestClassId RequestClass, Instant Now) const {
+  auto Found =
+      std::ranges::find(this->Busy, RequestClass, &BusyClass::RequestClass);
+  return Found != this->Busy.end() && Now < Found->Until;
+}
+
 TargetDirectory::TargetDirectory(Location OwnLocation, std::string OwnNode,
-                                 Duration DrainTime)
+                                 Duration DrainTime, std::uint64_t Seed)
     : OwnLocation(std::move(OwnLocation)), OwnNode(std::move(OwnNode)),
-      DrainTime(DrainTime) {}
+      DrainTime(DrainTime), Candidates(Seed) {}
 
 void TargetDirectory::setNode(const std::string &Node, const Location &Place,
                               std::uint64_t LinkBytesPerSecond) {
-  TargetView &View = this->Views[Node];
-  View.Place = Place;
-  View.LinkBytesPerSecond = LinkBytesPerSecond;
+  auto Found = this->Views.try_emplace(Node).first;
+  Found->second.Place = Place;
+  Found->second.LinkBytesPerSecond = LinkBytesPerSecond;
+  if (Node == this->OwnNode)
+    this->OwnLinkBytesPerSecond = LinkBytesPerSecond;
+  this->reindex(*Found);
 }
 
 void TargetDirectory::removeNode(const std::string &Node) {
-  this->Views.erase(Node);
+  auto Found = this->Views.find(Node);
+  if (Found == this->Views.end())
+    return;
+  Found->second.Status.State = TargetState::Absent;
+  this->reindex(*Found);
+  this->Views.erase(Found);
+}
+
+void TargetDirectory::reindex(TargetEntry &Entry) {
+  TargetView &View = Entry.second;
+  const std::string &Service = View.Status.State == TargetState::Ready
+                                   ? View.Status.Service
+                                   : std::string();
+  Distance Ring = this->distanceTo(View.Place);
+  if (View.IndexedService == Service && View.IndexedRing == Ring)
+    return;
+  if (!View.IndexedService.empty())
+    this->Candidates.remove(View.IndexedService, View.IndexedRing, &Entry);
+  if (!Service.empty())
+    this->Candidates.add(Service, Ring, &Entry);
+  View.IndexedService = Service;
+  View.IndexedRing = Ring;
 }
 
 bool TargetDirectory::update(const TargetStatus &Status, Instant Now) {
@@ -102,6 +158,8 @@
   View.Status.State = State;
   View.StatusAt = Now;
   View.SentSinceStatus = 0;
+  View.AnswerBytesSinceStatus = 0;
+  this->reindex(*Found);
   return Changed;
 }
 
@@ -127,12 +185,31 @@
          Now - Found->second >= this->DrainTime - internal::DrainMargin;
 }
 
-void TargetDirectory::noteSent(const std::string &Node) {
+void TargetDirectory::noteSent(const std::string &Node,
+                               std::uint64_t AnswerBytes) {
   auto Found = this->Views.find(Node);
   if (Found == this->Views.end())
     return;
   ++Found->second.Outstanding;
   ++Found->second.SentSinceStatus;
+  Found->second.AnswerBytesSinceStatus += AnswerBytes;
+}
+
+void TargetDirectory::noteBusy(const std::string &Node,
+                               RequestClassId RequestClass, Duration RetryAfter,
+                               Instant Now) {
+  auto Found = this->Views.find(Node);
+  if (Found == this->Views.end())
+    return;
+  Instant Until =
+      Now + (RetryAfter.count() > 0 ? std::min(RetryAfter, MaxBusyTime)
+                                    : MaxBusyTime);
+  auto &Busy = Found->second.Busy;
+  std::erase_if(Busy, [&](const TargetView::BusyClass &Entry) {
+    return Now >= Entry.Until || Entry.RequestClass == RequestClass;
+  });
+  if (Busy.size() < MaxBusyClasses)
+    Busy.push_back({RequestClass, Until});
 }
 
 void TargetDirectory::noteEnded(const std::string &Node) {
@@ -211,10 +288,9 @@
                    : ServiceTimeEstimate{Baseline, false};
 }
 
-Duration TargetDirectory::costOf(const std::string &Node,
-                                 const TargetView &View,
-                                 const ChoiceInput &Request,
-                                 Instant Now) const {
+TargetDirectory::CostEstimate
+TargetDirectory::estimate(const std::string &Node, const TargetView &View,
+                          const ChoiceInput &Request, Instant Now) const {
   const TargetStatus &Status = View.Status;
   double Slots = std::max<std::uint32_t>(Status.Slots, 1);
   ServiceTimeEstimate Expected =
@@ -245,66 +321,213 @@
       Expected.Micros + Wait + ProbeCost +
       UtilizationPenalty * Utilization * Utilization * Expected.Micros +
       Failures * FailureCostMs * 1000;
-  Distance Apart = this->distanceTo(View.Place);
-  if (Node != this->OwnNode && Apart != Distance::SameDomain) {
-    bool SameRegion = Apart == Distance::SameRegion;
-    Cost += static_cast<double>(
-        (SameRegion ? DomainRoundTrip : RegionRoundTrip).count());
-    Cost += static_cast<double>(Request.Bytes) / 1024 * 1000 *
-            (SameRegion ? DomainMsPerKiB : RegionMsPerKiB);
-  }
   if (Node != this->OwnNode) {
-    // Bodies queue at the target's link, and bodies in flight delay all other
-    // messages.
-    double Queued =
-        static_cast<double>(Status.LinkQueuedBytes) * std::max(0.0, 1.0 - Age);
+    Cost += static_cast<double>(roundTripOf(View.IndexedRing).count());
+    // Bodies and answers queue at the target's link, and those in flight delay
+    // all other messages.
+    double Waiting =
+        std::max(0.0, 1.0 - Age) *
+        static_cast<double>(Status.LinkQueuedBytes + Status.AnswerQueuedBytes);
+    if (View.Outstanding > 0)
+      Waiting += static_cast<double>(View.AnswerBytesSinceStatus);
     Cost += static_cast<double>(
-        View.transferTime(Request.Bytes + static_cast<std::uint64_t>(Queued))
+        (View.transferTime(static_cast<std::uint64_t>(Waiting)) +
+         this->transferTime(View, Request.Bytes + Request.AnswerBytes))
             .count());
   }
-  return Duration(static_cast<std::int64_t>(Cost));
-}
-
-TargetChoice TargetDirectory::choose(const ChoiceInput &Request,
-                                     Instant Now) const {
-  TargetChoice Best;
-  std::pair<bool, Duration> BestCost;
-  std::optional<Duration> NextCost;
-  for (const auto &[Node, View] : this->Views) {
-    if (View.Status.State != TargetState::Ready ||
-        View.Status.Service != Request.Service ||
-        excluded(Request.Excluded, Node))
+  return {Duration(static_cast<std::int64_t>(Cost)),
+          Duration(static_cast<std::int64_t>(Wait))};
+}
+
+Duration TargetDirectory::transferTime(const TargetView &View,
+                                       std::uint64_t Bytes) const {
+  // A message passes both links at once, so the slower one determines the time.
+  Duration Own = this->OwnLinkBytesPerSecond == 0
+                     ? Duration(0)
+                     : Duration(static_cast<std::int64_t>(
+                           Bytes * 1'000'000 / this->OwnLinkBytesPerSecond));
+  return std::max(View.transferTime(Bytes), Own);
+}
+
+bool TargetDirectory::isEligible(const TargetEntry &Candidate,
+                                 const ChoiceInput &Request) const {
+  const auto &[Node, View] = Candidate;
+  return View.Status.State == TargetState::Ready &&
+         View.Status.Service == Request.Service &&
+         !excluded(Request.Excluded, Node);
+}
+
+bool TargetDirectory::isPreferred(const TargetEntry &Candidate,
+                                  const ChoiceInput &Request,
+                                  Instant Now) const {
+  return !isAvoided(Candidate.second, Now) &&
+         !Candidate.second.isBusy(Request.RequestClass, Now);
+}
+
+void TargetDirectory::RingSample::take(const TargetEntry &Candidate,
+                                       const CostEstimate &Cost) {
+  // Candidates come in random order; the name breaks ties, so that the choice
+  // does not depend on it where the sample is the whole ring.
+  if (!this->Best || std::tie(Cost.Total, Candidate.first) <
+                         std::tie(this->BestCost.Total, this->Best->first)) {
+    if (this->Best)
+      this->NextTotal = this->BestCost.Total;
+    this->Best = &Candidate;
+    this->BestCost = Cost;
+  } else if (!this->NextTotal || Cost.Total < *this->NextTotal) {
+    this->NextTotal = Cost.Total;
+  }
+  this->SeenAt = std::max(this->SeenAt, Candidate.second.StatusAt);
+}
+
+void TargetDirectory::RingSample::take(const RingSample &Other) {
+  if (!Other.Best)
+    return;
+  this->take(*Other.Best, Other.BestCost);
+  if (Other.NextTotal &&
+      (!this->NextTotal || *Other.NextTotal < *this->NextTotal))
+    this->NextTotal = Other.NextTotal;
+  this->SeenAt = std::max(this->SeenAt, Other.SeenAt);
+}
+
+template <typename Predicate>
+TargetDirectory::RingSample
+TargetDirectory::sampleRing(Distance Ring, const ChoiceInput &Request,
+                            Instant Now, Predicate IsEligible) {
+  RingSample Result;
+  this->Candidates.sample(
+      Request.Service, Ring, TargetsPerRing, IsEligible,
+      [&](const TargetEntry &Candidate) {
+        Result.take(Candidate, this->estimate(Candidate.first, Candidate.second,
+                                              Request, Now));
+      });
+  return Result;
+}
+
+TargetDirectory::RingSample
+TargetDirectory::sampleAll(const ChoiceInput &Request, Instant Now,
+                           bool IncludeUnreachable) {
+  RingSample Result;
+  for (Distance Ring :
+       {Distance::SameDomain, Distance::SameRegion, Distance::OtherRegion})
+    Result.take(
+        this->sampleRing(Ring, Request, Now, [&](const TargetEntry &Candidate) {
+          return this->isEligible(Candidate, Request) &&
+                 (IncludeUnreachable || !isAvoided(Candidate.second, Now));
+        }));
+  return Result;
+}
+
+TargetDirectory::SpillEntry &
+TargetDirectory::spillOf(const ChoiceInput &Request) {
+  if (this->Spills.size() >= MaxSpills &&
+      !this->Spills.contains(Request.RequestClass))
+    this->Spills.clear();
+  SpillEntry &Entry = this->Spills[Request.RequestClass];
+  if (Entry.Service.empty())
+    Entry.Service = Request.Service;
+  return Entry;
+}
+
+bool TargetDirectory::mayLeave(SpillBoundary Boundary, const SpillTimes &Times,
+                               const ChoiceInput &Request, SpillEntry &Spill,
+                               Instant Now, TargetChoice &Choice) {
+  // A failure domain without targets has nothing to leave. A retry says nothing
+  // about the targets that it excludes, unless they refused it.
+  bool Observed =
+      (Boundary == SpillBoundary::Region ||
+       this->Candidates.size(Request.Service, Distance::SameDomain) > 0) &&
+      (Request.Excluded.empty() || Request.Refusals > 0);
+  std::optional<SpillStep> Step;
+  if (Observed)
+    Step = Spill.State.observe(Boundary, Times, Now);
+  if (Step) {
+    Choice.Steps[static_cast<std::size_t>(Boundary)] = Step;
+    Spill.HasLeft = true;
+    ++this->Counters.Steps;
+  }
+  if (Times.TargetLatency.count() == 0 ||
+      Request.Refusals > static_cast<int>(Boundary))
+    return true;
+  bool Small = Request.Bytes + Request.AnswerBytes <= SmallTransferBytes;
+  if (Boundary == SpillBoundary::Domain &&
+      this->Candidates.size(Request.Service, Distance::SameDomain) <
+          MinDomainTargets &&
+      (Small || (Times.Here && *Times.Here > stayLimit(Times.TargetLatency))))
+    return true;
+  return this->Candidates.below(SpillSteps) < Spill.State.share(Boundary);
+}
+
+TargetChoice TargetDirectory::choose(const ChoiceInput &Request, Instant Now) {
+  TargetChoice Choice;
+  RingSample Best;
+  SpillEntry &Spill = this->spillOf(Request);
+  // How far the request may wait at the targets in front of a boundary that it
+  // does not cross.
+  Duration StayLimit(0);
+  for (Distance Ring :
+       {Distance::SameDomain, Distance::SameRegion, Distance::OtherRegion}) {
+    RingSample Sample =
+        this->sampleRing(Ring, Request, Now, [&](const TargetEntry &Candidate) {
+          return this->isEligible(Candidate, Request) &&
+                 this->isPreferred(Candidate, Request, Now);
+        });
+    if (Ring == Distance::SameDomain) {
+      Best = Sample;
       continue;
-    // An unreachable node is only chosen if there is no other. Once the
-    // avoidance time is over, a single request probes whether it is reachable
-    // again.
-    bool Avoided =
-        Now < View.AvoidUntil || (View.Failures > 0 && View.Outstanding > 0);
-    std::pair<bool, Duration> Cost(Avoided,
-                                   this->costOf(Node, View, Request, Now));
-    if (!Best.Node || Cost < BestCost) {
-      if (Best.Node)
-        NextCost = BestCost.second;
-      Best.Node = &Node;
-      BestCost = Cost;
-    } else if (!NextCost || Cost.second < *NextCost) {
-      NextCost = Cost.second;
+    }
+    auto Boundary = Ring == Distance::SameRegion ? SpillBoundary::Domain
+                                                 : SpillBoundary::Region;
+    SpillTimes Times{.Here = Best.total(),
+                     .There = Sample.total(),
+                     .Transit = roundTripOf(Ring),
+                     .TargetLatency = Request.TargetLatency,
+                     .SeenAt = Best.SeenAt};
+    bool MayLeave =
+        this->mayLeave(Boundary, Times, Request, Spill, Now, Choice);
+    if (!Times.Here || (MayLeave && gainsByLeaving(Times))) {
+      Sample.take(Best);
+      Best = Sample;
+    } else if (MayLeave) {
+      // The better side of the two; the transit counts against leaving.
+      if (Sample.Best &&
+          (!Best.NextTotal || *Times.There + Times.Transit < *Best.NextTotal))
+        Best.NextTotal = *Times.There + Times.Transit;
+    } else {
+      StayLimit = stayLimit(Request.TargetLatency);
     }
   }
-  if (NextCost)
-    Best.CostGapToNext = std::max(*NextCost - BestCost.second, Duration(0));
-  return Best;
-}
-
-std::size_t
-TargetDirectory::countReady(std::string_view Service,
-                            std::span<const std::string> Excluded) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(this->Views, [&](const auto &Entry) {
-        return Entry.second.Status.State == TargetState::Ready &&
-               Entry.second.Status.Service == Service &&
-               !excluded(Excluded, Entry.first);
-      }));
+  // A request is not refused before a target has refused it.
+  for (bool IncludeUnreachable : {false, true})
+    if (!Best.Best)
+      Best = this->sampleAll(Request, Now, IncludeUnreachable);
+  if (!Best.Best)
+    return Choice;
+  Choice.Node = &Best.Best->first;
+  Choice.Ring = Best.Best->second.IndexedRing;
+  ++this->Counters.ChoicesByRing[static_cast<std::size_t>(Choice.Ring)];
+  if (Duration Limit =
+          std::max(Best.NextTotal.value_or(Duration(0)), StayLimit);
+      Limit.count() > 0)
+    Choice.CostGapToNext = std::max(
+        Limit - (Best.BestCost.Total - Best.BestCost.Wait), Duration(0));
+  return Choice;
+}
+
+std::size_t TargetDirectory::countReady(std::string_view Service,
+                                        std::span<const std::string> Excluded,
+                                        std::size_t Limit) {
+  ChoiceInput Request{.Service = Service, .Excluded = Excluded};
+  std::size_t Count = 0;
+  for (Distance Ring :
+       {Distance::SameDomain, Distance::SameRegion, Distance::OtherRegion})
+    this->Candidates.sample(
+        Service, Ring, Limit - Count,
+        [&](const TargetEntry &Candidate) {
+          return this->isEligible(Candidate, Request);
+        },
+        [&Count](const TargetEntry &) { ++Count; });
+  return Count;
 }
 
 Distance TargetDirectory::distanceTo(const Location &Place) const {
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -1,5 +1,6 @@
 // An entry node's view of all targets: their locations and load, and whether
-// their nodes can be reached. Chooses the target of a request.
+// their nodes can be reached. Chooses the target of a request among a sample of
+// each ring (target_choice.h, domain_spill.h).
 //
 //   Directory.setNode("tcp://10.1.0.8:7620", {"bilbao", "cantabrico"});
 //   Directory.update(Status, Now);
@@ -7,6 +8,7 @@
 #ifndef ORIOLEDOOR_ROUTING_TARGET_DIRECTORY_H
 #define ORIOLEDOOR_ROUTING_TARGET_DIRECTORY_H
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -14,17 +16,17 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <vector>
 
 #include "orioledoor/base/instant.h"
+#include "orioledoor/routing/domain_spill.h"
 #include "orioledoor/routing/location.h"
+#include "orioledoor/routing/target_choice.h"
 #include "orioledoor/routing/target_status.h"
 
 namespace orioledoor::routing {
 
-// How far two VMs are apart.
-enum class Distance : std::uint8_t { SameDomain, SameRegion, OtherRegion };
-inline constexpr std::size_t DistanceCount = 3;
-
 // What is known about a node and its target.
 struct TargetView {
   Location Place;
@@ -36,6 +38,18 @@
   std::uint32_t Outstanding = 0;
   // Those of them that were sent after StatusAt.
   std::uint32_t SentSinceStatus = 0;
+  // Expected answer bytes of the requests that were sent after StatusAt.
+  std::uint64_t AnswerBytesSinceStatus = 0;
+  // Request classes of which the target refused a request as Busy, and until
+  // when it gets no more of them.
+  struct BusyClass {
+    RequestClassId RequestClass = 0;
+    Instant Until;
+  };
+  std::vector<BusyClass> Busy;
+  // Place in the index of candidates; empty if the target is not ready.
+  std::string IndexedService;
+  Distance IndexedRing = Distance::SameDomain;
   // The node could not be reached and is avoided until this time.
   Instant AvoidUntil;
   std::uint32_t Failures = 0;
@@ -50,14 +64,24 @@
     return Duration(
         Rate == 0 ? 0 : static_cast<std::int64_t>(Bytes * 1'000'000 / Rate));
   }
+  bool isBusy(RequestClassId RequestClass, Instant Now) const;
 };
 
 // Properties of a request that the choice of a target depends on.
 struct ChoiceInput {
   std::string_view Service{};
   RequestClassId RequestClass = 0;
-  // Size of the request plus the expected size of the answer.
+  // Size of the request's body.
   std::size_t Bytes = 0;
+  // Expected size of the answer.
+  std::uint64_t AnswerBytes = 0;
+  // Target latency of the route; 0 if there is none. The request then leaves
+  // its failure domain and region wherever the caller gains by it.
+  Duration TargetLatency{0};
+  // Number of targets that refused the request. After the first refusal it may
+  // leave its failure domain, and after the second its region, whatever share
+  // of its class leaves.
+  int Refusals = 0;
   // Nodes that the request was already sent to.
   std::span<const std::string> Excluded{};
   // Regions in which the request may run; empty if all may.
@@ -67,17 +91,37 @@
 struct TargetChoice {
   // Null if no target is ready. Valid until nodes are added or removed.
   const std::string *Node = nullptr;
-  // Estimated additional cost of the second-best target; 0 if there is none.
+  // How long the request may wait for a slot at Node before another target is
+  // better: until the second-best target of the sample would answer as soon or,
+  // if that is later, until the request would no longer stay in its failure
+  // domain or region. 0 if there is no other target.
   Duration CostGapToNext{0};
+  Distance Ring = Distance::SameDomain;
+  // Changes of the shares that leave the failure domain and the region, by
+  // SpillBoundary.
+  std::array<std::optional<SpillStep>, SpillBoundaryCount> Steps{};
+};
+
+struct SpillCounters {
+  // Choices by Distance.
+  std::array<std::uint64_t, DistanceCount> ChoicesByRing{};
+  // Changes of a share.
+  std::uint64_t Steps = 0;
 };
 
-// Not thread-safe. choose() is linear in the number of nodes.
+// Not thread-safe. choose() takes constant time in the number of nodes, as long
+// as a fixed share of them may take the request; updates are logarithmic in it.
 class TargetDirectory {
 public:
   // DrainTime: time from a target's announcement that it is leaving until it
-  // gets no new requests.
+  // gets no new requests. Seed: of the generator that samples targets; must
+  // differ between nodes, which otherwise compare the same targets.
   explicit TargetDirectory(Location OwnLocation, std::string OwnNode,
-                           Duration DrainTime = std::chrono::seconds(2));
+                           Duration DrainTime = std::chrono::seconds(2),
+                           std::uint64_t Seed = 1);
+  // The index of candidates refers to the views.
+  TargetDirectory(const TargetDirectory &) = delete;
+  TargetDirectory &operator=(const TargetDirectory &) = delete;
 
   // Adds a node or changes its location.
   void setNode(const std::string &Node, const Location &Place,
@@ -87,8 +131,13 @@
   // state or the target changed.
   bool update(const TargetStatus &Status, Instant Now);
 
-  // A request was sent to Node.
-  void noteSent(const std::string &Node);
+  // A request was sent to Node, with the expected size of its answer.
+  void noteSent(const std::string &Node, std::uint64_t AnswerBytes = 0);
+  // Node refused a request of this class as Busy. It gets no other one until
+  // RetryAfter (0 if unknown) or 250 ms are over, whichever is sooner, unless
+  // no other target is left.
+  void noteBusy(const std::string &Node, RequestClassId RequestClass,
+                Duration RetryAfter, Instant Now);
   // A request that was sent to Node is no longer open.
   void noteEnded(const std::string &Node);
   // Avoids a node that could not be reached, for a time that doubles with each
@@ -97,11 +146,15 @@
   // Node was reached; ends its avoidance.
   void noteReached(const std::string &Node);
 
-  // Returns the target of the service with the lowest estimated cost.
-  TargetChoice choose(const ChoiceInput &Request, Instant Now) const;
-  // Number of ready targets of the service that are not in Excluded.
+  // Returns the target with the lowest estimated cost among a sample of each
+  // ring that the request may go to. Targets that are busy, and nodes that are
+  // unreachable, are only chosen if there is no other.
+  TargetChoice choose(const ChoiceInput &Request, Instant Now);
+  // Number of ready targets of the service that are not in Excluded, but not
+  // more than Limit.
   std::size_t countReady(std::string_view Service,
-                         std::span<const std::string> Excluded) const;
+                         std::span<const std::string> Excluded,
+                         std::size_t Limit = SIZE_MAX);
 
   // Returns whether the target has been leaving for the drain time. This holds
   // whatever its node says later, since a restarted node may not know it.
@@ -116,11 +169,52 @@
   Distance distanceTo(const Location &Place) const;
   const std::map<std::string, TargetView> &views() const { return this->Views; }
 
-  // Estimated cost of sending the request to Node, in units of time.
+  // Estimated cost of sending the request to Node, in units of time: the
+  // expected time to the answer, with additions for targets that are near their
+  // capacity or fail requests.
   Duration costOf(const std::string &Node, const TargetView &View,
-                  const ChoiceInput &Request, Instant Now) const;
+                  const ChoiceInput &Request, Instant Now) const {
+    return this->estimate(Node, View, Request, Now).Total;
+  }
+
+  const SpillCounters &spillCounters() const { return this->Counters; }
+  // Calls Visit(Service, RequestClass, State) for each class of which some
+  // requests have left a failure domain or region.
+  template <typename Visitor> void forEachSpill(Visitor Visit) const {
+    for (const auto &[RequestClass, Entry] : this->Spills)
+      if (Entry.HasLeft)
+        Visit(Entry.Service, RequestClass, Entry.State);
+  }
 
 private:
+  struct CostEstimate {
+    Duration Total{0};
+    // Part of Total that the request waits for a slot.
+    Duration Wait{0};
+  };
+
+  // The best targets of a sample.
+  struct RingSample {
+    const TargetEntry *Best = nullptr;
+    CostEstimate BestCost;
+    std::optional<Duration> NextTotal;
+    // When the newest view of the sample arrived.
+    Instant SeenAt;
+
+    std::optional<Duration> total() const {
+      return this->Best ? std::optional(this->BestCost.Total) : std::nullopt;
+    }
+    void take(const TargetEntry &Candidate, const CostEstimate &Cost);
+    // Adds the targets of another sample.
+    void take(const RingSample &Other);
+  };
+
+  struct SpillEntry {
+    std::string Service;
+    DomainSpill State;
+    // A share was above 0 at some time.
+    bool HasLeft = false;
+  };
   // Estimated time that a request occupies a slot of a target.
   struct ServiceTimeEstimate {
     double Micros = 0;
@@ -129,6 +223,30 @@
     bool Measured = false;
   };
 
+  // Whether the target may take the request, however loaded it is.
+  bool isEligible(const TargetEntry &Candidate,
+                  const ChoiceInput &Request) const;
+  // Whether the target may be asked while there are others.
+  bool isPreferred(const TargetEntry &Candidate, const ChoiceInput &Request,
+                   Instant Now) const;
+  template <typename Predicate>
+  RingSample sampleRing(Distance Ring, const ChoiceInput &Request, Instant Now,
+                        Predicate IsEligible);
+  RingSample sampleAll(const ChoiceInput &Request, Instant Now,
+                       bool IncludeUnreachable);
+  // Whether this request may leave if its caller gains by it. Reports the times
+  // to the share of its class.
+  bool mayLeave(SpillBoundary Boundary, const SpillTimes &Times,
+                const ChoiceInput &Request, SpillEntry &Spill, Instant Now,
+                TargetChoice &Choice);
+  SpillEntry &spillOf(const ChoiceInput &Request);
+  CostEstimate estimate(const std::string &Node, const TargetView &View,
+                        const ChoiceInput &Request, Instant Now) const;
+  // Time that Bytes take over this node's link and that of the target.
+  Duration transferTime(const TargetView &View, std::uint64_t Bytes) const;
+  // Brings the place of a view in the index up to date.
+  void reindex(TargetEntry &Entry);
+
   ServiceTimeEstimate estimateServiceTime(const TargetView &View,
                                           RequestClassId RequestClass,
                                           Instant Now) const;
@@ -139,8 +257,14 @@
 
   Location OwnLocation;
   std::string OwnNode;
+  // 0 if unknown.
+  std::uint64_t OwnLinkBytesPerSecond = 0;
   Duration DrainTime;
   std::map<std::string, TargetView> Views;
+  // Ready targets by service and ring. Invariant: refers to elements of Views.
+  CandidateIndex Candidates;
+  std::unordered_map<RequestClassId, SpillEntry> Spills;
+  SpillCounters Counters;
   // When each leaving target was first known to leave. Kept when its node is
   // removed, since it may come back beside the same target.
   std::map<TargetRef, Instant> LeavingSince;
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -45,6 +45,34 @@
       .set(Store.WatchInterruptions);
 }
 
+void setSpillMetrics(MetricsRegistry &Metrics,
+                     const routing::TargetDirectory &Directory) {
+  using routing::Distance;
+  const routing::SpillCounters &Counters = Directory.spillCounters();
+  for (const auto &[Ring, Name] :
+       {std::pair(Distance::SameDomain, "same-domain"),
+        std::pair(Distance::SameRegion, "same-region"),
+        std::pair(Distance::OtherRegion, "other-region")})
+    Metrics
+        .counter("oriole_choices_total",
+                 "distance=\"" + std::string(Name) + "\"")
+        .set(Counters.ChoicesByRing[static_cast<std::size_t>(Ring)]);
+  Metrics.counter("oriole_spill_steps_total").set(Counters.Steps);
+  Directory.forEachSpill([&](const std::string &Service,
+                             routing::RequestClassId RequestClass,
+                             const routing::DomainSpill &State) {
+    for (auto Boundary :
+         {routing::SpillBoundary::Domain, routing::SpillBoundary::Region})
+      Metrics
+          .gauge("oriole_spill_share",
+                 "service=\"" + Service + "\",class=\"" +
+                     std::to_string(RequestClass) + "\",leaves=\"" +
+                     routing::boundaryName(Boundary) + "\"")
+          .set(static_cast<double>(State.share(Boundary)) /
+               routing::SpillSteps);
+  });
+}
+
 } // namespace
 
 std::string renderMetrics(MetricsRegistry &Metrics,
@@ -55,6 +83,7 @@
                           const wire::HttpServer &Outbound) {
   setGateMetrics(Metrics, Reducer.gate());
   setStoreMetrics(Metrics, Store);
+  setSpillMetrics(Metrics, Reducer.directory());
   Metrics.gauge("oriole_entry_open")
       .set(static_cast<double>(Reducer.entry().openRequests()));
   Metrics.gauge("oriole_nodes")
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -69,7 +69,7 @@
 SidecarReducer::SidecarReducer(SidecarOptions InitialOptions)
     : Options(std::move(InitialOptions)),
       Directory(this->Options.Place, this->Options.Node,
-                this->Options.DrainTime),
+                this->Options.DrainTime, this->Options.Process),
       Config(this->Options.ConfigKey),
       Members(makeSelfEntry(this->Options), this->Options.Members),
       Keys(this->Options.Keys, this->Members),
@@ -91,7 +91,9 @@
           this->Directory, [this](std::string_view Service, std::int32_t Key) {
             return this->Keys.ownerOf(Service, Key);
           }) {
-  this->Directory.setNode(this->Options.Node, this->Options.Place);
+  this->Directory.setNode(
+      this->Options.Node, this->Options.Place,
+      static_cast<std::uint64_t>(this->Options.LinkBytesPerSecond));
 }
 
 Duration SidecarReducer::standstill(Instant Now) const {
