--- a/orioledoor/routing/answer_sizes.cc
+++ b/orioledoor/routing/answer_sizes.cc
@@ -7,12 +7,13 @@
 namespace orioledoor::routing {
 namespace {
 
-// A service has two to four routes with traffic.
-constexpr std::size_t MaxClasses = 16;
-// Minimum weight of a new sample. Single answers are up to six times as large
-// as the mean; the last 50 samples bound the error of the mean to about a
-// sixth.
-constexpr double MinSampleWeight = 0.02;
+// Enough for the routes with traffic of a configuration; a service has two to
+// four of them.
+constexpr std::size_t MaxClasses = 64;
+// Minimum weight of a new sample. Sizes of one class differ by a factor of 6
+// (90 KB to 540 KB); over some 30 answers one of the largest changes the mean
+// by less than a third.
+constexpr double MinSampleWeight = 1.0 / 16;
 
 } // namespace
 
@@ -39,11 +40,12 @@
                 (static_cast<double>(Bytes) - Entry.Mean);
 }
 
-std::uint64_t AnswerSizes::meanOf(RequestClassId RequestClass) const {
+std::uint64_t AnswerSizes::meanOf(RequestClassId RequestClass,
+                                  std::uint64_t Unmeasured) const {
   auto Found = std::ranges::find(this->Measured, RequestClass,
                                  &Measurement::RequestClass);
   return Found == this->Measured.end()
-             ? 0
+             ? Unmeasured
              : static_cast<std::uint64_t>(std::llround(Found->Mean));
 }
 
--- a/orioledoor/routing/answer_sizes.h
+++ b/orioledoor/routing/answer_sizes.h
@@ -1,5 +1,5 @@
-// Mean size of the answers of one target, by request class. It estimates what
-// the answer of a request will take of the link before the request runs.
+// Mean size of answers by request class. It estimates what the answer of a
+// request will take of a link before the request runs.
 //
 //   Sizes.note(Class, answerBytes(Answer));
 //   std::uint64_t Expected = Sizes.meanOf(Class);
@@ -14,6 +14,9 @@
 
 namespace orioledoor::routing {
 
+// Size that an entry node assumes until the first answer of a class.
+inline constexpr std::uint64_t ExpectedAnswerBytes = 2048;
+
 // Bytes that an answer takes in a message, without the message's own fields.
 std::uint64_t answerBytes(const requests::HttpAnswer &Answer);
 
@@ -23,8 +26,9 @@
 class AnswerSizes {
 public:
   void note(RequestClassId RequestClass, std::uint64_t Bytes);
-  // Returns 0 if no answer of this class was measured.
-  std::uint64_t meanOf(RequestClassId RequestClass) const;
+  // Returns Unmeasured if no answer of this class was measured.
+  std::uint64_t meanOf(RequestClassId RequestClass,
+                       std::uint64_t Unmeasured = 0) const;
 
 private:
   struct Measurement {
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -90,6 +90,12 @@
 inline constexpr EventDefinition TargetLoadUnreadable{
     2248, Severity::Warn, "TARGET_LOAD_UNREADABLE",
     "the target stated a load that is malformed or out of range"};
+inline constexpr EventDefinition SpillStarted{
+    2250, Severity::Info, "SPILL_STARTED",
+    "requests of a class begin to leave the failure domain or the region"};
+inline constexpr EventDefinition SpillEnded{
+    2251, Severity::Info, "SPILL_ENDED",
+    "requests of a class stay in the failure domain or the region again"};
 
 } // namespace orioledoor::routing::events
 
