--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -78,12 +78,16 @@
 EntryReducer::EntryReducer(EntryOptions Options, TargetDirectory &Directory,
                            OwnerLookup LookUpOwner)
     : Options(std::move(Options)), Directory(Directory),
-      LookUpOwner(std::move(LookUpOwner)), Shares(this->Options.Process) {}
+      LookUpOwner(std::move(LookUpOwner)), Shares(this->Options.Process),
+      Random(this->Options.Process) {}
 
 void EntryReducer::setTable(SharedRouteTable Table) {
   this->Table = std::move(Table);
   this->Shares.retain(*this->Table);
   this->MaxTimeLeftByRoute.clear();
+  std::erase_if(this->Rooms, [this](const auto &Entry) {
+    return !this->Table->service(Entry.first.first);
+  });
 }
 
 void EntryReducer::limitDeadlines(Instant Latest) {
@@ -155,6 +159,8 @@
         Added.LatencyDeadline - (MaxTimeLeft - *Request.TimeLeft);
   }
   Added.Request = std::move(Request);
+  if (this->refuseEarly(Added, Now, Out))
+    return;
   this->budgetOf(Added.Service).noteRequest();
   PendingRequest &Stored = this->PendingRequests[Caller] = std::move(Added);
   this->dispatch(Stored, Now, Out);
@@ -212,7 +218,11 @@
       this->finish(Pending.Request.Caller, std::move(*Pending.LastAnswer), Out);
     else if (Pending.MayHaveRun)
       this->fail(Pending, 502, "no other target is left", Now, Out);
-    else
+    else if (Pending.Busy) {
+      this->noteRefusedByTargets(Pending, Now);
+      this->refuseForRoom(Pending, "no target has room", Pending.RetryAfter,
+                          Now, Out);
+    } else
       this->refuse(Pending, "no target has room",
                    Pending.RetryAfter.count() > 0 ? Pending.RetryAfter
                                                   : DefaultRetryAfter,
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -17,12 +17,16 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "orioledoor/routing/adaptive_throttle.h"
 #include "orioledoor/routing/effect.h"
+#include "orioledoor/routing/refused_requests.h"
 #include "orioledoor/routing/retry_budget.h"
 #include "orioledoor/routing/route_table.h"
 #include "orioledoor/routing/service_shares.h"
@@ -128,6 +132,12 @@
   void tick(Instant Now, Effects &Out);
 
   std::size_t openRequests() const { return this->PendingRequests.size(); }
+  // Number of requests that were refused here, without asking a target, since
+  // targets refused most of the recent ones.
+  std::uint64_t throttledRequests() const { return this->ThrottledRequests; }
+  // Number of requests that repeated a refused one before its Retry-After was
+  // over, and were refused.
+  std::uint64_t earlyRepeats() const { return this->EarlyRepeats; }
 
 private:
   struct PendingRequest {
@@ -138,6 +148,11 @@
     std::string Service;
     RequestClassId RequestClass = 0;
     bool Partitioned = false;
+    Instant AcceptedAt;
+    // Equal for a request and its repetition by the same caller.
+    std::uint64_t RepeatHash = 0;
+    // The last result was that the target has no room.
+    bool Busy = false;
     // Revision of the key map that the owner was last looked up in.
     std::int64_t KeyMapRevision = 0;
     // The caller must have its answer by this time.
@@ -170,6 +185,12 @@
     std::optional<HttpAnswer> LastAnswer;
   };
 
+  // What is known of the room of a service for requests of one priority.
+  struct ServiceRoom {
+    AdaptiveThrottle Throttle;
+    std::optional<Instant> LoggedAt{};
+  };
+
   // A cancelled Forward. The cancellation may have to be sent again, since it
   // can be lost with its connection while the target runs the request.
   struct Withdrawal {
@@ -218,6 +239,18 @@
   void fail(PendingRequest &Pending, int Status, std::string_view Reason,
             Instant Now, Effects &Out);
   RetryBudget &budgetOf(const std::string &Service);
+  // Returns null for requests with keys.
+  ServiceRoom *roomOf(const PendingRequest &Pending);
+  // Refuses a new request if its service is short of room and its turn is not
+  // now. Returns whether it was refused.
+  bool refuseEarly(PendingRequest &Pending, Instant Now, Effects &Out);
+  // All targets that were tried refused the request.
+  void noteRefusedByTargets(const PendingRequest &Pending, Instant Now);
+  // A target answered the request.
+  void noteAccepted(const PendingRequest &Pending);
+  // Answers 503 with a Retry-After of at least RetryAfter, and remembers it.
+  void refuseForRoom(PendingRequest &Pending, std::string_view Reason,
+                     Duration RetryAfter, Instant Now, Effects &Out);
 
   EntryOptions Options;
   // Set once the process stops; no request lasts longer.
@@ -234,7 +267,14 @@
   // By the id of the Forward, in the order in which they were sent.
   std::map<std::uint64_t, Withdrawal> Withdrawals;
   std::map<std::string, RetryBudget> Budgets;
+  // By service and priority.
+  std::map<std::pair<std::string, int>, ServiceRoom> Rooms;
+  RefusedRequests Refused;
+  std::uint64_t ThrottledRequests = 0;
+  std::uint64_t EarlyRepeats = 0;
   ServiceShares Shares;
+  // Seeded with the process id, so that nodes throttle different requests.
+  std::mt19937_64 Random;
   // By route: the longest timeout that callers of a keyed route stated, which
   // is the timeout of a first attempt.
   std::map<std::string, Duration> MaxTimeLeftByRoute;
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -59,6 +59,7 @@
                                 Instant Now, Effects &Out) {
   ++Pending.TargetAttempts;
   Pending.MayHaveRun = true;
+  this->noteAccepted(Pending);
   if (isTargetFailure(Result.Answer.Status) &&
       Pending.MatchedRoute->Idempotent && this->tryConsumeRetry(Pending, Now)) {
     Pending.LastAnswer = std::move(Result.Answer);
@@ -81,6 +82,7 @@
                                 const ForwardResult &Result, Instant Now,
                                 Effects &Out) {
   Pending.RetryAfter = std::max(Pending.RetryAfter, Result.RetryAfter);
+  Pending.Busy = Result.Code == Outcome::Busy;
   bool Retry = false;
   switch (Result.Code) {
   case Outcome::Busy:
@@ -124,9 +126,13 @@
     this->fail(Pending, 502, "an earlier try may have run", Now, Out);
     return;
   }
-  this->refuse(Pending,
-               Result.Code == Outcome::Busy ? "the target has no room in time"
-                                            : "the target did not run it",
+  if (Pending.Busy) {
+    this->noteRefusedByTargets(Pending, Now);
+    this->refuseForRoom(Pending, "the target has no room in time",
+                        Pending.RetryAfter, Now, Out);
+    return;
+  }
+  this->refuse(Pending, "the target did not run it",
                Pending.RetryAfter.count() > 0 ? Pending.RetryAfter
                                               : DefaultRetryAfter,
                Now, Out);
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -65,6 +65,10 @@
   setStoreMetrics(Metrics, Store);
   Metrics.gauge("oriole_entry_open")
       .set(static_cast<double>(Reducer.entry().openRequests()));
+  Metrics.counter("oriole_entry_throttled_total")
+      .set(Reducer.entry().throttledRequests());
+  Metrics.counter("oriole_entry_early_repeats_total")
+      .set(Reducer.entry().earlyRepeats());
   Metrics.gauge("oriole_nodes")
       .set(static_cast<double>(Reducer.membership().nodes().size()));
   Metrics.counter("oriole_peer_delayed_messages_total")
