--- a/orioledoor/routing/domain_spill.cc
+++ b/orioledoor/routing/domain_spill.cc
@@ -22,6 +22,9 @@
 constexpr Duration SettleTime = std::chrono::seconds(2);
 // Time over which the estimates of single requests are averaged: one step.
 constexpr Duration SmoothingTime = StepInterval;
+// Largest weight of one request. With fewer than four requests in the smoothing
+// time, a single slow target in a sample would cause steps.
+constexpr double MaxWeight = 0.25;
 // Requests stay while they are expected to take at most half of the target
 // latency: targets take 0.5 to 1.6 times the mean, so answers of the slower
 // ones are then still in time.
@@ -64,9 +67,11 @@
   double Beyond = Latency * RefusedLatencies;
   double Here = Times.Here ? microsOf(*Times.Here) : Beyond;
   double There = Times.There ? microsOf(*Times.There) : 2 * Beyond;
-  double Weight = State.LastAt ? 1 - std::exp(-microsOf(Now - *State.LastAt) /
-                                              microsOf(SmoothingTime))
-                               : 1;
+  double Weight =
+      State.LastAt
+          ? std::min(MaxWeight, 1 - std::exp(-microsOf(Now - *State.LastAt) /
+                                             microsOf(SmoothingTime)))
+          : 1;
   State.Here += (Here - State.Here) * Weight;
   State.There += (There - State.There) * Weight;
   State.LastAt = Now;
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -25,6 +25,10 @@
 // A request is small if it and its answer together have at most this size: they
 // take a link of 10 Mbit/s 6.6 ms, about as long as the round trips take.
 constexpr std::uint64_t SmallTransferBytes = 8 << 10;
+// Answers of this size leave one after another, with at most 80 ms of the link
+// handed over at a time; smaller ones go between them.
+constexpr std::uint64_t LargeAnswerBytes = 8 << 10;
+constexpr Duration MaxSmallAnswerWait = milliseconds(80);
 // Longest time for which a target that refused a request is skipped. Targets
 // state a Retry-After of at least 1 s, which is meant for callers; slots become
 // free within one service time.
@@ -323,15 +327,23 @@
       Failures * FailureCostMs * 1000;
   if (Node != this->OwnNode) {
     Cost += static_cast<double>(roundTripOf(View.IndexedRing).count());
-    // Bodies and answers queue at the target's link, and those in flight delay
-    // all other messages.
-    double Waiting =
-        std::max(0.0, 1.0 - Age) *
-        static_cast<double>(Status.LinkQueuedBytes + Status.AnswerQueuedBytes);
+    // Bodies queue at the target's link, and bodies in flight delay all other
+    // messages.
+    double Fresh = std::max(0.0, 1.0 - Age);
+    double Bodies = Fresh * static_cast<double>(Status.LinkQueuedBytes);
+    // Answers leave while the request waits and runs, so only what is left of
+    // them by then delays its answer.
+    double Answers = Fresh * static_cast<double>(Status.AnswerQueuedBytes);
     if (View.Outstanding > 0)
-      Waiting += static_cast<double>(View.AnswerBytesSinceStatus);
+      Answers += static_cast<double>(View.AnswerBytesSinceStatus);
+    Duration LinkWait = std::max(
+        View.transferTime(static_cast<std::uint64_t>(Answers)) -
+            Duration(static_cast<std::int64_t>(Expected.Micros + Wait)),
+        Duration(0));
+    if (Request.AnswerBytes < LargeAnswerBytes)
+      LinkWait = std::min(LinkWait, MaxSmallAnswerWait);
     Cost += static_cast<double>(
-        (View.transferTime(static_cast<std::uint64_t>(Waiting)) +
+        (View.transferTime(static_cast<std::uint64_t>(Bodies)) + LinkWait +
          this->transferTime(View, Request.Bytes + Request.AnswerBytes))
             .count());
   }
