--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -229,9 +229,8 @@
                    Now, Out);
     return;
   }
-  bool LastChoice =
-      Pending.Refusals + 1 >= MaxRefusals ||
-      this->Directory.countReady(Pending.Service, Pending.TriedNodes, 2) <= 1;
+  bool LastChoice = Pending.Refusals + 1 >= MaxRefusals ||
+                    this->Directory.countReady(Input, 2) <= 1;
   this->send(Pending, *Choice.Node, LastChoice, Now, Out, Choice.CostGapToNext);
 }
 
--- a/orioledoor/routing/target_choice_test.cc
+++ b/orioledoor/routing/target_choice_test.cc
@@ -9,6 +9,7 @@
 #include <ranges>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "orioledoor/routing/testing/entry_fixture.h"
@@ -173,6 +174,8 @@
   CPPUNIT_TEST(servesARegionWithoutTargets);
   CPPUNIT_TEST(spreadsRequestsOfOneView);
   CPPUNIT_TEST(skipsBusyTargets);
+  CPPUNIT_TEST(leavesAfterRefusals);
+  CPPUNIT_TEST(logsTheStartAndTheEndOfASpill);
   CPPUNIT_TEST(countsTheTransferOfAnswers);
   CPPUNIT_TEST(measuresTheSizeOfAnswers);
   CPPUNIT_TEST_SUITE_END();
@@ -194,11 +197,13 @@
   void balancesASmallFleetAcrossRegions() {
     SmallFleet Fleet;
     Fleet.run(seconds(30), {120, 120, 30, 30, 30, 30});
+    CPPUNIT_ASSERT_EQUAL(0, Fleet.Refused);
     CPPUNIT_ASSERT(Fleet.share(Fleet.Late) <= 0.01);
     CPPUNIT_ASSERT(Fleet.share(Fleet.LeftRegion) <= 0.27);
     // All targets are near their capacity.
     SmallFleet Full;
     Full.run(seconds(30), {140, 140, 40, 40, 40, 40});
+    CPPUNIT_ASSERT_EQUAL(0, Full.Refused);
   }
 
   // Guards against requests that are refused since their region has no targets.
@@ -259,6 +264,70 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), Choose());
   }
 
+  // Guards against requests that are refused, since only near targets are asked
+  // although they refuse, and against requests that leave without a refusal
+  // although their answer would be in time.
+  void leavesAfterRefusals() {
+    TargetDirectory Directory({"d1", "r1"}, "own");
+    Instant Now{std::int64_t{1'000'000}};
+    for (const auto &[Node, Place, Running] :
+         {std::tuple("near1", Location{"d1", "r1"}, 12U),
+          std::tuple("near2", Location{"d1", "r1"}, 12U),
+          std::tuple("region", Location{"d2", "r1"}, 9U),
+          std::tuple("other", Location{"d3", "r2"}, 0U)}) {
+      Directory.setNode(Node, Place);
+      Directory.update(statusOf(Node, Running), Now);
+    }
+    std::vector<std::string> Tried;
+    auto Choose = [&](int Refusals) {
+      return *Directory
+                  .choose({.Service = "plain",
+                           .RequestClass = Class,
+                           .TargetLatency = Latency,
+                           .Refusals = Refusals,
+                           .Excluded = Tried},
+                          Now)
+                  .Node;
+    };
+    CPPUNIT_ASSERT(Choose(0).starts_with("near"));
+    Tried = {"near1"};
+    CPPUNIT_ASSERT_EQUAL(std::string("near2"), Choose(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("region"), Choose(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), Choose(2));
+    // The next request knows that all targets of the region refuse.
+    Tried.clear();
+    for (const char *Node : {"near1", "near2"})
+      Directory.noteBusy(Node, Class, seconds(1), Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("region"), Choose(0));
+    Directory.noteBusy("region", Class, seconds(1), Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), Choose(0));
+  }
+
+  // Guards against shares that change unseen, and against a log line for each
+  // step of a share.
+  void logsTheStartAndTheEndOfASpill() {
+    testing::EntryFixture F;
+    std::vector<int> Numbers;
+    std::uint64_t Caller = 0;
+    for (std::uint32_t Running : {12U, 0U})
+      for (int I = 0; I < 20; ++I) {
+        F.advance(milliseconds(300));
+        TargetStatus Near = F.Directory.find(testing::NearNode)->Status;
+        ++Near.Sequence;
+        Near.Running = Running;
+        F.Directory.update(Near, F.Now);
+        F.sendRequest(++Caller, "/read/x");
+        for (const Effect &Output : F.Out)
+          if (const auto *Line = std::get_if<LogRecord>(&Output);
+              Line && Line->Event->Number / 10 == 225)
+            Numbers.push_back(Line->Event->Number);
+      }
+    // The region has no other target, so only the share that leaves it
+    // changes.
+    CPPUNIT_ASSERT((Numbers == std::vector{2250, 2251}));
+    CPPUNIT_ASSERT(F.Directory.spillCounters().Steps > 2);
+  }
+
   // Guards against targets whose links are full of answers that look idle: at
   // 1.25 MB/s an answer of 90 KB takes 72 ms.
   void countsTheTransferOfAnswers() {
@@ -309,24 +378,27 @@
       Sizes.note(Class, 10'000);
     CPPUNIT_ASSERT(Sizes.meanOf(Class) < 11'000);
     CPPUNIT_ASSERT_EQUAL(ExpectedAnswerBytes, Sizes.meanOf(Class + 1));
-    // The entry node measures the answers and counts them: two targets of the
-    // failure domain, of which the first in order has a narrow link.
+    // The entry node measures the answers: an idle target with a narrow link is
+    // the better one for small answers, a half-loaded one for large answers.
     testing::EntryFixture F;
-    std::string Second = std::string(testing::NearNode) + "b";
-    F.addTarget(Second, {"d1", "r1"});
+    std::string Wide = std::string(testing::NearNode) + "b";
+    F.addTarget(Wide, {"d1", "r1"});
     F.setLink(testing::NearNode, 1'250'000);
-    F.setLink(Second, 25'000'000);
+    F.setLink(Wide, 25'000'000);
+    TargetStatus Loaded = F.Directory.find(Wide)->Status;
+    Loaded.Running = 2;
+    F.Directory.update(Loaded, F.Now);
     ForwardResult Large{.Code = Outcome::Answered};
     Large.Answer.Status = 200;
     Large.Answer.Body = std::string(90'000, 'x');
     std::string To;
     F.sendRequest(1, "/read/x");
     Large.Id = F.sent(&To)->Id;
+    CPPUNIT_ASSERT_EQUAL(std::string(testing::NearNode), To);
     F.Entry.handleResult(To, Large, F.Now, F.Out);
     F.sendRequest(2, "/read/x");
-    F.sendRequest(3, "/read/x");
     F.sent(&To);
-    CPPUNIT_ASSERT_EQUAL(Second, To);
+    CPPUNIT_ASSERT_EQUAL(Wide, To);
   }
 };
 
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -526,15 +526,13 @@
   return Choice;
 }
 
-std::size_t TargetDirectory::countReady(std::string_view Service,
-                                        std::span<const std::string> Excluded,
+std::size_t TargetDirectory::countReady(const ChoiceInput &Request,
                                         std::size_t Limit) {
-  ChoiceInput Request{.Service = Service, .Excluded = Excluded};
   std::size_t Count = 0;
   for (Distance Ring :
        {Distance::SameDomain, Distance::SameRegion, Distance::OtherRegion})
     this->Candidates.sample(
-        Service, Ring, Limit - Count,
+        Request.Service, Ring, Limit - Count,
         [&](const TargetEntry &Candidate) {
           return this->isEligible(Candidate, Request);
         },
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -150,10 +150,9 @@
   // ring that the request may go to. Targets that are busy, and nodes that are
   // unreachable, are only chosen if there is no other.
   TargetChoice choose(const ChoiceInput &Request, Instant Now);
-  // Number of ready targets of the service that are not in Excluded, but not
-  // more than Limit.
-  std::size_t countReady(std::string_view Service,
-                         std::span<const std::string> Excluded,
+  // Number of targets that may take the request, however loaded they are, but
+  // not more than Limit.
+  std::size_t countReady(const ChoiceInput &Request,
                          std::size_t Limit = SIZE_MAX);
 
   // Returns whether the target has been leaving for the drain time. This holds
