--- a/orioledoor/routing/cold_start_limit.cc
+++ b/orioledoor/routing/cold_start_limit.cc
@@ -45,24 +45,17 @@
   if (!(Rate > 0)) {
     this->Pacer.setInterval(Duration(0));
     this->WindowLimit = 0;
-    this->FirstWindowLimit = 0;
     return;
   }
   double Slack = std::clamp(this->Options.Slack, 0.0, MaxRate);
-  // A burst of one is the least with which requests can start at all. Without
-  // any slack it must fit into the rate, whose fraction is given up.
-  if (Slack < 1)
-    Rate = std::floor(Rate);
+  // A burst of one is the least with which requests can start at all.
   auto Burst = std::max<std::int64_t>(
       1, static_cast<std::int64_t>(std::floor(Slack / 2)));
   this->Pacer.setInterval(startInterval(Rate));
   this->Pacer.setBurstTime(this->Pacer.interval() * (Burst - 1));
-  auto Bound = static_cast<std::size_t>(std::max(1.0, Rate + Slack));
-  this->WindowLimit = std::min(
-      static_cast<std::size_t>(Rate) + static_cast<std::size_t>(Burst), Bound);
-  // An earlier process of this node may have used the whole limit in the last
-  // second.
-  this->FirstWindowLimit = Bound - this->WindowLimit;
+  this->WindowLimit =
+      std::min(static_cast<std::size_t>(Rate) + static_cast<std::size_t>(Burst),
+               static_cast<std::size_t>(std::max(1.0, Rate + Slack)));
 }
 
 double ColdStartLimit::rate() const {
@@ -78,8 +71,6 @@
 }
 
 bool ColdStartLimit::noteReport(Duration Remaining, Instant Now) {
-  if (!this->FirstReportAt)
-    this->FirstReportAt = Now;
   this->Disconnected = false;
   this->ReportedWarm = Remaining <= Duration(0);
   if (this->ReportedWarm)
@@ -127,19 +118,14 @@
   if (!this->isEnabled())
     return Duration(0);
   std::size_t Before = this->Starts.size() + Ahead;
-  Instant DueAt = Now;
-  // All starts of the first second are in Starts.
-  if (this->FirstReportAt && Now < *this->FirstReportAt + Window &&
-      Before >= this->FirstWindowLimit)
-    DueAt = *this->FirstReportAt + Window;
-  if (Before >= this->WindowLimit) {
-    // The start that must have left the window. If it has not happened yet, it
-    // comes as soon as the pace allows, which Pacer accounts for.
-    std::size_t Leaving = Before - this->WindowLimit;
-    if (Leaving < this->Starts.size())
-      DueAt = std::max(DueAt, this->Starts[Leaving] + Window);
-  }
-  return DueAt - Now;
+  if (Before < this->WindowLimit)
+    return Duration(0);
+  // The start that must have left the window. If it has not happened yet, it
+  // comes as soon as the pace allows, which Pacer accounts for.
+  std::size_t Leaving = Before - this->WindowLimit;
+  return Leaving < this->Starts.size()
+             ? std::max(this->Starts[Leaving] + Window - Now, Duration(0))
+             : Duration(0);
 }
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/cold_start_limit.h
+++ b/orioledoor/routing/cold_start_limit.h
@@ -31,8 +31,9 @@
 };
 
 // Limits starts to the tolerated rate times Overage with a burst of half of
-// Slack. The other half covers calls that the network delays, and the starts
-// of an earlier process of this node. Starts of the last second count from the
+// Slack. The other half covers calls that the network delays, and the burst of
+// a new process of this node, which does not know the starts of the one before.
+// Starts of the last second count from the
 // moment at which the target becomes cold, whether it was warm then or not.
 // Not thread-safe. All operations are constant, noteStart() amortized.
 class ColdStartLimit {
@@ -79,12 +80,8 @@
   // Longest cold time that a report may state.
   Duration MaxRemaining;
   StartPacer Pacer;
-  // Maximum number of starts in any second, and in the first second of this
-  // process. 0 without a limit.
+  // Maximum number of starts in any second; 0 without a limit.
   std::size_t WindowLimit = 0;
-  std::size_t FirstWindowLimit = 0;
-  // Time of the first report to this process. No call was started before.
-  std::optional<Instant> FirstReportAt;
   // End of the cold time that the reports of this incarnation stated; empty if
   // none stated any.
   std::optional<Instant> ColdUntil;
--- a/orioledoor/routing/cold_start_test.cc
+++ b/orioledoor/routing/cold_start_test.cc
@@ -107,6 +107,9 @@
       CPPUNIT_ASSERT(Load.mostStartsIn(seconds(1), ColdAt + Duration(1)) <=
                      Paced);
       CPPUNIT_ASSERT(Load.startsFrom(ColdAt + Duration(1)) >= 28);
+      // A burst of 4, and one start each 67 ms.
+      CPPUNIT_ASSERT(
+          Load.mostStartsIn(milliseconds(200), ColdAt + Duration(1)) <= 7);
       CPPUNIT_ASSERT(Load.Refused - Refused >= 831);
       CPPUNIT_ASSERT(Load.LongestWaitOfRefused <= milliseconds(250));
       CPPUNIT_ASSERT(Load.ShortestRetryAfter >= seconds(1));
--- a/orioledoor/routing/target_slowdown_test.cc
+++ b/orioledoor/routing/target_slowdown_test.cc
@@ -81,7 +81,7 @@
     // states them at the mean.
     TargetStatus Status = Fixture.Gate.status(Fixture.Now);
     CPPUNIT_ASSERT(Status.Times.at(0).Mean >= milliseconds(100) &&
-                   Status.Times.at(0).Mean <= milliseconds(130));
+                   Status.Times.at(0).Mean <= milliseconds(101));
     CPPUNIT_ASSERT(Status.SlowdownPercent >= 230 &&
                    Status.SlowdownPercent <= 300);
     CPPUNIT_ASSERT(Status.SlowdownAge == SlowdownLifetime);
