--- a/orioledoor/routing/domain_spill.cc
+++ b/orioledoor/routing/domain_spill.cc
@@ -32,6 +32,10 @@
 // The share falls again below this part. The difference, an eighth of the
 // latency, is what one step of the share changes at a target at its limit.
 constexpr double ReturnShareOfLatency = 0.375;
+// The share also falls if the time there is longer by that difference. At a
+// smaller one, shares of regions that are all at their limit rise and fall with
+// the noise of single views.
+constexpr double Hysteresis = LeaveShareOfLatency - ReturnShareOfLatency;
 // Stands for the time of a ring that refuses, in target latencies.
 constexpr double RefusedLatencies = 1.5;
 // Used in place of a target latency for routes without one.
@@ -89,8 +93,9 @@
       State.There + microsOf(Times.Transit) < State.Here) {
     if (Settled || !State.LastStepUp || State.Here >= State.HereAtStep)
       State.Share = std::min(State.Share + 1, SpillSteps);
-  } else if (State.Share > 0 && (State.Here < Latency * ReturnShareOfLatency ||
-                                 State.There >= State.Here)) {
+  } else if (State.Share > 0 &&
+             (State.Here < Latency * ReturnShareOfLatency ||
+              State.There >= State.Here + Latency * Hysteresis)) {
     if (Settled || State.LastStepUp || State.Here <= State.HereAtStep)
       --State.Share;
   }
