--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -173,6 +173,25 @@
                makeErrorAnswer(Status, Step, Reason, RetryAfter), Out);
 }
 
+std::span<const std::string>
+EntryReducer::allowedRegions(const PendingRequest &Pending) const {
+  const Route *Newer = nullptr;
+  if (this->Table && Pending.Table != this->Table)
+    Newer = this->Table->find(Pending.Request.Content->Host,
+                              Pending.Request.Content->Target);
+  return (Newer ? Newer : Pending.MatchedRoute)->AllowedRegions;
+}
+
+std::string_view
+EntryReducer::reasonForNoTarget(const PendingRequest &Pending) {
+  std::span<const std::string> Regions = this->allowedRegions(Pending);
+  if (Regions.empty() ||
+      this->Directory.countReady(Pending.Service, {}, Regions) > 0)
+    return "no target has room";
+  ++this->PlacementRefusals;
+  return "no target in an allowed region is ready";
+}
+
 void EntryReducer::dispatch(PendingRequest &Pending, Instant Now,
                             Effects &Out) {
   if (Pending.Deadline - Now < MinAttemptTime) {
@@ -186,7 +205,20 @@
     KeyOwner Owner = this->LookUpOwner(Pending.Service, Pending.Request.Key);
     Pending.KeyMapRevision = Owner.MapRevision;
     const TargetView *View = this->Directory.find(Owner.Node);
-    bool Leaves = this->Directory.hasDrained(Owner.Target, Now);
+    PlacementVerdict Placement =
+        Owner.Node.empty()
+            ? PlacementVerdict::Allowed
+            : this->Directory.checkOwner(Owner.Node,
+                                         this->allowedRegions(Pending), Now);
+    if (Placement == PlacementVerdict::RegionNotAllowed) {
+      ++this->PlacementRefusals;
+      this->refuse(Pending,
+                   "the owner of the key is in a region that is not allowed",
+                   NoOwnerRetryAfter, Now, Out);
+      return;
+    }
+    bool Evacuated = Placement == PlacementVerdict::Evacuated;
+    bool Leaves = Evacuated || this->Directory.hasDrained(Owner.Target, Now);
     if (View && Now < View->AvoidUntil)
       this->refuse(Pending, "the owner's node is unreachable",
                    NoOwnerRetryAfter, Now, Out);
@@ -196,8 +228,9 @@
       this->park(Pending, Now, Out);
     else
       this->refuse(Pending,
-                   Leaves ? "the owner of the key is leaving"
-                          : "the key has no owner",
+                   Evacuated ? "the owner of the key is evacuated"
+                   : Leaves  ? "the owner of the key is leaving"
+                             : "the key has no owner",
                    NoOwnerRetryAfter, Now, Out);
     return;
   }
@@ -205,7 +238,8 @@
                     .RequestClass = Pending.RequestClass,
                     .Bytes = Pending.Request.Content->Body.size() +
                              ExpectedAnswerBytes,
-                    .Excluded = Pending.TriedNodes};
+                    .Excluded = Pending.TriedNodes,
+                    .AllowedRegions = this->allowedRegions(Pending)};
   TargetChoice Choice = this->Directory.choose(Input, Now);
   if (!Choice.Node) {
     if (Pending.LastAnswer)
@@ -213,7 +247,7 @@
     else if (Pending.MayHaveRun)
       this->fail(Pending, 502, "no other target is left", Now, Out);
     else
-      this->refuse(Pending, "no target has room",
+      this->refuse(Pending, this->reasonForNoTarget(Pending),
                    Pending.RetryAfter.count() > 0 ? Pending.RetryAfter
                                                   : DefaultRetryAfter,
                    Now, Out);
@@ -221,7 +255,8 @@
   }
   bool LastChoice =
       Pending.Refusals + 1 >= MaxRefusals ||
-      this->Directory.countReady(Pending.Service, Pending.TriedNodes) <= 1;
+      this->Directory.countReady(Pending.Service, Pending.TriedNodes,
+                                 Input.AllowedRegions) <= 1;
   this->send(Pending, *Choice.Node, LastChoice, Now, Out, Choice.CostGapToNext);
 }
 
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -128,6 +129,9 @@
   void tick(Instant Now, Effects &Out);
 
   std::size_t openRequests() const { return this->PendingRequests.size(); }
+  // Number of requests that were refused because no target, or not the owner of
+  // their key, is at a place that they may use.
+  std::uint64_t placementRefusals() const { return this->PlacementRefusals; }
 
 private:
   struct PendingRequest {
@@ -180,6 +184,12 @@
     std::optional<Instant> RetryAt;
   };
 
+  // Regions that the request may use now. A configuration that came into force
+  // after its arrival counts, since its target is chosen later.
+  std::span<const std::string>
+  allowedRegions(const PendingRequest &Pending) const;
+  // Returns why a request without a key has no target, for its caller.
+  std::string_view reasonForNoTarget(const PendingRequest &Pending);
   // Chooses a target and forwards the request, or parks or ends it.
   void dispatch(PendingRequest &Pending, Instant Now, Effects &Out);
   void send(PendingRequest &Pending, const std::string &To, bool LastChoice,
@@ -226,6 +236,7 @@
   OwnerLookup LookUpOwner;
   SharedRouteTable Table;
   bool NewerTableKnown = false;
+  std::uint64_t PlacementRefusals = 0;
   std::uint64_t NextForwardId = 1;
   std::unordered_map<std::uint64_t, PendingRequest> PendingRequests;
   // Callers of all pending requests with an open Forward, by the id of the
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -158,6 +158,15 @@
   PendingRequest &Pending = this->PendingRequests.at(Found->second);
   if (Pending.ForwardedTo != Node || !Pending.BodyWithheld)
     return;
+  // The configuration or the evacuations may have changed since the Forward.
+  std::span<const std::string> Regions = this->allowedRegions(Pending);
+  PlacementVerdict Placement =
+      Pending.Partitioned ? this->Directory.checkOwner(Node, Regions, Now)
+                          : this->Directory.checkPlacement(Node, Regions);
+  if (Placement != PlacementVerdict::Allowed) {
+    this->withdrawWithheld(Node, Pending, Now, Out);
+    return;
+  }
   Pending.BodyWithheld = false;
   Pending.SentAt = Now;
   Out.push_back(
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -69,6 +69,19 @@
     2230, Severity::Info, "SUSPICION_CLEARED",
     "another target answered a request that was suspected of a crash"};
 
+inline constexpr EventDefinition CallMisplaced{
+    2240, Severity::Warn, "CALL_MISPLACED",
+    "a request came to a region that its route does not allow"};
+inline constexpr EventDefinition TargetEvacuated{
+    2241, Severity::Info, "TARGET_EVACUATED",
+    "the failure domain of the target is evacuated"};
+inline constexpr EventDefinition EvacuationGraceEnded{
+    2242, Severity::Info, "EVACUATION_GRACE_ENDED",
+    "the target gets no requests at all until the evacuation ends"};
+inline constexpr EventDefinition EvacuationEnded{
+    2243, Severity::Info, "EVACUATION_ENDED",
+    "the target may get requests again"};
+
 } // namespace orioledoor::routing::events
 
 #endif // ORIOLEDOOR_ROUTING_EVENTS_H
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -91,7 +91,8 @@
     this->noteLeaving(Status.Target, Now);
   TargetState State = Status.State;
   // A restarted node does not know that its target is leaving.
-  if (State == TargetState::Ready && this->LeavingSince.contains(Status.Target))
+  if ((State == TargetState::Ready || State == TargetState::Evacuated) &&
+      this->LeavingSince.contains(Status.Target))
     State = TargetState::Leaving;
   bool Changed =
       State != View.Status.State || Status.Target != View.Status.Target;
@@ -265,15 +266,43 @@
   return Duration(static_cast<std::int64_t>(Cost));
 }
 
+bool TargetDirectory::isCandidate(const std::string &Node,
+                                  const TargetView &View,
+                                  const ChoiceInput &Request) const {
+  PlacementPolicy Policy(Request.AllowedRegions, &this->Evacuations);
+  return View.Status.State == TargetState::Ready &&
+         View.Status.Service == Request.Service &&
+         !excluded(Request.Excluded, Node) &&
+         Policy.check(View.Place) == PlacementVerdict::Allowed;
+}
+
+PlacementVerdict TargetDirectory::checkPlacement(
+    const std::string &Node,
+    std::span<const std::string> AllowedRegions) const {
+  const TargetView *View = this->find(Node);
+  return PlacementPolicy(AllowedRegions, &this->Evacuations)
+      .check(View ? View->Place : Location{});
+}
+
+PlacementVerdict
+TargetDirectory::checkOwner(const std::string &Node,
+                            std::span<const std::string> AllowedRegions,
+                            Instant Now) const {
+  PlacementVerdict Verdict = this->checkPlacement(Node, AllowedRegions);
+  return Verdict == PlacementVerdict::Evacuated &&
+                 this->Evacuations.servesKeys(
+                     this->find(Node)->Place.FailureDomain, Now)
+             ? PlacementVerdict::Allowed
+             : Verdict;
+}
+
 TargetChoice TargetDirectory::choose(const ChoiceInput &Request,
                                      Instant Now) const {
   TargetChoice Best;
   std::pair<bool, Duration> BestCost;
   std::optional<Duration> NextCost;
   for (const auto &[Node, View] : this->Views) {
-    if (View.Status.State != TargetState::Ready ||
-        View.Status.Service != Request.Service ||
-        excluded(Request.Excluded, Node))
+    if (!this->isCandidate(Node, View, Request))
       continue;
     // An unreachable node is only chosen if there is no other. Once the
     // avoidance time is over, a single request probes whether it is reachable
@@ -298,12 +327,14 @@
 
 std::size_t
 TargetDirectory::countReady(std::string_view Service,
-                            std::span<const std::string> Excluded) const {
+                            std::span<const std::string> Excluded,
+                            std::span<const std::string> AllowedRegions) const {
+  ChoiceInput Request{.Service = Service,
+                      .Excluded = Excluded,
+                      .AllowedRegions = AllowedRegions};
   return static_cast<std::size_t>(
       std::ranges::count_if(this->Views, [&](const auto &Entry) {
-        return Entry.second.Status.State == TargetState::Ready &&
-               Entry.second.Status.Service == Service &&
-               !excluded(Excluded, Entry.first);
+        return this->isCandidate(Entry.first, Entry.second, Request);
       }));
 }
 
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -16,7 +16,9 @@
 #include <string_view>
 
 #include "orioledoor/base/instant.h"
+#include "orioledoor/routing/evacuated_domains.h"
 #include "orioledoor/routing/location.h"
+#include "orioledoor/routing/placement_policy.h"
 #include "orioledoor/routing/target_status.h"
 
 namespace orioledoor::routing {
@@ -99,9 +101,28 @@
 
   // Returns the target of the service with the lowest estimated cost.
   TargetChoice choose(const ChoiceInput &Request, Instant Now) const;
-  // Number of ready targets of the service that are not in Excluded.
-  std::size_t countReady(std::string_view Service,
-                         std::span<const std::string> Excluded) const;
+  // Number of ready targets of the service that are not in Excluded, in the
+  // allowed regions (empty: in all) and outside of evacuated failure domains.
+  std::size_t
+  countReady(std::string_view Service, std::span<const std::string> Excluded,
+             std::span<const std::string> AllowedRegions = {}) const;
+
+  // Sets the failure domains whose targets get nothing new. KeysServedUntil: as
+  // in EvacuatedDomains.
+  void setEvacuations(const EvacuatedDomains::Names &Domains,
+                      Instant KeysServedUntil) {
+    this->Evacuations.replace(Domains, KeysServedUntil);
+  }
+  // Returns whether a request without a key, or its body, may go to Node. A
+  // node whose place is not known is in no allowed region.
+  PlacementVerdict
+  checkPlacement(const std::string &Node,
+                 std::span<const std::string> AllowedRegions) const;
+  // The same for a request whose key the target beside Node owns: it may go to
+  // an evacuated target until the grace is over.
+  PlacementVerdict checkOwner(const std::string &Node,
+                              std::span<const std::string> AllowedRegions,
+                              Instant Now) const;
 
   // Returns whether the target has been leaving for the drain time. This holds
   // whatever its node says later, since a restarted node may not know it.
@@ -129,6 +150,9 @@
     bool Measured = false;
   };
 
+  // Returns whether the target may be chosen for the request.
+  bool isCandidate(const std::string &Node, const TargetView &View,
+                   const ChoiceInput &Request) const;
   ServiceTimeEstimate estimateServiceTime(const TargetView &View,
                                           RequestClassId RequestClass,
                                           Instant Now) const;
@@ -141,6 +165,7 @@
   std::string OwnNode;
   Duration DrainTime;
   std::map<std::string, TargetView> Views;
+  EvacuatedDomains Evacuations;
   // When each leaving target was first known to leave. Kept when its node is
   // removed, since it may come back beside the same target.
   std::map<TargetRef, Instant> LeavingSince;
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -29,6 +29,7 @@
 
 TargetGate::TargetGate(TargetGateOptions Options)
     : Options(std::move(Options)),
+      Evacuation(this->Options.EvacuationTime > Duration(0)),
       BodyFetches(this->Options.LinkBytesPerSecond) {}
 
 ReportVerdict TargetGate::handleReport(const TargetReport &Report, Instant Now,
@@ -47,6 +48,7 @@
   }
   this->LastReportAt = Now;
   this->ConnectionRefused = false;
+  this->Evacuation.noteReport();
   if (SameIncarnation) {
     // Measurements from the cold start phase are no longer valid.
     if (this->Report.ColdRemaining.count() > 0 &&
@@ -184,6 +186,7 @@
                    field("silent_ms", millis(Now - this->LastReportAt))}});
     this->refuseUnstartedCalls(Now, Out);
   }
+  this->endEvacuationGrace(Now, Out);
   this->endConfirmations(Now, Out);
   this->startQueuedCalls(Now, Out);
   this->refuseOverdueCalls(Now, Out);
@@ -206,7 +209,7 @@
           .Target = {this->Target.Instance, this->Target.StartTimeMs,
                      this->Options.Node},
           .Service = this->Report.Service,
-          .State = this->Closed ? TargetState::Absent : this->State,
+          .State = this->Closed ? TargetState::Absent : this->state(),
           .Slots = this->Queue.slots(),
           .Running = this->Queue.running(),
           .Queued = static_cast<std::uint32_t>(this->Queue.waiting()),
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "orioledoor/routing/admission_queue.h"
@@ -24,12 +25,16 @@
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/location.h"
+#include "orioledoor/routing/placement_policy.h"
 #include "orioledoor/routing/recent_results.h"
 #include "orioledoor/routing/start_pacer.h"
+#include "orioledoor/routing/target_evacuation.h"
 #include "orioledoor/routing/target_signals.h"
 
 namespace orioledoor::routing {
 
+class RouteTable;
+
 struct TargetGateOptions {
   // Peer address of this node.
   std::string Node{};
@@ -121,6 +126,13 @@
   // process of this node.
   void handleLeavingNotice(const TargetLeavingNotice &Notice, Instant Now,
                            Effects &Out);
+  // The routes of Table are in force. Requests of classes whose routes do not
+  // allow the region of this node are refused from now on; a class that Table
+  // does not have is accepted. Linear in the number of routes.
+  void setRoutes(const RouteTable &Table, Instant Now, Effects &Out);
+  // Processes what the store says about the failure domain of this node. Has no
+  // effect without an EvacuationTime.
+  void handleEvacuation(const EvacuationNews &News, Instant Now, Effects &Out);
   // Refuses all new and waiting requests; called before the process exits.
   void close(Instant Now, Effects &Out);
   // Drives timeouts and paced starts. Call every 20 to 100 ms.
@@ -130,7 +142,14 @@
   TargetStatus status(Instant Now) const;
   // Current incarnation of the target; empty if none has reported.
   const TargetRef &target() const { return this->Target; }
-  TargetState state() const { return this->State; }
+  TargetState state() const {
+    return this->State == TargetState::Ready && this->Evacuation.isActive()
+               ? TargetState::Evacuated
+               : this->State;
+  }
+  // True from the end of an evacuation until a report of the target that was
+  // received later: the target was without requests, or has started again.
+  bool isSuspectedCold() const { return this->Evacuation.isSuspectedCold(); }
   std::string_view service() const { return this->Report.Service; }
   std::size_t openRequests() const { return this->Calls.size(); }
   const AdmissionQueue &queue() const { return this->Queue; }
@@ -145,6 +164,10 @@
   std::uint64_t withdrawnCalls() const { return this->WithdrawnCalls; }
   // Number of requests that had to be confirmed by their senders.
   std::uint64_t unconfirmedCalls() const { return this->UnconfirmedCalls; }
+  // Number of requests that were refused because their routes do not allow this
+  // region, or because the target is evacuated.
+  std::uint64_t regionRefusals() const { return this->RegionRefusals; }
+  std::uint64_t evacuationRefusals() const { return this->EvacuationRefusals; }
 
 private:
   struct ForwardedCall {
@@ -174,6 +197,16 @@
   bool mayStart(Instant Now) const;
   // Calls that may run at once while the limit of the target is not known.
   std::uint32_t allowedProbes(Instant Now) const;
+  // Returns whether the request may start at this place.
+  PlacementVerdict checkPlacement(const Forward &Request, Instant Now) const;
+  // Counts and logs the refusal of a request if it is due to its placement.
+  void notePlacementRefusal(const std::string &From, const Forward &Request,
+                            Instant Now, Effects &Out);
+  // Ends the calls that have not started and may not start at this place.
+  void refuseMisplacedCalls(Instant Now, Effects &Out);
+  // Ends all calls that have not started once the grace of an evacuation is
+  // over.
+  void endEvacuationGrace(Instant Now, Effects &Out);
   // Estimated time that a new request of this rank waits until it may start.
   Duration expectedWait(const QueueRank &Rank, Instant Now) const;
   void startCall(std::uint64_t Id, Instant Now, Effects &Out);
@@ -216,7 +249,14 @@
   TargetReport Report;
   // Counts the incarnations of the target that reported to this process.
   std::uint32_t Incarnation = 0;
+  // Never Evacuated: see state().
   TargetState State = TargetState::Absent;
+  TargetEvacuation Evacuation;
+  // The end of the grace of the present evacuation is known to the waiting
+  // calls.
+  bool GraceEndHandled = true;
+  // Classes of requests whose routes do not allow the region of this node.
+  std::unordered_set<RequestClassId> ForbiddenClasses;
   // No new requests are started after this time; only used while State is
   // Leaving.
   Instant DrainDeadline;
@@ -231,6 +271,8 @@
   std::uint64_t StartedCalls = 0;
   std::uint64_t WithdrawnCalls = 0;
   std::uint64_t UnconfirmedCalls = 0;
+  std::uint64_t RegionRefusals = 0;
+  std::uint64_t EvacuationRefusals = 0;
   StartPacer Pacer;
   // Until the current incarnation has answered this process, its limit is
   // unknown and few calls run at once.
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -76,7 +76,8 @@
                                                   std::uint64_t Digest,
                                                   Instant Now) const {
   if (this->Closed || this->State == TargetState::Absent || this->Drained ||
-      Request.Service != this->Report.Service)
+      Request.Service != this->Report.Service ||
+      this->checkPlacement(Request, Now) != PlacementVerdict::Allowed)
     return Outcome::NoTarget;
   // Requests without a key go to other targets of the service.
   if (this->State == TargetState::Leaving && Key == KeyState::NotKeyed &&
@@ -136,6 +137,7 @@
   std::uint64_t Digest =
       Withheld ? 0 : crashDigest(Request.CallerService, *Request.Content);
   if (auto Reason = this->checkAdmission(Request, Key, Digest, Now)) {
+    this->notePlacementRefusal(From, Request, Now, Out);
     this->refuse(From, Request, *Reason, Duration(0), Now, Out);
     return;
   }
@@ -285,7 +287,7 @@
 }
 
 bool TargetGate::mayStart(Instant Now) const {
-  return this->Pacer.mayStart(Now) &&
+  return this->Pacer.mayStart(Now) && this->Evacuation.mayStart(true, Now) &&
          (this->SignalsKnown ||
           this->Queue.running() < this->allowedProbes(Now));
 }
