--- a/orioledoor/platform/names.h
+++ b/orioledoor/platform/names.h
@@ -28,7 +28,10 @@
 inline constexpr char DeregisterPrefix[] = "/Instances.Deregister/";
 
 // Store keys that the operator writes.
+inline constexpr char OperatorPrefix[] = "op/";
 inline constexpr char ConfigKey[] = "op/config";
+// Followed by the failure domain that is evacuated while the key exists.
+inline constexpr char EvacuationPrefix[] = "op/evacuate/";
 
 // Environment variable with the path of the settings file.
 inline constexpr char SettingsVariable[] = "ORIOLEDOOR_CONFIG";
--- a/orioledoor/sidecar/config_follower.cc
+++ b/orioledoor/sidecar/config_follower.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "orioledoor/platform/operator_keys.h"
+
 namespace orioledoor::sidecar {
 namespace {
 
@@ -27,12 +29,21 @@
 // which use up to 80% of the slowest links. The time to wait for it is its
 // transfer time on a free link times this factor.
 constexpr int SharedLinkFactor = 6;
+// Interval between reads because other nodes state an evacuation that the store
+// does not show. A node that is cut off from the store may state it for long
+// after its end.
+constexpr Duration EvacuationReadPause = milliseconds(5000);
+
+bool isConfiguration(const StoreEntry &Entry) {
+  return platform::decodeOperatorKey(Entry.Key).Kind ==
+         platform::OperatorKeyKind::Configuration;
+}
 
 } // namespace
 
 ConfigActions ConfigFollower::start() {
   this->ReadInFlight = true;
-  return {.Read = StoreRange{.Key = this->Key}};
+  return {.Read = StoreRange{.Key = this->Prefix, .Prefix = true}};
 }
 
 ConfigActions ConfigFollower::onStoreReply(const StoreReply &Reply,
@@ -44,25 +55,33 @@
     if (!this->FetchedFromNode)
       this->CatchUpAt = Now;
   }
+  ConfigActions Actions;
+  Actions.Evacuations = this->Evacuations.applyRead(Reply);
+  Actions.InvalidKeys = this->Evacuations.takeInvalidKeys();
   // Without an entry, the operator has not configured anything yet. The watch
   // reports the first configuration.
   if (Reply.Status.ok() && Reply.Entries.empty() && Reply.Revision != 0 &&
       !this->WatchOpen) {
     this->WatchOpen = true;
-    return {.WatchAfter = Reply.Revision};
+    Actions.WatchAfter = Reply.Revision;
+    return Actions;
   }
   if (!Reply.Status.ok() || Reply.Entries.empty()) {
     if (!this->WatchOpen)
       this->NextReadAt = Now + ReadPause;
-    return {};
+    return Actions;
   }
   this->WatchOpen = true;
-  const StoreEntry &Entry = Reply.Entries.front();
-  // Watches from the revision of the reply, which the entry reflects. The
+  // Watches from the revision of the reply, which the entries reflect. The
   // revision of the last change may be older than the history that the store
   // keeps.
-  return {.WatchAfter = std::max(Reply.Revision, Entry.ModRevision),
-          .NewConfig = Entry};
+  Actions.WatchAfter = Reply.Revision;
+  for (const StoreEntry &Entry : Reply.Entries)
+    Actions.WatchAfter = std::max(*Actions.WatchAfter, Entry.ModRevision);
+  if (auto Config = std::ranges::find_if(Reply.Entries, isConfiguration);
+      Config != Reply.Entries.end())
+    Actions.NewConfig = *Config;
+  return Actions;
 }
 
 ConfigActions ConfigFollower::onWatchUpdate(const StoreWatchUpdate &Update,
@@ -76,14 +95,24 @@
   // decoding takes time.
   auto LatestChange = std::ranges::find_if(
       Update.Changes.rbegin(), Update.Changes.rend(),
-      [this](const StoreChange &Change) {
-        return !Change.Deleted && Change.Entry.Key == this->Key;
+      [](const StoreChange &Change) {
+        return !Change.Deleted && isConfiguration(Change.Entry);
       });
   if (LatestChange != Update.Changes.rend())
     Actions.NewConfig = LatestChange->Entry;
+  Actions.Evacuations = this->Evacuations.applyWatch(Update);
+  Actions.InvalidKeys = this->Evacuations.takeInvalidKeys();
   return Actions;
 }
 
+void ConfigFollower::onEvacuationSeen(std::string_view Domain, Instant Now) {
+  if (this->evacuatedDomains().contains(Domain) ||
+      Now < this->NextEvacuationReadAt)
+    return;
+  this->EvacuationReadAt = Now + CatchUpGrace;
+  this->NextEvacuationReadAt = Now + EvacuationReadPause;
+}
+
 void ConfigFollower::onVersionSeen(const std::string &Node,
                                    std::uint64_t Version, Instant Now) {
   if (Version <= this->VersionInForce || Version < this->NewestVersion)
@@ -110,7 +139,8 @@
 }
 
 ConfigActions ConfigFollower::tick(Instant Now) {
-  bool ReadDue = this->NextReadAt && Now >= *this->NextReadAt;
+  bool ReadDue = (this->NextReadAt && Now >= *this->NextReadAt) ||
+                 (this->EvacuationReadAt && Now >= *this->EvacuationReadAt);
   ConfigActions Actions;
   if (this->isBehind() && Now >= this->CatchUpAt) {
     ReadDue = true;
@@ -128,6 +158,7 @@
   if (!ReadDue || this->ReadInFlight)
     return Actions;
   this->NextReadAt.reset();
+  this->EvacuationReadAt.reset();
   Actions.Read = this->start().Read;
   return Actions;
 }
--- a/orioledoor/sidecar/config_follower.h
+++ b/orioledoor/sidecar/config_follower.h
@@ -1,10 +1,11 @@
-// Follows the operator's configuration in the store: reads it, watches it from
-// the revision of the read, and reads it again when the store has discarded the
-// history that the watch needs. A watch can fail silently, so nodes also
-// announce which version they have in force, and a node with an older version
-// asks the store and then one of those nodes.
+// Follows what the operator writes to the store, the configuration and the
+// evacuations of failure domains: reads the keys below a prefix, watches them
+// from the revision of the read, and reads them again when the store has
+// discarded the history that the watch needs. A watch can fail silently, so
+// nodes also announce which version they have in force, and a node with an
+// older version asks the store and then one of those nodes.
 //
-//   ConfigFollower Follower("op/config");
+//   ConfigFollower Follower("op/");
 //   ConfigActions Actions = Follower.start();
 //   Actions = Follower.onStoreReply(Reply, Now);       // reply to the read
 //   Actions = Follower.onWatchUpdate(Update, Now);
@@ -17,7 +18,9 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "orioledoor/sidecar/evacuation_follower.h"
 #include "orioledoor/store/store_types.h"
 
 namespace orioledoor::sidecar {
@@ -26,18 +29,22 @@
 struct ConfigActions {
   // Read this range; the reply goes to onStoreReply().
   std::optional<StoreRange> Read{};
-  // Watch the key for changes after this revision.
+  // Watch the keys below the prefix for changes after this revision.
   std::optional<std::int64_t> WatchAfter{};
   // A configuration to decode and apply.
   std::optional<StoreEntry> NewConfig{};
   // Request the configuration from this node.
   std::optional<std::string> FetchFromNode{};
+  // The evacuations to apply.
+  std::optional<EvacuationsChanged> Evacuations{};
+  // Keys below the prefix that have no meaning, to be logged.
+  std::vector<InvalidOperatorKey> InvalidKeys{};
 };
 
 // Not thread-safe. Uses no clock or socket.
 class ConfigFollower {
 public:
-  explicit ConfigFollower(std::string Key) : Key(std::move(Key)) {}
+  explicit ConfigFollower(std::string Prefix) : Prefix(std::move(Prefix)) {}
 
   ConfigActions start();
   ConfigActions onStoreReply(const StoreReply &Reply, Instant Now);
@@ -49,6 +56,12 @@
   void setVersionInForce(std::uint64_t Version, Instant Now);
   // Sets how long sending one configuration occupies this node's link.
   void setTransferTime(Duration Time) { this->TransferTime = Time; }
+  // Another node states that this failure domain is evacuated. If the watch
+  // does not show that soon, the keys are read.
+  void onEvacuationSeen(std::string_view Domain, Instant Now);
+  const DomainNames &evacuatedDomains() const {
+    return this->Evacuations.domains();
+  }
   // To be called at least every 100 ms.
   ConfigActions tick(Instant Now);
 
@@ -66,7 +79,12 @@
   // and the count of attempts to catch up.
   void resetCatchUp(Instant Now);
 
-  std::string Key;
+  std::string Prefix;
+  EvacuationFollower Evacuations;
+  // Time of the read because of onEvacuationSeen(), and the time before which
+  // there is no other one.
+  std::optional<Instant> EvacuationReadAt;
+  Instant NextEvacuationReadAt;
   // A read was sent and not answered.
   bool ReadInFlight = false;
   // A watch was opened and has not ended.
--- a/orioledoor/sidecar/config_follower_test.cc
+++ b/orioledoor/sidecar/config_follower_test.cc
@@ -10,6 +10,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr char Prefix[] = "op/";
 constexpr char Key[] = "op/config";
 
 class ConfigFollowerTest : public CppUnit::TestFixture {
@@ -32,7 +33,8 @@
   // history: a watch from the revision of the last change, which may be minutes
   // old, is rejected immediately, and so is the next one.
   void watchesFromRevisionOfRead() {
-    CPPUNIT_ASSERT(this->Config.start().Read->Key == Key);
+    std::optional<StoreRange> Read = this->Config.start().Read;
+    CPPUNIT_ASSERT(Read->Key == Prefix && Read->Prefix);
     ConfigActions Actions = this->Config.onStoreReply(
         {.Entries = {{Key, "one", 7}}, .Revision = 400}, this->Now);
     CPPUNIT_ASSERT(Actions.WatchAfter == 400);
@@ -219,7 +221,7 @@
 
 private:
   Instant Now{std::int64_t{1'000'000}};
-  ConfigFollower Config{Key};
+  ConfigFollower Config{Prefix};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigFollowerTest);
--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -75,6 +75,21 @@
 inline constexpr EventDefinition MessageDelayed{
     4143, Severity::Warn, "MESSAGE_DELAYED",
     "a message from another node arrived later than normal"};
+inline constexpr EventDefinition EvacuationsRead{
+    4160, Severity::Info, "EVACUATIONS_READ",
+    "the failure domains that the operator evacuates are known or changed"};
+inline constexpr EventDefinition EvacuationOfUnknownDomain{
+    4161, Severity::Warn, "EVACUATION_OF_UNKNOWN_DOMAIN",
+    "a failure domain is evacuated in which no node is known"};
+inline constexpr EventDefinition OperatorKeyIgnored{
+    4162, Severity::Warn, "OPERATOR_KEY_IGNORED",
+    "a key of the operator has no meaning here"};
+inline constexpr EventDefinition RegionUnknown{
+    4163, Severity::Warn, "REGION_UNKNOWN",
+    "a route allows a region in which no node is known"};
+inline constexpr EventDefinition RegionsDisjoint{
+    4164, Severity::Warn, "REGIONS_DISJOINT",
+    "the routes of a partitioned service have no allowed region in common"};
 inline constexpr EventDefinition LogDropped{
     4151, Severity::Warn, "LOG_DROPPED",
     "log lines were dropped by the rate limit"};
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -176,7 +176,9 @@
                              .Quantiles = std::move(Demand.Quantiles)}});
 }
 
-std::vector<keyspace::PlannerNode> KeyOwnershipManager::plannerNodes() const {
+std::vector<keyspace::PlannerNode> KeyOwnershipManager::plannerNodes(
+    std::span<const std::string> AllowedRegions) const {
+  routing::PlacementPolicy Policy(AllowedRegions, &this->Evacuations);
   std::vector<keyspace::PlannerNode> Result;
   for (const auto &[Key, Node] : this->Members.nodes()) {
     if (Node.MissingSince)
@@ -186,7 +188,9 @@
                       .EntryRevision = Node.Revision,
                       .Target = Entry.Target,
                       .Service = Entry.Service,
-                      .Ready = Entry.State == routing::TargetState::Ready,
+                      .Ready = Entry.State == routing::TargetState::Ready &&
+                               Policy.check(Entry.Place) ==
+                                   routing::PlacementVerdict::Allowed,
                       .Slots = Entry.Slots,
                       .Ended = Entry.Ended});
   }
@@ -263,7 +267,6 @@
   if (this->planningNode() != this->Members.selfEntry().Node ||
       !this->Members.isLoaded())
     return;
-  std::vector<keyspace::PlannerNode> Nodes = this->plannerNodes();
   bool StoreUpToDate = this->Members.isUpToDate(Now);
   for (const auto &[Name, Policy] : Table->Services) {
     if (!Policy.Partitioned || !this->canWrite(Name, Now))
@@ -271,6 +274,11 @@
     keyspace::KeyPlanner &Planner =
         this->Planners.try_emplace(Name, Name, this->Options.Plans)
             .first->second;
+    // Regions that no two routes share are logged by the reducer; keys that
+    // some route can reach are better than none.
+    auto Regions = routing::commonAllowedRegions(*Table, Name);
+    std::vector<keyspace::PlannerNode> Nodes =
+        this->plannerNodes(Regions.value_or(std::vector<std::string>()));
     const StoredKeyMap *Stored = this->findKeyMap(Name);
     std::optional<keyspace::KeyPlan> Plan = Planner.plan(
         Stored ? &Stored->Map : nullptr, Nodes, StoreUpToDate, Now);
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +66,11 @@
   // the number of requests per second that the target can serve.
   void reportLoad(std::string_view Service, const routing::TargetRef &Target,
                   double Capacity, Instant Now, Effects &Out);
+  // Sets the failure domains whose targets get no keys and lose those that they
+  // have.
+  void setEvacuations(const routing::EvacuatedDomains::Names &Domains) {
+    this->Evacuations.replace(Domains, Instant());
+  }
   // Plans key maps if this node is the planning node, and records transfers.
   void tick(const routing::SharedRouteTable &Table, Instant Now, Effects &Out);
   // Handles the reply of the store to a write or read of key maps. Returns
@@ -109,7 +115,10 @@
     Instant Since;
   };
 
-  std::vector<keyspace::PlannerNode> plannerNodes() const;
+  // Targets in other regions than AllowedRegions (empty: none are other) or in
+  // evacuated failure domains count as not ready.
+  std::vector<keyspace::PlannerNode>
+  plannerNodes(std::span<const std::string> AllowedRegions) const;
   const StoredKeyMap *findKeyMap(std::string_view Service) const;
   void writeKeyMap(const std::string &Service, const keyspace::KeyMap &Map,
                    const std::vector<keyspace::EntryCondition> &Conditions,
@@ -125,6 +134,7 @@
 
   KeyOwnershipOptions Options;
   Membership &Members;
+  routing::EvacuatedDomains Evacuations;
   keyspace::KeyGrantor Grantor;
   keyspace::KeyLoadMeter Meter;
   Instant LoadReportedAt;
--- a/orioledoor/sidecar/key_ownership_test.cc
+++ b/orioledoor/sidecar/key_ownership_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST_SUITE(KeyOwnershipTest);
   CPPUNIT_TEST(fleetWithoutFaultsHoldsAllKeys);
   CPPUNIT_TEST(ownershipIsExclusiveUnderFaults);
+  CPPUNIT_TEST(evacuationMovesAllKeys);
+  CPPUNIT_TEST(ownershipIsExclusiveUnderEvacuations);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -41,11 +43,39 @@
   }
 
   void ownershipIsExclusiveUnderFaults() {
-    auto [First, Count] = testing::readSeedRange(DefaultSeeds);
+    this->play(testing::ModelSchedule::KeyFaults, DefaultSeeds);
+  }
+
+  // Guards against keys that stay with targets of an evacuated failure domain,
+  // or move to other targets there, until the time for the evacuation is over.
+  void evacuationMovesAllKeys() {
+    testing::ModelFleet Fleet(1, 9, testing::ModelSchedule::KeyEvacuations);
+    Fleet.run(seconds(8), false);
+    Fleet.evacuate(1);
+    CPPUNIT_ASSERT(Fleet.evacuatedKeys() > 0);
+    Fleet.run(seconds(5), false);
+    CPPUNIT_ASSERT_EQUAL(0, Fleet.evacuatedKeys());
+    CPPUNIT_ASSERT_EQUAL(0, Fleet.unheldKeys());
+    Fleet.endEvacuation();
+    Fleet.run(seconds(10), false);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Fleet.failure());
+    Fleet.evacuate(1);
+    CPPUNIT_ASSERT(Fleet.evacuatedKeys() > 0);
+  }
+
+  // Guards against moves away from an evacuated target that break the rules of
+  // ownership, while processes, the store and the network fail.
+  void ownershipIsExclusiveUnderEvacuations() {
+    this->play(testing::ModelSchedule::KeyEvacuations, DefaultSeeds / 3);
+  }
+
+private:
+  void play(testing::ModelSchedule Schedule, std::uint64_t Seeds) {
+    auto [First, Count] = testing::readSeedRange(Seeds);
     int Failed = 0;
     int Moves = 0;
     for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
-      testing::ModelFleet Fleet(Seed, 3 + static_cast<int>(Seed % 5));
+      testing::ModelFleet Fleet(Seed, 3 + static_cast<int>(Seed % 5), Schedule);
       Fleet.run(seconds(45), true);
       if (Fleet.failure().empty())
         Fleet.run(RecoveryTime, false);
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -313,6 +313,12 @@
          this->StoreAnswers && Now - this->LastAnswerAt < MaxStoreSilence;
 }
 
+Duration Membership::answeredFor(Instant Now) const {
+  return this->StoreAnswers && this->UpToDateSince != Instant()
+             ? Now - this->UpToDateSince
+             : Duration(0);
+}
+
 void Membership::tick(Instant Now, MembershipOutput &Out) {
   if (this->StepCallId == 0 && this->CurrentStep != Step::Live &&
       this->CurrentStep != Step::Idle && Now >= this->RetryAt) {
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -116,6 +116,9 @@
   bool isLoaded() const { return this->Loaded; }
   // Returns whether the store answered recently and this view follows it.
   bool isUpToDate(Instant Now) const;
+  // Returns for how long the store has answered without failures; 0 if it does
+  // not answer.
+  Duration answeredFor(Instant Now) const;
   const keyspace::GrantAuthority &authority() const { return this->Authority; }
   // All known nodes by store key.
   const std::map<std::string, StoredNode> &nodes() const { return this->Nodes; }
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -24,6 +24,12 @@
   Metrics.counter("oriole_gate_withdrawn_total").set(Gate.withdrawnCalls());
   Metrics.counter("oriole_gate_confirmations_total")
       .set(Gate.unconfirmedCalls());
+  Metrics.gauge("oriole_gate_evacuated")
+      .set(Gate.state() == routing::TargetState::Evacuated ? 1 : 0);
+  Metrics.counter("oriole_gate_placement_refused_total", "why=\"region\"")
+      .set(Gate.regionRefusals());
+  Metrics.counter("oriole_gate_placement_refused_total", "why=\"evacuated\"")
+      .set(Gate.evacuationRefusals());
 }
 
 void setStoreMetrics(MetricsRegistry &Metrics,
@@ -57,6 +63,10 @@
   setStoreMetrics(Metrics, Store);
   Metrics.gauge("oriole_entry_open")
       .set(static_cast<double>(Reducer.entry().openRequests()));
+  Metrics.counter("oriole_entry_placement_refused_total")
+      .set(Reducer.entry().placementRefusals());
+  Metrics.gauge("oriole_evacuated_domains")
+      .set(static_cast<double>(Reducer.evacuatedDomains().size()));
   Metrics.gauge("oriole_nodes")
       .set(static_cast<double>(Reducer.membership().nodes().size()));
   Metrics.counter("oriole_peer_delayed_messages_total")
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -70,7 +70,7 @@
     : Options(std::move(InitialOptions)),
       Directory(this->Options.Place, this->Options.Node,
                 this->Options.DrainTime),
-      Config(this->Options.ConfigKey),
+      Config(this->Options.OperatorPrefix),
       Members(makeSelfEntry(this->Options), this->Options.Members),
       Keys(this->Options.Keys, this->Members),
       Gate({.Node = this->Options.Node,
@@ -105,6 +105,7 @@
   this->Out.clear();
   if (!this->StandstillHandled && this->standstill(Now) > Duration(0)) {
     this->StandstillHandled = true;
+    this->StandstillEndedAt = Now;
     this->Gate.handleStandstill(Now, this->RoutingEffects);
   }
   std::visit(
@@ -263,7 +264,7 @@
   MembershipOutput Output;
   this->Members.start(Now, Output);
   this->apply(std::move(Output), Now);
-  this->apply(this->Config.start());
+  this->apply(this->Config.start(), Now);
 }
 
 void SidecarReducer::on(CallerRequestReceived Received, Instant Now) {
@@ -419,7 +420,8 @@
       this->Gate.state() == TargetState::Ready)
     this->Keys.reportLoad(this->Gate.service(), Target, this->Gate.capacity(),
                           Now, this->Out);
-  this->apply(this->Config.tick(Now));
+  this->apply(this->Config.tick(Now), Now);
+  this->reportUnknownPlaces(Now);
   this->publishStatus(Now);
   this->Keys.tick(this->Entry.table(), Now, this->Out);
   this->advanceShutdown(Ticked.UnsentAnswers, Now);
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -42,8 +43,8 @@
   Duration StopGrace = std::chrono::seconds(6);
   // Bandwidth of this VM's link; 0 if it is not known.
   double LinkBytesPerSecond = 0;
-  // Store key of the operator's configuration.
-  std::string ConfigKey;
+  // Prefix of the operator's store keys.
+  std::string OperatorPrefix;
   // Retry budget of the whole fleet for one window: a share of the requests and
   // a constant number of extra retries.
   double RetryRatio = 0.2;
@@ -78,6 +79,10 @@
   std::uint64_t delayedMessages() const { return this->DelayedMessages; }
   // Number of reports that did not come from the target on this VM.
   std::uint64_t refusedReports() const { return this->RefusedReports; }
+  // The failure domains that the operator evacuates.
+  const DomainNames &evacuatedDomains() const {
+    return this->Config.evacuatedDomains();
+  }
 
 private:
   // A report whose answer is delayed until keys arrive, at most until Until.
@@ -111,7 +116,14 @@
   std::string_view mismatchOf(const routing::TargetReport &Report) const;
   void receiveMessage(const std::string &From, routing::Message Body,
                       Instant Now);
-  void apply(ConfigActions Actions);
+  void apply(ConfigActions Actions, Instant Now);
+  // Applies the evacuated failure domains.
+  void on(const EvacuationsChanged &Changed, Instant Now);
+  // Node From states this about its target.
+  void noteEvacuatedTarget(const routing::TargetStatus &Status, Instant Now);
+  // Logs regions and evacuated failure domains that no known node is in, each
+  // of them once.
+  void reportUnknownPlaces(Instant Now);
   // Sets the version of the configuration in force in outgoing requests and
   // results, and the time of sending.
   void stampMessage(routing::Message &Body, Instant Now) const;
@@ -156,6 +168,8 @@
   void advanceShutdown(std::size_t UnsentAnswers, Instant Now);
   void updateWatches();
   bool isPartitioned(std::string_view Service) const;
+  // Returns whether a target of the service in this region can be given keys.
+  bool mayHoldKeys(std::string_view Service) const;
 
   SidecarOptions Options;
   routing::TargetDirectory Directory;
@@ -183,6 +197,14 @@
   Instant StartedAt;
   Instant ReportedAt;
   Instant LastTickAt;
+  // Time at which the process went on after its last standstill.
+  Instant StandstillEndedAt;
+  // Failure domains and regions that were logged as unknown, and the version of
+  // the configuration whose regions they are.
+  std::set<std::string, std::less<>> UnknownDomains;
+  std::set<std::string, std::less<>> UnknownRegions;
+  std::uint64_t UnknownRegionsVersion = 0;
+  Instant NextPlaceCheckAt;
   // The standstill since the last tick is known to the gate.
   bool StandstillHandled = false;
   std::optional<DeferredReport> Deferred;
--- a/orioledoor/sidecar/reducer_config.cc
+++ b/orioledoor/sidecar/reducer_config.cc
@@ -19,11 +19,11 @@
 } // namespace
 
 void SidecarReducer::on(const ConfigReadReplied &Replied, Instant Now) {
-  this->apply(this->Config.onStoreReply(Replied.Reply, Now));
+  this->apply(this->Config.onStoreReply(Replied.Reply, Now), Now);
 }
 
 void SidecarReducer::on(const ConfigWatchUpdated &Watched, Instant Now) {
-  this->apply(this->Config.onWatchUpdate(Watched.Update, Now));
+  this->apply(this->Config.onWatchUpdate(Watched.Update, Now), Now);
 }
 
 void SidecarReducer::on(ConfigDecoded Decoded, Instant Now) {
@@ -48,6 +48,7 @@
       this->transferTime(Decoded.Table->Document.size()));
   this->Config.setVersionInForce(Decoded.Table->Version, Now);
   this->Out.push_back(ApplyLimits{Decoded.Table->Limits});
+  this->Gate.setRoutes(*Decoded.Table, Now, this->RoutingEffects);
   this->Entry.setTable(std::move(Decoded.Table));
   this->Entry.setNewerTableKnown(this->Config.isBehind());
 }
@@ -111,7 +112,14 @@
   this->KeyMapSendAt = Now + this->transferTime(Bytes) * KeyMapLinkDivisor;
 }
 
-void SidecarReducer::apply(ConfigActions Actions) {
+void SidecarReducer::apply(ConfigActions Actions, Instant Now) {
+  for (InvalidOperatorKey &Invalid : Actions.InvalidKeys)
+    this->Out.push_back(LogRecord{&events::OperatorKeyIgnored,
+                                  {{"key", std::move(Invalid.Key)},
+                                   {"why", std::move(Invalid.Fault)},
+                                   {"peer", "store"}}});
+  if (Actions.Evacuations)
+    this->on(*Actions.Evacuations, Now);
   if (Actions.NewConfig)
     this->Out.push_back(DecodeConfig{std::move(Actions.NewConfig->Value), ""});
   if (Actions.Read)
--- a/orioledoor/sidecar/reducer_messages.cc
+++ b/orioledoor/sidecar/reducer_messages.cc
@@ -45,7 +45,9 @@
 void SidecarReducer::remindOfLeaving(const std::string &From,
                                      const TargetRef &Target,
                                      TargetState Claimed, Instant Now) {
-  if (Claimed != TargetState::Ready || From == this->Options.Node)
+  bool IsKnownThere =
+      Claimed != TargetState::Ready && Claimed != TargetState::Evacuated;
+  if (IsKnownThere || From == this->Options.Node)
     return;
   if (auto KnownFor = this->Directory.leavingFor(Target, Now))
     this->Out.push_back(
@@ -72,6 +74,7 @@
     this->recordArrival(From, Result->SentAt, Now);
     this->onPeerConfigVersion(From, Result->ConfigVersion, Now);
     this->Directory.update(Result->Status, Now);
+    this->noteEvacuatedTarget(Result->Status, Now);
     this->Entry.handleResult(From, std::move(*Result), Now,
                              this->RoutingEffects);
   } else if (auto *BodyRequest = std::get_if<routing::FetchBody>(&Body)) {
@@ -92,6 +95,7 @@
     this->recordArrival(From, Status->SentAt, Now);
     this->Directory.noteReached(From);
     this->Directory.update(Status->Status, Now);
+    this->noteEvacuatedTarget(Status->Status, Now);
     this->remindOfLeaving(From, Status->Status.Target, Status->Status.State,
                           Now);
   } else if (auto *Crash = std::get_if<routing::CrashNotice>(&Body)) {
--- a/orioledoor/sidecar/reducer_reports.cc
+++ b/orioledoor/sidecar/reducer_reports.cc
@@ -66,7 +66,7 @@
   if (this->Deferred)
     this->Out.push_back(ReplyToReport{this->Deferred->Report.Id, {}});
   bool ExpectsKeys =
-      this->isPartitioned(Report.Service) &&
+      this->mayHoldKeys(Report.Service) &&
       this->Gate.state() == TargetState::Ready &&
       this->Keys.expectsKeys(Report.Service, this->Gate.target());
   this->Deferred = {std::move(Received),
--- a/orioledoor/sidecar/request_path_test.cc
+++ b/orioledoor/sidecar/request_path_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(stopsCutNoRequestThatRuns);
   CPPUNIT_TEST(requestsEndWithTheirCallers);
   CPPUNIT_TEST(delayedRequestsDoNotOutliveTheirCallers);
+  CPPUNIT_TEST(evacuatedTargetsGetNoRequests);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,6 +50,13 @@
     this->play(testing::ModelSchedule::Delays);
   }
 
+  // Guards against requests at evacuated targets while the store is down, after
+  // the node beside the target was restarted, or on behalf of an entry node
+  // that knows nothing of the evacuation.
+  void evacuatedTargetsGetNoRequests() {
+    this->play(testing::ModelSchedule::Evacuations);
+  }
+
 private:
   void play(testing::ModelSchedule Schedule) {
     auto [First, Count] = testing::readSeedRange(DefaultSeeds);
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -96,7 +96,7 @@
   Options.Place = {Settings.FailureDomain, Settings.Region};
   Options.Service = Settings.Service;
   Options.TargetAddress = formatEndpoint(Settings.Target);
-  Options.ConfigKey = platform::names::ConfigKey;
+  Options.OperatorPrefix = platform::names::OperatorPrefix;
   Options.DrainTime = Settings.DrainTime;
   Options.StopGrace = Settings.StopGrace;
   Options.LinkBytesPerSecond = Settings.LinkMbps * BytesPerMbit;
@@ -308,14 +308,14 @@
   }
 
   void execute(const WatchConfig &NewEffect) {
-    this->Store.watch(platform::names::ConfigKey, NewEffect.Revision,
+    this->Store.watch(platform::names::OperatorPrefix, NewEffect.Revision,
                       [this](StoreWatchUpdate Update) {
                         this->dispatch(ConfigWatchUpdated{std::move(Update)});
                       });
   }
 
   void execute(const SetConfigWatchSchedule &NewEffect) {
-    this->Store.setWatchWaits(platform::names::ConfigKey,
+    this->Store.setWatchWaits(platform::names::OperatorPrefix,
                               NewEffect.Schedule.First,
                               NewEffect.Schedule.Interval);
   }
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -28,6 +28,12 @@
 constexpr int LeavePercent = 40;
 // Time after which the loss of a VM shows, since it does not answer a ping.
 constexpr Duration LostPingTime = milliseconds(550);
+constexpr Duration EvacuationTime = milliseconds(5000);
+// A node that has reached the store for this long knows what it says: a read
+// that failed is repeated after 1.3 s.
+constexpr Duration LearnTime = milliseconds(1500);
+constexpr char OperatorPrefix[] = "op/";
+constexpr char EvacuationPrefix[] = "op/evacuate/";
 
 routing::SharedRouteTable newTable() {
   auto Table = std::make_shared<routing::RouteTable>();
@@ -37,12 +43,17 @@
   return Table;
 }
 
+Event replyEvent(StoreReply Reply, bool IsConfigRead) {
+  if (IsConfigRead)
+    return ConfigReadReplied{std::move(Reply)};
+  return StoreReplyReceived{std::move(Reply)};
+}
+
 } // namespace
 
 ModelFleet::ModelFleet(std::uint64_t Seed, int Nodes, ModelSchedule Schedule)
     : Random(Seed), Schedule(Schedule),
-      Table(Schedule == ModelSchedule::KeyFaults ? newTable()
-                                                 : trafficTable(1)) {
+      Table(this->isKeyed() ? newTable() : trafficTable(1)) {
   for (int Index = 0; Index < Nodes; ++Index) {
     auto Added = std::make_unique<Vm>();
     Added->Index = Index;
@@ -65,9 +76,14 @@
   Options.Place = {"domain-" + std::to_string(Machine.Index), "region"};
   Options.Service = this->Table->Services.begin()->first;
   Options.TargetAddress = ModelTarget::Address;
+  if (this->hasEvacuations()) {
+    Options.Place.FailureDomain = "domain-" + std::to_string(Machine.Index % 3);
+    Options.OperatorPrefix = OperatorPrefix;
+    Options.EvacuationTime = EvacuationTime;
+  }
   Machine.Reducer = std::make_unique<SidecarReducer>(Options);
   Machine.DelayedEvents.clear();
-  Machine.WatchAfter = -1;
+  Machine.WatchAfter = Machine.OperatorWatchAfter = -1;
   Machine.NextTick = this->Now;
   Machine.Stopping = Machine.ExitDue = false;
   this->execute(Machine, Machine.Reducer->handle(Started{}, this->Now));
@@ -115,6 +131,11 @@
       this->callStore(From, std::move(Call->Request));
     } else if (auto *Watch = std::get_if<WatchStore>(&NewEffect)) {
       From.WatchAfter = Watch->Revision;
+    } else if (auto *Read = std::get_if<ReadConfig>(&NewEffect);
+               Read && this->hasEvacuations()) {
+      this->callStore(From, {.Body = std::move(Read->Range)}, true);
+    } else if (auto *OperatorWatch = std::get_if<WatchConfig>(&NewEffect)) {
+      From.OperatorWatchAfter = OperatorWatch->Revision;
     } else if (auto *Reply = std::get_if<ReplyToReport>(&NewEffect)) {
       this->answerReport(From, *Reply);
     } else if (auto *Logged = std::get_if<LogRecord>(&NewEffect)) {
@@ -129,9 +150,8 @@
 
 void ModelFleet::sendMessage(Vm &From, const SendMessage &Message) {
   for (auto &To : this->Vms) {
-    bool Broadcast = Message.To.empty() &&
-                     this->Schedule != ModelSchedule::KeyFaults &&
-                     To.get() != &From;
+    bool Broadcast =
+        Message.To.empty() && !this->isKeyed() && To.get() != &From;
     if ((To->Node != Message.To && !Broadcast) ||
         this->Now < From.PeerCutUntil || this->Now < To->PeerCutUntil)
       continue;
@@ -155,6 +175,11 @@
 
 void ModelFleet::startRun(const Vm &Machine, const StartCall &Call) {
   this->Traffic.recordStart(Call.AttemptId, Machine.Index, this->Now);
+  if (this->isEvacuated(Machine) && Machine.KnowsEvacuation &&
+      this->Failure.empty())
+    this->Failure = "request " + Call.AttemptId + " ran at evacuated vm " +
+                    std::to_string(Machine.Index) + " at " +
+                    std::to_string(this->Now.micros() / 1000) + " ms";
   this->ScheduledEvents.emplace(
       this->Now + milliseconds(20) + this->randomDuration(900),
       ScheduledEvent{Machine.Index, Machine.Process,
@@ -244,9 +269,67 @@
   this->loseConnections(Machine, milliseconds(1));
 }
 
-void ModelFleet::callStore(Vm &From, StoreRequest Request) {
-  bool Reached =
-      this->Now >= this->StoreDownUntil && this->Now >= From.StoreCutUntil;
+void ModelFleet::evacuate(int VmIndex) {
+  this->EvacuatedDomain = VmIndex % 3;
+  std::string Domain = "domain-" + std::to_string(this->EvacuatedDomain);
+  this->recordHistory(Domain + " evacuated");
+  this->Store.apply(
+      {.Body = StoreTxn{.Puts = {{EvacuationPrefix + Domain, "{}"}}}},
+      this->Now);
+}
+
+void ModelFleet::endEvacuation() {
+  std::string Domain = "domain-" + std::to_string(this->EvacuatedDomain);
+  this->recordHistory("evacuation of " + Domain + " ended");
+  this->Store.erase(EvacuationPrefix + Domain);
+  this->EvacuatedDomain = -1;
+  for (auto &Machine : this->Vms)
+    Machine->KnowsEvacuation = false;
+}
+
+int ModelFleet::evacuatedKeys() const {
+  int Held = 0;
+  for (std::uint32_t Key = 0; Key <= keyspace::LastKey; Key += SampleStep)
+    Held += std::ranges::any_of(this->Vms, [&](const auto &Machine) {
+      return this->isEvacuated(*Machine) && Machine->Target &&
+             Machine->Target->holds(Key, this->Now);
+    });
+  return Held;
+}
+
+void ModelFleet::updateEvacuationKnowledge() {
+  for (auto &Machine : this->Vms) {
+    bool MayLearn = this->reachesStore(*Machine) && Machine->Reducer &&
+                    this->Now >= Machine->FrozenUntil &&
+                    this->Now >= this->RepliesLostUntil &&
+                    this->isEvacuated(*Machine);
+    if (!MayLearn)
+      Machine->MayLearnSince = this->Now;
+    Machine->KnowsEvacuation |=
+        MayLearn && this->Now - Machine->MayLearnSince >= LearnTime;
+  }
+}
+
+void ModelFleet::serveOperatorWatch(Vm &Machine) {
+  if (Machine.OperatorWatchAfter < 0 || !this->reachesStore(Machine) ||
+      Machine.OperatorWatchAfter >= this->Store.revision())
+    return;
+  StoreWatchUpdate Update;
+  Update.Revision = this->Store.revision();
+  Update.Changes = this->Store.changesAfter(Machine.OperatorWatchAfter);
+  std::erase_if(Update.Changes, [](const StoreChange &Change) {
+    return !Change.Entry.Key.starts_with(OperatorPrefix);
+  });
+  Machine.OperatorWatchAfter = Update.Revision;
+  if (!Update.Changes.empty())
+    this->ScheduledEvents.emplace(
+        this->Now + milliseconds(10),
+        ScheduledEvent{Machine.Index, Machine.Process,
+                       ConfigWatchUpdated{std::move(Update)}});
+}
+
+void ModelFleet::callStore(Vm &From, StoreRequest Request, bool IsConfigRead) {
+  bool Reached = this->reachesStore(From);
   bool Lost = this->Now < this->RepliesLostUntil && this->randomChance(40);
   if (!Reached || Lost) {
     StoreReply Reply{.Id = Request.Id};
@@ -256,16 +339,16 @@
     this->ScheduledEvents.emplace(
         this->Now + (Lost ? CallTimeout : milliseconds(10)),
         ScheduledEvent{From.Index, From.Process,
-                       StoreReplyReceived{std::move(Reply)}});
+                       replyEvent(std::move(Reply), IsConfigRead)});
   }
   if (!Reached)
     return;
   // A call that was not acknowledged may take effect seconds later.
   Duration Delay = Lost ? this->randomDuration(6000)
                         : milliseconds(2) + this->randomDuration(4);
-  this->StoreCalls.emplace(
-      this->Now + Delay,
-      StoreCall{From.Index, From.Process, std::move(Request), Lost});
+  this->StoreCalls.emplace(this->Now + Delay,
+                           StoreCall{From.Index, From.Process,
+                                     std::move(Request), Lost, IsConfigRead});
 }
 
 void ModelFleet::serveStore() {
@@ -278,9 +361,10 @@
       this->ScheduledEvents.emplace(
           this->Now + milliseconds(2),
           ScheduledEvent{Next.From, Next.Process,
-                         StoreReplyReceived{std::move(Reply)}});
+                         replyEvent(std::move(Reply), Next.IsConfigRead)});
   }
   for (auto &Machine : this->Vms) {
+    this->serveOperatorWatch(*Machine);
     if (Machine->WatchAfter < 0 || this->Now < this->StoreDownUntil ||
         this->Now < Machine->StoreCutUntil ||
         Machine->WatchAfter >= this->Store.revision())
@@ -390,7 +474,16 @@
     this->injectDelay();
     return;
   }
-  if (this->Schedule != ModelSchedule::KeyFaults) {
+  // The operator cannot write either while the store is down.
+  if (this->hasEvacuations() && this->Now >= this->StoreDownUntil &&
+      this->randomChance(25)) {
+    if (this->EvacuatedDomain < 0)
+      this->evacuate(static_cast<int>(this->Random() % 3));
+    else
+      this->endEvacuation();
+    return;
+  }
+  if (!this->isKeyed()) {
     this->injectFaultBesideStops();
     return;
   }
@@ -515,6 +608,7 @@
                     static_cast<std::uint64_t>(Step / milliseconds(1)))
     this->injectFault();
   this->serveStore();
+  this->updateEvacuationKnowledge();
   while (!this->ScheduledEvents.empty() &&
          this->ScheduledEvents.begin()->first <= this->Now) {
     ScheduledEvent Next = std::move(this->ScheduledEvents.begin()->second);
@@ -548,7 +642,7 @@
     if (Machine.ExitDue && Machine.Reducer)
       this->endProcess(Machine);
   }
-  if (this->Schedule != ModelSchedule::KeyFaults) {
+  if (!this->isKeyed()) {
     this->letCallersLeave();
     this->sendRequests();
   }
--- a/orioledoor/sidecar/testing/model_fleet.h
+++ b/orioledoor/sidecar/testing/model_fleet.h
@@ -42,6 +42,11 @@
   // Callers leave while nodes stand still for up to two seconds, or messages to
   // them are held up for as long. No process is stopped or lost.
   Delays,
+  // PlannedStops, while one of three failure domains is evacuated at times. No
+  // target gets a request once its node has learned of the evacuation.
+  Evacuations,
+  // KeyFaults, with such evacuations.
+  KeyEvacuations,
 };
 
 // Not thread-safe. Deterministic: the same seed gives the same run.
@@ -51,11 +56,18 @@
              ModelSchedule Schedule = ModelSchedule::KeyFaults);
 
   void run(Duration RunTime, bool Faults);
+  // The operator evacuates the failure domain of every third VM from this one
+  // on, or ends the evacuation.
+  void evacuate(int VmIndex);
+  void endEvacuation();
 
   // The first violated guarantee; empty if there is none.
   const std::string &failure() const { return this->Failure; }
   // Returns the number of sampled keys that no target holds.
   int unheldKeys() const;
+  // Returns the number of sampled keys that targets in the evacuated failure
+  // domain hold.
+  int evacuatedKeys() const;
   // Returns the number of times a sampled key was acquired by a target other
   // than its previous holder.
   int moves() const { return this->Moves; }
@@ -89,6 +101,11 @@
     // Events that are delivered when the frozen process continues.
     std::vector<Event> DelayedEvents;
     std::int64_t WatchAfter = -1;
+    std::int64_t OperatorWatchAfter = -1;
+    // Time since which the node could learn of the present evacuation of its
+    // failure domain, and whether it has.
+    Instant MayLearnSince;
+    bool KnowsEvacuation = false;
     Instant NextTick;
     // The process was told to stop, and has asked to end.
     bool Stopping = false;
@@ -112,6 +129,8 @@
     std::uint64_t Process = 0;
     StoreRequest Request;
     bool ReplyLost = false;
+    // The call is a read of the operator's keys.
+    bool IsConfigRead = false;
   };
 
   void step(bool Faults);
@@ -119,7 +138,24 @@
   void startTarget(Vm &Machine);
   void deliver(Vm &To, Event NewEvent);
   void execute(Vm &From, Effects NewEffects);
-  void callStore(Vm &From, StoreRequest Request);
+  void callStore(Vm &From, StoreRequest Request, bool IsConfigRead = false);
+  bool reachesStore(const Vm &Machine) const {
+    return this->Now >= this->StoreDownUntil &&
+           this->Now >= Machine.StoreCutUntil;
+  }
+  void serveOperatorWatch(Vm &Machine);
+  void updateEvacuationKnowledge();
+  bool isEvacuated(const Vm &Machine) const {
+    return this->EvacuatedDomain == Machine.Index % 3;
+  }
+  bool isKeyed() const {
+    return this->Schedule == ModelSchedule::KeyFaults ||
+           this->Schedule == ModelSchedule::KeyEvacuations;
+  }
+  bool hasEvacuations() const {
+    return this->Schedule == ModelSchedule::Evacuations ||
+           this->Schedule == ModelSchedule::KeyEvacuations;
+  }
   void serveStore();
   void report(Vm &Machine);
   void answerReport(Vm &Machine, const ReplyToReport &Answer);
@@ -157,6 +193,8 @@
   std::multimap<Instant, StoreCall> StoreCalls;
   std::multimap<Instant, Departure> Departures;
   Instant StoreDownUntil;
+  // -1 if no failure domain is evacuated.
+  int EvacuatedDomain = -1;
   bool LeasesPaused = false;
   Instant RepliesLostUntil;
   std::uint64_t NextProcess = 1;
--- a/orioledoor/sidecar/testing/model_store.h
+++ b/orioledoor/sidecar/testing/model_store.h
@@ -20,6 +20,8 @@
   // Ends expired leases. While leases are paused, their expiry is postponed
   // instead.
   void tick(Instant Now, bool LeasesPaused);
+  // Removes a key.
+  void erase(const std::string &Key);
   // Ends one lease and removes its keys, as the platform may do.
   void endLease(std::int64_t Lease);
   // Returns all changes after Revision.
@@ -38,7 +40,6 @@
     Instant ExpiresAt;
   };
   void put(const StorePut &Put);
-  void erase(const std::string &Key);
 
   std::int64_t Revision = 1;
   std::int64_t NextLease = 1;
