--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -139,6 +140,9 @@
   // Number of requests that repeated a refused one before its Retry-After was
   // over, and were refused.
   std::uint64_t earlyRepeats() const { return this->EarlyRepeats; }
+  // Number of requests that were refused because no target, or not the owner of
+  // their key, is at a place that they may use.
+  std::uint64_t placementRefusals() const { return this->PlacementRefusals; }
 
 private:
   struct PendingRequest {
@@ -205,6 +209,12 @@
   // Logs the steps by which a share of the requests leaves 0 or returns to it.
   void logSpill(const PendingRequest &Pending, const TargetChoice &Choice,
                 Effects &Out) const;
+  // Regions that the request may use now. A configuration that came into force
+  // after its arrival counts, since its target is chosen later.
+  std::span<const std::string>
+  allowedRegions(const PendingRequest &Pending) const;
+  // Returns why a request without a key has no target, for its caller.
+  std::string_view reasonForNoTarget(const PendingRequest &Pending);
   // Chooses a target and forwards the request, or parks or ends it.
   void dispatch(PendingRequest &Pending, Instant Now, Effects &Out);
   void send(PendingRequest &Pending, const std::string &To, bool LastChoice,
@@ -263,6 +273,7 @@
   OwnerLookup LookUpOwner;
   SharedRouteTable Table;
   bool NewerTableKnown = false;
+  std::uint64_t PlacementRefusals = 0;
   std::uint64_t NextForwardId = 1;
   std::unordered_map<std::uint64_t, PendingRequest> PendingRequests;
   // Callers of all pending requests with an open Forward, by the id of the
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -96,6 +96,18 @@
 inline constexpr EventDefinition SpillEnded{
     2251, Severity::Info, "SPILL_ENDED",
     "requests of a class stay in the failure domain or the region again"};
+inline constexpr EventDefinition CallMisplaced{
+    2240, Severity::Warn, "CALL_MISPLACED",
+    "a request came to a region that its route does not allow"};
+inline constexpr EventDefinition TargetEvacuated{
+    2241, Severity::Info, "TARGET_EVACUATED",
+    "the failure domain of the target is evacuated"};
+inline constexpr EventDefinition EvacuationGraceEnded{
+    2242, Severity::Info, "EVACUATION_GRACE_ENDED",
+    "the target gets no requests at all until the evacuation ends"};
+inline constexpr EventDefinition EvacuationEnded{
+    2243, Severity::Info, "EVACUATION_ENDED",
+    "the target may get requests again"};
 
 } // namespace orioledoor::routing::events
 
--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -152,7 +152,8 @@
     this->noteLeaving(Status.Target, Now);
   TargetState State = Status.State;
   // A restarted node does not know that its target is leaving.
-  if (State == TargetState::Ready && this->LeavingSince.contains(Status.Target))
+  if ((State == TargetState::Ready || State == TargetState::Evacuated) &&
+      this->LeavingSince.contains(Status.Target))
     State = TargetState::Leaving;
   bool Changed =
       State != View.Status.State || Status.Target != View.Status.Target;
@@ -379,7 +380,9 @@
   const auto &[Node, View] = Candidate;
   return View.Status.State == TargetState::Ready &&
          View.Status.Service == Request.Service &&
-         !excluded(Request.Excluded, Node);
+         !excluded(Request.Excluded, Node) &&
+         PlacementPolicy(Request.AllowedRegions, &this->Evacuations)
+                 .check(View.Place) == PlacementVerdict::Allowed;
 }
 
 bool TargetDirectory::isPreferred(const TargetEntry &Candidate,
@@ -483,6 +486,26 @@
   return this->Candidates.below(SpillSteps) < Spill.State.share(Boundary);
 }
 
+PlacementVerdict TargetDirectory::checkPlacement(
+    const std::string &Node,
+    std::span<const std::string> AllowedRegions) const {
+  const TargetView *View = this->find(Node);
+  return PlacementPolicy(AllowedRegions, &this->Evacuations)
+      .check(View ? View->Place : Location{});
+}
+
+PlacementVerdict
+TargetDirectory::checkOwner(const std::string &Node,
+                            std::span<const std::string> AllowedRegions,
+                            Instant Now) const {
+  PlacementVerdict Verdict = this->checkPlacement(Node, AllowedRegions);
+  return Verdict == PlacementVerdict::Evacuated &&
+                 this->Evacuations.servesKeys(
+                     this->find(Node)->Place.FailureDomain, Now)
+             ? PlacementVerdict::Allowed
+             : Verdict;
+}
+
 TargetChoice TargetDirectory::choose(const ChoiceInput &Request, Instant Now) {
   TargetChoice Choice;
   RingSample Best;
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -21,7 +21,9 @@
 
 #include "orioledoor/base/instant.h"
 #include "orioledoor/routing/domain_spill.h"
+#include "orioledoor/routing/evacuated_domains.h"
 #include "orioledoor/routing/location.h"
+#include "orioledoor/routing/placement_policy.h"
 #include "orioledoor/routing/target_choice.h"
 #include "orioledoor/routing/target_status.h"
 
@@ -155,6 +157,23 @@
   std::size_t countReady(const ChoiceInput &Request,
                          std::size_t Limit = SIZE_MAX);
 
+  // Sets the failure domains whose targets get nothing new. KeysServedUntil: as
+  // in EvacuatedDomains.
+  void setEvacuations(const EvacuatedDomains::Names &Domains,
+                      Instant KeysServedUntil) {
+    this->Evacuations.replace(Domains, KeysServedUntil);
+  }
+  // Returns whether a request without a key, or its body, may go to Node. A
+  // node whose place is not known is in no allowed region.
+  PlacementVerdict
+  checkPlacement(const std::string &Node,
+                 std::span<const std::string> AllowedRegions) const;
+  // The same for a request whose key the target beside Node owns: it may go to
+  // an evacuated target until the grace is over.
+  PlacementVerdict checkOwner(const std::string &Node,
+                              std::span<const std::string> AllowedRegions,
+                              Instant Now) const;
+
   // Returns whether the target has been leaving for the drain time. This holds
   // whatever its node says later, since a restarted node may not know it.
   bool hasDrained(const TargetRef &Target, Instant Now) const;
@@ -267,6 +286,7 @@
   CandidateIndex Candidates;
   std::unordered_map<RequestClassId, SpillEntry> Spills;
   SpillCounters Counters;
+  EvacuatedDomains Evacuations;
   // When each leaving target was first known to leave. Kept when its node is
   // removed, since it may come back beside the same target.
   std::map<TargetRef, Instant> LeavingSince;
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -29,6 +29,7 @@
 
 TargetGate::TargetGate(TargetGateOptions Options)
     : Options(std::move(Options)),
+      Evacuation(this->Options.EvacuationTime > Duration(0)),
       ColdStarts({.Overage = this->Options.ColdOverage,
                   .Slack = this->Options.ColdSlack,
                   .ReportGap = this->Options.SilenceTime}),
@@ -51,6 +52,7 @@
   }
   this->LastReportAt = Now;
   this->ConnectionRefused = false;
+  this->Evacuation.noteReport();
   if (SameIncarnation) {
     // Measurements from the cold start phase are no longer valid.
     if (this->Report.ColdRemaining.count() > 0 &&
@@ -196,6 +198,7 @@
                    field("silent_ms", millis(Now - this->LastReportAt))}});
     this->refuseUnstartedCalls(Now, Out);
   }
+  this->endEvacuationGrace(Now, Out);
   this->updateCold(Now, Out);
   this->endConfirmations(Now, Out);
   this->startQueuedCalls(Now, Out);
@@ -231,7 +234,7 @@
           .Target = {this->Target.Instance, this->Target.StartTimeMs,
                      this->Options.Node},
           .Service = this->Report.Service,
-          .State = this->Closed ? TargetState::Absent : this->State,
+          .State = this->Closed ? TargetState::Absent : this->state(),
           .Slots = this->Queue.slots(),
           .Running = this->Queue.running(),
           .Queued = static_cast<std::uint32_t>(this->Queue.waiting()),
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -76,7 +76,8 @@
                                                   std::uint64_t Digest,
                                                   Instant Now) const {
   if (this->Closed || this->State == TargetState::Absent || this->Drained ||
-      Request.Service != this->Report.Service)
+      Request.Service != this->Report.Service ||
+      this->checkPlacement(Request, Now) != PlacementVerdict::Allowed)
     return Outcome::NoTarget;
   // Requests without a key go to other targets of the service.
   if (this->State == TargetState::Leaving && Key == KeyState::NotKeyed &&
@@ -138,6 +139,7 @@
   std::uint64_t Digest =
       Withheld ? 0 : crashDigest(Request.CallerService, *Request.Content);
   if (auto Reason = this->checkAdmission(Request, Key, Digest, Now)) {
+    this->notePlacementRefusal(From, Request, Now, Out);
     this->refuse(From, Request, *Reason, Duration(0), Now, Out);
     return;
   }
@@ -327,6 +329,7 @@
 
 bool TargetGate::mayStart(Instant Now) const {
   return this->waitForPace(0, Now) == Duration(0) &&
+         this->Evacuation.mayStart(true, Now) &&
          (this->SignalsKnown ||
           this->Queue.running() < this->allowedProbes(Now));
 }
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -35,6 +35,12 @@
       .set(Gate.refusedForLink());
   Metrics.counter("oriole_gate_answers_dropped_total")
       .set(Gate.droppedAnswers());
+  Metrics.gauge("oriole_gate_evacuated")
+      .set(Gate.state() == routing::TargetState::Evacuated ? 1 : 0);
+  Metrics.counter("oriole_gate_placement_refused_total", "why=\"region\"")
+      .set(Gate.regionRefusals());
+  Metrics.counter("oriole_gate_placement_refused_total", "why=\"evacuated\"")
+      .set(Gate.evacuationRefusals());
 }
 
 void setStoreMetrics(MetricsRegistry &Metrics,
@@ -101,6 +107,10 @@
       .set(Reducer.entry().throttledRequests());
   Metrics.counter("oriole_entry_early_repeats_total")
       .set(Reducer.entry().earlyRepeats());
+  Metrics.counter("oriole_entry_placement_refused_total")
+      .set(Reducer.entry().placementRefusals());
+  Metrics.gauge("oriole_evacuated_domains")
+      .set(static_cast<double>(Reducer.evacuatedDomains().size()));
   Metrics.gauge("oriole_nodes")
       .set(static_cast<double>(Reducer.membership().nodes().size()));
   Metrics.counter("oriole_peer_delayed_messages_total")
