--- a/orioledoor/routing/answer_link.cc
+++ b/orioledoor/routing/answer_link.cc
@@ -124,8 +124,8 @@
   if (Bytes < LargeAnswerBytes)
     return std::max(toDuration(Ahead / this->answerRate()) - ReadyIn,
                     Duration(0));
-  for (const auto &[Rank, Sum] : this->BytesByPriority)
-    if (Rank <= Priority)
+  for (const auto &[Other, Sum] : this->BytesByPriority)
+    if (Other <= Priority)
       Ahead += static_cast<double>(Sum);
   return toDuration(Ahead / this->answerRate());
 }
@@ -136,12 +136,17 @@
   return toDuration(static_cast<double>(Bytes) / this->answerRate());
 }
 
-std::uint64_t AnswerLink::committedBytes(Instant Now) const {
-  std::uint64_t Sum = static_cast<std::uint64_t>(
-      std::max(this->BytesPerSecond > 0 ? this->inTransport(Now) : 0.0, 0.0));
-  for (const auto &[Rank, Bytes] : this->BytesByPriority)
+std::uint64_t AnswerLink::promisedBytes() const {
+  std::uint64_t Sum = 0;
+  for (const auto &[Priority, Bytes] : this->BytesByPriority)
     Sum += Bytes;
   return Sum;
 }
 
+std::uint64_t AnswerLink::committedBytes(Instant Now) const {
+  double InTransport = this->BytesPerSecond > 0 ? this->inTransport(Now) : 0;
+  return this->promisedBytes() +
+         static_cast<std::uint64_t>(std::max(InTransport, 0.0));
+}
+
 } // namespace orioledoor::routing
--- a/orioledoor/routing/answer_link.h
+++ b/orioledoor/routing/answer_link.h
@@ -70,6 +70,8 @@
   // Bytes that are expected, wait, or were handed to the transport and have not
   // left by the model.
   std::uint64_t committedBytes(Instant Now) const;
+  // Bytes that are expected or wait.
+  std::uint64_t promisedBytes() const;
   std::size_t waiting() const { return this->Waiting.size(); }
   std::uint64_t waitingBytes() const { return this->BytesWaiting; }
 
--- a/orioledoor/routing/answer_link_test.cc
+++ b/orioledoor/routing/answer_link_test.cc
@@ -22,8 +22,7 @@
 // A gate of two slots with helpers for large answers.
 class Fixture : public testing::GateFixture {
 public:
-  explicit Fixture(double BytesPerSecond)
-      : testing::GateFixture(BytesPerSecond) {}
+  using testing::GateFixture::GateFixture;
 
   // Has the target answer a new request with this many bytes.
   void serve(std::uint64_t Id, std::size_t Bytes, std::uint8_t Priority = 1) {
@@ -53,6 +52,7 @@
   CPPUNIT_TEST(dropsAnswersWhoseCallersLeft);
   CPPUNIT_TEST(refusesAnswersThatTheLinkWouldDelay);
   CPPUNIT_TEST(sendsWaitingAnswersBeforeTheStop);
+  CPPUNIT_TEST(boundsTheMemoryOfAnswers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -231,6 +231,34 @@
     F.Gate.flushAnswers(F.Now, F.Out);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, F.Gate.openRequests());
   }
+
+  // Guards against a process that the platform ends, since callers with much
+  // time let it collect answers faster than its link transfers them, and since
+  // it keeps each answer for some seconds more.
+  void boundsTheMemoryOfAnswers() {
+    Fixture F(SlowLink, 500'000);
+    for (std::uint64_t Id = 1; Id <= 20; ++Id) {
+      F.forward(Id, 1, true, milliseconds(60'000));
+      if (F.result())
+        continue;
+      F.answerWith(F.startedCallId(), Large);
+      CPPUNIT_ASSERT(F.Gate.answerLink().waitingBytes() <= 500'000);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{14}, F.Gate.refusedForMemory());
+    // Requests with small answers are served.
+    F.forward(30, 1, true, milliseconds(400), KeyState::NotKeyed, 1);
+    CPPUNIT_ASSERT(F.startedCallId());
+
+    RecentResults Kept(500'000);
+    for (std::uint64_t Id = 1; Id <= 20; ++Id) {
+      Kept.add({9, Id}, {.Answer = {200, {}, std::string(Large, 'x')}}, F.Now);
+      CPPUNIT_ASSERT(Kept.answerBytes() <= 500'000);
+    }
+    CPPUNIT_ASSERT(Kept.find({9, 20})->Code == Outcome::Answered);
+    CPPUNIT_ASSERT(Kept.find({9, 15})->Code == Outcome::Lost);
+    Kept.tick(F.Now + std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Kept.answerBytes());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AnswerLinkTest);
--- a/orioledoor/routing/entry_throttle_test.cc
+++ b/orioledoor/routing/entry_throttle_test.cc
@@ -19,7 +19,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing::FarNode;
 using testing::NearNode;
 
 // A service of limited capacity behind the throttles of several entry nodes.
--- a/orioledoor/routing/recent_results.cc
+++ b/orioledoor/routing/recent_results.cc
@@ -1,6 +1,8 @@
 // Results by request, reduced and evicted in order of age.
 #include "orioledoor/routing/recent_results.h"
 
+#include "orioledoor/routing/answer_sizes.h"
+
 namespace orioledoor::routing {
 namespace {
 
@@ -23,15 +25,20 @@
 void RecentResults::add(ForwardKey Key, const ForwardResult &Result,
                         Instant Now) {
   if (this->ByAge.size() >= MaxOutcomes) {
+    this->dropAnswer(this->ByAge.front().second);
     this->Results.erase(this->ByAge.front().second);
     this->ByAge.pop_front();
     this->EvictedAt = Now;
     this->Evicted = true;
   }
+  this->dropAnswer(Key);
   this->Results[Key] = Result;
+  this->AnswerBytes += routing::answerBytes(Result.Answer);
   this->ByAge.emplace_back(Now, Key);
   this->WithAnswer.emplace_back(Now, Key);
-  if (this->WithAnswer.size() > MaxAnswers) {
+  while (this->WithAnswer.size() > MaxAnswers ||
+         (this->MaxAnswerBytes > 0 && !this->WithAnswer.empty() &&
+          this->AnswerBytes > this->MaxAnswerBytes)) {
     this->dropAnswer(this->WithAnswer.front().second);
     this->WithAnswer.pop_front();
   }
@@ -39,8 +46,14 @@
 
 void RecentResults::dropAnswer(ForwardKey Key) {
   auto Found = this->Results.find(Key);
-  if (Found == this->Results.end() || Found->second.Code != Outcome::Answered)
+  if (Found == this->Results.end())
+    return;
+  // Some results that were not run carry the answer that says so.
+  this->AnswerBytes -= routing::answerBytes(Found->second.Answer);
+  if (Found->second.Code != Outcome::Answered) {
+    Found->second.Answer = {};
     return;
+  }
   ForwardResult Reduced{.Id = Found->second.Id,
                         .Code = Outcome::Lost,
                         .Detail = "the answer is not kept any more"};
@@ -66,6 +79,7 @@
   }
   while (!this->ByAge.empty() &&
          Now - this->ByAge.front().first > OutcomeRetention) {
+    this->dropAnswer(this->ByAge.front().second);
     this->Results.erase(this->ByAge.front().second);
     this->ByAge.pop_front();
   }
--- a/orioledoor/routing/recent_results.h
+++ b/orioledoor/routing/recent_results.h
@@ -26,18 +26,28 @@
 // thread-safe. Logarithmic in the number of results.
 class RecentResults {
 public:
+  // MaxAnswerBytes bounds the size of all kept answers; 0 if there is no bound
+  // but that on their number.
+  explicit RecentResults(std::uint64_t MaxAnswerBytes = 0)
+      : MaxAnswerBytes(MaxAnswerBytes) {}
+
   void add(ForwardKey Key, const ForwardResult &Result, Instant Now);
   // Returns null if the request is unknown.
   const ForwardResult *find(ForwardKey Key) const;
   // Returns whether every request that was sent at most this long ago is still
   // recorded. If so, a request that find() does not know never arrived here.
   bool isCompleteSince(Duration SentAgo, Instant Now) const;
+  // Size of all kept answers.
+  std::uint64_t answerBytes() const { return this->AnswerBytes; }
   // Removes expired results. Call at least once per second.
   void tick(Instant Now);
 
 private:
   void dropAnswer(ForwardKey Key);
 
+  std::uint64_t MaxAnswerBytes;
+  // Invariant: the size of the answers in Results.
+  std::uint64_t AnswerBytes = 0;
   std::map<ForwardKey, ForwardResult> Results;
   // Invariant: ordered by time; WithAnswer is a subset of ByAge, and ByAge
   // lists all of Results.
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -30,7 +30,8 @@
 TargetGate::TargetGate(TargetGateOptions Options)
     : Options(std::move(Options)),
       BodyFetches(this->Options.LinkBytesPerSecond),
-      Link(this->Options.LinkBytesPerSecond) {}
+      Link(this->Options.LinkBytesPerSecond),
+      Results(this->Options.AnswerMemoryBytes) {}
 
 ReportVerdict TargetGate::handleReport(const TargetReport &Report, Instant Now,
                                        Effects &Out) {
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -47,6 +47,9 @@
   std::uint64_t Process = 0;
   // Link capacity of this VM; 0 if unknown.
   double LinkBytesPerSecond = 0;
+  // Bound on the answers that are expected or wait for the link, and on those
+  // that are kept in case a connection breaks; 0 if there is none.
+  std::uint64_t AnswerMemoryBytes = 0;
   // Region and failure domain of this VM.
   Location Place{};
   // Bound on the requests that reach a cold target in any second: its tolerated
@@ -159,6 +162,9 @@
   // Number of requests that were refused because their answers would have
   // waited too long for the link.
   std::uint64_t refusedForLink() const { return this->RefusedForLink; }
+  // Number of requests that were refused because there was no memory for their
+  // answers.
+  std::uint64_t refusedForMemory() const { return this->RefusedForMemory; }
   // Number of answers that waited for the link until their time was over.
   std::uint64_t droppedAnswers() const { return this->DroppedAnswers; }
 
@@ -229,6 +235,8 @@
   // Bytes that the answer of a request is expected to take of the link.
   std::uint64_t expectedAnswerBytes(const std::string &From,
                                     const Forward &Request) const;
+  // Returns whether there is memory for another answer of this expected size.
+  bool hasMemoryFor(std::uint64_t AnswerBytes) const;
   // Sends the waiting answers that the link has capacity for.
   void sendAnswers(Instant Now, Effects &Out);
   // Ends the calls whose callers left while the answer waited for the link.
@@ -267,6 +275,7 @@
   std::uint64_t UnconfirmedCalls = 0;
   std::uint64_t CommittedBytes = 0;
   std::uint64_t RefusedForLink = 0;
+  std::uint64_t RefusedForMemory = 0;
   std::uint64_t DroppedAnswers = 0;
   StartPacer Pacer;
   // Until the current incarnation has answered this process, its limit is
--- a/orioledoor/routing/target_gate_answers.cc
+++ b/orioledoor/routing/target_gate_answers.cc
@@ -24,6 +24,15 @@
                                     : this->Sizes.meanOf(Request.RequestClass);
 }
 
+bool TargetGate::hasMemoryFor(std::uint64_t AnswerBytes) const {
+  return this->Options.AnswerMemoryBytes == 0 ||
+         AnswerBytes < LargeAnswerBytes ||
+         // A single answer may be larger than the bound.
+         this->Link.promisedBytes() == 0 ||
+         this->Link.promisedBytes() + AnswerBytes <=
+             this->Options.AnswerMemoryBytes;
+}
+
 void TargetGate::finishCall(std::uint64_t Id, ForwardResult Result, Instant Now,
                             Effects &Out) {
   ForwardedCall &Call = this->Calls.at(Id);
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -188,6 +188,13 @@
                  "the answer would wait too long for the link");
     return;
   }
+  if (!this->hasMemoryFor(AnswerBytes)) {
+    ++this->RefusedForMemory;
+    this->refuse(From, Request, Outcome::Busy,
+                 std::max(LinkWait, BusyRetryAfter), Now, Out,
+                 "no memory for the answer");
+    return;
+  }
   std::uint64_t Id = this->NextCallId++;
   if (From != this->Options.Node)
     this->Link.reserve(Id, Request.Priority, AnswerBytes);
--- a/orioledoor/routing/testing/gate_fixture.h
+++ b/orioledoor/routing/testing/gate_fixture.h
@@ -18,10 +18,12 @@
 class GateFixture {
 public:
   // At 1.25 MB/s the link transfers a body of 60 KB in 48 ms.
-  explicit GateFixture(double LinkBytesPerSecond = 0)
+  explicit GateFixture(double LinkBytesPerSecond = 0,
+                       std::uint64_t AnswerMemoryBytes = 0)
       : Gate({.Node = "tcp://10.0.0.1:7100",
               .Process = 1,
-              .LinkBytesPerSecond = LinkBytesPerSecond}) {
+              .LinkBytesPerSecond = LinkBytesPerSecond,
+              .AnswerMemoryBytes = AnswerMemoryBytes}) {
     this->report(1);
   }
 
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -30,6 +30,8 @@
       .set(static_cast<double>(Gate.answerLink().waiting()));
   Metrics.counter("oriole_gate_refused_for_link_total")
       .set(Gate.refusedForLink());
+  Metrics.counter("oriole_gate_refused_for_memory_total")
+      .set(Gate.refusedForMemory());
   Metrics.counter("oriole_gate_answers_dropped_total")
       .set(Gate.droppedAnswers());
 }
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -77,6 +77,7 @@
             .DrainTime = this->Options.DrainTime,
             .Process = this->Options.Process,
             .LinkBytesPerSecond = this->Options.LinkBytesPerSecond,
+            .AnswerMemoryBytes = this->Options.AnswerMemoryBytes,
             .Place = this->Options.Place,
             .ColdOverage = this->Options.ColdOverage,
             .ColdSlack = this->Options.ColdSlack,
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -42,6 +42,8 @@
   Duration StopGrace = std::chrono::seconds(6);
   // Bandwidth of this VM's link; 0 if it is not known.
   double LinkBytesPerSecond = 0;
+  // As in TargetGateOptions.
+  std::uint64_t AnswerMemoryBytes = 0;
   // Store key of the operator's configuration.
   std::string ConfigKey;
   // Retry budget of the whole fleet for one window: a share of the requests and
--- a/orioledoor/sidecar/reducer_stop_test.cc
+++ b/orioledoor/sidecar/reducer_stop_test.cc
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "orioledoor/routing/events.h"
 #include "orioledoor/sidecar/testing/reducer_fixture.h"
@@ -18,6 +20,7 @@
   CPPUNIT_TEST_SUITE(ReducerStopTest);
   CPPUNIT_TEST(answersOpenRequestsBeforeItExits);
   CPPUNIT_TEST(sendsWholeAnswersBeforeItExits);
+  CPPUNIT_TEST(sendsAnswersThatWaitForTheLink);
   CPPUNIT_TEST(answersLastingRequestsBeforeTheGraceEnds);
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
   CPPUNIT_TEST_SUITE_END();
@@ -68,6 +71,74 @@
     CPPUNIT_ASSERT(Slow.find<Exit>());
   }
 
+  // Guards against a process that exits while large answers wait for the link
+  // or are in the transport.
+  void sendsAnswersThatWaitForTheLink() {
+    // Has the target answer two requests at this time after the stop began, and
+    // returns the times at which the results are sent and the process exits.
+    auto Run = [](Duration AnsweredAt) {
+      SidecarOptions Options = testing::newOptions();
+      Options.Service = "plain";
+      Options.LinkBytesPerSecond = 1'250'000;
+      ReducerFixture Sidecar(Options);
+      Sidecar.joinFleet();
+      Sidecar.dispatch(TargetReportReceived{1,
+                                            {.Instance = "i-1",
+                                             .Address = testing::TargetAddress,
+                                             .Service = "plain",
+                                             .Slots = 2,
+                                             .Sequence = 1,
+                                             .StartTimeMs = 1}});
+      Sidecar.dispatch(StopRequested{});
+      Instant StoppedAt = Sidecar.Now;
+      Sidecar.advance(milliseconds(2000));
+      std::vector<std::uint64_t> Calls;
+      for (std::uint64_t Id : {1, 2}) {
+        Sidecar.dispatch(PeerMessageReceived{
+            "tcp://10.0.0.2:7100",
+            routing::Forward{.Id = Id,
+                             .Process = 9,
+                             .Service = "plain",
+                             .AttemptId = "a",
+                             .TimeLeft = milliseconds(4000),
+                             .LatencyLeft = milliseconds(4000),
+                             .Content =
+                                 std::make_shared<routing::RequestContent>()}});
+        CPPUNIT_ASSERT(Sidecar.find<StartCall>());
+        Calls.push_back(Sidecar.find<StartCall>()->CallId);
+      }
+      std::vector<Duration> Times;
+      auto NoteTimes = [&] {
+        if (Sidecar.findMessage<routing::ForwardResult>() ||
+            Sidecar.find<Exit>())
+          Times.push_back(Sidecar.Now - StoppedAt);
+      };
+      Sidecar.advance(AnsweredAt - milliseconds(2000));
+      for (std::uint64_t Call : Calls) {
+        Sidecar.dispatch(
+            TargetAnswered{Call, {200, {}, std::string(250'000, 'x')}});
+        NoteTimes();
+      }
+      while (Times.size() < 3 && Sidecar.Now < StoppedAt + milliseconds(6000)) {
+        Sidecar.advance(milliseconds(20));
+        NoteTimes();
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Times.size());
+      return Times;
+    };
+    // Each answer takes 200 ms of the link; 400 ms of quiet follow.
+    std::vector<Duration> Early = Run(milliseconds(3000));
+    CPPUNIT_ASSERT(Early[0] == milliseconds(3000));
+    CPPUNIT_ASSERT(Early[1] >= milliseconds(3180) &&
+                   Early[1] <= milliseconds(3220));
+    CPPUNIT_ASSERT(Early[2] >= milliseconds(3780) &&
+                   Early[2] <= milliseconds(3840));
+    // Little time is left: both leave before the process ends.
+    std::vector<Duration> Late = Run(milliseconds(5300));
+    CPPUNIT_ASSERT(Late[1] <= milliseconds(5360));
+    CPPUNIT_ASSERT(Late[2] <= milliseconds(5520));
+  }
+
   // Guards against requests that are taken late in the stop and are still open
   // when the process ends, so that their callers get no answer.
   void answersLastingRequestsBeforeTheGraceEnds() {
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -86,6 +86,10 @@
   }
 }
 
+// Share of the process's memory for the answers that wait for the link, and for
+// those that are kept in case a connection breaks; the same as for the bodies
+// of requests.
+constexpr double AnswerMemoryShare = 0.125;
 // Bytes per second in one Mbit/s.
 constexpr double BytesPerMbit = 1e6 / 8;
 
@@ -100,6 +104,8 @@
   Options.DrainTime = Settings.DrainTime;
   Options.StopGrace = Settings.StopGrace;
   Options.LinkBytesPerSecond = Settings.LinkMbps * BytesPerMbit;
+  Options.AnswerMemoryBytes =
+      static_cast<std::uint64_t>(Settings.MemoryMb * AnswerMemoryShare * 1e6);
   Options.RetryRatio = Settings.RetryRatio;
   Options.RetryExtra = Settings.RetryExtra;
   Options.RetryWindow = Settings.RetryWindow;
