--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -34,7 +34,8 @@
                   .Slack = this->Options.ColdSlack,
                   .ReportGap = this->Options.SilenceTime}),
       BodyFetches(this->Options.LinkBytesPerSecond),
-      Link(this->Options.LinkBytesPerSecond) {}
+      Link(this->Options.LinkBytesPerSecond),
+      Results(this->Options.AnswerMemoryBytes) {}
 
 ReportVerdict TargetGate::handleReport(const TargetReport &Report, Instant Now,
                                        Effects &Out) {
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -45,6 +45,8 @@
   double LinkBytesPerSecond = 0;
   // Prefix of the operator's store keys.
   std::string OperatorPrefix;
+  // As in TargetGateOptions.
+  std::uint64_t AnswerMemoryBytes = 0;
   // Retry budget of the whole fleet for one window: a share of the requests and
   // a constant number of extra retries.
   double RetryRatio = 0.2;
