--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -76,8 +76,7 @@
                                                   std::uint64_t Digest,
                                                   Instant Now) const {
   if (this->Closed || this->State == TargetState::Absent || this->Drained ||
-      Request.Service != this->Report.Service ||
-      this->checkPlacement(Request, Now) != PlacementVerdict::Allowed)
+      Request.Service != this->Report.Service)
     return Outcome::NoTarget;
   // Requests without a key go to other targets of the service.
   if (this->State == TargetState::Leaving && Key == KeyState::NotKeyed &&
@@ -85,6 +84,10 @@
     return Outcome::NoTarget;
   if (Key == KeyState::NotHeld)
     return Outcome::NotOwner;
+  // After the check of the key: the entry node of a key that has moved away
+  // looks for its new owner.
+  if (this->checkPlacement(Request, Now) != PlacementVerdict::Allowed)
+    return Outcome::NoTarget;
   if (Request.TimeLeft < MinTimeLeft)
     return Outcome::Expired;
   if (this->Crashes.isQuarantined(Digest, Now))
@@ -137,7 +140,8 @@
   std::uint64_t Digest =
       Withheld ? 0 : crashDigest(Request.CallerService, *Request.Content);
   if (auto Reason = this->checkAdmission(Request, Key, Digest, Now)) {
-    this->notePlacementRefusal(From, Request, Now, Out);
+    if (*Reason == Outcome::NoTarget)
+      this->notePlacementRefusal(From, Request, Now, Out);
     this->refuse(From, Request, *Reason, Duration(0), Now, Out);
     return;
   }
--- a/orioledoor/routing/target_placement_test.cc
+++ b/orioledoor/routing/target_placement_test.cc
@@ -117,6 +117,9 @@
     CPPUNIT_ASSERT(F.result() && F.result()->Id == 5);
     F.forwardClass(7, 7);
     CPPUNIT_ASSERT(F.endedWith(Outcome::NoTarget));
+    // The entry node finds the new owner of a key that has moved.
+    F.forward(10, 1, true, milliseconds(400), KeyState::NotHeld);
+    CPPUNIT_ASSERT(F.endedWith(Outcome::NotOwner));
     // A new incarnation of the target gets nothing either.
     F.report(1, 2);
     F.forwardClass(8, 7);
--- a/orioledoor/sidecar/placement_limits_test.cc
+++ b/orioledoor/sidecar/placement_limits_test.cc
@@ -1,8 +1,10 @@
 // Tests how evacuations get from the store to the gate and the other nodes.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <memory>
+#include <optional>
 #include <string>
-#include <utility>
 
 #include "orioledoor/platform/operator_keys.h"
 #include "orioledoor/sidecar/config_follower.h"
@@ -29,9 +31,10 @@
 // A node whose target reports and whose failure domain is "d1".
 class EvacuableNode : public testing::ReducerFixture {
 public:
-  explicit EvacuableNode(const SidecarOptions &Options = newEvacuableOptions())
+  explicit EvacuableNode(const SidecarOptions &Options = newEvacuableOptions(),
+                         const keyspace::KeyMap *Map = nullptr)
       : ReducerFixture(Options) {
-    this->joinFleet();
+    this->joinFleet(Map);
     this->report(1);
   }
   void change(const char *Key, std::int64_t Revision, bool Deleted = false) {
@@ -56,6 +59,7 @@
   CPPUNIT_TEST(givesNoGraceForOldNews);
   CPPUNIT_TEST(ignoresEvacuationsWithoutASetting);
   CPPUNIT_TEST(logsUnknownPlacesOnce);
+  CPPUNIT_TEST(plansKeysWithinTheLimits);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -226,6 +230,53 @@
     F.advance(seconds(5));
     CPPUNIT_ASSERT_EQUAL(1, F.countLogs(events::RegionUnknown));
   }
+
+  // Guards against keys that stay in, or go to, a region that the routes of
+  // their service forbid, or a domain that is evacuated whatever the entries of
+  // its nodes say so far.
+  void plansKeysWithinTheLimits() {
+    keyspace::KeyMap Map{.Service = "keyed", .LastFence = 4};
+    for (std::uint32_t Part = 0; Part < 4; ++Part)
+      Map.Rows.push_back({.Keys = {Part * 16384, Part * 16384 + 16383},
+                          .Owner = {"i-1", 1, testing::OwnAddress},
+                          .Fence = Part + 1});
+    EvacuableNode F(newEvacuableOptions(), &Map);
+    F.dispatch(ConfigReadReplied{
+        {.Entries = {{"op/evacuate/d3", "{}", 3}}, .Revision = 3}});
+    for (const std::string Number : {"1", "2", "3"}) {
+      NodeEntry Entry;
+      Entry.Node = "tcp://10.0.0." + Number + ":7100";
+      Entry.Process = 1;
+      Entry.Place = {"d" + Number, Number == "1" ? "r1" : "r2"};
+      Entry.Target = {"i-" + Number, 1, Entry.Node};
+      Entry.Service = "keyed";
+      Entry.State = TargetState::Ready;
+      F.dispatch(PeerMessageReceived{
+          Entry.Node, routing::NodeNotice{20, encodeNodeEntry(Entry)}});
+    }
+    auto Table = std::make_shared<routing::RouteTable>();
+    Table->Version = 5;
+    Table->Services["keyed"] = {"keyed", "/health", 0, true};
+    routing::Route Limited{.Name = "a", .Host = "h", .Prefix = "/a/"};
+    Limited.Services = {{"keyed", 1}};
+    Limited.AllowedRegions = {"r2"};
+    Table->add(Limited);
+    Table->finish();
+    F.dispatch(ConfigDecoded{Table});
+    F.advance(milliseconds(200));
+    std::optional<keyspace::KeyMap> Plan;
+    for (const Effect &Output : F.Out) {
+      const auto *Call = std::get_if<CallStore>(&Output);
+      const auto *Txn =
+          Call ? std::get_if<StoreTxn>(&Call->Request.Body) : nullptr;
+      if (Txn && Txn->Puts.front().Key == std::string(KeysPrefix) + "keyed")
+        Plan = *keyspace::decodeKeyMap(Txn->Puts.front().Value);
+    }
+    CPPUNIT_ASSERT(Plan);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Plan->Rows.size());
+    for (const keyspace::KeyRow &Row : Plan->Rows)
+      CPPUNIT_ASSERT_EQUAL(std::string("i-2"), Row.Next.Instance);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLimitsTest);
