--- a/orioledoor/keyspace/key_grantor.h
+++ b/orioledoor/keyspace/key_grantor.h
@@ -60,6 +60,9 @@
   // Returns whether the target holds Key according to the last answer that was
   // sent.
   bool holds(std::uint32_t Key, Instant Now) const;
+  // Returns the key ranges that the target holds according to the last answer
+  // that was sent.
+  std::vector<KeyRange> heldRanges(Instant Now) const;
   // Returns how long a hold can last by this node's clock, even if the target's
   // clock runs up to 2% slow.
   Duration longestHold() const;
--- a/orioledoor/keyspace/key_map.cc
+++ b/orioledoor/keyspace/key_map.cc
@@ -109,6 +109,10 @@
   json Document = {{"service", Map.Service},    {"last_fence", Map.LastFence},
                    {"last_mark", Map.LastMark}, {"targets", Targets.toJson()},
                    {"rows", RowsJson},          {"lost", LostJson}};
+  if (Map.Era != 0) {
+    Document["era"] = Map.Era;
+    Document["era_fence"] = Map.EraFence;
+  }
   return Document.dump();
 }
 
@@ -119,6 +123,9 @@
     Map.Service = Document.at("service");
     Map.LastFence = Document.at("last_fence");
     Map.LastMark = Document.at("last_mark");
+    // Maps of stores that state no era do not have these fields.
+    Map.Era = Document.value("era", std::int64_t{0});
+    Map.EraFence = Document.value("era_fence", std::int64_t{0});
     std::vector<TargetRef> Targets;
     for (const json &Item : Document.at("targets"))
       Targets.push_back({Item.at(0), Item.at(1), Item.at(2)});
--- a/orioledoor/keyspace/key_map.h
+++ b/orioledoor/keyspace/key_map.h
@@ -54,6 +54,12 @@
   std::string Service{};
   std::int64_t LastFence = 0;
   std::int64_t LastMark = 0;
+  // Era of the store in which the map was first planned or last repaired. A
+  // lower one than the store's shows that the store came back from a copy. 0 if
+  // the store stated none.
+  std::int64_t Era = 0;
+  // The last token when that era began: higher ones were given out in it.
+  std::int64_t EraFence = 0;
   // Invariant: sorted by key, without overlaps.
   std::vector<KeyRow> Rows{};
   std::vector<LostTarget> Lost{};
--- a/orioledoor/keyspace/key_map_change.cc
+++ b/orioledoor/keyspace/key_map_change.cc
@@ -62,6 +62,11 @@
   };
   AddNumber(Map.LastFence);
   AddNumber(Map.LastMark);
+  // Without an era, the checksum is the one of earlier releases.
+  if (Map.Era != 0) {
+    AddNumber(Map.Era);
+    AddNumber(Map.EraFence);
+  }
   for (const KeyRow &Row : Map.Rows) {
     AddNumber(Row.Keys.From);
     AddNumber(Row.Keys.To);
--- a/orioledoor/platform/names.h
+++ b/orioledoor/platform/names.h
@@ -22,6 +22,10 @@
 // The key of a partitioned service, 0 to 65535.
 inline constexpr char ShardKey[] = "Shard-Key";
 
+// Number of times that the store came back from an older copy; present on all
+// its responses.
+inline constexpr char StoreEra[] = "Store-Era";
+
 // Paths that a node serves.
 inline constexpr char ReadinessPath[] = "/readiness";
 inline constexpr char HeartbeatPrefix[] = "/Instances.Heartbeat/";
--- a/orioledoor/platform/platform_store.cc
+++ b/orioledoor/platform/platform_store.cc
@@ -74,6 +74,8 @@
     Impl *Parent = nullptr;
     std::string Prefix;
     std::int64_t Revision = 0;
+    // Era that the last response stated.
+    std::int64_t Era = 0;
     StoreWatchCallback OnUpdate;
     std::uint64_t Call = 0;
     EventPtr Timer;
@@ -126,9 +128,10 @@
   // Sends a request; for a range, reads one page after another. EarlierEntries
   // holds the entries of the previous pages. Pages are not a snapshot, so the
   // reply has Revision, the revision of the first page: a watch that starts
-  // there misses no change.
+  // there misses no change. Era is that of the previous pages.
   void callPage(StoreRequest Request, std::vector<StoreEntry> EarlierEntries,
-                std::int64_t Revision, StoreReplyCallback OnReply) {
+                std::int64_t Revision, std::int64_t Era,
+                StoreReplyCallback OnReply) {
     this->countCall(kindOf(Request.Body));
     StoreHttpRequest HttpRequest = encodeCall(
         Request.Body, EarlierEntries.empty() ? std::string_view()
@@ -136,7 +139,7 @@
     this->Client.call(
         this->httpCall(HttpRequest, this->Limits.CallTimeout),
         [this, Request = std::move(Request),
-         EarlierEntries = std::move(EarlierEntries), Revision,
+         EarlierEntries = std::move(EarlierEntries), Revision, Era,
          OnReply = std::move(OnReply)](const wire::HttpResult &Result) mutable {
           if (Result.Failure) {
             ++this->Counters.Failures;
@@ -150,14 +153,24 @@
           bool More = false;
           StoreReply Reply = decodeReply(Request, Result.Answer.Status,
                                          Result.Answer.Body, this->Peer, &More);
+          Reply.Era = decodeEra(Result.Answer.Headers);
           if (!Reply.Status.ok())
             ++this->Counters.Failures;
+          if (Revision != 0 && Reply.Era != Era) {
+            // The pages are of different contents.
+            OnReply({.Id = Request.Id,
+                     .Status = makeError(absl::StatusCode::kUnavailable,
+                                         "read pages of store", this->Peer,
+                                         "the store came back from a copy"),
+                     .Era = Reply.Era});
+            return;
+          }
           std::ranges::move(Reply.Entries, std::back_inserter(EarlierEntries));
           if (Revision != 0)
             Reply.Revision = Revision;
           if (Reply.Status.ok() && More && !EarlierEntries.empty()) {
             this->callPage(std::move(Request), std::move(EarlierEntries),
-                           Reply.Revision, std::move(OnReply));
+                           Reply.Revision, Reply.Era, std::move(OnReply));
             return;
           }
           Reply.Entries = std::move(EarlierEntries);
@@ -242,11 +255,15 @@
     } else {
       Update =
           decodeWatch(Result.Answer.Status, Result.Answer.Body, this->Peer);
+      Update.Era = decodeEra(Result.Answer.Headers);
     }
     this->recordWatchResult(Watch, Result, Update.Status);
     bool HistoryLost = absl::IsOutOfRange(Update.Status);
+    // In a new era, revisions start again below those of the last one.
     if (Update.Status.ok())
-      Watch.Revision = std::max(Watch.Revision, Update.Revision);
+      Watch.Revision = std::exchange(Watch.Era, Update.Era) < Update.Era
+                           ? Update.Revision
+                           : std::max(Watch.Revision, Update.Revision);
     else
       ++this->Counters.Failures;
     Update.Revision = Watch.Revision;
@@ -301,7 +318,7 @@
 PlatformStore::~PlatformStore() = default;
 
 void PlatformStore::call(StoreRequest Request, StoreReplyCallback OnReply) {
-  this->Pimpl->callPage(std::move(Request), {}, 0, std::move(OnReply));
+  this->Pimpl->callPage(std::move(Request), {}, 0, 0, std::move(OnReply));
 }
 
 void PlatformStore::watch(const std::string &Prefix, std::int64_t Revision,
--- a/orioledoor/platform/platform_store_test.cc
+++ b/orioledoor/platform/platform_store_test.cc
@@ -16,6 +16,7 @@
 
 #include "orioledoor/platform/events.h"
 #include "orioledoor/platform/platform_store.h"
+#include "orioledoor/platform/store_codec.h"
 #include "orioledoor/standins/loop.h"
 #include "orioledoor/standins/relay_link.h"
 #include "orioledoor/standins/store_server.h"
@@ -53,6 +54,8 @@
   CPPUNIT_TEST(expiredLeaseDeletesItsKeys);
   CPPUNIT_TEST(watchResumesAtARevision);
   CPPUNIT_TEST(watchReportsCompaction);
+  CPPUNIT_TEST(allAnswersStateTheEra);
+  CPPUNIT_TEST(rollBackLosesWritesAndLeases);
   CPPUNIT_TEST(unresponsiveWatchIsReported);
   CPPUNIT_TEST(unresponsiveWatchReportsDeletionLater);
   CPPUNIT_TEST(deadConnectionsDoNotDelayTheReport);
@@ -232,6 +235,51 @@
     this->waitForWatchError(StatusCode::kOutOfRange);
   }
 
+  // Guards against a node that does not notice a rollback because the first
+  // answer after it is a refusal, or because the header is damaged.
+  void allAnswersStateTheEra() {
+    this->Server->setFaults({{"era", 7}});
+    StoreTxn Write = makeWrite(0, "a");
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, this->call(Write).Era);
+    CPPUNIT_ASSERT(!this->call(Write).Succeeded);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, this->call(Write).Era);
+    StoreReply Missing = this->call(StoreRange{.Key = "absent"});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, Missing.Era);
+    StoreReply Ended = this->call(StoreLeaseKeepAlive{.Lease = 99});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, Ended.Era);
+    this->Server->setFaults({{"reject", 1}});
+    StoreReply Rejected = this->call(Write);
+    CPPUNIT_ASSERT(!Rejected.Status.ok());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, Rejected.Era);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, decodeEra({}));
+    for (const char *Value : {"", "-1", "7x", "99999999999999999999"})
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{-1}, decodeEra({{"Store-Era", Value}}));
+  }
+
+  // Guards against a watch that goes on in a store that does not have its
+  // revision, and against a stand-in that keeps what a copy lacks.
+  void rollBackLosesWritesAndLeases() {
+    this->Server->setFaults({{"era", 1}});
+    std::int64_t First = this->call(makeWrite(0, "a")).Revision;
+    this->Server->setFaults({{"take_copy", true}});
+    std::int64_t Second = this->call(makeWrite(First, "b")).Revision;
+    StoreReply Granted = this->call(StoreLeaseGrant{.TimeToLive = 5s});
+    this->watch(Second);
+    this->waitForOpenWatch();
+    this->Server->setFaults({{"roll_back", true}});
+    this->waitForWatchError(StatusCode::kUnavailable);
+    this->WatchError.reset();
+    this->waitForWatchError(StatusCode::kOutOfRange);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, this->LastEra);
+    StoreReply Ended = this->call(StoreLeaseKeepAlive{.Lease = Granted.Lease});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0},
+                         std::int64_t{Ended.TimeToLive.count()});
+    StoreReply Again = this->call(makeWrite(First, "c"));
+    CPPUNIT_ASSERT(Again.Succeeded);
+    CPPUNIT_ASSERT_EQUAL(Second, Again.Revision);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, Again.Era);
+  }
+
   // Guards against a connection that stays open but no longer delivers data,
   // and against treating a watch without changes as unresponsive.
   void unresponsiveWatchIsReported() {
@@ -465,6 +513,7 @@
     this->WatchError.reset();
     this->Client->watch(keys::Root, After, [this](StoreWatchUpdate Update) {
       this->LastRevision = Update.Revision;
+      this->LastEra = Update.Era;
       if (!Update.Status.ok())
         this->WatchError = Update.Status;
       for (StoreChange &Change : Update.Changes)
@@ -504,6 +553,7 @@
   std::vector<StoreChange> Changes;
   std::optional<absl::Status> WatchError;
   std::vector<LogRecord> LogRecords;
+  std::int64_t LastEra = 0;
   std::int64_t LastRevision = 0;
 };
 
--- a/orioledoor/platform/store_codec.cc
+++ b/orioledoor/platform/store_codec.cc
@@ -2,6 +2,7 @@
 #include "orioledoor/platform/store_codec.h"
 
 #include <cctype>
+#include <charconv>
 #include <exception>
 #include <stdexcept>
 
@@ -9,6 +10,8 @@
 
 #include "orioledoor/base/error.h"
 #include "orioledoor/platform/internal/store_json.h"
+#include "orioledoor/platform/names.h"
+#include "orioledoor/wire/internal/http_headers.h"
 
 namespace orioledoor::platform {
 namespace {
@@ -181,6 +184,17 @@
   return Reply;
 }
 
+std::int64_t decodeEra(const std::vector<requests::Header> &Headers) {
+  const requests::Header *Found =
+      wire::internal::findHeader(Headers, names::StoreEra);
+  if (!Found)
+    return 0;
+  std::int64_t Era = -1;
+  const char *End = Found->Value.data() + Found->Value.size();
+  auto [Rest, Error] = std::from_chars(Found->Value.data(), End, Era);
+  return Error == std::errc() && Rest == End && Era >= 0 ? Era : -1;
+}
+
 std::string encodeWatch(std::string_view Prefix, std::int64_t Revision,
                         std::chrono::milliseconds WaitTime) {
   return std::string(WatchPath) + "?pathPrefix=" + percentEncode(Prefix) +
--- a/orioledoor/platform/store_codec.h
+++ b/orioledoor/platform/store_codec.h
@@ -8,7 +8,9 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "orioledoor/requests/http_types.h"
 #include "orioledoor/store/store_types.h"
 
 namespace orioledoor::platform {
@@ -31,6 +33,10 @@
                        std::string_view Body, std::string_view Peer,
                        bool *More = nullptr);
 
+// Returns the era that a response of the store states, whatever its status; 0
+// if it states none, -1 if it states something else than a number.
+std::int64_t decodeEra(const std::vector<requests::Header> &Headers);
+
 // Returns the path and query of a watch request, which waits up to WaitTime for
 // changes after Revision to keys that start with Prefix.
 std::string encodeWatch(std::string_view Prefix, std::int64_t Revision,
--- a/orioledoor/sidecar/config_follower.cc
+++ b/orioledoor/sidecar/config_follower.cc
@@ -84,6 +84,11 @@
   return Actions;
 }
 
+void ConfigFollower::onStoreRolledBack(Instant ReadAt) {
+  this->WatchOpen = false;
+  this->NextReadAt = ReadAt;
+}
+
 void ConfigFollower::onVersionSeen(const std::string &Node,
                                    std::uint64_t Version, Instant Now) {
   if (Version <= this->VersionInForce || Version < this->NewestVersion)
--- a/orioledoor/sidecar/config_follower.h
+++ b/orioledoor/sidecar/config_follower.h
@@ -42,6 +42,9 @@
   ConfigActions start();
   ConfigActions onStoreReply(const StoreReply &Reply, Instant Now);
   ConfigActions onWatchUpdate(const StoreWatchUpdate &Update, Instant Now);
+  // Handles that the store came back from an older copy: reads again at ReadAt.
+  // A version in force is never replaced by an older one.
+  void onStoreRolledBack(Instant ReadAt);
   // Records that Node has this version in force.
   void onVersionSeen(const std::string &Node, std::uint64_t Version,
                      Instant Now);
--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -81,6 +81,16 @@
 inline constexpr EventDefinition LoopDelayed{
     4152, Severity::Warn, "LOOP_DELAYED", "the event loop stood still"};
 
+inline constexpr EventDefinition StoreEraChanged{
+    4165, Severity::Warn, "STORE_ERA_CHANGED",
+    "the store came back from an older copy; this node joins again"};
+inline constexpr EventDefinition KeysRepaired{
+    4166, Severity::Warn, "KEYS_REPAIRED",
+    "this node writes the newest known key owners to a store that lost them"};
+inline constexpr EventDefinition StoreAnswerRefused{
+    4167, Severity::Warn, "STORE_ANSWER_REFUSED",
+    "an answer of the store states an earlier era or an unreadable one"};
+
 } // namespace orioledoor::sidecar::events
 
 #endif // ORIOLEDOOR_SIDECAR_EVENTS_H
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -2,10 +2,14 @@
 #include "orioledoor/sidecar/key_ownership_manager.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 #include <utility>
 
 #include "orioledoor/keyspace/key_map_change.h"
+#include "orioledoor/keyspace/key_map_repair.h"
 #include "orioledoor/sidecar/events.h"
+#include "orioledoor/sidecar/store_era.h"
 
 namespace orioledoor::sidecar {
 namespace {
@@ -34,6 +38,24 @@
 // Early changes of a service that are kept. Beyond that, the map is read.
 constexpr std::size_t MaxEarlyChanges = 64;
 
+// After the store came back from an older copy, the planning node repairs a map
+// once the others could tell it what the map lacks: their watches notice the
+// era within a retry of 250 ms, and a read and a message follow.
+constexpr Duration RepairDelay = milliseconds(600);
+// The other nodes write a repair themselves if it is still missing after this
+// time, one after the other, so that their writes do not collide.
+constexpr Duration RepairTakeover = milliseconds(2000);
+constexpr Duration RepairTurn = milliseconds(100);
+constexpr int MaxRepairTurns = 20;
+// A target may hold keys without a record in the store until the authority
+// from before the era has ended (8 s), plus the time limit of a call that
+// repairs the record (1 s) and one for its message.
+constexpr Duration UnrecordedHoldTime = milliseconds(10'000);
+// A store that never came back from a copy states 0 or 1.
+constexpr std::int64_t FirstEra = 1;
+// Interval at which rows that the store lacks are sent to the planning node.
+constexpr Duration RowSendInterval = milliseconds(300);
+
 // Returns what tells other nodes that Map follows Before, without its revision.
 // Before is null if there was no map.
 routing::Message changeNotice(const StoredKeyMap *Before,
@@ -73,9 +95,19 @@
                                   Effects &Out) {
   const StoredKeyMap *Stored = this->findKeyMap(Report.Service);
   bool MayHaveEnded = this->Members.possiblyEndedTarget() == Target;
+  bool HasMap = Stored && !MayHaveEnded;
+  Instant AuthorityEnd = this->Members.authority().expiresAt();
+  std::optional<keyspace::KeyMap> Grantable;
+  if (HasMap && this->Members.era() != 0) {
+    Grantable = this->grantableRows(*Stored, Report, Target, Now);
+    // Keys that the store does not give to the target are held no longer than
+    // other nodes wait for such holds to end.
+    if (Stored->Document)
+      AuthorityEnd = std::min(AuthorityEnd, Stored->NewerUntil);
+  }
+  const keyspace::KeyMap *Map = HasMap ? &Stored->Map : nullptr;
   keyspace::GrantDecision Decision = this->Grantor.answerReport(
-      Report, Target, Stored && !MayHaveEnded ? &Stored->Map : nullptr,
-      this->Members.authority().expiresAt(), Now);
+      Report, Target, Grantable ? &*Grantable : Map, AuthorityEnd, Now);
   this->TransferService = Report.Service;
   this->TransferFrom = Target;
   this->PendingTransfers = std::move(Decision.Transfers);
@@ -98,6 +130,33 @@
   return Decision.Answer;
 }
 
+keyspace::KeyMap KeyOwnershipManager::grantableRows(
+    const StoredKeyMap &Stored, const routing::TargetReport &Report,
+    const routing::TargetRef &Target, Instant Now) const {
+  bool Settled = this->Members.isSettled(Stored);
+  if (Settled && !this->Members.mayMissHolds(UnrecordedHoldTime, Now))
+    return Stored.Map;
+  std::vector<keyspace::KeyRange> Held;
+  std::ranges::transform(Report.Holds, std::back_inserter(Held),
+                         &routing::HeldRange::Keys);
+  std::ranges::copy(this->Grantor.heldRanges(Now), std::back_inserter(Held));
+  keyspace::KeyMap Map = Stored.Map;
+  for (const keyspace::KeyRange &Range : Held)
+    Map.splitRowsAt(Range);
+  std::erase_if(Map.Rows, [&](const keyspace::KeyRow &Row) {
+    bool IsHeld = std::ranges::any_of(
+        Held, [&Row](const auto &Range) { return Range.overlaps(Row.Keys); });
+    bool IsNew = Settled && Row.Fence > Stored.Map.EraFence;
+    // Keys that a node has not passed on, as far as it remembers, can be passed
+    // on now.
+    bool IsOffered = Row.Next && this->Members.knewEarlierRows();
+    return Row.Owner != Target || (!IsHeld && !IsNew && !IsOffered);
+  });
+  // Splitting must not make more rows than an answer can list.
+  Map.mergeAdjacentRows();
+  return Map;
+}
+
 bool KeyOwnershipManager::expectsKeys(std::string_view Service,
                                       const routing::TargetRef &Target) const {
   const StoredKeyMap *Stored = this->findKeyMap(Service);
@@ -188,7 +247,10 @@
                       .Service = Entry.Service,
                       .Ready = Entry.State == routing::TargetState::Ready,
                       .Slots = Entry.Slots,
-                      .Ended = Entry.Ended});
+                      // An older copy may lack that it was withdrawn.
+                      .Ended = Entry.StoreEra >= this->Members.era()
+                                   ? Entry.Ended
+                                   : routing::TargetRef()});
   }
   return Result;
 }
@@ -209,6 +271,12 @@
   Txn.Compares.push_back({Key, Stored ? Stored->Revision : 0});
   for (const keyspace::EntryCondition &Condition : Conditions)
     Txn.Compares.push_back({Condition.Key, Condition.Revision});
+  // A write from before a rise of the era may be executed after it, when the
+  // map has the expected revision again. This node's entry, which is written
+  // again after each rise, hardly has its old revision at the same time.
+  if (this->Members.era() != 0)
+    Txn.Compares.push_back(
+        {this->Members.entryKey(), this->Members.entryRevision()});
   Txn.Puts.push_back({.Key = Key, .Value = keyspace::encodeKeyMap(Map)});
   OpenWrite &Write = this->OpenWrites[Service];
   Write = {this->NextId++, Now + WriteTimeout, Map, changeNotice(Stored, Map)};
@@ -220,7 +288,7 @@
       !this->canWrite(this->TransferService, Now))
     return;
   const StoredKeyMap *Stored = this->findKeyMap(this->TransferService);
-  if (!Stored)
+  if (!Stored || !this->Members.isSettled(*Stored))
     return;
   keyspace::KeyMap Map = Stored->Map;
   std::uint64_t Keys = 0;
@@ -252,6 +320,7 @@
 void KeyOwnershipManager::tick(const routing::SharedRouteTable &Table,
                                Instant Now, Effects &Out) {
   this->recordTransfers(Now, Out);
+  this->repairKeyMaps(Now, Out);
   this->readMapsWithGaps(Now, Out);
   if (Now - this->MapsReadAt >= MapReadInterval && this->Members.isLoaded()) {
     this->MapsReadAt = Now;
@@ -272,10 +341,17 @@
         this->Planners.try_emplace(Name, Name, this->Options.Plans)
             .first->second;
     const StoredKeyMap *Stored = this->findKeyMap(Name);
+    // No plan is based on a map that is to be repaired. If the store lost its
+    // first map, nodes that know it write it again.
+    if (Stored ? !this->Members.isSettled(*Stored) || Stored->Document
+               : this->mayHaveLostFirstMap(Now))
+      continue;
     std::optional<keyspace::KeyPlan> Plan = Planner.plan(
         Stored ? &Stored->Map : nullptr, Nodes, StoreUpToDate, Now);
     if (!Plan)
       continue;
+    if (!Stored && this->Members.era() != 0)
+      keyspace::startEra(Plan->Map, this->Members.era());
     Out.push_back(LogRecord{
         &events::KeysPlanned,
         {{"service", Name},
@@ -287,6 +363,71 @@
   }
 }
 
+void KeyOwnershipManager::onEraRisen() {
+  this->OpenWrites.clear();
+  this->Early.clear();
+  this->Planners.clear();
+}
+
+bool KeyOwnershipManager::mayHaveLostFirstMap(Instant Now) const {
+  if (this->Members.roseWithin(RepairTakeover, Now))
+    return true;
+  // The store came back from a copy before this process started, so targets may
+  // hold keys of a map that nobody knows.
+  return this->Members.era() > FirstEra && !this->Members.knewEarlierRows() &&
+         Now - this->Members.eraSeenAt() < UnrecordedHoldTime;
+}
+
+Instant KeyOwnershipManager::repairTime(const StoredKeyMap &Stored) const {
+  // Without newer rows of its own, a node can't tell who holds keys until all
+  // holds that it does not know of have ended.
+  bool Knows = this->Members.knowsEarlierRows() ||
+               (Stored.Document && this->Members.isSettled(Stored));
+  Instant From =
+      this->Members.eraSeenAt() + (Knows ? Duration(0) : UnrecordedHoldTime);
+  if (this->planningNode() == this->Members.selfEntry().Node)
+    return From + RepairDelay;
+  int Turn = std::min(static_cast<int>(this->Members.rank()), MaxRepairTurns);
+  return From + RepairTakeover + RepairTurn * Turn;
+}
+
+void KeyOwnershipManager::repairKeyMaps(Instant Now, Effects &Out) {
+  std::int64_t Era = this->Members.era();
+  if (Era == 0 || !this->Members.isUpToDate(Now))
+    return;
+  bool SendsRows = Now - this->RowsSentAt >= RowSendInterval;
+  std::string Planner = this->planningNode();
+  const std::string &Self = this->Members.selfEntry().Node;
+  for (const auto &[Service, Stored] : this->Members.keyMaps()) {
+    bool Settled = this->Members.isSettled(Stored);
+    if ((Settled && !Stored.Document) || eraOf(Stored.Revision) < Era)
+      continue;
+    if (Stored.Document && SendsRows && Planner != Self && !Planner.empty()) {
+      keyspace::KeyMap Rows =
+          keyspace::rowsConcerning(Stored.Newer, *Stored.Document, Self);
+      this->RowsSentAt = Now;
+      if (!Rows.Rows.empty())
+        Out.push_back(SendMessage{
+            Planner, routing::KeyMapNotice{Stored.Revision,
+                                           keyspace::encodeKeyMap(Rows)}});
+    }
+    if (Now < this->repairTime(Stored) || !this->canWrite(Service, Now))
+      continue;
+    keyspace::KeyMap Map =
+        Settled ? Stored.Map : keyspace::repairedMap(Stored.Map, Era);
+    Out.push_back(LogRecord{
+        &events::KeysRepaired,
+        {{"service", Service},
+         {"store_era", std::to_string(Era)},
+         {"newer_rows", std::to_string(Stored.Newer.Rows.size())},
+         {"rows", std::to_string(Map.Rows.size())},
+         {"last_fence", std::to_string(Map.LastFence)},
+         {"map_revision", std::to_string(storeRevision(Stored.Revision))}}});
+    ++this->Repairs;
+    this->writeKeyMap(Service, Map, {}, Now, Out);
+  }
+}
+
 void KeyOwnershipManager::readKeyMaps(std::string Key, bool Prefix,
                                       bool MayBeStale, Effects &Out) {
   Out.push_back(CallStore{{.Id = this->NextId++,
@@ -299,15 +440,25 @@
   bool Changed = false;
   for (const StoreEntry &Entry : Reply.Entries)
     if (Entry.Key.starts_with(KeysPrefix))
-      Changed |= this->receiveKeyMap({Entry.ModRevision, Entry.Value}, Out);
+      Changed |=
+          this->applyDocument({Entry.ModRevision, Entry.Value}, false, Out);
   return Changed;
 }
 
 bool KeyOwnershipManager::receiveKeyMap(const routing::KeyMapNotice &Notice,
                                         Effects &Out) {
+  return this->applyDocument(Notice, true, Out);
+}
+
+bool KeyOwnershipManager::applyDocument(const routing::KeyMapNotice &Notice,
+                                        bool FromNode, Effects &Out) {
   absl::StatusOr<keyspace::KeyMap> Map = keyspace::decodeKeyMap(Notice.Map);
   if (Map.ok()) {
     std::string Service = Map->Service;
+    // A map without the era of its revision tells what the store's map lacks.
+    if (FromNode && this->Members.era() != 0 && Map->Era < this->Members.era())
+      return eraOf(Notice.Revision) == this->Members.era() &&
+             this->Members.applyNewerRows(*Map);
     bool Changed = this->Members.applyKeyMap(*std::move(Map), Notice.Revision);
     return this->applyEarlyChanges(Service, Out) || Changed;
   }
@@ -328,7 +479,10 @@
     return false;
   }
   const StoredKeyMap *Stored = this->findKeyMap(Change->Service);
-  if (Stored && Notice.Revision <= Stored->Revision)
+  // A change of an earlier era is late; one of a later era is in the maps that
+  // this node reads once it knows the era.
+  if (eraOf(Notice.Revision) != this->Members.era() ||
+      (Stored && Notice.Revision <= Stored->Revision))
     return false;
   std::string Service = Change->Service;
   EarlyChanges &Waiting = this->Early[Service];
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -84,6 +84,12 @@
   std::size_t sendKeyMap(const std::string &Node, std::string_view Service,
                          std::int64_t KnownRevision, Instant Now, Effects &Out);
 
+  // Handles that the store came back from an older copy: forgets open writes
+  // and what was observed of missing owners.
+  void onEraRisen();
+  // Number of repairs of key maps that this node wrote to the store.
+  std::uint64_t repairs() const { return this->Repairs; }
+
   // Returns the peer address of the planning node, or an empty string if none
   // is known.
   std::string planningNode() const;
@@ -116,12 +122,29 @@
                    Instant Now, Effects &Out);
   void readKeyMaps(std::string Key, bool Prefix, bool MayBeStale, Effects &Out);
   bool applyEntries(const StoreReply &Reply, Effects &Out);
+  // Applies a map that a node sent or that was read from the store.
+  bool applyDocument(const routing::KeyMapNotice &Notice, bool FromNode,
+                     Effects &Out);
   // Applies the early changes of Service that follow the known map.
   bool applyEarlyChanges(const std::string &Service, Effects &Out);
   // Reads the maps whose early changes have waited too long for their base.
   void readMapsWithGaps(Instant Now, Effects &Out);
   void recordTransfers(Instant Now, Effects &Out);
   bool canWrite(const std::string &Service, Instant Now) const;
+  // Repairs the maps that the store has from an older copy, or tells the
+  // planning node what they lack.
+  void repairKeyMaps(Instant Now, Effects &Out);
+  // Returns whether targets may hold keys of a first map that the store lost.
+  bool mayHaveLostFirstMap(Instant Now) const;
+  // Returns the time from which this node may write a repair of the map.
+  Instant repairTime(const StoredKeyMap &Stored) const;
+  // Returns the rows of Map that may be granted now. While other targets may
+  // hold keys of which the store has lost the record, these are the ones that
+  // the target holds, and the ones whose token was given out in this era.
+  keyspace::KeyMap grantableRows(const StoredKeyMap &Stored,
+                                 const routing::TargetReport &Report,
+                                 const routing::TargetRef &Target,
+                                 Instant Now) const;
 
   KeyOwnershipOptions Options;
   Membership &Members;
@@ -133,6 +156,8 @@
   std::map<std::string, OpenWrite, std::less<>> OpenWrites;
   std::map<std::string, EarlyChanges, std::less<>> Early;
   std::uint64_t NextId = 1;
+  std::uint64_t Repairs = 0;
+  Instant RowsSentAt;
   Instant MapsReadAt;
   // Time at which a key map was last sent to each node.
   std::map<std::string, Instant> KeyMapSentAt;
--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "orioledoor/keyspace/key_map_repair.h"
 #include "orioledoor/keyspace/key_planner.h"
 #include "orioledoor/sidecar/events.h"
+#include "orioledoor/sidecar/store_era.h"
 
 namespace orioledoor::sidecar {
 namespace {
@@ -17,6 +19,10 @@
 // manager do not have it.
 constexpr std::uint64_t MembershipIdBit = std::uint64_t{1} << 62;
 
+// Rows that another node sent count for this long: it sends them again every
+// 300 ms while they count there, and a write takes up to 240 ms.
+constexpr Duration ReceivedRowsTime = std::chrono::milliseconds(1000);
+
 } // namespace
 
 Membership::Membership(NodeEntry Self, MembershipOptions Options)
@@ -44,6 +50,7 @@
 void Membership::writeEntry(Instant Now, MembershipOutput &Out) {
   this->CurrentStep = Step::Writing;
   this->EntryChanged = false;
+  this->Self.StoreEra = this->Era;
   this->LastSentEntry = this->Self;
   if (this->LastSentEntry.Ended)
     this->PossiblyEndedTarget = this->LastSentEntry.Ended;
@@ -78,6 +85,66 @@
     this->writeEntry(Now, Out);
 }
 
+void Membership::setFirstEra(std::int64_t Era, Instant Now) {
+  this->Era = Era;
+  this->EraSeenAt = Now;
+}
+
+void Membership::onEraRisen(std::int64_t Era, Instant Now,
+                            MembershipOutput &Out) {
+  // Rows that an earlier rise has put in question count no longer than before.
+  bool Pending = std::ranges::any_of(this->KeyMaps, [this](const auto &Entry) {
+    return Entry.second.Document || !this->isSettled(Entry.second);
+  });
+  Instant Proved = this->Authority.expiresAt();
+  this->RowsCountUntil =
+      Pending ? std::min(this->RowsCountUntil, Proved) : Proved;
+  this->Era = Era;
+  this->EraSeenAt = this->EraRisenAt = Now;
+  this->EarlierRowsCount = Now < this->RowsCountUntil;
+  // The lease may be gone, and the entry with it. What was granted stays
+  // granted until the authority expires.
+  this->Authority.onEntryLost();
+  this->Lease = 0;
+  this->StepCallId = this->RenewCallId = 0;
+  this->ReadNeeded = false;
+  std::size_t Nodes = this->Nodes.size();
+  this->VanishedAt = Now +
+                     this->Options.RejoinInterval * static_cast<int>(Nodes) +
+                     this->Options.RejoinGrace;
+  for (auto &Entry : this->Nodes)
+    Entry.second.MissingSince.reset();
+  if (this->CurrentStep == Step::Idle)
+    return;
+  this->CurrentStep = Step::Granting;
+  this->RetryAt =
+      Now + this->Options.RejoinInterval * static_cast<int>(this->rank());
+  if (this->RetryAt <= Now)
+    this->requestLease(Now, Out);
+}
+
+void Membership::advanceTo(Instant Now) {
+  this->LastNow = Now;
+  this->EarlierRowsCount &= Now < this->RowsCountUntil;
+  for (auto &Entry : this->KeyMaps) {
+    StoredKeyMap &Known = Entry.second;
+    if (!Known.Document || Now < Known.NewerUntil)
+      continue;
+    keyspace::KeyMap Document = *std::move(Known.Document);
+    Document.LastFence = std::max(Document.LastFence, Known.Map.LastFence);
+    Document.LastMark = std::max(Document.LastMark, Known.Map.LastMark);
+    Known = {.Map = std::move(Document), .Revision = Known.Revision};
+  }
+}
+
+void Membership::markVanished(Instant Now) {
+  this->VanishedAt.reset();
+  for (auto &[Key, Node] : this->Nodes)
+    if (Key != this->EntryKey && eraOf(Node.Revision) < this->Era &&
+        !Node.MissingSince)
+      Node.MissingSince = Now;
+}
+
 void Membership::recordStoreAnswer(bool Answered, const absl::Status &Why,
                                    Instant Now, MembershipOutput &Out) {
   if (Answered) {
@@ -183,13 +250,21 @@
                                MembershipOutput &Out) {
   std::vector<std::string> Absent;
   for (const auto &Entry : this->Nodes)
-    if (std::ranges::find(Reply.Entries, Entry.first, &StoreEntry::Key) ==
-        Reply.Entries.end())
+    if ((!this->VanishedAt || eraOf(Entry.second.Revision) >= this->Era) &&
+        std::ranges::find(Reply.Entries, Entry.first, &StoreEntry::Key) ==
+            Reply.Entries.end())
       Absent.push_back(Entry.first);
   for (const std::string &Key : Absent)
     this->markMissing(Key, Reply.Revision, Now);
   for (const StoreEntry &Entry : Reply.Entries)
     this->applyEntry(Entry, Out);
+  // Key maps that vanished with an older copy of the store.
+  for (const auto &[Service, Known] : this->KeyMaps)
+    if (eraOf(Known.Revision) < this->Era) {
+      keyspace::KeyMap Empty;
+      Empty.Service = Service;
+      this->applyKeyMap(std::move(Empty), qualifiedRevision(this->Era, 0));
+    }
   this->Loaded = true;
   this->ViewRevision = std::max(this->ViewRevision, Reply.Revision);
   Out.NodesChanged = Out.KeysChanged = true;
@@ -242,10 +317,56 @@
 }
 
 bool Membership::applyKeyMap(keyspace::KeyMap Map, std::int64_t Revision) {
+  if (eraOf(Revision) != this->Era)
+    return false;
   StoredKeyMap &Known = this->KeyMaps[Map.Service];
   if (Revision <= Known.Revision)
     return false;
-  Known = {std::move(Map), Revision};
+  bool IsNew = Known.Revision == 0;
+  if (Map.Era < this->Era && this->EraRisenAt == Instant() &&
+      this->UnsettledSince == Instant())
+    this->UnsettledSince = this->EraSeenAt;
+  bool KeepsRows =
+      this->EarlierRowsCount &&
+      (Known.Document || (!IsNew && eraOf(Known.Revision) < this->Era));
+  if (!KeepsRows) {
+    // Numbers that were given out are not given out again, whoever held them.
+    if (this->Era != 0) {
+      Map.LastFence = std::max(Map.LastFence, Known.Map.LastFence);
+      Map.LastMark = std::max(Map.LastMark, Known.Map.LastMark);
+    }
+    Known = {.Map = std::move(Map), .Revision = Revision};
+    return true;
+  }
+  keyspace::MergedKeyMap Merged =
+      keyspace::mergeNewest(Known.Map, Map, Map.Era >= this->Era);
+  Known = {.Map = std::move(Merged.Map), .Revision = Revision};
+  if (!Merged.Newer.Rows.empty()) {
+    Known.Document = std::move(Map);
+    Known.Newer = std::move(Merged.Newer);
+    Known.NewerUntil = this->RowsCountUntil;
+  }
+  return true;
+}
+
+bool Membership::applyNewerRows(const keyspace::KeyMap &Rows) {
+  auto Found = this->KeyMaps.find(Rows.Service);
+  if (Found == this->KeyMaps.end() || eraOf(Found->second.Revision) < this->Era)
+    return false;
+  StoredKeyMap &Known = Found->second;
+  keyspace::MergedKeyMap Merged =
+      keyspace::mergeNewest(Rows, Known.Map, /*PreferDocument=*/true);
+  Known.Map.LastFence = Merged.Map.LastFence;
+  Known.Map.LastMark = Merged.Map.LastMark;
+  if (Merged.Newer.Rows.empty())
+    return false;
+  if (!Known.Document)
+    Known.Document = Known.Map;
+  Known.Map = std::move(Merged.Map);
+  Known.NewerUntil = this->LastNow + ReceivedRowsTime;
+  if (this->EarlierRowsCount)
+    Known.NewerUntil = std::max(Known.NewerUntil, this->RowsCountUntil);
+  Known.Newer = keyspace::mergeNewest(Known.Map, *Known.Document, true).Newer;
   return true;
 }
 
@@ -284,7 +405,8 @@
 void Membership::onAnnouncement(const std::string &From,
                                 const routing::NodeNotice &Notice,
                                 MembershipOutput &Out) {
-  if (!this->Loaded || Notice.Revision <= this->ViewRevision)
+  if (!this->Loaded || eraOf(Notice.Revision) != this->Era ||
+      Notice.Revision <= this->ViewRevision)
     return;
   absl::StatusOr<NodeEntry> Decoded = decodeNodeEntry(Notice.Entry);
   if (!Decoded.ok() || Decoded->Node != From) {
@@ -333,6 +455,8 @@
     this->RenewSentAt = Now;
     Out.Calls.push_back(std::move(Request));
   }
+  if (this->VanishedAt && Now >= *this->VanishedAt)
+    this->markVanished(Now);
   std::vector<std::string> RemovedKeys;
   for (const auto &[Key, Node] : this->Nodes)
     if (Node.MissingSince && this->isUpToDate(Now) &&
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -9,6 +9,10 @@
 // entries and key maps, and watch the entries from the revision of the read.
 // Key maps are not watched, since they change often and every change would end
 // the watch of every node; nodes send each other new key maps instead.
+//
+// All revisions are qualified ones (store_era.h). After the store came back
+// from an older copy, the node joins again, and keeps the rows of key maps that
+// it knows to be newer than the store's until those are repaired.
 #ifndef ORIOLEDOOR_SIDECAR_MEMBERSHIP_H
 #define ORIOLEDOOR_SIDECAR_MEMBERSHIP_H
 
@@ -49,12 +53,27 @@
   // outage of the store, nodes need up to two seconds to write their entries
   // again.
   Duration MissingGrace = std::chrono::milliseconds(2200);
+  // Interval at which nodes join again after the store came back from an older
+  // copy, in the order of their addresses: 470 nodes with up to three writes
+  // each, and the renewals of those that have joined (522/s), stay below the
+  // store's 1,200 writes/s.
+  Duration RejoinInterval = std::chrono::milliseconds(5);
+  // An entry that vanished with the copy is kept for this long after the last
+  // node's turn: a renewal, after which the node knows, and three calls.
+  Duration RejoinGrace = std::chrono::milliseconds(1500);
 };
 
 // A key map with the store revision of its last change.
 struct StoredKeyMap {
-  keyspace::KeyMap Map;
+  // The newest rows that this node knows.
+  keyspace::KeyMap Map{};
   std::int64_t Revision = 0;
+  // What the store holds, while it lacks rows of Map: it came back from an
+  // older copy.
+  std::optional<keyspace::KeyMap> Document{};
+  // The rows that it lacks, and until when they count.
+  keyspace::KeyMap Newer{};
+  Instant NewerUntil{};
 };
 
 // A node's entry with the store revision of its last change.
@@ -98,8 +117,52 @@
                      MembershipOutput &Out);
   void tick(Instant Now, MembershipOutput &Out);
 
+  // Handles that the store came back from an older copy, in Era: joins again.
+  // To be called before the answer that states the era is handled.
+  void onEraRisen(std::int64_t Era, Instant Now, MembershipOutput &Out);
+  // Sets the era of the first answer of the store.
+  void setFirstEra(std::int64_t Era, Instant Now);
+  // Drops rows that are newer than the store's once they prove nothing any
+  // more; see rowsCountUntil(). To be called before each event.
+  void advanceTo(Instant Now);
+
+  // Returns the era of the store; 0 if it states none.
+  std::int64_t era() const { return this->Era; }
+  // Returns whether this process saw the era rise less than Time ago.
+  bool roseWithin(Duration Time, Instant Now) const {
+    return this->EraRisenAt != Instant() && Now - this->EraRisenAt < Time;
+  }
+  // Returns whether a target may hold keys without a record in the store: this
+  // process saw a rise, or read a map from before the era, less than Time ago.
+  bool mayMissHolds(Duration Time, Instant Now) const {
+    Instant Since = std::max(this->EraRisenAt, this->UnsettledSince);
+    return Since != Instant() && Now - Since < Time;
+  }
+  // Time at which this process first saw an answer of this era.
+  Instant eraSeenAt() const { return this->EraSeenAt; }
+  // Returns whether this node knows key maps from before the era that count:
+  // until the authority that was gained before the era ends, no other target
+  // can have got keys that this node knows as its target's.
+  bool knowsEarlierRows() const { return this->EarlierRowsCount; }
+  // Returns whether it did when the era began.
+  bool knewEarlierRows() const {
+    return this->RowsCountUntil > this->EraSeenAt;
+  }
+  // Returns whether the store's map of a service was written in its current
+  // era, as far as this node knows.
+  bool isSettled(const StoredKeyMap &Stored) const {
+    return Stored.Map.Era >= this->Era;
+  }
+  // Merges rows that another node knows to be newer than the store's. They
+  // count for a second, in which the node can write a repair, or for as long as
+  // its own ones. Returns whether the known map changed.
+  bool applyNewerRows(const keyspace::KeyMap &Rows);
+  // Store revision of this node's entry; 0 if it is absent.
+  std::int64_t entryRevision() const { return this->EntryRevision; }
+
   // Stores a key map unless a newer one is known. Returns whether it was
-  // stored.
+  // stored. Maps of another era than the store's are not: messages of an
+  // earlier era are late, and those of a later one can't be judged yet.
   bool applyKeyMap(keyspace::KeyMap Map, std::int64_t Revision);
 
   // Handles an entry that its node From sent. It is ignored unless it is newer
@@ -145,6 +208,8 @@
   void applyEntry(const StoreEntry &Entry, MembershipOutput &Out);
   void announce(MembershipOutput &Out) const;
   void markMissing(const std::string &Key, std::int64_t Revision, Instant Now);
+  // Marks the entries that the store has not shown in this era as missing.
+  void markVanished(Instant Now);
 
   NodeEntry Self;
   MembershipOptions Options;
@@ -181,6 +246,19 @@
   // Entries that vanished are kept for MissingGrace.
   std::map<std::string, StoredNode> Nodes;
   std::map<std::string, StoredKeyMap, std::less<>> KeyMaps;
+  std::int64_t Era = 0;
+  Instant EraSeenAt;
+  Instant EraRisenAt;
+  // Time at which a process that saw no rise read a map from before the era.
+  Instant UnsettledSince;
+  // End of the authority that was gained before the era; Instant() if none was.
+  Instant RowsCountUntil;
+  bool EarlierRowsCount = false;
+  // Time of the last event.
+  Instant LastNow;
+  // Time at which entries that vanished with the copy count as missing; empty
+  // if that is over.
+  std::optional<Instant> VanishedAt;
 };
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/node_entry.cc
+++ b/orioledoor/sidecar/node_entry.cc
@@ -54,6 +54,8 @@
                    {"link_bytes_per_second", Entry.LinkBytesPerSecond},
                    {"sequence", Entry.Sequence},
                    {"ended", toJson(Entry.Ended)}};
+  if (Entry.StoreEra != 0)
+    Document["store_era"] = Entry.StoreEra;
   return Document.dump();
 }
 
@@ -75,6 +77,8 @@
           Document.at("link_bytes_per_second"), 0, MaxLinkBytesPerSecond);
     Entry.Sequence = readInteger<std::uint64_t>(Document.at("sequence"), 0);
     Entry.Ended = targetFrom(Document.at("ended"));
+    if (Document.contains("store_era"))
+      Entry.StoreEra = readInteger<std::int64_t>(Document.at("store_era"), 0);
     return Entry;
   } catch (const std::exception &Error) {
     return makeError(absl::StatusCode::kInvalidArgument, "read node entry", "",
--- a/orioledoor/sidecar/node_entry.h
+++ b/orioledoor/sidecar/node_entry.h
@@ -30,6 +30,8 @@
   std::uint64_t Sequence = 0;
   // A current or earlier target of this VM that no longer holds any keys.
   routing::TargetRef Ended{};
+  // Era of the store in which the entry was written; 0 if it stated none.
+  std::int64_t StoreEra = 0;
 
   friend bool operator==(const NodeEntry &, const NodeEntry &) = default;
 };
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -59,6 +59,11 @@
       .set(static_cast<double>(Reducer.entry().openRequests()));
   Metrics.gauge("oriole_nodes")
       .set(static_cast<double>(Reducer.membership().nodes().size()));
+  Metrics.gauge("oriole_store_era")
+      .set(static_cast<double>(Reducer.membership().era()));
+  Metrics.counter("oriole_store_era_changes_total")
+      .set(Reducer.storeEraChanges());
+  Metrics.counter("oriole_key_map_repairs_total").set(Reducer.keyMapRepairs());
   Metrics.counter("oriole_peer_delayed_messages_total")
       .set(Reducer.delayedMessages());
   Metrics.counter("oriole_reports_refused_total").set(Reducer.refusedReports());
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -103,6 +103,7 @@
 
 Effects SidecarReducer::handle(Event NewEvent, Instant Now) {
   this->Out.clear();
+  this->Members.advanceTo(Now);
   if (!this->StandstillHandled && this->standstill(Now) > Duration(0)) {
     this->StandstillHandled = true;
     this->Gate.handleStandstill(Now, this->RoutingEffects);
@@ -143,6 +144,10 @@
 
 void SidecarReducer::routeEffect(Effect NewEffect, Instant Now,
                                  Effects &Delivered) {
+  if (auto *Call = std::get_if<CallStore>(&NewEffect))
+    StoreEra::toStoreRevisions(Call->Request);
+  else if (auto *Watch = std::get_if<WatchStore>(&NewEffect))
+    Watch->Revision = storeRevision(Watch->Revision);
   auto *Outgoing = std::get_if<SendMessage>(&NewEffect);
   if (Outgoing)
     this->stampMessage(Outgoing->Body, Now);
@@ -318,7 +323,46 @@
                                this->RoutingEffects);
 }
 
-void SidecarReducer::on(const StoreReplyReceived &Replied, Instant Now) {
+bool SidecarReducer::admitStoreAnswer(const absl::Status &Status,
+                                      std::int64_t AnswerEra, Instant Now) {
+  bool IsFirst = !this->Era.isKnown();
+  std::int64_t Before = this->Era.known();
+  bool Answered = Status.ok() || absl::IsNotFound(Status);
+  switch (this->Era.observe(Answered, AnswerEra)) {
+  case StoreEra::Verdict::Current:
+    if (IsFirst && this->Era.isKnown())
+      this->Members.setFirstEra(this->Era.known(), Now);
+    return true;
+  case StoreEra::Verdict::Old:
+    this->Out.push_back(LogRecord{&events::StoreAnswerRefused,
+                                  {{"era", std::to_string(AnswerEra)},
+                                   {"known", std::to_string(Before)}}});
+    return false;
+  case StoreEra::Verdict::Risen:
+    break;
+  }
+  ++this->StoreEraChanges;
+  this->Out.push_back(LogRecord{
+      &events::StoreEraChanged,
+      {{"era", std::to_string(AnswerEra)},
+       {"before", std::to_string(Before)},
+       {"nodes", std::to_string(this->Members.nodes().size())},
+       {"key_maps", std::to_string(this->Members.keyMaps().size())}}});
+  MembershipOutput Output;
+  this->Members.onEraRisen(this->Era.known(), Now, Output);
+  this->Keys.onEraRisen();
+  this->Config.onStoreRolledBack(Now +
+                                 this->Options.Members.RejoinInterval *
+                                     static_cast<int>(this->Members.rank()));
+  this->apply(std::move(Output), Now);
+  return true;
+}
+
+void SidecarReducer::on(StoreReplyReceived Replied, Instant Now) {
+  if (!this->admitStoreAnswer(Replied.Reply.Status, Replied.Reply.Era, Now))
+    Replied.Reply = {.Id = Replied.Reply.Id,
+                     .Status = absl::UnknownError("an answer of another era")};
+  this->Era.qualify(Replied.Reply);
   MembershipOutput Output;
   if (this->Members.onStoreReply(Replied.Reply, Now, Output)) {
     this->apply(std::move(Output), Now);
@@ -328,7 +372,14 @@
     this->onOwnersChanged(Now);
 }
 
-void SidecarReducer::on(const StoreWatchUpdated &Watched, Instant Now) {
+void SidecarReducer::on(StoreWatchUpdated Watched, Instant Now) {
+  std::uint64_t ChangesBefore = this->StoreEraChanges;
+  if (!this->admitStoreAnswer(Watched.Update.Status, Watched.Update.Era, Now))
+    return;
+  // The node reads everything anyway.
+  if (!Watched.Update.Status.ok() && this->StoreEraChanges != ChangesBefore)
+    return;
+  this->Era.qualify(Watched.Update);
   MembershipOutput Output;
   this->Members.onWatchUpdate(Watched.Update, Now, Output);
   this->apply(std::move(Output), Now);
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -23,6 +23,7 @@
 #include "orioledoor/sidecar/event.h"
 #include "orioledoor/sidecar/key_ownership_manager.h"
 #include "orioledoor/sidecar/membership.h"
+#include "orioledoor/sidecar/store_era.h"
 #include "orioledoor/sidecar/watch_schedule.h"
 
 namespace orioledoor::sidecar {
@@ -76,6 +77,9 @@
   bool isStopping() const { return this->StopRequestedAt != Instant(); }
   // Number of messages of other nodes whose delay was logged.
   std::uint64_t delayedMessages() const { return this->DelayedMessages; }
+  // Number of times that the store came back from an older copy.
+  std::uint64_t storeEraChanges() const { return this->StoreEraChanges; }
+  std::uint64_t keyMapRepairs() const { return this->Keys.repairs(); }
   // Number of reports that did not come from the target on this VM.
   std::uint64_t refusedReports() const { return this->RefusedReports; }
 
@@ -97,11 +101,11 @@
   void on(const TargetFailed &Failed, Instant Now);
   void on(TargetReportReceived Received, Instant Now);
   void on(const TargetDeregistered &Deregistered, Instant Now);
-  void on(const ConfigReadReplied &Replied, Instant Now);
+  void on(ConfigReadReplied Replied, Instant Now);
   void on(const ConfigWatchUpdated &Watched, Instant Now);
   void on(ConfigDecoded Decoded, Instant Now);
-  void on(const StoreReplyReceived &Replied, Instant Now);
-  void on(const StoreWatchUpdated &Watched, Instant Now);
+  void on(StoreReplyReceived Replied, Instant Now);
+  void on(StoreWatchUpdated Watched, Instant Now);
   void on(SettingsChanged Changed, Instant Now);
   void on(StopRequested, Instant Now);
   void on(const TimerTicked &Ticked, Instant Now);
@@ -155,6 +159,10 @@
   // UnsentAnswers: see TimerTicked.
   void advanceShutdown(std::size_t UnsentAnswers, Instant Now);
   void updateWatches();
+  // Handles the era of an answer of the store before the answer itself. Returns
+  // whether the answer counts.
+  bool admitStoreAnswer(const absl::Status &Status, std::int64_t AnswerEra,
+                        Instant Now);
   bool isPartitioned(std::string_view Service) const;
 
   SidecarOptions Options;
@@ -164,6 +172,8 @@
   Instant ConfigSendAt;
   // The same for key maps.
   Instant KeyMapSendAt;
+  StoreEra Era;
+  std::uint64_t StoreEraChanges = 0;
   Membership Members;
   routing::TransitDelays Delays;
   // Number of messages that arrived late.
--- a/orioledoor/sidecar/reducer_config.cc
+++ b/orioledoor/sidecar/reducer_config.cc
@@ -18,11 +18,15 @@
 
 } // namespace
 
-void SidecarReducer::on(const ConfigReadReplied &Replied, Instant Now) {
+void SidecarReducer::on(ConfigReadReplied Replied, Instant Now) {
+  if (!this->admitStoreAnswer(Replied.Reply.Status, Replied.Reply.Era, Now))
+    Replied.Reply = {.Status = absl::UnknownError("an answer of another era")};
   this->apply(this->Config.onStoreReply(Replied.Reply, Now));
 }
 
 void SidecarReducer::on(const ConfigWatchUpdated &Watched, Instant Now) {
+  if (!this->admitStoreAnswer(Watched.Update.Status, Watched.Update.Era, Now))
+    return;
   this->apply(this->Config.onWatchUpdate(Watched.Update, Now));
 }
 
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -41,8 +41,9 @@
 
 ModelFleet::ModelFleet(std::uint64_t Seed, int Nodes, ModelSchedule Schedule)
     : Random(Seed), Schedule(Schedule),
-      Table(Schedule == ModelSchedule::KeyFaults ? newTable()
-                                                 : trafficTable(1)) {
+      Table(this->isKeyed() ? newTable() : trafficTable(1)) {
+  if (Schedule == ModelSchedule::KeyFaultsAndRollbacks)
+    this->Store.setEra(1);
   for (int Index = 0; Index < Nodes; ++Index) {
     auto Added = std::make_unique<Vm>();
     Added->Index = Index;
@@ -283,9 +284,20 @@
   for (auto &Machine : this->Vms) {
     if (Machine->WatchAfter < 0 || this->Now < this->StoreDownUntil ||
         this->Now < Machine->StoreCutUntil ||
-        Machine->WatchAfter >= this->Store.revision())
+        Machine->WatchAfter == this->Store.revision())
       continue;
     StoreWatchUpdate Update;
+    Update.Era = this->Store.era();
+    if (Machine->WatchAfter > this->Store.revision()) {
+      // The store came back from an older copy.
+      Update.Status = absl::OutOfRangeError("the revision does not exist");
+      Machine->WatchAfter = -1;
+      this->ScheduledEvents.emplace(
+          this->Now + milliseconds(2) + this->randomDuration(20),
+          ScheduledEvent{Machine->Index, Machine->Process,
+                         StoreWatchUpdated{std::move(Update)}});
+      continue;
+    }
     Update.Revision = this->Store.revision();
     Update.Changes = this->Store.changesAfter(Machine->WatchAfter);
     std::erase_if(Update.Changes, [](const StoreChange &Change) {
@@ -385,12 +397,32 @@
       this->Now + Time;
 }
 
+void ModelFleet::reportHotKeys(int Index) {
+  for (auto &Owner : this->Vms)
+    if (Owner->Reducer && Owner->Target)
+      for (auto &Receiver : this->Vms)
+        this->ScheduledEvents.emplace(
+            this->Now,
+            ScheduledEvent{
+                Receiver->Index, Receiver->Process,
+                PeerMessageReceived{
+                    Owner->Node,
+                    routing::KeyLoadNotice{
+                        .Service = "consulta",
+                        .Target = {Owner->Target->instance(),
+                                   Owner->Target->born(), Owner->Node},
+                        .Rate = Owner->Index == Index ? 200.0 : 20.0,
+                        .Capacity = 100,
+                        .Quantiles = {8192, 16384, 24576, 32768, 40960, 49152,
+                                      57344}}}});
+}
+
 void ModelFleet::injectFault() {
   if (this->Schedule == ModelSchedule::Delays) {
     this->injectDelay();
     return;
   }
-  if (this->Schedule != ModelSchedule::KeyFaults) {
+  if (!this->isKeyed()) {
     this->injectFaultBesideStops();
     return;
   }
@@ -399,7 +431,18 @@
   Duration FaultTime = milliseconds(300) + this->randomDuration(9000);
   std::string TimeText =
       " for " + std::to_string(FaultTime.count() / 1000) + " ms";
-  switch (this->Random() % 13) {
+  // The last four are rollbacks, which only one schedule has.
+  bool RollsBack = this->Schedule == ModelSchedule::KeyFaultsAndRollbacks;
+  switch (this->Random() % (RollsBack ? 17 : 13)) {
+  case 13:
+  case 14:
+  case 15:
+    this->rollBackStore(FaultTime / 6);
+    break;
+  case 16:
+    this->rollBackStore(FaultTime / 6);
+    this->restartAll(FaultTime / 6, this->randomChance(50));
+    break;
   case 0:
     this->recordHistory("node process killed on " + Name + TimeText);
     Machine.Reducer.reset();
@@ -462,23 +505,7 @@
     break;
   default:
     this->recordHistory("hot keys at " + Name);
-    for (auto &Owner : this->Vms)
-      if (Owner->Reducer && Owner->Target)
-        for (auto &Receiver : this->Vms)
-          this->ScheduledEvents.emplace(
-              this->Now,
-              ScheduledEvent{
-                  Receiver->Index, Receiver->Process,
-                  PeerMessageReceived{
-                      Owner->Node,
-                      routing::KeyLoadNotice{
-                          .Service = "consulta",
-                          .Target = {Owner->Target->instance(),
-                                     Owner->Target->born(), Owner->Node},
-                          .Rate = Owner.get() == &Machine ? 200.0 : 20.0,
-                          .Capacity = 100,
-                          .Quantiles = {8192, 16384, 24576, 32768, 40960, 49152,
-                                        57344}}}});
+    this->reportHotKeys(Machine.Index);
   }
 }
 
@@ -507,8 +534,57 @@
   return Unheld;
 }
 
+void ModelFleet::rollBackStore(Duration Time) {
+  this->recordHistory("store rolled back, away for " +
+                      std::to_string(Time / milliseconds(1)) + " ms");
+  this->StoreDownUntil = this->Now + Time;
+  this->RollBackDue = true;
+}
+
+void ModelFleet::restartAll(Duration Time, bool Targets) {
+  this->recordHistory(std::string("all nodes ") +
+                      (Targets ? "and targets " : "") + "restarted");
+  for (auto &Machine : this->Vms) {
+    Machine->Reducer.reset();
+    Machine->NodeUpAt = this->Now + Time + this->randomDuration(300);
+    if (!Targets)
+      continue;
+    Machine->Target.reset();
+    Machine->TargetUpAt = this->Now + Time + this->randomDuration(800);
+  }
+}
+
+void ModelFleet::restartNode(int Index) {
+  Vm &Machine = *this->Vms[static_cast<std::size_t>(Index)];
+  Machine.Reducer.reset();
+  Machine.NodeUpAt = this->Now + milliseconds(200);
+}
+
+std::vector<std::string> ModelFleet::holders() const {
+  std::vector<std::string> Holders;
+  for (std::uint32_t Key = 0; Key <= keyspace::LastKey; Key += SampleStep) {
+    auto Found = std::ranges::find_if(this->Vms, [&](const auto &Machine) {
+      return Machine->Target && Machine->Target->holds(Key, this->Now);
+    });
+    Holders.push_back(Found == this->Vms.end() ? std::string()
+                                               : (*Found)->Target->instance());
+  }
+  return Holders;
+}
+
 void ModelFleet::step(bool Faults) {
   this->Now = this->Now + Step;
+  if (this->Schedule == ModelSchedule::KeyFaultsAndRollbacks && Faults &&
+      this->Now >= this->NextCopyAt && !this->RollBackDue) {
+    this->NextCopyAt = this->Now + seconds(3);
+    this->Store.takeCopy();
+  }
+  if (this->RollBackDue && this->Now >= this->StoreDownUntil) {
+    this->RollBackDue = false;
+    this->Store.rollBack(this->Now);
+    // Calls that were under way ended with the store's connections.
+    this->StoreCalls.clear();
+  }
   bool Down = this->Now < this->StoreDownUntil;
   this->Store.tick(this->Now, Down && this->LeasesPaused);
   if (Faults && this->Random() % FaultInterval <
@@ -548,7 +624,7 @@
     if (Machine.ExitDue && Machine.Reducer)
       this->endProcess(Machine);
   }
-  if (this->Schedule != ModelSchedule::KeyFaults) {
+  if (!this->isKeyed()) {
     this->letCallersLeave();
     this->sendRequests();
   }
--- a/orioledoor/sidecar/testing/model_fleet.h
+++ b/orioledoor/sidecar/testing/model_fleet.h
@@ -33,6 +33,9 @@
   // A keyed service without requests; processes, targets, the store and the
   // network fail.
   KeyFaults,
+  // The same, and the store comes back from a copy that is up to three seconds
+  // old. Changes of key maps are told to the other nodes.
+  KeyFaultsAndRollbacks,
   // Requests for a service without keys; one to half of the nodes are stopped
   // at a time, beside changes of the configuration, a store that is down or
   // loses replies, and entries that vanish. Targets live on.
@@ -52,6 +55,38 @@
 
   void run(Duration RunTime, bool Faults);
 
+  ModelStore &store() { return this->Store; }
+  // The store is away for Time and comes back from the copy that was taken
+  // last.
+  void rollBackStore(Duration Time);
+  // All node processes end, and start again after Time; with Targets, the
+  // targets too.
+  void restartAll(Duration Time, bool Targets);
+  void restartNode(int Index);
+  // The VM is lost with its target for Time.
+  void loseVmFor(int Index, Duration Time) {
+    this->loseVm(*this->Vms[static_cast<std::size_t>(Index)], Time);
+  }
+  // All nodes tell of a demand that is ten times as high at one target.
+  void reportHotKeys(int Index);
+  // Returns the node of a VM; null while its process is down.
+  const SidecarReducer *node(int Index) const {
+    return this->Vms[static_cast<std::size_t>(Index)]->Reducer.get();
+  }
+  // Delivers an event to the node of a VM.
+  void deliverTo(int Index, Event NewEvent) {
+    this->deliver(*this->Vms[static_cast<std::size_t>(Index)],
+                  std::move(NewEvent));
+  }
+  // Cuts a VM off from the store for Time.
+  void cutStore(int Index, Duration Time) {
+    this->Vms[static_cast<std::size_t>(Index)]->StoreCutUntil =
+        this->Now + Time;
+  }
+  // Returns the instances of the targets that hold the sampled keys, in the
+  // order of the keys; empty for a key without a holder.
+  std::vector<std::string> holders() const;
+
   // The first violated guarantee; empty if there is none.
   const std::string &failure() const { return this->Failure; }
   // Returns the number of sampled keys that no target holds.
@@ -142,6 +177,11 @@
     return std::chrono::milliseconds(this->Random() %
                                      static_cast<std::uint64_t>(Millis));
   }
+  // Returns whether the schedule is one of keys without requests.
+  bool isKeyed() const {
+    return this->Schedule == ModelSchedule::KeyFaults ||
+           this->Schedule == ModelSchedule::KeyFaultsAndRollbacks;
+  }
   bool randomChance(int Percent) {
     return this->Random() % 100 < static_cast<std::uint64_t>(Percent);
   }
@@ -157,6 +197,9 @@
   std::multimap<Instant, StoreCall> StoreCalls;
   std::multimap<Instant, Departure> Departures;
   Instant StoreDownUntil;
+  // The store comes back from its copy at StoreDownUntil.
+  bool RollBackDue = false;
+  Instant NextCopyAt;
   bool LeasesPaused = false;
   Instant RepliesLostUntil;
   std::uint64_t NextProcess = 1;
--- a/orioledoor/sidecar/testing/model_store.cc
+++ b/orioledoor/sidecar/testing/model_store.cc
@@ -25,8 +25,20 @@
   this->History.push_back({{Key, "", this->Revision}, true});
 }
 
+void ModelStore::rollBack(Instant Now) {
+  std::int64_t NextEra = this->Era + 1;
+  // Lease ids are not given out again.
+  std::int64_t NextId = this->NextLease;
+  std::shared_ptr<const ModelStore> Kept = this->Copy;
+  *this = *Kept;
+  this->Copy = Kept;
+  this->Era = NextEra;
+  this->NextLease = NextId;
+  this->LastTick = Now;
+}
+
 StoreReply ModelStore::apply(const StoreRequest &Request, Instant Now) {
-  StoreReply Reply{.Id = Request.Id};
+  StoreReply Reply{.Id = Request.Id, .Era = this->Era};
   if (const auto *Range = std::get_if<StoreRange>(&Request.Body)) {
     for (const auto &[Key, Entry] : this->Entries)
       if (Key == Range->Key || (Range->Prefix && Key.starts_with(Range->Key)))
--- a/orioledoor/sidecar/testing/model_store.h
+++ b/orioledoor/sidecar/testing/model_store.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,15 @@
   // Returns all changes after Revision.
   std::vector<StoreChange> changesAfter(std::int64_t Revision) const;
 
+  // States eras from now on; 0: none.
+  void setEra(std::int64_t NewEra) { this->Era = NewEra; }
+  std::int64_t era() const { return this->Era; }
+  // Keeps a copy of the content, to which rollBack() returns.
+  void takeCopy() { this->Copy = std::make_shared<ModelStore>(*this); }
+  // Comes back from the copy in the next era: what was written since is gone,
+  // leases too, and revisions are given out again.
+  void rollBack(Instant Now);
+
   std::int64_t revision() const { return this->Revision; }
   const std::map<std::string, StoreEntry> &entries() const {
     return this->Entries;
@@ -47,6 +57,8 @@
   std::map<std::string, std::int64_t> KeyLeases;
   std::map<std::int64_t, Lease> Leases;
   std::vector<StoreChange> History;
+  std::int64_t Era = 0;
+  std::shared_ptr<const ModelStore> Copy;
 };
 
 } // namespace orioledoor::sidecar::testing
--- a/orioledoor/standins/store_model.cc
+++ b/orioledoor/standins/store_model.cc
@@ -112,6 +112,20 @@
   });
 }
 
+void StoreModel::takeCopy() {
+  this->Copy = {this->Keys, this->Leases, this->History, this->Revision};
+}
+
+void StoreModel::rollBack() {
+  if (!this->Copy)
+    return;
+  this->Keys = this->Copy->Keys;
+  this->Leases = this->Copy->Leases;
+  this->History = this->Copy->History;
+  this->Revision = this->Copy->Revision;
+  this->PendingChanges.clear();
+}
+
 std::int64_t StoreModel::grantLease(Duration TimeToLive, Instant Now) {
   std::int64_t Id = ++this->LastLeaseId;
   this->Leases[Id] = {TimeToLive, Now + TimeToLive, {}};
--- a/orioledoor/standins/store_model.h
+++ b/orioledoor/standins/store_model.h
@@ -78,6 +78,13 @@
   bool revokeLease(std::int64_t Lease);
   void expireLeases(Instant Now);
 
+  // Keeps a copy of the keys and leases, to which rollBack() returns.
+  void takeCopy();
+  // Comes back from the copy: what was written since is gone, leases too, and
+  // the revisions since are given out again. The history that is left is that
+  // before the copy. Does nothing without a copy.
+  void rollBack();
+
 private:
   struct LeaseState {
     Duration TimeToLive{};
@@ -85,6 +92,14 @@
     std::set<std::string> Keys;
   };
 
+  // What a copy holds.
+  struct Snapshot {
+    std::map<std::string, StoredKey, std::less<>> Keys;
+    std::map<std::int64_t, LeaseState> Leases;
+    std::vector<StoredChange> History;
+    std::int64_t Revision = 0;
+  };
+
   void erase(const std::string &Key);
 
   std::map<std::string, StoredKey, std::less<>> Keys;
@@ -97,6 +112,7 @@
   // Starts above 2^53, so that a lease id that is converted to a double changes
   // its value and the error shows.
   std::int64_t LastLeaseId = 0x7587000000000001;
+  std::optional<Snapshot> Copy;
   ChangeCallback OnChange;
 };
 
--- a/orioledoor/standins/store_server.cc
+++ b/orioledoor/standins/store_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <variant>
 
+#include "orioledoor/platform/names.h"
 #include "orioledoor/standins/loop.h"
 #include "orioledoor/standins/store_execution.h"
 
@@ -73,6 +74,11 @@
   this->CallsToReject = Faults.value("reject", this->CallsToReject);
   if (Faults.contains("compact"))
     this->Model.compact(Faults.at("compact").get<std::int64_t>());
+  this->Era = Faults.value("era", this->Era);
+  if (Faults.value("take_copy", false))
+    this->Model.takeCopy();
+  if (Faults.value("roll_back", false))
+    this->rollBack();
   if (Faults.value("silence_watches", false) || this->Outage == "silent")
     for (Watch &Open : this->Watches)
       Open.Silenced = true;
@@ -81,6 +87,15 @@
       Open.Request->drop();
 }
 
+void StoreServer::rollBack() {
+  this->Model.rollBack();
+  ++this->Era;
+  for (const Watch &Open : std::list<Watch>(this->Watches))
+    Open.Request->drop();
+  for (const ExchangePtr &Open : std::exchange(this->UnansweredRequests, {}))
+    Open->drop();
+}
+
 Json StoreServer::counters() const {
   Json Answer(this->Counters);
   Answer["open_watches"] = this->Watches.size();
@@ -143,9 +158,11 @@
 
 void StoreServer::reply(const ExchangePtr &Request,
                         const platform::StoreHttpResponse &Answer) {
-  auto Send = [Request, Answer] {
-    Request->reply(Answer.Status, Answer.Body,
-                   {{"Content-Type", "application/json"}});
+  auto Send = [Request, Answer, Era = this->Era] {
+    HeaderList Headers{{"Content-Type", "application/json"}};
+    if (Era != 0)
+      Headers.push_back({platform::names::StoreEra, std::to_string(Era)});
+    Request->reply(Answer.Status, Answer.Body, Headers);
   };
   if (this->AnswerLatency == Duration(0))
     return Send();
@@ -159,7 +176,7 @@
   std::optional<std::vector<StoredChange>> PastChanges =
       this->Model.changesFrom(WatchCall.Revision + 1, WatchCall.Prefix,
                               endOfPrefix(WatchCall.Prefix));
-  if (!PastChanges)
+  if (!PastChanges || WatchCall.Revision > this->Model.revision())
     Update.Status = absl::OutOfRangeError("history is gone");
   else
     Update.Changes = toStoreChanges(*PastChanges);
--- a/orioledoor/standins/store_server.h
+++ b/orioledoor/standins/store_server.h
@@ -16,6 +16,10 @@
 //   silence_watches true: the watches that are open now are never answered
 //   close_watches   true: closes the watches that are open now
 //   compact         drops the history below this revision
+//   era             states this Store-Era in all answers from now on
+//   take_copy       true: keeps a copy of the content
+//   roll_back       true: comes back from that copy, in the next era; closes
+//                   the watches and calls that are open
 // GET /standin/counters returns the calls by kind and the highest number of
 // reads and of writes within one second.
 #ifndef ORIOLEDOOR_STANDINS_STORE_SERVER_H
@@ -77,6 +81,7 @@
              const platform::StoreHttpResponse &Answer);
   void openWatch(const ExchangePtr &Request,
                  const platform::StoreServiceWatch &WatchCall);
+  void rollBack();
   void publish(const std::vector<StoredChange> &Changes);
   // Answers the watch if it is still open and not silenced.
   void endWatch(std::uint64_t Id, const StoreWatchUpdate &Update);
@@ -94,6 +99,8 @@
   // Requests that stay open without an answer.
   std::vector<ExchangePtr> UnansweredRequests;
   std::string Outage = "none";
+  // Stated in all answers; 0: not stated.
+  std::int64_t Era = 0;
   Duration Latency{0};
   Duration AnswerLatency{0};
   std::int64_t AnswersToDrop = 0;
