--- a/orioledoor/keyspace/key_map_repair.cc
+++ b/orioledoor/keyspace/key_map_repair.cc
@@ -51,9 +51,10 @@
   return Newest;
 }
 
-void startEra(KeyMap &Map, std::int64_t Era) {
+void startEra(KeyMap &Map, const KeyMap &Before, std::int64_t Era) {
   Map.Era = Era;
-  Map.EraFence = Map.LastMark = Era * RepairStep;
+  Map.EraFence = std::max(Before.LastFence, Era * RepairStep);
+  Map.LastMark = std::max(Before.LastMark, Era * RepairStep);
   Map.LastFence += Map.EraFence;
   for (KeyRow &Row : Map.Rows)
     Row.Fence += Map.EraFence;
--- a/orioledoor/keyspace/key_map_repair.h
+++ b/orioledoor/keyspace/key_map_repair.h
@@ -41,8 +41,8 @@
 // proves nothing.
 KeyMap repairedMap(KeyMap Newest, std::int64_t Era);
 
-// Raises all tokens of a first map to those of Era.
-void startEra(KeyMap &Map, std::int64_t Era);
+// Raises all tokens of a first map to those of Era, and above those of Before.
+void startEra(KeyMap &Map, const KeyMap &Before, std::int64_t Era);
 
 // Returns the rows of Newer that concern the target of Node, as owner in either
 // map, in a map without an era.
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -341,17 +341,21 @@
         this->Planners.try_emplace(Name, Name, this->Options.Plans)
             .first->second;
     const StoredKeyMap *Stored = this->findKeyMap(Name);
+    // A map without rows vanished with the rollback.
+    const keyspace::KeyMap *Map =
+        Stored && !Stored->Map.Rows.empty() ? &Stored->Map : nullptr;
     // No plan is based on a map that is to be repaired. If the store lost its
     // first map, nodes that know it write it again.
-    if (Stored ? !this->Members.isSettled(*Stored) || Stored->Document
-               : this->mayHaveLostFirstMap(Now))
+    if (Map ? !this->Members.isSettled(*Stored) || Stored->Document
+            : this->mayHaveLostFirstMap(Now))
       continue;
-    std::optional<keyspace::KeyPlan> Plan = Planner.plan(
-        Stored ? &Stored->Map : nullptr, Nodes, StoreUpToDate, Now);
+    std::optional<keyspace::KeyPlan> Plan =
+        Planner.plan(Map, Nodes, StoreUpToDate, Now);
     if (!Plan)
       continue;
-    if (!Stored && this->Members.era() != 0)
-      keyspace::startEra(Plan->Map, this->Members.era());
+    if (!Map && this->Members.era() != 0)
+      keyspace::startEra(Plan->Map, Stored ? Stored->Map : keyspace::KeyMap(),
+                         this->Members.era());
     Out.push_back(LogRecord{
         &events::KeysPlanned,
         {{"service", Name},
@@ -370,7 +374,9 @@
 }
 
 bool KeyOwnershipManager::mayHaveLostFirstMap(Instant Now) const {
-  if (this->Members.roseWithin(RepairTakeover, Now))
+  if (this->Members.roseWithin(
+          this->Members.knewEarlierRows() ? RepairTakeover : UnrecordedHoldTime,
+          Now))
     return true;
   // The store came back from a copy before this process started, so targets may
   // hold keys of a map that nobody knows.
@@ -400,7 +406,8 @@
   const std::string &Self = this->Members.selfEntry().Node;
   for (const auto &[Service, Stored] : this->Members.keyMaps()) {
     bool Settled = this->Members.isSettled(Stored);
-    if ((Settled && !Stored.Document) || eraOf(Stored.Revision) < Era)
+    if ((Settled && !Stored.Document) || eraOf(Stored.Revision) < Era ||
+        Stored.Map.Rows.empty())
       continue;
     if (Stored.Document && SendsRows && Planner != Self && !Planner.empty()) {
       keyspace::KeyMap Rows =
@@ -577,6 +584,12 @@
       {{"service", Found->first},
        {"why", Reply.Status.ok() ? std::string("another change came first")
                                  : std::string(Reply.Status.message())}}});
+  if (Reply.Status.ok()) {
+    auto Own = std::ranges::find(Reply.Entries, this->Members.entryKey(),
+                                 &StoreEntry::Key);
+    if (Own != Reply.Entries.end())
+      this->Members.noteEntryRevision(Own->ModRevision);
+  }
   // A failed call may have made the change nevertheless, so the key map is read
   // again.
   if (!Reply.Status.ok())
--- a/orioledoor/sidecar/membership.h
+++ b/orioledoor/sidecar/membership.h
@@ -27,6 +27,7 @@
 #include "orioledoor/keyspace/key_map.h"
 #include "orioledoor/routing/message.h"
 #include "orioledoor/sidecar/node_entry.h"
+#include "orioledoor/sidecar/store_era.h"
 #include "orioledoor/store/store_types.h"
 #include "orioledoor/telemetry/log_record.h"
 
@@ -157,8 +158,14 @@
   // count for a second, in which the node can write a repair, or for as long as
   // its own ones. Returns whether the known map changed.
   bool applyNewerRows(const keyspace::KeyMap &Rows);
-  // Store revision of this node's entry; 0 if it is absent.
+  // Last known store revision of this node's entry; 0 if it is absent.
   std::int64_t entryRevision() const { return this->EntryRevision; }
+  // Records the revision that the store has shown for this node's entry, which
+  // differs if an unacknowledged write took effect.
+  void noteEntryRevision(std::int64_t Revision) {
+    if (this->StepCallId == 0 && eraOf(Revision) == this->Era)
+      this->EntryRevision = Revision;
+  }
 
   // Stores a key map unless a newer one is known. Returns whether it was
   // stored. Maps of another era than the store's are not: messages of an
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -582,8 +582,9 @@
   if (this->RollBackDue && this->Now >= this->StoreDownUntil) {
     this->RollBackDue = false;
     this->Store.rollBack(this->Now);
-    // Calls that were under way ended with the store's connections.
-    this->StoreCalls.clear();
+    // Calls that were under way may be executed on the older content.
+    if (this->randomChance(50))
+      this->StoreCalls.clear();
   }
   bool Down = this->Now < this->StoreDownUntil;
   this->Store.tick(this->Now, Down && this->LeasesPaused);
