--- a/orioledoor/sidecar/config_follower.cc
+++ b/orioledoor/sidecar/config_follower.cc
@@ -38,6 +38,9 @@
   return platform::decodeOperatorKey(Entry.Key).Kind ==
          platform::OperatorKeyKind::Configuration;
 }
+// Time for which an evacuation stays in force that vanished when the store came
+// back from an older copy: the operator writes it again if it is still wanted.
+constexpr Duration EvacuationHold = std::chrono::seconds(5);
 
 } // namespace
 
@@ -56,7 +59,10 @@
       this->CatchUpAt = Now;
   }
   ConfigActions Actions;
-  Actions.Evacuations = this->Evacuations.applyRead(Reply);
+  bool KeepVanished = Now < this->KeepEvacuationsUntil;
+  Actions.Evacuations = this->Evacuations.applyRead(Reply, KeepVanished);
+  if (KeepVanished)
+    this->EvacuationReadAt = this->KeepEvacuationsUntil;
   Actions.InvalidKeys = this->Evacuations.takeInvalidKeys();
   // Without an entry, the operator has not configured anything yet. The watch
   // reports the first configuration.
@@ -113,6 +119,12 @@
   this->NextEvacuationReadAt = Now + EvacuationReadPause;
 }
 
+void ConfigFollower::onStoreRolledBack(Instant ReadAt) {
+  this->WatchOpen = false;
+  this->NextReadAt = ReadAt;
+  this->KeepEvacuationsUntil = ReadAt + EvacuationHold;
+}
+
 void ConfigFollower::onVersionSeen(const std::string &Node,
                                    std::uint64_t Version, Instant Now) {
   if (Version <= this->VersionInForce || Version < this->NewestVersion)
--- a/orioledoor/sidecar/config_follower.h
+++ b/orioledoor/sidecar/config_follower.h
@@ -49,6 +49,10 @@
   ConfigActions start();
   ConfigActions onStoreReply(const StoreReply &Reply, Instant Now);
   ConfigActions onWatchUpdate(const StoreWatchUpdate &Update, Instant Now);
+  // Handles that the store came back from an older copy: reads again at ReadAt.
+  // A version in force is never replaced by an older one, and evacuations stay
+  // in force for 5 s.
+  void onStoreRolledBack(Instant ReadAt);
   // Records that Node has this version in force.
   void onVersionSeen(const std::string &Node, std::uint64_t Version,
                      Instant Now);
@@ -85,6 +89,8 @@
   // there is no other one.
   std::optional<Instant> EvacuationReadAt;
   Instant NextEvacuationReadAt;
+  // Until then, evacuations that the store no longer shows stay in force.
+  Instant KeepEvacuationsUntil;
   // A read was sent and not answered.
   bool ReadInFlight = false;
   // A watch was opened and has not ended.
--- a/orioledoor/sidecar/config_follower_test.cc
+++ b/orioledoor/sidecar/config_follower_test.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST_SUITE(ConfigFollowerTest);
   CPPUNIT_TEST(watchesFromRevisionOfRead);
   CPPUNIT_TEST(pausesAfterHistoryWasDiscarded);
+  CPPUNIT_TEST(readsAndWatchesAgainAfterARollback);
+  CPPUNIT_TEST(evacuationsOutliveARollbackForAWhile);
   CPPUNIT_TEST(watchesForTheFirstConfiguration);
   CPPUNIT_TEST(readsAgainUntilConfigurationExists);
   CPPUNIT_TEST(appliesOnlyLatestChange);
@@ -58,6 +60,39 @@
     CPPUNIT_ASSERT(!this->Config.tick(this->Now + milliseconds(900)).Read);
   }
 
+  // Guards against a watch that goes on at a revision of the lost history: the
+  // store gives it out again, and changes below it would be missed.
+  void readsAndWatchesAgainAfterARollback() {
+    this->Config.onStoreReply({.Entries = {{Key, "one", 400}}, .Revision = 400},
+                              this->Now);
+    this->Config.onStoreRolledBack(this->Now + milliseconds(10));
+    CPPUNIT_ASSERT(!this->Config.tick(this->Now).Read);
+    CPPUNIT_ASSERT(this->Config.tick(this->Now + milliseconds(10)).Read);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{390},
+                         this->Config.onStoreReply({.Revision = 390}, this->Now)
+                             .WatchAfter.value_or(0));
+  }
+
+  // Guards against requests that return to an evacuated failure domain because
+  // the store came back from a copy older than its evacuation.
+  void evacuationsOutliveARollbackForAWhile() {
+    const std::string Evacuation = "op/evacuate/d1";
+    this->Config.onStoreReply(
+        {.Entries = {{Evacuation, "{}", 390}}, .Revision = 400, .Era = 1},
+        this->Now);
+    this->Config.onStoreRolledBack(this->Now);
+    CPPUNIT_ASSERT(this->Config.tick(this->Now).Read);
+    StoreReply Rolled{.Revision = 380, .Era = 2};
+    CPPUNIT_ASSERT(!this->Config.onStoreReply(Rolled, this->Now).Evacuations);
+    CPPUNIT_ASSERT(this->Config.evacuatedDomains().contains("d1"));
+    CPPUNIT_ASSERT(!this->Config.tick(this->Now + milliseconds(4900)).Read);
+    CPPUNIT_ASSERT(this->Config.tick(this->Now + milliseconds(5000)).Read);
+    auto Changed =
+        this->Config.onStoreReply(Rolled, this->Now + milliseconds(5010))
+            .Evacuations;
+    CPPUNIT_ASSERT(Changed && Changed->Ended.contains("d1"));
+  }
+
   // Guards against a read every 300 ms by every node of a fleet that starts
   // before its first configuration.
   void watchesForTheFirstConfiguration() {
--- a/orioledoor/sidecar/evacuation_follower.cc
+++ b/orioledoor/sidecar/evacuation_follower.cc
@@ -36,7 +36,7 @@
 }
 
 std::optional<EvacuationsChanged>
-EvacuationFollower::applyRead(const StoreReply &Reply) {
+EvacuationFollower::applyRead(const StoreReply &Reply, bool KeepVanished) {
   this->enterEra(Reply.Era);
   std::int64_t ReadRevision = Reply.Revision;
   for (const StoreEntry &Entry : Reply.Entries)
@@ -48,6 +48,8 @@
   DomainNames Read;
   for (const StoreEntry &Entry : Reply.Entries)
     this->addDomain(Entry.Key, Read);
+  if (KeepVanished)
+    Read.insert(this->Domains.begin(), this->Domains.end());
   if (std::exchange(this->Loaded, true) && Read == this->Domains)
     return std::nullopt;
   EvacuationsChanged Changed{.Domains = Read, .MayBeOld = true};
--- a/orioledoor/sidecar/evacuation_follower.h
+++ b/orioledoor/sidecar/evacuation_follower.h
@@ -40,8 +40,10 @@
 class EvacuationFollower {
 public:
   // Takes over a read of all keys of the operator, unless a watch has shown
-  // later changes.
-  std::optional<EvacuationsChanged> applyRead(const StoreReply &Reply);
+  // later changes. KeepVanished: evacuations that the reply does not show stay
+  // in force.
+  std::optional<EvacuationsChanged> applyRead(const StoreReply &Reply,
+                                              bool KeepVanished = false);
   std::optional<EvacuationsChanged> applyWatch(const StoreWatchUpdate &Update);
 
   // Empty until the first read.
--- a/orioledoor/sidecar/testing/model_fleet.h
+++ b/orioledoor/sidecar/testing/model_fleet.h
@@ -33,6 +33,9 @@
   // A keyed service without requests; processes, targets, the store and the
   // network fail.
   KeyFaults,
+  // The same, and the store comes back from a copy that is up to three seconds
+  // old. Changes of key maps are told to the other nodes.
+  KeyFaultsAndRollbacks,
   // Requests for a service without keys; one to half of the nodes are stopped
   // at a time, beside changes of the configuration, a store that is down or
   // loses replies, and entries that vanish. Targets live on.
@@ -61,6 +64,38 @@
   void evacuate(int VmIndex);
   void endEvacuation();
 
+  ModelStore &store() { return this->Store; }
+  // The store is away for Time and comes back from the copy that was taken
+  // last.
+  void rollBackStore(Duration Time);
+  // All node processes end, and start again after Time; with Targets, the
+  // targets too.
+  void restartAll(Duration Time, bool Targets);
+  void restartNode(int Index);
+  // The VM is lost with its target for Time.
+  void loseVmFor(int Index, Duration Time) {
+    this->loseVm(*this->Vms[static_cast<std::size_t>(Index)], Time);
+  }
+  // All nodes tell of a demand that is ten times as high at one target.
+  void reportHotKeys(int Index);
+  // Returns the node of a VM; null while its process is down.
+  const SidecarReducer *node(int Index) const {
+    return this->Vms[static_cast<std::size_t>(Index)]->Reducer.get();
+  }
+  // Delivers an event to the node of a VM.
+  void deliverTo(int Index, Event NewEvent) {
+    this->deliver(*this->Vms[static_cast<std::size_t>(Index)],
+                  std::move(NewEvent));
+  }
+  // Cuts a VM off from the store and the others for Time.
+  void cutOff(int Index, Duration Time) {
+    Vm &Machine = *this->Vms[static_cast<std::size_t>(Index)];
+    Machine.StoreCutUntil = Machine.PeerCutUntil = this->Now + Time;
+  }
+  // Returns the instances of the targets that hold the sampled keys, in the
+  // order of the keys; empty for a key without a holder.
+  std::vector<std::string> holders() const;
+
   // The first violated guarantee; empty if there is none.
   const std::string &failure() const { return this->Failure; }
   // Returns the number of sampled keys that no target holds.
@@ -148,10 +183,6 @@
   bool isEvacuated(const Vm &Machine) const {
     return this->EvacuatedDomain == Machine.Index % 3;
   }
-  bool isKeyed() const {
-    return this->Schedule == ModelSchedule::KeyFaults ||
-           this->Schedule == ModelSchedule::KeyEvacuations;
-  }
   bool hasEvacuations() const {
     return this->Schedule == ModelSchedule::Evacuations ||
            this->Schedule == ModelSchedule::KeyEvacuations;
@@ -178,6 +209,12 @@
     return std::chrono::milliseconds(this->Random() %
                                      static_cast<std::uint64_t>(Millis));
   }
+  // Returns whether the schedule is one of keys without requests.
+  bool isKeyed() const {
+    return this->Schedule == ModelSchedule::KeyFaults ||
+           this->Schedule == ModelSchedule::KeyFaultsAndRollbacks ||
+           this->Schedule == ModelSchedule::KeyEvacuations;
+  }
   bool randomChance(int Percent) {
     return this->Random() % 100 < static_cast<std::uint64_t>(Percent);
   }
@@ -195,6 +232,9 @@
   Instant StoreDownUntil;
   // -1 if no failure domain is evacuated.
   int EvacuatedDomain = -1;
+  // The store comes back from its copy at StoreDownUntil.
+  bool RollBackDue = false;
+  Instant NextCopyAt;
   bool LeasesPaused = false;
   Instant RepliesLostUntil;
   std::uint64_t NextProcess = 1;
