--- a/orioledoor/keyspace/key_balance.cc
+++ b/orioledoor/keyspace/key_balance.cc
@@ -73,6 +73,20 @@
   return Segments;
 }
 
+// Returns the segments of a target that may move. A single key that has just
+// moved is left out.
+std::vector<KeySegment>
+movableSegments(const KeyMap &Map, const TargetLoad &Load,
+                std::span<const std::uint32_t> SettledKeys) {
+  std::vector<KeySegment> Segments = splitAtQuantiles(Map, Load);
+  std::erase_if(Segments, [SettledKeys](const KeySegment &Segment) {
+    return Segment.Keys.From == Segment.Keys.To &&
+           std::ranges::find(SettledKeys, Segment.Keys.From) !=
+               SettledKeys.end();
+  });
+  return Segments;
+}
+
 // Returns the run of adjacent segments that has the highest request rate per
 // key and whose total rate does not exceed MaxRate.
 std::optional<KeySegment> chooseRun(std::span<const KeySegment> Segments,
@@ -154,7 +168,8 @@
 
 std::vector<KeyMove> planMoves(const KeyMap &Map,
                                std::span<const TargetLoad> Loads,
-                               std::span<const TargetRef> Busy) {
+                               std::span<const TargetRef> Busy,
+                               std::span<const std::uint32_t> SettledKeys) {
   std::vector<KeyMove> Moves;
   double TotalRate = 0;
   double TotalCapacity = 0;
@@ -165,11 +180,12 @@
     TotalRate += Load.Rate;
     TotalCapacity += Load.Capacity;
     if (std::ranges::find(Busy, Load.Target) == Busy.end())
-      Candidates.push_back({.Target = Load.Target,
-                            .Rate = Load.Rate,
-                            .Capacity = Load.Capacity,
-                            .Rows = countRows(Map, Load.Target),
-                            .Segments = splitAtQuantiles(Map, Load)});
+      Candidates.push_back(
+          {.Target = Load.Target,
+           .Rate = Load.Rate,
+           .Capacity = Load.Capacity,
+           .Rows = countRows(Map, Load.Target),
+           .Segments = movableSegments(Map, Load, SettledKeys)});
   }
   double MeanUtilization = TotalRate / TotalCapacity;
   std::size_t MoveLimit = maxMoves(Loads.size());
--- a/orioledoor/keyspace/key_balance.h
+++ b/orioledoor/keyspace/key_balance.h
@@ -39,10 +39,12 @@
 // Returns the moves that reduce the utilization of overloaded targets towards
 // the mean of all targets. Returns an empty list if no target is overloaded
 // enough to justify a move. Busy targets count towards the mean, but take no
-// part in a move: their demand is about to change.
+// part in a move: their demand is about to change. SettledKeys stay where they
+// are, however many requests they get; the keys beside them move.
 std::vector<KeyMove> planMoves(const KeyMap &Map,
                                std::span<const TargetLoad> Loads,
-                               std::span<const TargetRef> Busy = {});
+                               std::span<const TargetRef> Busy = {},
+                               std::span<const std::uint32_t> SettledKeys = {});
 
 } // namespace orioledoor::keyspace
 
--- a/orioledoor/keyspace/key_planner.cc
+++ b/orioledoor/keyspace/key_planner.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <ranges>
 #include <utility>
 
 #include "orioledoor/keyspace/key_balance.h"
@@ -22,6 +23,9 @@
 // Runs of adjacent rows into which the keys of lost targets are divided once
 // the targets that are left have many rows.
 constexpr double RunsPerService = 16;
+// A key that has moved stays for this long. It is not served for about a second
+// of each move, and no target serves it faster than the last one did.
+constexpr Duration KeySettleTime = std::chrono::seconds(10);
 
 const PlannerNode *findNode(std::span<const PlannerNode> Nodes,
                             std::string_view Address) {
@@ -366,8 +370,17 @@
     Loads.push_back(
         {Node->Target, Notice.Rate, Notice.Capacity, Notice.Quantiles});
   }
-  std::vector<KeyMove> Moves = planMoves(Map, Loads, this->busyTargets(Now));
+  std::erase_if(this->KeyMovedAt, [Now](const auto &Entry) {
+    return Now - Entry.second >= KeySettleTime;
+  });
+  std::vector<std::uint32_t> SettledKeys;
+  std::ranges::copy(this->KeyMovedAt | std::views::keys,
+                    std::back_inserter(SettledKeys));
+  std::vector<KeyMove> Moves =
+      planMoves(Map, Loads, this->busyTargets(Now), SettledKeys);
   for (const KeyMove &Move : Moves) {
+    if (Move.Keys.From == Move.Keys.To)
+      this->KeyMovedAt[Move.Keys.From] = Now;
     Map.splitRowsAt(Move.Keys);
     for (KeyRow &Row : Map.Rows)
       if (Row.Owner == Move.From && Row.Keys.overlaps(Move.Keys))
--- a/orioledoor/keyspace/key_planner.h
+++ b/orioledoor/keyspace/key_planner.h
@@ -143,6 +143,9 @@
   std::vector<TargetRef> LastReadyTargets;
   Instant ReadyChangedAt;
   Instant RebalancedAt;
+  // When each single key was last moved, for the time in which it is not moved
+  // again.
+  std::map<std::uint32_t, Instant> KeyMovedAt;
   // Last token of the map whose rows were found to need no merges; -1 if there
   // is none.
   std::int64_t MergesCheckedAt = -1;
--- a/orioledoor/keyspace/rebalancing_test.cc
+++ b/orioledoor/keyspace/rebalancing_test.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "orioledoor/keyspace/key_balance.h"
 #include "orioledoor/keyspace/key_planner.h"
 
 namespace orioledoor::keyspace {
@@ -187,6 +188,7 @@
   CPPUNIT_TEST(spreadsHotSpotOverManyTargets);
   CPPUNIT_TEST(keepsKeyThatOverloadsAnyTarget);
   CPPUNIT_TEST(givesKeysToManyNewTargets);
+  CPPUNIT_TEST(settledKeysStayAndTheirNeighborsMove);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +236,31 @@
   }
 
   // Pattern: a dozen empty targets join at once.
+  // Load: a key that takes half of its owner's capacity beside busy neighbors.
+  // Guards against a hot key that moves again with each plan, which interrupts
+  // it for a second each time.
+  void settledKeysStayAndTheirNeighborsMove() {
+    KeyMap Map;
+    Map.Service = "s";
+    Map.Rows = {{.Keys = {0, 999}, .Owner = target(1), .Fence = 1},
+                {.Keys = {1000, LastKey}, .Owner = target(2), .Fence = 2}};
+    std::vector<std::uint32_t> Demand(10, 500);
+    for (std::uint32_t Key = 510; Key < 650; Key += 10)
+      Demand.push_back(Key);
+    std::vector<TargetLoad> Loads = {{target(1), 75, 80, Demand},
+                                     {target(2), 5, 80, {2000, 3000, 4000}}};
+    auto MovesKey = [](const std::vector<KeyMove> &Moves, std::uint32_t Key) {
+      return std::ranges::any_of(Moves, [Key](const KeyMove &Move) {
+        return Move.Keys.contains(Key);
+      });
+    };
+    CPPUNIT_ASSERT(MovesKey(planMoves(Map, Loads), 500));
+    std::vector<std::uint32_t> Settled = {500};
+    std::vector<KeyMove> Held = planMoves(Map, Loads, {}, Settled);
+    CPPUNIT_ASSERT(!MovesKey(Held, 500));
+    CPPUNIT_ASSERT(MovesKey(Held, 510) || MovesKey(Held, 640));
+  }
+
   void givesKeysToManyNewTargets() {
     Model Fleet(41, 35, skewedDemand(650, 0.02, 4));
     for (int I = 0; I < 12; ++I)
--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -80,8 +80,8 @@
 EntryReducer::EntryReducer(EntryOptions Options, TargetDirectory &Directory,
                            OwnerLookup LookUpOwner)
     : Options(std::move(Options)), Directory(Directory),
-      LookUpOwner(std::move(LookUpOwner)), Shares(this->Options.Process),
-      Random(this->Options.Process) {}
+      LookUpOwner(std::move(LookUpOwner)), HotKeys(this->Options.Process),
+      Shares(this->Options.Process), Random(this->Options.Process) {}
 
 void EntryReducer::setTable(SharedRouteTable Table) {
   this->Table = std::move(Table);
@@ -231,9 +231,10 @@
     if (View && Now < View->AvoidUntil)
       this->refuse(Pending, "the owner's node is unreachable",
                    NoOwnerRetryAfter, Now, Out);
-    else if (!Owner.Node.empty() && !Leaves)
-      this->send(Pending, Owner.Node, true, Now, Out);
-    else if (Owner.Moving)
+    else if (!Owner.Node.empty() && !Leaves) {
+      if (!this->refuseHotKey(Pending, Now, Out))
+        this->send(Pending, Owner.Node, true, Now, Out);
+    } else if (Owner.Moving)
       this->park(Pending, Now, Out);
     else
       this->refuse(Pending,
@@ -328,6 +329,10 @@
                   .MaxUsefulWait = MaxUsefulWait,
                   .RequestClass = Pending.RequestClass,
                   .WithheldBytes = Pending.BodyWithheld ? BodyBytes : 0,
+                  .KeyDemand = Pending.Partitioned
+                                   ? this->HotKeys.takeDemand(
+                                         Pending.Service, Pending.Request.Key)
+                                   : 1,
                   .Content = Pending.BodyWithheld
                                  ? withoutBody(*Pending.Request.Content)
                                  : Pending.Request.Content}});
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -28,6 +28,7 @@
 #include "orioledoor/routing/adaptive_throttle.h"
 #include "orioledoor/routing/answer_sizes.h"
 #include "orioledoor/routing/effect.h"
+#include "orioledoor/routing/hot_key_limit.h"
 #include "orioledoor/routing/refused_requests.h"
 #include "orioledoor/routing/retry_budget.h"
 #include "orioledoor/routing/route_table.h"
@@ -140,6 +141,8 @@
   // Number of requests that repeated a refused one before its Retry-After was
   // over, and were refused.
   std::uint64_t earlyRepeats() const { return this->EarlyRepeats; }
+  // Number of requests for hot keys that were refused here.
+  std::uint64_t hotKeyRefusals() const { return this->HotKeys.refused(); }
   // Number of requests that were refused because no target, or not the owner of
   // their key, is at a place that they may use.
   std::uint64_t placementRefusals() const { return this->PlacementRefusals; }
@@ -215,6 +218,9 @@
   allowedRegions(const PendingRequest &Pending) const;
   // Returns why a request without a key has no target, for its caller.
   std::string_view reasonForNoTarget(const PendingRequest &Pending);
+  // Refuses a new request for a hot key that exceeds the share which its target
+  // can serve. Returns whether it did.
+  bool refuseHotKey(PendingRequest &Pending, Instant Now, Effects &Out);
   // Chooses a target and forwards the request, or parks or ends it.
   void dispatch(PendingRequest &Pending, Instant Now, Effects &Out);
   void send(PendingRequest &Pending, const std::string &To, bool LastChoice,
@@ -286,6 +292,7 @@
   // By service and priority.
   std::map<std::pair<std::string, int>, ServiceRoom> Rooms;
   RefusedRequests Refused;
+  HotKeyLimit HotKeys;
   std::uint64_t ThrottledRequests = 0;
   std::uint64_t EarlyRepeats = 0;
   ServiceShares Shares;
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -37,6 +37,9 @@
   if (Pending.ForwardedTo != From)
     return;
   this->closeForward(Pending);
+  if (Pending.Partitioned)
+    this->HotKeys.setShare(Pending.Service, Pending.Request.Key,
+                           Result.KeyShare, Now);
   switch (Result.Code) {
   case Outcome::Answered:
     this->handleAnswer(Pending, std::move(Result), Now, Out);
--- a/orioledoor/routing/entry_throttle.cc
+++ b/orioledoor/routing/entry_throttle.cc
@@ -16,6 +16,8 @@
 // Minimum Retry-After while a service is short of room; the same as that of a
 // busy target.
 constexpr Duration ShortRetryAfter = std::chrono::seconds(1);
+// The demand for a hot key changes within seconds.
+constexpr Duration HotKeyRetryAfter = std::chrono::seconds(1);
 constexpr Duration ThrottleLogInterval = std::chrono::seconds(10);
 
 // Maps a hash or random number to [0, 1).
@@ -86,6 +88,18 @@
   return true;
 }
 
+bool EntryReducer::refuseHotKey(PendingRequest &Pending, Instant Now,
+                                Effects &Out) {
+  // Further tries of a request that has passed pass as well.
+  if (!Pending.TriedNodes.empty() ||
+      this->HotKeys.allow(Pending.Service, Pending.Request.Key, Now))
+    return false;
+  this->refuseForRoom(Pending,
+                      "the key gets more requests than its target can serve",
+                      HotKeyRetryAfter, Now, Out);
+  return true;
+}
+
 void EntryReducer::noteRefusedByTargets(const PendingRequest &Pending,
                                         Instant Now) {
   if (ServiceRoom *Room = this->roomOf(Pending))
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -109,6 +109,14 @@
     2243, Severity::Info, "EVACUATION_ENDED",
     "the target may get requests again"};
 
+inline constexpr EventDefinition KeysHot{
+    2263, Severity::Info, "KEYS_HOT",
+    "a key gets more requests than its target can serve; entry nodes send a "
+    "share of them"};
+inline constexpr EventDefinition KeysNotHot{
+    2264, Severity::Info, "KEYS_NOT_HOT",
+    "no key gets more requests than its target can serve"};
+
 } // namespace orioledoor::routing::events
 
 #endif // ORIOLEDOOR_ROUTING_EVENTS_H
--- a/orioledoor/routing/hot_key_test.cc
+++ b/orioledoor/routing/hot_key_test.cc
@@ -8,6 +8,7 @@
 
 #include "orioledoor/routing/hot_key_limit.h"
 #include "orioledoor/routing/hot_key_meter.h"
+#include "orioledoor/routing/testing/entry_fixture.h"
 
 namespace orioledoor::routing {
 namespace {
@@ -76,6 +77,7 @@
   CPPUNIT_TEST(neighborsKeepTheirShare);
   CPPUNIT_TEST(requestsPassEvenly);
   CPPUNIT_TEST(statedSharesExpire);
+  CPPUNIT_TEST(entryNodesFollowTheShareAndTellTheDemand);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -149,6 +151,34 @@
     Now = Now + HotKeyLimit::ShareLifetime + milliseconds(1);
     CPPUNIT_ASSERT(Limit.allow("s", HotKey, Now));
   }
+
+  // Guards against an entry node that goes on sending what the owner of a hot
+  // key refuses, and against a demand that the owner does not learn.
+  void entryNodesFollowTheShareAndTellTheDemand() {
+    testing::EntryFixture F;
+    std::uint64_t Caller = 1;
+    F.sendRequest(Caller++, "/keyed/1", HotKey);
+    CPPUNIT_ASSERT(F.sent() && F.sent()->KeyDemand == 1);
+    ForwardResult Refusal{.Id = F.sent()->Id, .Code = Outcome::Busy};
+    Refusal.KeyShare = 0.25F;
+    F.Entry.handleResult(testing::NearNode, Refusal, F.Now, F.Out);
+    int Refused = 0;
+    for (; Caller < 20; ++Caller) {
+      F.sendRequest(Caller, "/keyed/" + std::to_string(Caller), HotKey);
+      if (F.sent())
+        break;
+      CPPUNIT_ASSERT_EQUAL(503, F.status());
+      ++Refused;
+    }
+    CPPUNIT_ASSERT(F.sent());
+    CPPUNIT_ASSERT(Refused <= 3);
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(Refused + 1),
+                         F.sent()->KeyDemand);
+    CPPUNIT_ASSERT(F.Entry.hotKeyRefusals() ==
+                   static_cast<std::uint64_t>(Refused));
+    F.sendRequest(30, "/keyed/x", Neighbor);
+    CPPUNIT_ASSERT(F.sent());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HotKeyTest);
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -87,6 +87,7 @@
   this->State = TargetState::Ready;
   this->Drained = false;
   this->FailureShare = 0;
+  this->HotKeys.clear();
   this->Slowdown.clear();
   this->ServiceTimes.clear();
   this->ColdStarts.noteNewIncarnation();
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -30,6 +30,7 @@
 #include "orioledoor/routing/cold_start_limit.h"
 #include "orioledoor/routing/crash_guard.h"
 #include "orioledoor/routing/effect.h"
+#include "orioledoor/routing/hot_key_meter.h"
 #include "orioledoor/routing/location.h"
 #include "orioledoor/routing/placement_policy.h"
 #include "orioledoor/routing/recent_results.h"
@@ -168,6 +169,8 @@
   std::string_view service() const { return this->Report.Service; }
   // Requests without a result, and those whose answers wait for the link.
   std::size_t openRequests() const { return this->Calls.size(); }
+  // Keys whose demand exceeds what the target can serve.
+  const HotKeyMeter &hotKeys() const { return this->HotKeys; }
   const AnswerLink &answerLink() const { return this->Link; }
   // Bytes that the link was committed to at the last tick.
   std::uint64_t committedAnswerBytes() const { return this->CommittedBytes; }
@@ -250,6 +253,10 @@
   // Ends all calls that have not started once the grace of an evacuation is
   // over.
   void endEvacuationGrace(Instant Now, Effects &Out);
+  // Counts a request for a key, and logs when the first key becomes hot and the
+  // last one is hot no more.
+  void noteKeyDemand(const Forward &Request, bool Refused, Instant Now,
+                     Effects &Out);
   // Estimated time that a new request of this rank waits until it may start.
   Duration expectedWait(const QueueRank &Rank, Instant Now) const;
   void startCall(std::uint64_t Id, Instant Now, Effects &Out);
@@ -368,6 +375,7 @@
   // Times at a slowdown of 100 percent.
   ClassServiceTimes ServiceTimes;
   CrashGuard Crashes;
+  HotKeyMeter HotKeys;
   float FailureShare = 0;
   std::uint64_t NextCallId = 1;
   mutable std::uint64_t NextSequence = 1;
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -115,6 +115,10 @@
   ForwardResult Result{
       .Id = Request.Id, .Process = Request.Process, .Code = Reason};
   Result.RetryAfter = RetryAfter;
+  if (Request.Key != NoKey) {
+    this->noteKeyDemand(Request, Reason == Outcome::Busy, Now, Out);
+    Result.KeyShare = this->HotKeys.shareOf(Request.Key, Now);
+  }
   Result.Status = this->status(Now);
   Out.push_back(SendMessage{From, std::move(Result)});
 }
@@ -206,6 +210,8 @@
                  "no memory for the answer");
     return;
   }
+  if (Request.Key != NoKey)
+    this->noteKeyDemand(Request, false, Now, Out);
   std::uint64_t Id = this->NextCallId++;
   if (From != this->Options.Node)
     this->Link.reserve(Id, Request.Priority, AnswerBytes);
@@ -226,6 +232,22 @@
     this->admit(Id, Now, Out);
 }
 
+void TargetGate::noteKeyDemand(const Forward &Request, bool Refused,
+                               Instant Now, Effects &Out) {
+  std::size_t Before = this->HotKeys.hotKeys();
+  this->HotKeys.note(Request.Key, Request.KeyDemand, Refused, Now);
+  std::size_t After = this->HotKeys.hotKeys();
+  if ((Before == 0) == (After == 0))
+    return;
+  Out.push_back(
+      LogRecord{After > 0 ? &events::KeysHot : &events::KeysNotHot,
+                {field("instance", this->Target.Instance),
+                 field("keys", std::to_string(After)),
+                 field("key", std::to_string(Request.Key)),
+                 field("running", std::to_string(this->Queue.running())),
+                 field("waiting", std::to_string(this->Queue.waiting()))}});
+}
+
 bool TargetGate::noteCaller(const Forward &Request, Effects &Out) {
   bool Before = this->Profile.isCallOfRunningWork(Request.RequestClass);
   this->Profile.note(Request.RequestClass, Request.CallerService);
@@ -411,6 +433,8 @@
     this->BodyFetches.end(Id);
   Result.Id = Call.Request.Id;
   Result.Process = Call.Request.Process;
+  if (Call.Request.Key != NoKey)
+    Result.KeyShare = this->HotKeys.shareOf(Call.Request.Key, Now);
   Result.Status = this->status(Now);
   if (Result.Code != Outcome::Answered)
     Out.push_back(LogRecord{
--- a/orioledoor/routing/target_gate_test.cc
+++ b/orioledoor/routing/target_gate_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(fetchesBodiesWithinTheLinkCapacity);
   CPPUNIT_TEST(refusesBodiesThatWouldBeLate);
   CPPUNIT_TEST(endsLostFetches);
+  CPPUNIT_TEST(statesTheShareOfHotKeys);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,6 +71,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a4"), Call->AttemptId);
   }
 
+  // Guards against entry nodes that do not learn that a key gets more requests
+  // than the target can serve.
+  void statesTheShareOfHotKeys() {
+    Fixture F;
+    float Lowest = 1;
+    for (std::uint64_t Id = 1; Id <= 120; ++Id) {
+      F.Now = F.Now + milliseconds(10);
+      F.Out.clear();
+      F.Gate.handleForward(Peer,
+                           {.Id = Id,
+                            .Process = 9,
+                            .Service = "plain",
+                            .AttemptId = "a" + std::to_string(Id),
+                            .TimeLeft = milliseconds(2000),
+                            .LatencyLeft = milliseconds(150),
+                            .Key = 700,
+                            .LastChoice = true,
+                            .Content = std::make_shared<RequestContent>()},
+                           KeyState::Held, F.Now, F.Out);
+      if (F.result())
+        Lowest = std::min(Lowest, F.result()->KeyShare);
+    }
+    CPPUNIT_ASSERT(Lowest < 0.5F);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, F.Gate.hotKeys().hotKeys());
+  }
+
   // Under overload, a queue as long as the latency target makes every caller
   // late, so requests that would be late are refused.
   void refusesRequestsThatWouldBeLate() {
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -76,6 +76,9 @@
   else if (auto *Whole = std::get_if<routing::KeyMapNotice>(&Notice))
     Whole->Revision = Revision;
 }
+// Requests for which one may stand. An entry node sends a hundredth of the
+// requests for a hot key at least.
+constexpr std::uint32_t MaxDemand = 100;
 
 } // namespace
 
@@ -190,6 +193,12 @@
           .MapRevision = Stored->Revision};
 }
 
+void KeyOwnershipManager::recordRequest(std::uint32_t Key, std::uint32_t Demand,
+                                        Instant Now) {
+  for (std::uint32_t I = 0; I < std::min(Demand, MaxDemand); ++I)
+    this->Meter.recordRequest(Key, Now);
+}
+
 void KeyOwnershipManager::recordLoad(const routing::KeyLoadNotice &Notice,
                                      Instant Now) {
   this->Planners
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -54,10 +54,9 @@
   // Returns the owner of a key as far as this node knows.
   routing::KeyOwner ownerOf(std::string_view Service, std::int32_t Key) const;
 
-  // Counts a request for Key that arrived at the target gate.
-  void recordRequest(std::uint32_t Key, Instant Now) {
-    this->Meter.recordRequest(Key, Now);
-  }
+  // Counts a request for Key that arrived at the target gate and stands for
+  // Demand requests; see routing::HotKeyMeter.
+  void recordRequest(std::uint32_t Key, std::uint32_t Demand, Instant Now);
   void recordLoad(const routing::KeyLoadNotice &Notice, Instant Now);
   // Returns a target beside Node that owns keys, or an empty reference if there
   // is none. Takes time in proportion to the rows of all maps.
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -37,6 +37,8 @@
       .set(Gate.refusedForMemory());
   Metrics.counter("oriole_gate_answers_dropped_total")
       .set(Gate.droppedAnswers());
+  Metrics.gauge("oriole_gate_hot_keys")
+      .set(static_cast<double>(Gate.hotKeys().hotKeys()));
   Metrics.gauge("oriole_gate_evacuated")
       .set(Gate.state() == routing::TargetState::Evacuated ? 1 : 0);
   Metrics.counter("oriole_gate_placement_refused_total", "why=\"region\"")
@@ -109,6 +111,8 @@
       .set(Reducer.entry().throttledRequests());
   Metrics.counter("oriole_entry_early_repeats_total")
       .set(Reducer.entry().earlyRepeats());
+  Metrics.counter("oriole_entry_hot_key_refused_total")
+      .set(Reducer.entry().hotKeyRefusals());
   Metrics.counter("oriole_entry_placement_refused_total")
       .set(Reducer.entry().placementRefusals());
   Metrics.gauge("oriole_evacuated_domains")
--- a/orioledoor/sidecar/reducer_messages.cc
+++ b/orioledoor/sidecar/reducer_messages.cc
@@ -62,7 +62,7 @@
     routing::KeyState KeyHold = routing::KeyState::NotKeyed;
     if (Request->Key != routing::NoKey) {
       auto KeyNumber = static_cast<std::uint32_t>(Request->Key);
-      this->Keys.recordRequest(KeyNumber, Now);
+      this->Keys.recordRequest(KeyNumber, Request->KeyDemand, Now);
       KeyHold = this->Keys.holds(KeyNumber, Now) ? routing::KeyState::Held
                                                  : routing::KeyState::NotHeld;
       if (KeyHold == routing::KeyState::NotHeld && From != this->Options.Node)
