--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -91,6 +91,10 @@
     4167, Severity::Warn, "STORE_ANSWER_REFUSED",
     "an answer of the store states an earlier era or an unreadable one"};
 
+inline constexpr EventDefinition TokensRenewed{
+    4168, Severity::Info, "TOKENS_RENEWED",
+    "keys that were not held through a rollback of the store get a new token"};
+
 } // namespace orioledoor::sidecar::events
 
 #endif // ORIOLEDOOR_SIDECAR_EVENTS_H
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -105,6 +105,7 @@
     if (Stored->Document)
       AuthorityEnd = std::min(AuthorityEnd, Stored->NewerUntil);
   }
+  this->noteUnheldRows(Grantable ? Stored : nullptr, Grantable, Target, Now);
   const keyspace::KeyMap *Map = HasMap ? &Stored->Map : nullptr;
   keyspace::GrantDecision Decision = this->Grantor.answerReport(
       Report, Target, Grantable ? &*Grantable : Map, AuthorityEnd, Now);
@@ -135,13 +136,12 @@
     const StoredKeyMap &Stored, const routing::TargetReport &Report,
     const routing::TargetRef &Target, Instant Now) const {
   bool Settled = this->Members.isSettled(Stored);
-  if (Settled && !this->Members.mayMissHolds(UnrecordedHoldTime, Now))
-    return Stored.Map;
   std::vector<keyspace::KeyRange> Held;
   std::ranges::transform(Report.Holds, std::back_inserter(Held),
                          &routing::HeldRange::Keys);
   std::ranges::copy(this->Grantor.heldRanges(Now), std::back_inserter(Held));
   keyspace::KeyMap Map = Stored.Map;
+  // A row that is held in part is granted in part.
   for (const keyspace::KeyRange &Range : Held)
     Map.splitRowsAt(Range);
   std::erase_if(Map.Rows, [&](const keyspace::KeyRow &Row) {
@@ -150,7 +150,9 @@
     bool IsNew = Settled && Row.Fence > Stored.Map.EraFence;
     // Keys that a node has not passed on, as far as it remembers, can be passed
     // on now.
-    bool IsOffered = Row.Next && this->Members.knewEarlierRows();
+    bool IsOffered =
+        Row.Next && (this->Members.knewEarlierRows() ||
+                     !this->Members.mayMissHolds(UnrecordedHoldTime, Now));
     return Row.Owner != Target || (!IsHeld && !IsNew && !IsOffered);
   });
   // Splitting must not make more rows than an answer can list.
@@ -158,6 +160,57 @@
   return Map;
 }
 
+void KeyOwnershipManager::noteUnheldRows(
+    const StoredKeyMap *Stored,
+    const std::optional<keyspace::KeyMap> &Grantable,
+    const routing::TargetRef &Target, Instant Now) {
+  this->UnheldRows.clear();
+  if (!Stored || !this->Members.isSettled(*Stored) || Stored->Document ||
+      this->Members.mayMissHolds(UnrecordedHoldTime, Now))
+    return;
+  keyspace::KeyMap Map = Stored->Map;
+  for (const keyspace::KeyRow &Row : Grantable->Rows)
+    Map.splitRowsAt(Row.Keys);
+  for (const keyspace::KeyRow &Row : Map.Rows)
+    if (Row.Owner == Target && !Row.Next && Row.Fence <= Stored->Map.EraFence &&
+        !Grantable->find(Row.Keys.From))
+      this->UnheldRows.push_back(Row.Keys);
+}
+
+void KeyOwnershipManager::renewTokens(Instant Now, Effects &Out) {
+  if (this->UnheldRows.empty() || !this->canWrite(this->TransferService, Now))
+    return;
+  const StoredKeyMap *Stored = this->findKeyMap(this->TransferService);
+  if (!Stored || !this->Members.isSettled(*Stored))
+    return;
+  keyspace::KeyMap Map = Stored->Map;
+  const std::int64_t Fence = Map.LastFence + 1;
+  std::uint64_t Keys = 0;
+  for (const keyspace::KeyRange &Range : this->UnheldRows)
+    Map.splitRowsAt(Range);
+  for (keyspace::KeyRow &Row : Map.Rows) {
+    bool IsUnheld =
+        std::ranges::any_of(this->UnheldRows, [&Row](const auto &Range) {
+          return Range.contains(Row.Keys.From);
+        });
+    if (Row.Owner != this->TransferFrom || Row.Next || !IsUnheld ||
+        Row.Fence > Map.EraFence)
+      continue;
+    Row.Fence = Map.LastFence = Fence;
+    Keys += Row.Keys.To - Row.Keys.From + 1;
+  }
+  this->UnheldRows.clear();
+  if (Keys == 0)
+    return;
+  Map.mergeAdjacentRows();
+  Out.push_back(LogRecord{&events::TokensRenewed,
+                          {{"service", this->TransferService},
+                           {"instance", this->TransferFrom.Instance},
+                           {"keys", std::to_string(Keys)},
+                           {"fence", std::to_string(Fence)}}});
+  this->writeKeyMap(this->TransferService, Map, {}, Now, Out);
+}
+
 bool KeyOwnershipManager::expectsKeys(std::string_view Service,
                                       const routing::TargetRef &Target) const {
   const StoredKeyMap *Stored = this->findKeyMap(Service);
@@ -321,6 +374,7 @@
 void KeyOwnershipManager::tick(const routing::SharedRouteTable &Table,
                                Instant Now, Effects &Out) {
   this->recordTransfers(Now, Out);
+  this->renewTokens(Now, Out);
   this->repairKeyMaps(Now, Out);
   this->readMapsWithGaps(Now, Out);
   if (Now - this->MapsReadAt >= MapReadInterval && this->Members.isLoaded()) {
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -134,13 +135,22 @@
   // Repairs the maps that the store has from an older copy, or tells the
   // planning node what they lack.
   void repairKeyMaps(Instant Now, Effects &Out);
+  // Records the rows of Target, of which Grantable lacks a part, that need a
+  // new token: they are from before the era, and the target does not hold them.
+  // A holder of which the store has lost the record may have had a higher
+  // token.
+  void noteUnheldRows(const StoredKeyMap *Stored,
+                      const std::optional<keyspace::KeyMap> &Grantable,
+                      const routing::TargetRef &Target, Instant Now);
+  // Writes a new token for those rows.
+  void renewTokens(Instant Now, Effects &Out);
   // Returns whether targets may hold keys of a first map that the store lost.
   bool mayHaveLostFirstMap(Instant Now) const;
   // Returns the time from which this node may write a repair of the map.
   Instant repairTime(const StoredKeyMap &Stored) const;
-  // Returns the rows of Map that may be granted now. While other targets may
-  // hold keys of which the store has lost the record, these are the ones that
-  // the target holds, and the ones whose token was given out in this era.
+  // Returns the rows of Map that may be granted now: those that the target
+  // holds, and those whose token was given out in this era. Other targets may
+  // have held the others, and the store has lost the record.
   keyspace::KeyMap grantableRows(const StoredKeyMap &Stored,
                                  const routing::TargetReport &Report,
                                  const routing::TargetRef &Target,
@@ -166,6 +176,7 @@
   std::string TransferService;
   routing::TargetRef TransferFrom;
   std::vector<keyspace::KeyTransfer> PendingTransfers;
+  std::vector<keyspace::KeyRange> UnheldRows;
   std::vector<routing::GrantedRange> LastGrants;
 };
 
--- a/orioledoor/sidecar/store_rollback_test.cc
+++ b/orioledoor/sidecar/store_rollback_test.cc
@@ -237,7 +237,7 @@
     Change.Rows.front().Fence = ++Change.LastFence;
     std::string Text = keyspace::encodeKeyMap(Change);
     std::int64_t Late = qualifiedRevision(1, storeRevision(Known.Revision) + 1);
-    for (routing::Message Message :
+    for (const routing::Message &Message :
          {routing::Message(routing::KeyMapNotice{Late, Text}),
           routing::Message(routing::KeyMapChangeNotice{
               Known.Revision, Late, keyspace::checksum(Change), Text})})
