--- a/orioledoor/sidecar/membership.cc
+++ b/orioledoor/sidecar/membership.cc
@@ -252,9 +252,8 @@
                                MembershipOutput &Out) {
   std::vector<std::string> Absent;
   for (const auto &Entry : this->Nodes)
-    if ((!this->VanishedAt || eraOf(Entry.second.Revision) >= this->Era) &&
-        std::ranges::find(Reply.Entries, Entry.first, &StoreEntry::Key) ==
-            Reply.Entries.end())
+    if (std::ranges::find(Reply.Entries, Entry.first, &StoreEntry::Key) ==
+        Reply.Entries.end())
       Absent.push_back(Entry.first);
   for (const std::string &Key : Absent)
     this->markMissing(Key, Reply.Revision, Now);
@@ -375,6 +374,10 @@
 void Membership::markMissing(const std::string &Key, std::int64_t Revision,
                              Instant Now) {
   auto Found = this->Nodes.find(Key);
+  // An entry that vanished with an older copy of the store is written again.
+  if (this->VanishedAt && Found != this->Nodes.end() &&
+      eraOf(Found->second.Revision) < this->Era)
+    return;
   if (Key != this->EntryKey && Found != this->Nodes.end() &&
       Revision >= Found->second.Revision && !Found->second.MissingSince)
     Found->second.MissingSince = Now;
