Count retries by service and reason, and the calls of repeated runs

RetryBudgets holds the budgets of all services and counts what they were used for; RETRY_BUDGET_USED (2258) logs it once per window and service, and four metrics show it. A Forward states the probability that it is a repeat, and a result states whether the class of its request is called by targets, so that the node beside a target can count the calls of repeated runs. No decision changes. routing_test and sidecar_test pass.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -80,13 +80,15 @@
 EntryReducer::EntryReducer(EntryOptions Options, TargetDirectory &Directory,
                            OwnerLookup LookUpOwner)
     : Options(std::move(Options)), Directory(Directory),
-      LookUpOwner(std::move(LookUpOwner)), HotKeys(this->Options.Process),
-      Shares(this->Options.Process), Random(this->Options.Process) {}
+      LookUpOwner(std::move(LookUpOwner)), Budgets(this->Options.Budget),
+      HotKeys(this->Options.Process), Shares(this->Options.Process),
+      Random(this->Options.Process) {}
 
 void EntryReducer::setTable(SharedRouteTable Table) {
   this->Table = std::move(Table);
   this->Shares.retain(*this->Table);
   this->MaxTimeLeftByRoute.clear();
+  this->CallClasses.clear();
   std::erase_if(this->Rooms, [this](const auto &Entry) {
     return !this->Table->service(Entry.first.first);
   });
@@ -98,10 +100,6 @@
     Pending.Deadline = std::min(Pending.Deadline, Latest);
 }
 
-RetryBudget &EntryReducer::budgetOf(const std::string &Service) {
-  return this->Budgets.try_emplace(Service, this->Options.Budget).first->second;
-}
-
 void EntryReducer::handleRequest(CallerRequest Request, Instant Now,
                                  Effects &Out) {
   std::uint64_t Caller = Request.Caller;
@@ -163,7 +161,11 @@
   Added.Request = std::move(Request);
   if (this->refuseEarly(Added, Now, Out))
     return;
-  this->budgetOf(Added.Service).noteRequest();
+  this->Budgets.noteRequest(Added.Service);
+  if (double Share = this->inheritedRepeatShare(Added, Now); Share > 0) {
+    this->Budgets.noteInherited(Added.Service, Share);
+    Added.InheritedRepeatPercent = static_cast<std::uint8_t>(Share * 100);
+  }
   PendingRequest &Stored = this->PendingRequests[Caller] = std::move(Added);
   this->dispatch(Stored, Now, Out);
 }
@@ -329,6 +331,9 @@
                   .MaxUsefulWait = MaxUsefulWait,
                   .RequestClass = Pending.RequestClass,
                   .WithheldBytes = Pending.BodyWithheld ? BodyBytes : 0,
+                  .RepeatPercent = Pending.TargetAttempts > 0
+                                       ? std::uint8_t{100}
+                                       : Pending.InheritedRepeatPercent,
                   .KeyDemand = Pending.Partitioned
                                    ? this->HotKeys.takeDemand(
                                          Pending.Service, Pending.Request.Key)
@@ -381,6 +386,7 @@
   std::ranges::sort(Overdue);
   std::ranges::sort(Parked);
   this->retryCancels(Now, Out);
+  this->Budgets.logUse(Now, Out);
   for (std::uint64_t Caller : Overdue) {
     PendingRequest &Pending = this->PendingRequests.at(Caller);
     if (!Pending.ForwardedTo.empty()) {
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -30,7 +30,7 @@
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/hot_key_limit.h"
 #include "orioledoor/routing/refused_requests.h"
-#include "orioledoor/routing/retry_budget.h"
+#include "orioledoor/routing/retry_budgets.h"
 #include "orioledoor/routing/route_table.h"
 #include "orioledoor/routing/service_shares.h"
 #include "orioledoor/routing/target_directory.h"
@@ -52,6 +52,9 @@
   std::optional<Duration> TimeLeft{};
   std::int32_t Key = NoKey;
   Instant FirstByteAt{};
+  // Share of the runs at the target of this VM that are repeats, 0 to 1, when
+  // the request arrived.
+  double LocalRepeatShare = 0;
   SharedContent Content{};
 };
 
@@ -135,6 +138,7 @@
   void tick(Instant Now, Effects &Out);
 
   std::size_t openRequests() const { return this->PendingRequests.size(); }
+  const RetryBudgets &retryBudgets() const { return this->Budgets; }
   // Number of requests that were refused here, without asking a target, since
   // targets refused most of the recent ones.
   std::uint64_t throttledRequests() const { return this->ThrottledRequests; }
@@ -183,6 +187,8 @@
     // Number of targets that may have received the request.
     int TargetAttempts = 0;
     int Refusals = 0;
+    // As in Forward, for the first target.
+    std::uint8_t InheritedRepeatPercent = 0;
     // A target may have run the request.
     bool MayHaveRun = false;
     Instant ParkUntil;
@@ -244,7 +250,11 @@
   // Closes the open Forward of a request locally, without a result.
   void closeForward(PendingRequest &Pending);
   // Returns whether another attempt is allowed, and takes it out of the budget.
-  bool tryConsumeRetry(const PendingRequest &Pending, Instant Now);
+  bool tryConsumeRetry(const PendingRequest &Pending, RetryReason Reason,
+                       Instant Now);
+  // Returns the probability that a request is a repeat when it arrives: it may
+  // be a call of a run at the target of this VM that is one.
+  double inheritedRepeatShare(const PendingRequest &Pending, Instant Now) const;
   void handleNotRun(PendingRequest &Pending, const ForwardResult &Result,
                     Instant Now, Effects &Out);
   void handleLost(PendingRequest &Pending, std::string_view Detail, Instant Now,
@@ -258,7 +268,6 @@
   // Answers 502 or 504: the request may have run.
   void fail(PendingRequest &Pending, int Status, std::string_view Reason,
             Instant Now, Effects &Out);
-  RetryBudget &budgetOf(const std::string &Service);
   // Returns null for requests with keys.
   ServiceRoom *roomOf(const PendingRequest &Pending);
   // Refuses a new request if its service is short of room and its turn is not
@@ -287,7 +296,10 @@
   std::unordered_map<std::uint64_t, std::uint64_t> CallerByForward;
   // By the id of the Forward, in the order in which they were sent.
   std::map<std::uint64_t, Withdrawal> Withdrawals;
-  std::map<std::string, RetryBudget> Budgets;
+  RetryBudgets Budgets;
+  // Classes of the calls that the target of this VM makes, with the time of the
+  // last result that said so.
+  std::map<RequestClassId, Instant> CallClasses;
   AnswerSizes Sizes;
   // By service and priority.
   std::map<std::pair<std::string, int>, ServiceRoom> Rooms;
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -21,6 +21,10 @@
 // send buffer at once.
 constexpr Duration CancelRetryInterval = std::chrono::milliseconds(100);
 
+// Time for which a class counts as calls of targets after a result that said
+// so. Nodes that have just started do not know the class yet.
+constexpr Duration CallClassLifetime = std::chrono::seconds(10);
+
 bool isTargetFailure(int Status) { return Status == 500 || Status == 503; }
 
 } // namespace
@@ -37,6 +41,8 @@
   if (Pending.ForwardedTo != From)
     return;
   this->closeForward(Pending);
+  if (Result.OfRunningWork)
+    this->CallClasses[Pending.RequestClass] = Now;
   if (Pending.Partitioned)
     this->HotKeys.setShare(Pending.Service, Pending.Request.Key,
                            Result.KeyShare, Now);
@@ -52,10 +58,20 @@
   }
 }
 
-bool EntryReducer::tryConsumeRetry(const PendingRequest &Pending, Instant Now) {
+bool EntryReducer::tryConsumeRetry(const PendingRequest &Pending,
+                                   RetryReason Reason, Instant Now) {
   return Pending.TargetAttempts < Pending.MatchedRoute->Attempts &&
          Pending.Deadline - Now >= MinAttemptTime &&
-         this->budgetOf(Pending.Service).take(Now);
+         this->Budgets.take(Pending.Service, Reason, Now);
+}
+
+double EntryReducer::inheritedRepeatShare(const PendingRequest &Pending,
+                                          Instant Now) const {
+  auto Found = this->CallClasses.find(Pending.RequestClass);
+  return Found != this->CallClasses.end() &&
+                 Now - Found->second < CallClassLifetime
+             ? Pending.Request.LocalRepeatShare
+             : 0.0;
 }
 
 void EntryReducer::handleAnswer(PendingRequest &Pending, ForwardResult Result,
@@ -66,7 +82,8 @@
     this->Sizes.note(Pending.RequestClass, answerBytes(Result.Answer));
   this->noteAccepted(Pending);
   if (isTargetFailure(Result.Answer.Status) &&
-      Pending.MatchedRoute->Idempotent && this->tryConsumeRetry(Pending, Now)) {
+      Pending.MatchedRoute->Idempotent &&
+      this->tryConsumeRetry(Pending, RetryReason::Failed, Now)) {
     Pending.LastAnswer = std::move(Result.Answer);
     this->dispatch(Pending, Now, Out);
     return;
@@ -109,7 +126,7 @@
   case Outcome::Refused:
     // The request reached a target, so another attempt uses the retry budget.
     ++Pending.TargetAttempts;
-    Retry = this->tryConsumeRetry(Pending, Now);
+    Retry = this->tryConsumeRetry(Pending, RetryReason::Refused, Now);
     break;
   default:
     break;
@@ -118,6 +135,7 @@
     Out.push_back(
         LogRecord{&events::RequestRetried,
                   {{"request", Pending.Request.AttemptId},
+                   {"service", Pending.Service},
                    {"why", "not run"},
                    {"outcome", std::to_string(static_cast<int>(Result.Code))},
                    {"tried", std::to_string(Pending.TriedNodes.size())},
@@ -149,9 +167,11 @@
                               Instant Now, Effects &Out) {
   ++Pending.TargetAttempts;
   Pending.MayHaveRun = true;
-  if (Pending.MatchedRoute->Idempotent && this->tryConsumeRetry(Pending, Now)) {
+  if (Pending.MatchedRoute->Idempotent &&
+      this->tryConsumeRetry(Pending, RetryReason::Lost, Now)) {
     Out.push_back(LogRecord{&events::RequestRetried,
                             {{"request", Pending.Request.AttemptId},
+                             {"service", Pending.Service},
                              {"why", std::string(Detail)},
                              {"sends", std::to_string(Pending.TargetAttempts)},
                              {"left_ms", millis(Pending.Deadline - Now)}}});
--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -108,6 +108,9 @@
 inline constexpr EventDefinition EvacuationEnded{
     2243, Severity::Info, "EVACUATION_ENDED",
     "the target may get requests again"};
+inline constexpr EventDefinition RetryBudgetUsed{
+    2258, Severity::Info, "RETRY_BUDGET_USED",
+    "retries for a service, and those that its budget did not allow"};
 
 inline constexpr EventDefinition KeysHot{
     2263, Severity::Info, "KEYS_HOT",
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -70,6 +70,10 @@
   // Time of the sender's clock when the message was sent, in whole
   // milliseconds; see transit_delays.h. Instant() if it is not known.
   Instant SentAt{};
+  // Probability in percent that this is a repeat: 100 if a target may have
+  // received the request before; for the call of a target, the share of its
+  // runs that are repeats.
+  std::uint8_t RepeatPercent = 0;
   // For keyed requests: the number of requests for the key for which this one
   // stands, those included that the sender has refused; see HotKeyMeter.
   std::uint32_t KeyDemand = 1;
@@ -117,6 +121,9 @@
   // For keyed requests: the share of the requests for this key that its target
   // can serve, 0 to 1. Entry nodes refuse the others at once.
   float KeyShare = 1;
+  // Requests of this class are calls that targets make on behalf of requests
+  // that they run.
+  bool OfRunningWork = false;
 };
 
 // The caller has disconnected and the request is to be cancelled.
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -190,24 +190,25 @@
   const Message &Sent;
 
   void operator()(const Forward &Value) const {
-    start(this->Out, this->Sent, 23)
+    start(this->Out, this->Sent, 24)
         << Value.Id << Value.Process << Value.Service << Value.AttemptId
         << Value.CallerService << Value.TimeLeft << Value.LatencyLeft
         << Value.Key << Value.Priority << Value.Idempotent << Value.LastChoice
         << Value.MaxUsefulWait << Value.RequestClass << Value.WithheldBytes
         << Value.Content->Method << Value.Content->Target << Value.Content->Host
         << Value.Content->Headers << Value.Content->Body << Value.ConfigVersion
-        << Value.SentAt << Value.KeyMapRevision << Value.KeyDemand - 1;
+        << Value.SentAt << Value.KeyMapRevision << Value.KeyDemand - 1
+        << Value.RepeatPercent;
   }
   void operator()(const ForwardResult &Value) const {
-    start(this->Out, this->Sent, 11 + StatusFields + PaceFields + LoadFields)
+    start(this->Out, this->Sent, 12 + StatusFields + PaceFields + LoadFields)
         << Value.Id << static_cast<std::uint8_t>(Value.Code) << Value.Detail
         << Value.RetryAfter << Value.Answer.Status << Value.Answer.Headers
         << Value.Answer.Body << Value.Status << Value.ConfigVersion
         << Value.Status.StartInterval << Value.Status.StartWait << Value.SentAt
         << Value.Process << Value.Status.SlowdownPercent
         << Value.Status.SlowdownAge << Value.Status.AnswerQueuedBytes
-        << Value.KeyShare;
+        << Value.KeyShare << Value.OfRunningWork;
   }
   void operator()(const CancelForward &Value) const {
     start(this->Out, this->Sent, 2) << Value.Id << Value.Process;
@@ -286,6 +287,7 @@
   std::uint32_t OtherDemand = 0;
   In.readIfPresent(OtherDemand);
   Value.KeyDemand = OtherDemand + 1;
+  In.readIfPresent(Value.RepeatPercent);
   Value.Content = std::move(Content);
   return Value;
 }
@@ -302,6 +304,7 @@
   In.readIfPresent(Value.Process);
   readLoad(In, Value.Status);
   In.readIfPresent(Value.KeyShare);
+  In.readIfPresent(Value.OfRunningWork);
   // Earlier releases pass on whatever number a target writes as its status.
   bool IsFinal = Value.Answer.Status >= MinFinalStatus &&
                  Value.Answer.Status <= MaxFinalStatus;
--- a/orioledoor/routing/retry_budget.cc
+++ b/orioledoor/routing/retry_budget.cc
@@ -42,9 +42,4 @@
   return true;
 }
 
-double RetryBudget::available(Instant Now) {
-  this->refill(Now);
-  return this->Tokens;
-}
-
 } // namespace orioledoor::routing
--- a/orioledoor/routing/retry_budget.h
+++ b/orioledoor/routing/retry_budget.h
@@ -31,7 +31,8 @@
   // Consumes one retry from the budget and returns true, or returns false if
   // there is none.
   bool take(Instant Now);
-  double available(Instant Now);
+  // Tokens at the last call of take().
+  double available() const { return this->Tokens; }
 
 private:
   void refill(Instant Now);
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -198,11 +198,15 @@
     Sent.Status.SlowdownPercent = 300;
     Sent.Status.SlowdownAge = milliseconds(40);
     Sent.Status.AnswerQueuedBytes = 90'000;
-    auto Decoded = decodeMessage(encodeMessage(
-        ForwardResult{.Id = 7, .Status = Sent.Status, .KeyShare = 0.25F}));
+    auto Decoded =
+        decodeMessage(encodeMessage(ForwardResult{.Id = 7,
+                                                  .Status = Sent.Status,
+                                                  .KeyShare = 0.25F,
+                                                  .OfRunningWork = true}));
     CPPUNIT_ASSERT(Decoded.ok());
     const auto &Result = std::get<ForwardResult>(*Decoded);
     CPPUNIT_ASSERT_EQUAL(0.25F, Result.KeyShare);
+    CPPUNIT_ASSERT(Result.OfRunningWork);
     CPPUNIT_ASSERT_EQUAL(300U, Result.Status.SlowdownPercent);
     Decoded = decodeMessage(encodeMessage(Sent));
     CPPUNIT_ASSERT(Decoded.ok());
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -12,6 +12,7 @@
 #ifndef ORIOLEDOOR_ROUTING_TARGET_GATE_H
 #define ORIOLEDOOR_ROUTING_TARGET_GATE_H
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -191,6 +192,13 @@
   std::uint32_t slowdownPercent() const {
     return this->Slowdown.latestPercent();
   }
+  // Share of the running calls that are repeats, 0 to 1.
+  double repeatShare() const {
+    return this->Queue.running() == 0
+               ? 0.0
+               : std::min(1.0, this->RunningRepeatPercent /
+                                   (100.0 * this->Queue.running()));
+  }
   // Number of calls to targets that were started.
   std::uint64_t startedCalls() const { return this->StartedCalls; }
   // Number of requests that their senders cancelled before they had ended.
@@ -349,6 +357,8 @@
   // Time of the last answer that stated a limit.
   Instant LimitStatedAt;
   std::uint64_t StartedCalls = 0;
+  // Invariant: sum of RepeatPercent over the calls that hold a slot.
+  std::uint32_t RunningRepeatPercent = 0;
   std::uint64_t WithdrawnCalls = 0;
   std::uint64_t UnconfirmedCalls = 0;
   std::uint64_t CommittedBytes = 0;
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -119,6 +119,8 @@
     this->noteKeyDemand(Request, Reason == Outcome::Busy, Now, Out);
     Result.KeyShare = this->HotKeys.shareOf(Request.Key, Now);
   }
+  Result.OfRunningWork =
+      this->Profile.isCallOfRunningWork(Request.RequestClass);
   Result.Status = this->status(Now);
   Out.push_back(SendMessage{From, std::move(Result)});
 }
@@ -392,6 +394,7 @@
   if (!this->ProbingSince)
     this->ProbingSince = Now;
   ++this->StartedCalls;
+  this->RunningRepeatPercent += Call.Request.RepeatPercent;
   this->Pacer.noteStart(Now);
   this->ColdStarts.noteStart(this->countsAsCold(Now), Now);
   Out.push_back(StartCall{.CallId = Id,
@@ -435,6 +438,8 @@
   Result.Process = Call.Request.Process;
   if (Call.Request.Key != NoKey)
     Result.KeyShare = this->HotKeys.shareOf(Call.Request.Key, Now);
+  Result.OfRunningWork =
+      this->Profile.isCallOfRunningWork(Call.Request.RequestClass);
   Result.Status = this->status(Now);
   if (Result.Code != Outcome::Answered)
     Out.push_back(LogRecord{
@@ -492,6 +497,7 @@
   if (Found == this->Calls.end() || Found->second.Finished)
     return;
   this->ConnectionRefused = false;
+  this->RunningRepeatPercent -= Found->second.Request.RepeatPercent;
   Duration HoldTime = Now - Found->second.StartedAt;
   // An error takes hardly any time at a slot and would make the target look
   // fast.
@@ -521,6 +527,7 @@
   if (Found == this->Calls.end() || Found->second.Finished)
     return;
   this->ConnectionRefused = Failure == CallFailure::NotSent;
+  this->RunningRepeatPercent -= Found->second.Request.RepeatPercent;
   if (Failure == CallFailure::Broken)
     this->Crashes.noteBrokenCall(Found->second.Digest, Now);
   // The connections of an earlier incarnation break when it ends, which says
@@ -560,6 +567,7 @@
   if (Call.Finished) {
     // The target has answered; the answer is dropped.
   } else if (Call.Started) {
+    this->RunningRepeatPercent -= Call.Request.RepeatPercent;
     this->Queue.release();
     Out.push_back(CancelCall{Id});
     this->startQueuedCalls(Now, Out);
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -94,6 +94,26 @@
   });
 }
 
+void setRetryMetrics(MetricsRegistry &Metrics,
+                     const routing::RetryBudgets &Budgets) {
+  Budgets.forEach([&](const std::string &Service, const routing::RetryUse &Use,
+                      double Available) {
+    std::string Label = "service=\"" + Service + "\"";
+    for (std::size_t Reason = 0; Reason < routing::RetryReasonCount; ++Reason)
+      Metrics
+          .counter("oriole_retries_total",
+                   Label + ",why=\"" +
+                       routing::retryReasonName(
+                           static_cast<routing::RetryReason>(Reason)) +
+                       "\"")
+          .set(Use.Taken[Reason]);
+    Metrics.counter("oriole_retries_denied_total", Label).set(Use.Denied);
+    Metrics.counter("oriole_inherited_repeats_total", Label)
+        .set(static_cast<std::uint64_t>(Use.Inherited));
+    Metrics.gauge("oriole_retry_budget", Label).set(Available);
+  });
+}
+
 } // namespace
 
 std::string renderMetrics(MetricsRegistry &Metrics,
@@ -105,6 +125,7 @@
   setGateMetrics(Metrics, Reducer.gate());
   setStoreMetrics(Metrics, Store);
   setSpillMetrics(Metrics, Reducer.directory());
+  setRetryMetrics(Metrics, Reducer.entry().retryBudgets());
   Metrics.gauge("oriole_entry_open")
       .set(static_cast<double>(Reducer.entry().openRequests()));
   Metrics.counter("oriole_entry_throttled_total")
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -291,6 +291,7 @@
   }
   this->Directory.update(this->Gate.status(Now), Now);
   Received.Request.CallerService = this->Options.Service;
+  Received.Request.LocalRepeatShare = this->Gate.repeatShare();
   this->Entry.handleRequest(std::move(Received.Request), Now,
                             this->RoutingEffects);
 }
