Keep the repeats of a fleet within its allowance at every size

Each node's token bucket held a constant that was divided by 30 whatever the size of the fleet, and saved 8 tokens more, so that 295 nodes held over 4,000 tokens where the constant for all is 630. And the calls of repeated runs, which count as repeats at the service that they go to, took nothing out of any budget.

A node's budget now counts over a sliding window: a ratio of the requests that have reached a target, and a part of the constant by the number of members. Nothing is saved. The node beside a target charges the calls of repeated runs to the budget of the service that is called, and starts no further repeats while that is overdrawn. A request whose target answers 421 takes a retry as well; it was sent again without limit.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -161,9 +161,8 @@
   Added.Request = std::move(Request);
   if (this->refuseEarly(Added, Now, Out))
     return;
-  this->Budgets.noteRequest(Added.Service);
   if (double Share = this->inheritedRepeatShare(Added, Now); Share > 0) {
-    this->Budgets.noteInherited(Added.Service, Share);
+    this->Budgets.chargeInherited(Added.Service, Share, Now);
     Added.InheritedRepeatPercent = static_cast<std::uint8_t>(Share * 100);
   }
   PendingRequest &Stored = this->PendingRequests[Caller] = std::move(Added);
@@ -332,7 +331,7 @@
                   .RequestClass = Pending.RequestClass,
                   .WithheldBytes = Pending.BodyWithheld ? BodyBytes : 0,
                   .RepeatPercent = Pending.TargetAttempts > 0
-                                       ? std::uint8_t{100}
+                                       ? SurelyRepeated
                                        : Pending.InheritedRepeatPercent,
                   .KeyDemand = Pending.Partitioned
                                    ? this->HotKeys.takeDemand(
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -99,6 +99,11 @@
 
   // Ends all requests, open ones and later ones, by Latest.
   void limitDeadlines(Instant Latest);
+  // Number of nodes that share the retry budgets, this one included.
+  void setFleetSize(std::size_t Nodes) { this->Budgets.setFleetSize(Nodes); }
+  // Returns whether the calls of the target on this VM have used more than the
+  // retry budget of a service that it calls.
+  bool callsOverBudget(Instant Now) const;
 
   void handleRequest(CallerRequest Request, Instant Now, Effects &Out);
   // Answers a request that was not accepted and logs the refusal. RetryAfter is
@@ -205,6 +210,13 @@
     std::optional<Instant> LoggedAt{};
   };
 
+  // A class of requests that targets send on behalf of their runs.
+  struct CalledClass {
+    std::string Service;
+    // Time of the last result that said so.
+    Instant StatedAt;
+  };
+
   // A cancelled Forward. The cancellation may have to be sent again, since it
   // can be lost with its connection while the target runs the request.
   struct Withdrawal {
@@ -252,6 +264,8 @@
   // Returns whether another attempt is allowed, and takes it out of the budget.
   bool tryConsumeRetry(const PendingRequest &Pending, RetryReason Reason,
                        Instant Now);
+  // Records that a target may have received the request.
+  void noteReachedTarget(PendingRequest &Pending, Instant Now);
   // Returns the probability that a request is a repeat when it arrives: it may
   // be a call of a run at the target of this VM that is one.
   double inheritedRepeatShare(const PendingRequest &Pending, Instant Now) const;
@@ -297,9 +311,8 @@
   // By the id of the Forward, in the order in which they were sent.
   std::map<std::uint64_t, Withdrawal> Withdrawals;
   RetryBudgets Budgets;
-  // Classes of the calls that the target of this VM makes, with the time of the
-  // last result that said so.
-  std::map<RequestClassId, Instant> CallClasses;
+  // Classes of the calls that the target of this VM makes.
+  std::map<RequestClassId, CalledClass> CallClasses;
   AnswerSizes Sizes;
   // By service and priority.
   std::map<std::pair<std::string, int>, ServiceRoom> Rooms;
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -25,6 +25,9 @@
 // so. Nodes that have just started do not know the class yet.
 constexpr Duration CallClassLifetime = std::chrono::seconds(10);
 
+// Status by which a target states that it does not hold the key.
+constexpr int MisdirectedRequest = 421;
+
 bool isTargetFailure(int Status) { return Status == 500 || Status == 503; }
 
 } // namespace
@@ -42,7 +45,7 @@
     return;
   this->closeForward(Pending);
   if (Result.OfRunningWork)
-    this->CallClasses[Pending.RequestClass] = Now;
+    this->CallClasses[Pending.RequestClass] = {Pending.Service, Now};
   if (Pending.Partitioned)
     this->HotKeys.setShare(Pending.Service, Pending.Request.Key,
                            Result.KeyShare, Now);
@@ -65,18 +68,31 @@
          this->Budgets.take(Pending.Service, Reason, Now);
 }
 
+void EntryReducer::noteReachedTarget(PendingRequest &Pending, Instant Now) {
+  if (++Pending.TargetAttempts == 1)
+    this->Budgets.noteArrival(Pending.Service, Now);
+}
+
+bool EntryReducer::callsOverBudget(Instant Now) const {
+  return std::ranges::any_of(this->CallClasses, [&](const auto &Entry) {
+    const CalledClass &Called = Entry.second;
+    return Now - Called.StatedAt < CallClassLifetime &&
+           this->Budgets.isOverdrawn(Called.Service, Now);
+  });
+}
+
 double EntryReducer::inheritedRepeatShare(const PendingRequest &Pending,
                                           Instant Now) const {
   auto Found = this->CallClasses.find(Pending.RequestClass);
   return Found != this->CallClasses.end() &&
-                 Now - Found->second < CallClassLifetime
+                 Now - Found->second.StatedAt < CallClassLifetime
              ? Pending.Request.LocalRepeatShare
              : 0.0;
 }
 
 void EntryReducer::handleAnswer(PendingRequest &Pending, ForwardResult Result,
                                 Instant Now, Effects &Out) {
-  ++Pending.TargetAttempts;
+  this->noteReachedTarget(Pending, Now);
   Pending.MayHaveRun = true;
   if (!isTargetFailure(Result.Answer.Status))
     this->Sizes.note(Pending.RequestClass, answerBytes(Result.Answer));
@@ -121,11 +137,20 @@
                  Pending.TriedNodes.back());
     break;
   case Outcome::NotOwner:
+    if (Result.Answer.Status == MisdirectedRequest) {
+      this->noteReachedTarget(Pending, Now);
+      if (!this->tryConsumeRetry(Pending, RetryReason::KeyMoved, Now))
+        break;
+    }
     this->park(Pending, Now, Out);
     return;
+  case Outcome::CallsOverBudget:
+    // The targets of other nodes may have room for the calls of a repeat.
+    Retry = !Pending.Partitioned && ++Pending.Refusals < MaxRefusals;
+    break;
   case Outcome::Refused:
     // The request reached a target, so another attempt uses the retry budget.
-    ++Pending.TargetAttempts;
+    this->noteReachedTarget(Pending, Now);
     Retry = this->tryConsumeRetry(Pending, RetryReason::Refused, Now);
     break;
   default:
@@ -165,7 +190,7 @@
 
 void EntryReducer::handleLost(PendingRequest &Pending, std::string_view Detail,
                               Instant Now, Effects &Out) {
-  ++Pending.TargetAttempts;
+  this->noteReachedTarget(Pending, Now);
   Pending.MayHaveRun = true;
   if (Pending.MatchedRoute->Idempotent &&
       this->tryConsumeRetry(Pending, RetryReason::Lost, Now)) {
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -34,6 +34,8 @@
 using SharedContent = std::shared_ptr<const RequestContent>;
 
 inline constexpr std::int32_t NoKey = -1;
+// RepeatPercent of a request that a target may have received before.
+inline constexpr std::uint8_t SurelyRepeated = 100;
 
 // Asks the node beside a target to run a request there.
 struct Forward {
@@ -99,6 +101,11 @@
   Quarantined,
   // No complete answer was received; the request may have run.
   Lost,
+  // Not sent to the target: it is a repeat, and its calls would exceed the
+  // retry
+  // budget of another service. Earlier releases never get this, as they do not
+  // state that a request is a repeat.
+  CallsOverBudget,
 };
 
 // Result of a forwarded request.
--- a/orioledoor/routing/message_codec.cc
+++ b/orioledoor/routing/message_codec.cc
@@ -139,7 +139,7 @@
   }
   FieldReader &operator>>(Outcome &Value) {
     auto Number = this->nextField().as<std::uint8_t>();
-    if (Number > static_cast<std::uint8_t>(Outcome::Lost))
+    if (Number > static_cast<std::uint8_t>(Outcome::CallsOverBudget))
       throw std::out_of_range("unknown outcome");
     Value = static_cast<Outcome>(Number);
     return *this;
--- a/orioledoor/routing/retry_budget.cc
+++ b/orioledoor/routing/retry_budget.cc
@@ -1,45 +1,49 @@
-// Token bucket that is filled by requests and, at a low rate, by time.
+// Sliding counts of arrivals and repeats.
 #include "orioledoor/routing/retry_budget.h"
 
-#include <algorithm>
-
 namespace orioledoor::routing {
-namespace {
-
-// Limit for tokens saved from requests: a burst of retries after a target is
-// lost must stay below the limit per window.
-constexpr double MaxSavedTokens = 8;
-
-} // namespace
 
-RetryBudget::RetryBudget(RetryBudgetOptions Options)
-    : Options(Options), Tokens(Options.ExtraPerWindow),
-      Capacity(Options.ExtraPerWindow + MaxSavedTokens) {}
+std::int64_t RetryBudget::sliceNumber(Instant At) const {
+  return At.micros() * SlicesPerWindow / this->Options.Window.count();
+}
 
-void RetryBudget::noteRequest() {
-  this->Tokens = std::min(this->Capacity, this->Tokens + this->Options.Ratio);
+RetryBudget::Slice &RetryBudget::sliceAt(Instant At) {
+  std::int64_t Number = this->sliceNumber(At);
+  Slice &Found =
+      this->Slices[static_cast<std::size_t>(Number) % this->Slices.size()];
+  if (Found.Number != Number)
+    Found = {.Number = Number};
+  return Found;
 }
 
-void RetryBudget::refill(Instant Now) {
-  if (Now <= this->RefilledAt)
-    return;
-  if (this->RefilledAt != Instant()) {
-    double Windows = static_cast<double>((Now - this->RefilledAt).count()) /
-                     static_cast<double>(this->Options.Window.count());
-    // Time alone does not fill the bucket beyond ExtraPerWindow.
-    double Limit = std::max(this->Tokens, this->Options.ExtraPerWindow);
-    this->Tokens =
-        std::min(Limit, this->Tokens + Windows * this->Options.ExtraPerWindow);
-  }
-  this->RefilledAt = Now;
+void RetryBudget::noteArrival(Instant Now) { ++this->sliceAt(Now).Arrivals; }
+
+void RetryBudget::charge(double Repeats, Instant Now) {
+  this->sliceAt(Now).Repeats += Repeats;
 }
 
 bool RetryBudget::take(Instant Now) {
-  this->refill(Now);
-  if (this->Tokens < 1)
+  if (this->available(Now) < 1)
     return false;
-  this->Tokens -= 1;
+  this->charge(1, Now);
   return true;
 }
 
+double RetryBudget::available(Instant Now) const {
+  std::int64_t Current = this->sliceNumber(Now);
+  double Left = this->FleetSize == 0 ? 0.0
+                                     : this->Options.FleetExtra /
+                                           static_cast<double>(this->FleetSize);
+  // Of the slice in which the window begins, the repeats count and the arrivals
+  // do not.
+  for (const Slice &Each : this->Slices) {
+    if (Each.Number < Current - SlicesPerWindow || Each.Number < 0)
+      continue;
+    Left -= Each.Repeats;
+    if (Each.Number > Current - SlicesPerWindow)
+      Left += this->Options.Ratio * Each.Arrivals;
+  }
+  return Left;
+}
+
 } // namespace orioledoor::routing
--- a/orioledoor/routing/retry_budget.h
+++ b/orioledoor/routing/retry_budget.h
@@ -1,47 +1,69 @@
-// Limits the retries that one node sends, so that the retries of all nodes stay
-// below a fraction of the load plus a constant.
+// Limits the repeats of one service that one node causes, so that those of all
+// nodes stay below a share of the fleet's requests plus a constant.
 //
-//   Budget.noteRequest();
+//   Budget.setFleetSize(295);
+//   Budget.noteArrival(Now);
 //   if (Budget.take(Now)) ... // retry the request
+//   Budget.charge(0.2, Now);  // a call that may be a repeat
 #ifndef ORIOLEDOOR_ROUTING_RETRY_BUDGET_H
 #define ORIOLEDOOR_ROUTING_RETRY_BUDGET_H
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
 #include "orioledoor/base/instant.h"
 
 namespace orioledoor::routing {
 
 struct RetryBudgetOptions {
-  // Retries per request. The platform limits the retries of all nodes together;
-  // the owner of the budget configures a margin below that for calls that
-  // retried requests make.
+  // Repeats per request that reached a target.
   double Ratio = 0.1;
-  // Retries of this node that are allowed per window independently of the load.
-  double ExtraPerWindow = 2;
+  // Repeats per window that all nodes together may cause independently of the
+  // load. Each node may cause an equal part.
+  double FleetExtra = 60;
   Duration Window = std::chrono::seconds(10);
 };
 
-// Token bucket for one service. All operations take constant time. Not
-// thread-safe.
+// Counts over a sliding window. In any window a node takes at most Ratio times
+// the requests of this window, which begins at most one window earlier, plus
+// its part of FleetExtra; nothing is saved beyond it. The sum over all nodes
+// has the same form, whatever the size of the fleet and wherever requests
+// enter. Not thread-safe. All operations take constant time.
 class RetryBudget {
 public:
-  explicit RetryBudget(RetryBudgetOptions Options);
+  explicit RetryBudget(RetryBudgetOptions Options) : Options(Options) {}
 
-  // Adds to the budget for a request's first attempt.
-  void noteRequest();
-  // Consumes one retry from the budget and returns true, or returns false if
+  // Number of nodes of the fleet, this one included; 0 while it is not known,
+  // in which case the node has no part of FleetExtra.
+  void setFleetSize(std::size_t Nodes) { this->FleetSize = Nodes; }
+  // Records a request that has reached its first target.
+  void noteArrival(Instant Now);
+  // Consumes a retry from the budget and returns true, or returns false if
   // there is none.
   bool take(Instant Now);
-  // Tokens at the last call of take().
-  double available() const { return this->Tokens; }
+  // Consumes what can't be refused any more; the budget may become negative.
+  void charge(double Repeats, Instant Now);
+  // Repeats that are left at the moment; negative if too many were charged.
+  double available(Instant Now) const;
 
 private:
-  void refill(Instant Now);
+  static constexpr std::int64_t SlicesPerWindow = 40;
+
+  // Counts of one slice of time.
+  struct Slice {
+    std::int64_t Number = -1;
+    double Arrivals = 0;
+    double Repeats = 0;
+  };
+
+  std::int64_t sliceNumber(Instant At) const;
+  Slice &sliceAt(Instant At);
 
   RetryBudgetOptions Options;
-  // Invariant: between 0 and Capacity.
-  double Tokens;
-  double Capacity;
-  Instant RefilledAt;
+  std::size_t FleetSize = 0;
+  // One more than a window has, since the window begins within a slice.
+  std::array<Slice, SlicesPerWindow + 1> Slices{};
 };
 
 } // namespace orioledoor::routing
--- a/orioledoor/routing/retry_budget_test.cc
+++ b/orioledoor/routing/retry_budget_test.cc
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(fallingDemandStaysWithinTheAllowance);
   CPPUNIT_TEST(restartsAndJoinsStayWithinTheAllowance);
   CPPUNIT_TEST(partedFleetsStayWithinTheAllowance);
+  CPPUNIT_TEST(callsOfRepeatedRunsAreCharged);
+  CPPUNIT_TEST(failuresAreAnsweredWhenTheRepeatMayNotRun);
   CPPUNIT_TEST(requestsWhoseTargetLostTheirKeyTakeFromTheBudget);
   CPPUNIT_TEST_SUITE_END();
 
@@ -71,13 +73,15 @@
   // Guards against repeats whose calls are more than the service that they go
   // to allows, although the repeats themselves are within their own allowance.
   void manyCallsOfEachRunStayWithinTheAllowance() {
-    RetryFleetOptions Options{
-        .Nodes = 295, .RequestsPerSecond = 150, .Extra = 630, .CallsPerRun = 5};
+    RetryFleetOptions Options{.Nodes = 295,
+                              .RequestsPerSecond = 100,
+                              .Extra = 1200,
+                              .CallsPerRun = 8};
     RetryFleet Fleet(Options);
     Fleet.run(seconds(25));
     Fleet.setFailing(true);
     Fleet.run(seconds(15));
-    checkWithinAllowance(Fleet, Options, "five calls a run");
+    checkWithinAllowance(Fleet, Options, "eight calls a run");
   }
 
   // Guards against tokens that were saved under high demand and are used when
@@ -128,6 +132,52 @@
     checkWithinAllowance(Fleet, Options, "parted fleet");
   }
 
+  // Guards against calls of repeated runs that no node counts: they are repeats
+  // at the service that they go to.
+  void callsOfRepeatedRunsAreCharged() {
+    testing::EntryFixture F;
+    F.LocalRepeatShare = 0.5;
+    auto CallWithResult = [&F](std::uint64_t Caller) {
+      F.sendRequest(Caller, "/read/x");
+      std::string To;
+      std::uint8_t Percent = F.sent(&To)->RepeatPercent;
+      ForwardResult Result{.Id = F.sent()->Id, .OfRunningWork = true};
+      Result.Answer.Status = 200;
+      F.Out.clear();
+      F.Entry.handleResult(To, std::move(Result), F.Now, F.Out);
+      return static_cast<int>(Percent);
+    };
+    // The class is not known to be calls of targets yet.
+    CPPUNIT_ASSERT_EQUAL(0, CallWithResult(1));
+    for (std::uint64_t Caller = 2; Caller <= 7; ++Caller)
+      CPPUNIT_ASSERT_EQUAL(50, CallWithResult(Caller));
+    // The budget of 3 is used, but not exceeded.
+    CPPUNIT_ASSERT(!F.Entry.callsOverBudget(F.Now));
+    CallWithResult(8);
+    CPPUNIT_ASSERT(F.Entry.callsOverBudget(F.Now));
+    F.sendRequest(9, "/read/x");
+    std::string To;
+    F.sent(&To);
+    F.receiveResult(To, Outcome::Lost);
+    CPPUNIT_ASSERT_EQUAL(502, F.status());
+    F.Now = F.Now + seconds(11);
+    CPPUNIT_ASSERT(!F.Entry.callsOverBudget(F.Now));
+  }
+
+  // Guards against callers that get a refusal instead of the failure that a
+  // target has answered, when the repeat may not run.
+  void failuresAreAnsweredWhenTheRepeatMayNotRun() {
+    testing::EntryFixture F;
+    F.sendRequest(1, "/read/x");
+    std::string To;
+    F.sent(&To);
+    F.receiveResult(To, Outcome::Answered, 500);
+    CPPUNIT_ASSERT(F.sent(&To));
+    CPPUNIT_ASSERT_EQUAL(int{SurelyRepeated}, int{F.sent()->RepeatPercent});
+    F.receiveResult(To, Outcome::CallsOverBudget);
+    CPPUNIT_ASSERT_EQUAL(500, F.status());
+  }
+
   // Guards against requests that are sent from target to target while keys
   // move, beyond the attempts of their route and without a budget.
   void requestsWhoseTargetLostTheirKeyTakeFromTheBudget() {
--- a/orioledoor/routing/retry_budgets.cc
+++ b/orioledoor/routing/retry_budgets.cc
@@ -12,16 +12,24 @@
 
 RetryBudgets::ServiceEntry &RetryBudgets::entryOf(std::string_view Service) {
   auto Found = this->Services.find(Service);
-  if (Found == this->Services.end())
+  if (Found == this->Services.end()) {
     Found = this->Services
                 .emplace(std::string(Service),
                          ServiceEntry{RetryBudget(this->Options)})
                 .first;
+    Found->second.Budget.setFleetSize(this->FleetSize);
+  }
   return Found->second;
 }
 
-void RetryBudgets::noteRequest(std::string_view Service) {
-  this->entryOf(Service).Budget.noteRequest();
+void RetryBudgets::setFleetSize(std::size_t Nodes) {
+  this->FleetSize = Nodes;
+  for (auto &[Service, Entry] : this->Services)
+    Entry.Budget.setFleetSize(Nodes);
+}
+
+void RetryBudgets::noteArrival(std::string_view Service, Instant Now) {
+  this->entryOf(Service).Budget.noteArrival(Now);
 }
 
 bool RetryBudgets::take(std::string_view Service, RetryReason Reason,
@@ -35,8 +43,19 @@
   return true;
 }
 
-void RetryBudgets::noteInherited(std::string_view Service, double Share) {
-  this->entryOf(Service).Use.Inherited += Share;
+void RetryBudgets::chargeInherited(std::string_view Service, double Share,
+                                   Instant Now) {
+  ServiceEntry &Entry = this->entryOf(Service);
+  Entry.Use.Inherited += Share;
+  Entry.Budget.charge(Share, Now);
+}
+
+double RetryBudgets::available(std::string_view Service, Instant Now) const {
+  if (auto Found = this->Services.find(Service); Found != this->Services.end())
+    return Found->second.Budget.available(Now);
+  RetryBudget Unused(this->Options);
+  Unused.setFleetSize(this->FleetSize);
+  return Unused.available(Now);
 }
 
 void RetryBudgets::logUse(Instant Now, Effects &Out) {
@@ -58,10 +77,11 @@
          {"refused", Difference(RetryReason::Refused)},
          {"failed", Difference(RetryReason::Failed)},
          {"lost", Difference(RetryReason::Lost)},
+         {"key_moved", Difference(RetryReason::KeyMoved)},
          {"denied", std::to_string(Entry.Use.Denied - Entry.Logged.Denied)},
          {"inherited", std::to_string(static_cast<std::uint64_t>(Inherited))},
          {"available", std::to_string(static_cast<std::int64_t>(
-                           Entry.Budget.available()))}}});
+                           Entry.Budget.available(Now)))}}});
     Entry.Logged = Entry.Use;
   }
 }
--- a/orioledoor/routing/retry_budgets.h
+++ b/orioledoor/routing/retry_budgets.h
@@ -1,12 +1,14 @@
 // Retry budgets of a node, one for each service, and what they were used for.
 //
-//   Budgets.noteRequest("consulta");
+//   Budgets.setFleetSize(295);
+//   Budgets.noteArrival("consulta", Now);
 //   if (Budgets.take("consulta", RetryReason::Lost, Now)) ... // retry
-//   Budgets.noteInherited("consulta", 0.2);
+//   Budgets.chargeInherited("consulta", 0.2, Now);
 //   Budgets.logUse(Now, Out);
 #ifndef ORIOLEDOOR_ROUTING_RETRY_BUDGETS_H
 #define ORIOLEDOOR_ROUTING_RETRY_BUDGETS_H
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -25,19 +27,27 @@
 public:
   explicit RetryBudgets(RetryBudgetOptions Options) : Options(Options) {}
 
-  // Adds to the budget for a request's first attempt.
-  void noteRequest(std::string_view Service);
+  // As in RetryBudget.
+  void setFleetSize(std::size_t Nodes);
+  // Records a request that has reached its first target.
+  void noteArrival(std::string_view Service, Instant Now);
   // Consumes a retry from the budget and returns true, or returns false if
   // there is none.
   bool take(std::string_view Service, RetryReason Reason, Instant Now);
-  // Records a call that is a repeat with the probability Share, since the run
+  // Charges a call that is a repeat with the probability Share, since the run
   // that makes it may be one.
-  void noteInherited(std::string_view Service, double Share);
+  void chargeInherited(std::string_view Service, double Share, Instant Now);
+  // Repeats of the service that are left at the moment; negative if more were
+  // charged than the budget allows.
+  double available(std::string_view Service, Instant Now) const;
+  bool isOverdrawn(std::string_view Service, Instant Now) const {
+    return this->available(Service, Now) < 0;
+  }
 
   // Calls Visit(Service, RetryUse, Available) for each service.
-  template <typename Visitor> void forEach(Visitor Visit) const {
+  template <typename Visitor> void forEach(Instant Now, Visitor Visit) const {
     for (const auto &[Service, Entry] : this->Services)
-      Visit(Service, Entry.Use, Entry.Budget.available());
+      Visit(Service, Entry.Use, Entry.Budget.available(Now));
   }
   // Logs for each service what was used since the last line, at most once per
   // window of the budget.
@@ -53,6 +63,7 @@
   ServiceEntry &entryOf(std::string_view Service);
 
   RetryBudgetOptions Options;
+  std::size_t FleetSize = 0;
   std::map<std::string, ServiceEntry, std::less<>> Services;
   Instant LoggedAt;
 };
--- a/orioledoor/routing/retry_use.h
+++ b/orioledoor/routing/retry_use.h
@@ -16,8 +16,10 @@
   Failed,
   // No complete answer was received.
   Lost,
+  // The target does not hold the key of the request any more.
+  KeyMoved,
 };
-inline constexpr std::size_t RetryReasonCount = 3;
+inline constexpr std::size_t RetryReasonCount = 4;
 
 // Name for logs and metrics.
 constexpr const char *retryReasonName(RetryReason Reason) {
@@ -28,6 +30,8 @@
     return "failed";
   case RetryReason::Lost:
     return "lost";
+  case RetryReason::KeyMoved:
+    return "key-moved";
   }
   return "unknown";
 }
--- a/orioledoor/routing/routing_parts_test.cc
+++ b/orioledoor/routing/routing_parts_test.cc
@@ -255,22 +255,34 @@
     }
   }
 
-  // A burst of retries after a lost target must not exceed the limit per
-  // window.
+  // Guards against bursts of retries after a target is lost, against tokens
+  // that are saved for later windows, and against charges that are forgotten.
   void budgetLimitsRetriesPerWindow() {
-    RetryBudget Budget({.Ratio = 0.1, .ExtraPerWindow = 2});
-    Instant Now{std::int64_t{1}};
+    RetryBudget Budget({.Ratio = 0.1, .FleetExtra = 20});
+    Instant Now{std::int64_t{1'000'000}};
+    CPPUNIT_ASSERT(!Budget.take(Now));
+    Budget.setFleetSize(10);
     int Retries = 0;
     for (int Request = 0; Request < 1000; ++Request) {
       Now = Now + milliseconds(10);
-      Budget.noteRequest();
+      Budget.noteArrival(Now);
       while (Budget.take(Now))
         ++Retries;
     }
-    // 1000 requests in one window: a tenth of them, the constant twice (the
-    // bucket is full at the start), and the saved tokens.
-    CPPUNIT_ASSERT(Retries <= 100 + 4 + 8);
+    // 1000 requests in one window: a tenth of them, and a tenth of the
+    // constant.
+    CPPUNIT_ASSERT(Retries <= 100 + 2);
     CPPUNIT_ASSERT(Retries >= 95);
+    // Nothing of an idle window is left in the next one.
+    Now = Now + std::chrono::seconds(30);
+    Retries = 0;
+    while (Budget.take(Now))
+      ++Retries;
+    CPPUNIT_ASSERT_EQUAL(2, Retries);
+    Now = Now + std::chrono::seconds(11);
+    Budget.charge(5, Now);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(-3, Budget.available(Now), 1e-9);
+    CPPUNIT_ASSERT(!Budget.take(Now));
   }
 
   // Transfers occupy the links of both VMs, so an upload stays near while its
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -192,6 +192,11 @@
   std::uint32_t slowdownPercent() const {
     return this->Slowdown.latestPercent();
   }
+  // States whether requests that are repeats may start. Their calls count
+  // against the retry budgets of other services.
+  void setRepeatsAllowed(bool Allowed) { this->RepeatsAllowed = Allowed; }
+  // Number of repeats that were refused for that.
+  std::uint64_t refusedRepeats() const { return this->RefusedRepeats; }
   // Share of the running calls that are repeats, 0 to 1.
   double repeatShare() const {
     return this->Queue.running() == 0
@@ -359,6 +364,8 @@
   std::uint64_t StartedCalls = 0;
   // Invariant: sum of RepeatPercent over the calls that hold a slot.
   std::uint32_t RunningRepeatPercent = 0;
+  bool RepeatsAllowed = true;
+  std::uint64_t RefusedRepeats = 0;
   std::uint64_t WithdrawnCalls = 0;
   std::uint64_t UnconfirmedCalls = 0;
   std::uint64_t CommittedBytes = 0;
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -67,6 +67,8 @@
     return "quarantined";
   case Outcome::Lost:
     return "lost";
+  case Outcome::CallsOverBudget:
+    return "calls-over-budget";
   }
   return "unknown";
 }
@@ -94,6 +96,8 @@
     return Outcome::Expired;
   if (this->Crashes.isQuarantined(Digest, Now))
     return Outcome::Quarantined;
+  if (Request.RepeatPercent == SurelyRepeated && !this->RepeatsAllowed)
+    return Outcome::CallsOverBudget;
   return std::nullopt;
 }
 
@@ -152,6 +156,8 @@
   if (auto Reason = this->checkAdmission(Request, Key, Digest, Now)) {
     if (*Reason == Outcome::NoTarget)
       this->notePlacementRefusal(From, Request, Now, Out);
+    if (*Reason == Outcome::CallsOverBudget)
+      ++this->RefusedRepeats;
     this->refuse(From, Request, *Reason, Duration(0), Now, Out);
     return;
   }
--- a/orioledoor/routing/testing/entry_fixture.h
+++ b/orioledoor/routing/testing/entry_fixture.h
@@ -52,10 +52,11 @@
       : Directory({"d1", "r1"}, OwnNode),
         Entry({.Node = OwnNode,
                .Process = Process,
-               .Budget = {.Ratio = 0, .ExtraPerWindow = 3}},
+               .Budget = {.Ratio = 0, .FleetExtra = 3}},
               this->Directory,
               [this](std::string_view, std::int32_t) { return this->Owner; }) {
     this->Entry.setTable(newTable());
+    this->Entry.setFleetSize(1);
     this->addTarget(NearNode, {"d1", "r1"});
     this->addTarget(FarNode, {"d2", "r2"});
     this->Owner.Node = NearNode;
@@ -86,6 +87,7 @@
                                .TimeLeft = std::chrono::milliseconds(2500),
                                .Key = Key,
                                .FirstByteAt = this->Now,
+                               .LocalRepeatShare = this->LocalRepeatShare,
                                .Content = Content},
                               this->Now, this->Out);
   }
@@ -157,6 +159,8 @@
   KeyOwner Owner;
   EntryReducer Entry;
   Effects Out;
+  // As in CallerRequest, for the next requests.
+  double LocalRepeatShare = 0;
 };
 
 } // namespace orioledoor::routing::testing
--- a/orioledoor/routing/testing/gate_fixture.h
+++ b/orioledoor/routing/testing/gate_fixture.h
@@ -62,6 +62,7 @@
                               .Priority = Priority,
                               .LastChoice = LastChoice,
                               .RequestClass = RequestClass,
+                              .RepeatPercent = this->RepeatPercent,
                               .Content = Content},
                              Key, this->Now, this->Out, Delay);
   }
@@ -154,6 +155,8 @@
   Instant Now{std::int64_t{1'000'000}};
   TargetGate Gate;
   Effects Out;
+  // As in Forward, for the next requests.
+  std::uint8_t RepeatPercent = 0;
   int Path = 0;
 };
 
--- a/orioledoor/routing/testing/retry_fleet.h
+++ b/orioledoor/routing/testing/retry_fleet.h
@@ -34,6 +34,8 @@
   double Ratio = 0.2;
   double Extra = 62;
   double CallsPerRun = 1.4;
+  // Share of the limit that the nodes are configured with.
+  double AllowanceShare = 0.4;
   // Share of the callers that enter at the first tenth of the nodes.
   double EntrySkew = 0.1;
 };
@@ -108,12 +110,13 @@
   std::uint64_t retries(const std::string &Service) const {
     std::uint64_t All = 0;
     for (const Node &Each : this->Nodes)
-      Each.Budgets->forEach([&](const std::string &Name, const RetryUse &Use,
+      Each.Budgets->forEach(this->Now,
+                            [&](const std::string &Name, const RetryUse &Use,
                                 double /*Available*/) {
-        if (Name == Service)
-          for (std::uint64_t Taken : Use.Taken)
-            All += Taken;
-      });
+                              if (Name == Service)
+                                for (std::uint64_t Taken : Use.Taken)
+                                  All += Taken;
+                            });
     return All;
   }
 
@@ -139,16 +142,15 @@
   };
 
   void setKnownNodes(RetryBudgets &Budgets, std::size_t KnownNodes) {
-    (void)Budgets;
-    (void)KnownNodes;
+    Budgets.setFleetSize(KnownNodes);
   }
 
   void setNodes(std::size_t Count, std::size_t KnownNodes) {
     while (this->Nodes.size() < Count) {
-      this->Nodes.push_back({std::make_unique<RetryBudgets>(
-          RetryBudgetOptions{.Ratio = this->Options.Ratio * 0.3,
-                             .ExtraPerWindow = this->Options.Extra * 0.3 / 30,
-                             .Window = Window})});
+      this->Nodes.push_back({std::make_unique<RetryBudgets>(RetryBudgetOptions{
+          .Ratio = this->Options.Ratio * this->Options.AllowanceShare,
+          .FleetExtra = this->Options.Extra * this->Options.AllowanceShare,
+          .Window = Window})});
       this->setKnownNodes(*this->Nodes.back().Budgets, KnownNodes);
     }
   }
@@ -167,19 +169,21 @@
   void sendToFront() {
     std::size_t Entry = this->entryNode();
     ++this->Counts["front"].back().Requests;
-    this->Nodes[Entry].Budgets->noteRequest("front");
+    this->Nodes[Entry].Budgets->noteArrival("front", this->Now);
     this->runFront(false);
     if (this->Failing && this->Nodes[Entry].Budgets->take(
-                             "front", RetryReason::Failed, this->Now)) {
-      ++this->Counts["front"].back().Repeats;
+                             "front", RetryReason::Failed, this->Now))
       this->runFront(true);
-    }
   }
 
   void runFront(bool Repeat) {
     // Every second node is beside a target of "front".
     std::size_t Place = this->Random() % ((this->Nodes.size() + 1) / 2) * 2;
     Node &At = this->Nodes[Place];
+    if (Repeat && At.Budgets->isOverdrawn("back", this->Now))
+      return;
+    if (Repeat)
+      ++this->Counts["front"].back().Repeats;
     while (!At.Runs.empty() &&
            this->Now - At.Runs.front().StartedAt > RunTime) {
       At.Repeats -= At.Runs.front().Repeat ? 1 : 0;
@@ -200,9 +204,9 @@
   void send(const std::string &Service, std::size_t Entry, double RepeatShare) {
     ++this->Counts[Service].back().Requests;
     RetryBudgets &Budgets = *this->Nodes[Entry].Budgets;
-    Budgets.noteRequest(Service);
+    Budgets.noteArrival(Service, this->Now);
     if (RepeatShare > 0)
-      Budgets.noteInherited(Service, RepeatShare);
+      Budgets.chargeInherited(Service, RepeatShare, this->Now);
     if (this->Failing && Budgets.take(Service, RetryReason::Refused, this->Now))
       ++this->Counts[Service].back().Repeats;
   }
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -24,6 +24,8 @@
   Metrics.gauge("oriole_gate_cold_pace").set(Gate.coldPace());
   Metrics.gauge("oriole_gate_slowdown_percent").set(Gate.slowdownPercent());
   Metrics.counter("oriole_gate_starts_total").set(Gate.startedCalls());
+  Metrics.counter("oriole_gate_repeats_refused_total")
+      .set(Gate.refusedRepeats());
   Metrics.counter("oriole_gate_withdrawn_total").set(Gate.withdrawnCalls());
   Metrics.counter("oriole_gate_confirmations_total")
       .set(Gate.unconfirmedCalls());
@@ -95,9 +97,9 @@
 }
 
 void setRetryMetrics(MetricsRegistry &Metrics,
-                     const routing::RetryBudgets &Budgets) {
-  Budgets.forEach([&](const std::string &Service, const routing::RetryUse &Use,
-                      double Available) {
+                     const routing::RetryBudgets &Budgets, Instant Now) {
+  Budgets.forEach(Now, [&](const std::string &Service,
+                           const routing::RetryUse &Use, double Available) {
     std::string Label = "service=\"" + Service + "\"";
     for (std::size_t Reason = 0; Reason < routing::RetryReasonCount; ++Reason)
       Metrics
@@ -121,11 +123,11 @@
                           const platform::PlatformStoreCounters &Store,
                           const wire::TransportCounters &Peers,
                           const wire::HttpClientCounters &TargetClient,
-                          const wire::HttpServer &Outbound) {
+                          const wire::HttpServer &Outbound, Instant Now) {
   setGateMetrics(Metrics, Reducer.gate());
   setStoreMetrics(Metrics, Store);
   setSpillMetrics(Metrics, Reducer.directory());
-  setRetryMetrics(Metrics, Reducer.entry().retryBudgets());
+  setRetryMetrics(Metrics, Reducer.entry().retryBudgets(), Now);
   Metrics.gauge("oriole_entry_open")
       .set(static_cast<double>(Reducer.entry().openRequests()));
   Metrics.counter("oriole_entry_throttled_total")
--- a/orioledoor/sidecar/node_metrics.h
+++ b/orioledoor/sidecar/node_metrics.h
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include "orioledoor/base/instant.h"
+
 namespace orioledoor {
 class MetricsRegistry;
 } // namespace orioledoor
@@ -26,7 +28,7 @@
                           const platform::PlatformStoreCounters &Store,
                           const wire::TransportCounters &Peers,
                           const wire::HttpClientCounters &TargetClient,
-                          const wire::HttpServer &Outbound);
+                          const wire::HttpServer &Outbound, Instant Now);
 
 } // namespace orioledoor::sidecar
 
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -34,9 +34,11 @@
 constexpr Duration StopMargin = milliseconds(500);
 // Requests that are still open this long before the process ends are answered.
 constexpr Duration FinalAnswerTime = milliseconds(150);
-// Share of the platform's retry allowance that the fleet plans to use. The
-// calls that retried requests cause count against the allowance as well.
-constexpr double RetryAllowanceShare = 0.3;
+// Share of the platform's retry allowance that the fleet plans to use. The rest
+// is for repeats that nodes do not know of: calls of a class that was not
+// recognized yet, and for the time in which parts of the fleet do not see each
+// other and divide the constant part by a smaller number.
+constexpr double RetryAllowanceShare = 0.4;
 // Each change of an entry ends the watch of every node, so nodes batch changes.
 // The planning node acts on entries and batches for a short time. The nodes
 // that would plan after it must notice soon that it is gone. The others learn
@@ -45,9 +47,6 @@
 constexpr Duration DeputyWatchPause = milliseconds(1000);
 constexpr Duration MemberWatchPause = milliseconds(5'000);
 constexpr std::size_t DeputyCount = 2;
-// Number of nodes among which the constant part of the retry budget is divided
-// until the members are known.
-constexpr double AssumedFleetSize = 30;
 // Shortest time without a tick in which the process counts as standing still;
 // its part of the 500 ms that the platform allows between the departure of a
 // caller and the arrival of its request at a target.
@@ -82,16 +81,16 @@
             .ColdOverage = this->Options.ColdOverage,
             .ColdSlack = this->Options.ColdSlack,
             .EvacuationTime = this->Options.EvacuationTime}),
-      Entry(
-          {.Node = this->Options.Node,
-           .Process = this->Options.Process,
-           .Budget = {.Ratio = this->Options.RetryRatio * RetryAllowanceShare,
-                      .ExtraPerWindow = this->Options.RetryExtra *
-                                        RetryAllowanceShare / AssumedFleetSize,
-                      .Window = this->Options.RetryWindow}},
-          this->Directory, [this](std::string_view Service, std::int32_t Key) {
-            return this->Keys.ownerOf(Service, Key);
-          }) {
+      Entry({.Node = this->Options.Node,
+             .Process = this->Options.Process,
+             .Budget = {.Ratio = this->Options.RetryRatio * RetryAllowanceShare,
+                        .FleetExtra =
+                            this->Options.RetryExtra * RetryAllowanceShare,
+                        .Window = this->Options.RetryWindow}},
+            this->Directory,
+            [this](std::string_view Service, std::int32_t Key) {
+              return this->Keys.ownerOf(Service, Key);
+            }) {
   this->Directory.setNode(
       this->Options.Node, this->Options.Place,
       static_cast<std::uint64_t>(this->Options.LinkBytesPerSecond));
@@ -188,6 +187,8 @@
   if (Output.NodesChanged) {
     this->updateDirectory(Now);
     this->updateWatches();
+    if (this->Members.isLoaded())
+      this->Entry.setFleetSize(this->Members.nodes().size());
   }
   if (Output.NodesChanged || Output.KeysChanged)
     this->onOwnersChanged(Now);
--- a/orioledoor/sidecar/reducer_messages.cc
+++ b/orioledoor/sidecar/reducer_messages.cc
@@ -68,6 +68,8 @@
       if (KeyHold == routing::KeyState::NotHeld && From != this->Options.Node)
         this->sendKeyMap(From, *Request, Now);
     }
+    if (Request->RepeatPercent == routing::SurelyRepeated)
+      this->Gate.setRepeatsAllowed(!this->Entry.callsOverBudget(Now));
     this->Gate.handleForward(From, std::move(*Request), KeyHold, Now,
                              this->RoutingEffects, Delay);
   } else if (auto *Result = std::get_if<routing::ForwardResult>(&Body)) {
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -67,9 +67,29 @@
   CPPUNIT_TEST(limitsLinkUseBySendingConfigurations);
   CPPUNIT_TEST(keyMapsGoToNodesThatLackThem);
   CPPUNIT_TEST(formerOwnerOfHotKeysKeepsItsLinkFree);
+  CPPUNIT_TEST(retryBudgetFollowsTheMembers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against a part of the fleet's retry allowance that does not shrink
+  // when nodes join, and against one that is in use before the members are
+  // known.
+  void retryBudgetFollowsTheMembers() {
+    SidecarOptions Options = testing::newOptions();
+    Options.RetryExtra = 60;
+    testing::ReducerFixture Sidecar(Options);
+    auto Available = [&Sidecar] {
+      return Sidecar.Reducer.entry().retryBudgets().available("plain",
+                                                              Sidecar.Now);
+    };
+    CPPUNIT_ASSERT_EQUAL(0.0, Available());
+    Sidecar.joinFleet();
+    double OfOne = Available();
+    CPPUNIT_ASSERT(OfOne > 0 && OfOne < 60);
+    Sidecar.addReadRoute();
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(OfOne / 3, Available(), 1e-9);
+  }
+
   void becomesReadyWithRoutesAndMembers() {
     ReducerFixture Sidecar;
     CPPUNIT_ASSERT(!Sidecar.Reducer.ready());
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -466,13 +466,14 @@
                 {.OnRequest =
                      [this](std::uint64_t Id, const wire::IncomingRequest &) {
                        this->MetricsServer->reply(
-                           Id, {200,
-                                {{"Content-Type", "text/plain; version=0.0.4"}},
-                                renderMetrics(this->Metrics, this->Reducer,
-                                              this->Store.counters(),
-                                              this->Peers->counters(),
-                                              this->TargetClient.counters(),
-                                              *this->OutboundServer)});
+                           Id,
+                           {200,
+                            {{"Content-Type", "text/plain; version=0.0.4"}},
+                            renderMetrics(this->Metrics, this->Reducer,
+                                          this->Store.counters(),
+                                          this->Peers->counters(),
+                                          this->TargetClient.counters(),
+                                          *this->OutboundServer, readClock())});
                      },
                  .OnDisconnect = Ignore});
   }
