Spend a short retry budget on calls before the requests that make them

A retry of a call costs one repeat and saves the run that waits for it; another run costs all its work and makes its calls again, which fail as often.

A node starts no repeats while the budget of a service that its target calls has denied a retry in the last second, not only while it is overdrawn. retry_budget_test has a case for this load (callsAreRetriedBeforeTheirCallers) and passes.

--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -101,8 +101,9 @@
   void limitDeadlines(Instant Latest);
   // Number of nodes that share the retry budgets, this one included.
   void setFleetSize(std::size_t Nodes) { this->Budgets.setFleetSize(Nodes); }
-  // Returns whether the calls of the target on this VM have used more than the
-  // retry budget of a service that it calls.
+  // Returns whether the retry budget of a service that the target on this VM
+  // calls is short. It is better spent on a call that failed than on another
+  // run of the request that made the call.
   bool callsOverBudget(Instant Now) const;
 
   void handleRequest(CallerRequest Request, Instant Now, Effects &Out);
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -77,7 +77,7 @@
   return std::ranges::any_of(this->CallClasses, [&](const auto &Entry) {
     const CalledClass &Called = Entry.second;
     return Now - Called.StatedAt < CallClassLifetime &&
-           this->Budgets.isOverdrawn(Called.Service, Now);
+           this->Budgets.isShort(Called.Service, Now);
   });
 }
 
--- a/orioledoor/routing/retry_budget_test.cc
+++ b/orioledoor/routing/retry_budget_test.cc
@@ -12,7 +12,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing::FarNode;
 using testing::NearNode;
 using testing::RetryFleet;
 using testing::RetryFleetOptions;
@@ -39,6 +38,7 @@
   CPPUNIT_TEST(restartsAndJoinsStayWithinTheAllowance);
   CPPUNIT_TEST(partedFleetsStayWithinTheAllowance);
   CPPUNIT_TEST(callsOfRepeatedRunsAreCharged);
+  CPPUNIT_TEST(callsAreRetriedBeforeTheirCallers);
   CPPUNIT_TEST(failuresAreAnsweredWhenTheRepeatMayNotRun);
   CPPUNIT_TEST(requestsWhoseTargetLostTheirKeyTakeFromTheBudget);
   CPPUNIT_TEST_SUITE_END();
@@ -164,6 +164,31 @@
     CPPUNIT_ASSERT(!F.Entry.callsOverBudget(F.Now));
   }
 
+  // Guards against a target's callers that are repeated while retries of its
+  // calls are denied: under the load of a service that fails half of its calls,
+  // each such repeat fails again and takes the budget of several calls.
+  void callsAreRetriedBeforeTheirCallers() {
+    testing::EntryFixture F;
+    auto FailCall = [&F](std::uint64_t Caller) {
+      F.sendRequest(Caller, "/read/x");
+      std::string To;
+      ForwardResult Result{.Id = F.sent(&To)->Id,
+                           .Code = Outcome::Refused,
+                           .OfRunningWork = true};
+      F.Out.clear();
+      F.Entry.handleResult(To, std::move(Result), F.Now, F.Out);
+      return F.sent() == nullptr;
+    };
+    for (std::uint64_t Caller = 1; Caller <= 3; ++Caller) {
+      CPPUNIT_ASSERT(!FailCall(Caller));
+      CPPUNIT_ASSERT(!F.Entry.callsOverBudget(F.Now));
+    }
+    CPPUNIT_ASSERT(FailCall(4));
+    CPPUNIT_ASSERT(F.Entry.callsOverBudget(F.Now));
+    F.Now = F.Now + RetryBudgets::ShortTime;
+    CPPUNIT_ASSERT(!F.Entry.callsOverBudget(F.Now));
+  }
+
   // Guards against callers that get a refusal instead of the failure that a
   // target has answered, when the repeat may not run.
   void failuresAreAnsweredWhenTheRepeatMayNotRun() {
--- a/orioledoor/routing/retry_budgets.cc
+++ b/orioledoor/routing/retry_budgets.cc
@@ -37,6 +37,7 @@
   ServiceEntry &Entry = this->entryOf(Service);
   if (!Entry.Budget.take(Now)) {
     ++Entry.Use.Denied;
+    Entry.DeniedAt = Now;
     return false;
   }
   ++Entry.Use.Taken[static_cast<std::size_t>(Reason)];
@@ -58,6 +59,15 @@
   return Unused.available(Now);
 }
 
+bool RetryBudgets::isShort(std::string_view Service, Instant Now) const {
+  auto Found = this->Services.find(Service);
+  if (Found == this->Services.end())
+    return false;
+  const ServiceEntry &Entry = Found->second;
+  return (Entry.DeniedAt && Now - *Entry.DeniedAt < ShortTime) ||
+         Entry.Budget.available(Now) < 0;
+}
+
 void RetryBudgets::logUse(Instant Now, Effects &Out) {
   if (Now - this->LoggedAt < this->Options.Window)
     return;
--- a/orioledoor/routing/retry_budgets.h
+++ b/orioledoor/routing/retry_budgets.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,10 @@
 // logUse(), which are linear.
 class RetryBudgets {
 public:
+  // A budget of some retries a second denies one this often while all of them
+  // are in use.
+  static constexpr Duration ShortTime = std::chrono::seconds(1);
+
   explicit RetryBudgets(RetryBudgetOptions Options) : Options(Options) {}
 
   // As in RetryBudget.
@@ -40,9 +45,9 @@
   // Repeats of the service that are left at the moment; negative if more were
   // charged than the budget allows.
   double available(std::string_view Service, Instant Now) const;
-  bool isOverdrawn(std::string_view Service, Instant Now) const {
-    return this->available(Service, Now) < 0;
-  }
+  // Returns whether the budget is overdrawn, or has denied a retry less than
+  // ShortTime ago.
+  bool isShort(std::string_view Service, Instant Now) const;
 
   // Calls Visit(Service, RetryUse, Available) for each service.
   template <typename Visitor> void forEach(Instant Now, Visitor Visit) const {
@@ -58,6 +63,8 @@
     RetryBudget Budget;
     RetryUse Use{};
     RetryUse Logged{};
+    // Empty until a retry is denied.
+    std::optional<Instant> DeniedAt{};
   };
 
   ServiceEntry &entryOf(std::string_view Service);
--- a/orioledoor/routing/testing/retry_fleet.h
+++ b/orioledoor/routing/testing/retry_fleet.h
@@ -180,7 +180,7 @@
     // Every second node is beside a target of "front".
     std::size_t Place = this->Random() % ((this->Nodes.size() + 1) / 2) * 2;
     Node &At = this->Nodes[Place];
-    if (Repeat && At.Budgets->isOverdrawn("back", this->Now))
+    if (Repeat && At.Budgets->isShort("back", this->Now))
       return;
     if (Repeat)
       ++this->Counts["front"].back().Repeats;
