Plan half of the ratio of the retry allowance, and 0.3 of its constant

Since the calls of repeated runs are charged, the reserve has to cover them only where they are not recognized: they add at most the ratio once more. The constant is divided by too small a number in a cut and while nodes join, so its share falls instead.

The fleet model has services that fail separately.

--- a/orioledoor/routing/retry_budget_test.cc
+++ b/orioledoor/routing/retry_budget_test.cc
@@ -61,7 +61,7 @@
                             .EntrySkew = 0.8}}) {
       RetryFleet Fleet(Options);
       Fleet.run(seconds(25));
-      Fleet.setFailing(true);
+      Fleet.setFailing(true, true);
       Fleet.run(seconds(15));
       checkWithinAllowance(Fleet, Options, "steady demand");
       // A budget that allows nothing keeps every limit.
@@ -73,15 +73,17 @@
   // Guards against repeats whose calls are more than the service that they go
   // to allows, although the repeats themselves are within their own allowance.
   void manyCallsOfEachRunStayWithinTheAllowance() {
-    RetryFleetOptions Options{.Nodes = 295,
-                              .RequestsPerSecond = 100,
-                              .Extra = 1200,
-                              .CallsPerRun = 8};
-    RetryFleet Fleet(Options);
-    Fleet.run(seconds(25));
-    Fleet.setFailing(true);
-    Fleet.run(seconds(15));
-    checkWithinAllowance(Fleet, Options, "eight calls a run");
+    for (bool BackFails : {false, true}) {
+      RetryFleetOptions Options{.Nodes = 295,
+                                .RequestsPerSecond = 100,
+                                .Extra = 1200,
+                                .CallsPerRun = 8};
+      RetryFleet Fleet(Options);
+      Fleet.run(seconds(25));
+      Fleet.setFailing(true, BackFails);
+      Fleet.run(seconds(15));
+      checkWithinAllowance(Fleet, Options, "eight calls a run");
+    }
   }
 
   // Guards against tokens that were saved under high demand and are used when
@@ -93,7 +95,7 @@
     Fleet.run(seconds(25));
     Fleet.setRequestRate(400);
     Fleet.run(seconds(12));
-    Fleet.setFailing(true);
+    Fleet.setFailing(true, true);
     Fleet.run(seconds(15));
     checkWithinAllowance(Fleet, Options, "falling demand");
   }
@@ -104,7 +106,7 @@
         .Nodes = 295, .RequestsPerSecond = 1200, .Extra = 630};
     RetryFleet Restarted(Options);
     Restarted.run(seconds(25));
-    Restarted.setFailing(true);
+    Restarted.setFailing(true, true);
     Restarted.run(seconds(3));
     Restarted.restart(295, 295);
     Restarted.run(seconds(10));
@@ -112,7 +114,7 @@
     Options.Nodes = 195;
     RetryFleet Grown(Options);
     Grown.run(seconds(25));
-    Grown.setFailing(true);
+    Grown.setFailing(true, true);
     Grown.run(seconds(3));
     Grown.join(100);
     Grown.run(seconds(10));
@@ -127,7 +129,7 @@
     RetryFleet Fleet(Options);
     Fleet.run(seconds(25));
     Fleet.cut();
-    Fleet.setFailing(true);
+    Fleet.setFailing(true, true);
     Fleet.run(seconds(15));
     checkWithinAllowance(Fleet, Options, "parted fleet");
   }
--- a/orioledoor/routing/testing/retry_fleet.h
+++ b/orioledoor/routing/testing/retry_fleet.h
@@ -4,7 +4,7 @@
 //
 //   RetryFleet Fleet({.Nodes = 295, .RequestsPerSecond = 1200});
 //   Fleet.run(std::chrono::seconds(30));
-//   Fleet.setFailing(true);
+//   Fleet.setFailing(true, true);
 //   Fleet.run(std::chrono::seconds(20));
 //   double Excess = Fleet.worstExcess("back");   // above 0: too many
 #ifndef ORIOLEDOOR_ROUTING_TESTING_RETRY_FLEET_H
@@ -34,8 +34,9 @@
   double Ratio = 0.2;
   double Extra = 62;
   double CallsPerRun = 1.4;
-  // Share of the limit that the nodes are configured with.
-  double AllowanceShare = 0.4;
+  // Shares of the limit that the nodes are configured with.
+  double RatioShare = 0.5;
+  double ExtraShare = 0.3;
   // Share of the callers that enter at the first tenth of the nodes.
   double EntrySkew = 0.1;
 };
@@ -63,9 +64,11 @@
     for (std::size_t I = 0; I < this->Nodes.size() / 2; ++I)
       this->setKnownNodes(*this->Nodes[I].Budgets, this->Nodes.size() / 2);
   }
-  // Targets refuse all requests for "back"; their callers and the runs of
-  // "front" that call them fail and are worth a retry.
-  void setFailing(bool Fails) { this->Failing = Fails; }
+  // Whether targets fail all requests for "front", and refuse all for "back".
+  void setFailing(bool Front, bool Back) {
+    this->FrontFails = Front;
+    this->BackFails = Back;
+  }
   void setRequestRate(double PerSecond) {
     this->Options.RequestsPerSecond = PerSecond;
   }
@@ -148,8 +151,8 @@
   void setNodes(std::size_t Count, std::size_t KnownNodes) {
     while (this->Nodes.size() < Count) {
       this->Nodes.push_back({std::make_unique<RetryBudgets>(RetryBudgetOptions{
-          .Ratio = this->Options.Ratio * this->Options.AllowanceShare,
-          .FleetExtra = this->Options.Extra * this->Options.AllowanceShare,
+          .Ratio = this->Options.Ratio * this->Options.RatioShare,
+          .FleetExtra = this->Options.Extra * this->Options.ExtraShare,
           .Window = Window})});
       this->setKnownNodes(*this->Nodes.back().Budgets, KnownNodes);
     }
@@ -171,8 +174,8 @@
     ++this->Counts["front"].back().Requests;
     this->Nodes[Entry].Budgets->noteArrival("front", this->Now);
     this->runFront(false);
-    if (this->Failing && this->Nodes[Entry].Budgets->take(
-                             "front", RetryReason::Failed, this->Now))
+    if (this->FrontFails && this->Nodes[Entry].Budgets->take(
+                                "front", RetryReason::Failed, this->Now))
       this->runFront(true);
   }
 
@@ -207,13 +210,15 @@
     Budgets.noteArrival(Service, this->Now);
     if (RepeatShare > 0)
       Budgets.chargeInherited(Service, RepeatShare, this->Now);
-    if (this->Failing && Budgets.take(Service, RetryReason::Refused, this->Now))
+    if (this->BackFails &&
+        Budgets.take(Service, RetryReason::Refused, this->Now))
       ++this->Counts[Service].back().Repeats;
   }
 
   RetryFleetOptions Options;
   Instant Now{std::int64_t{1'000'000}};
-  bool Failing = false;
+  bool FrontFails = false;
+  bool BackFails = false;
   // Fraction of the next request that is due.
   double Due = 0;
   std::mt19937_64 Random{7};
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -34,11 +34,12 @@
 constexpr Duration StopMargin = milliseconds(500);
 // Requests that are still open this long before the process ends are answered.
 constexpr Duration FinalAnswerTime = milliseconds(150);
-// Share of the platform's retry allowance that the fleet plans to use. The rest
-// is for repeats that nodes do not know of: calls of a class that was not
-// recognized yet, and for the time in which parts of the fleet do not see each
-// other and divide the constant part by a smaller number.
-constexpr double RetryAllowanceShare = 0.4;
+// Shares of the platform's retry allowance that the fleet plans to use. If the
+// calls of repeated runs are not recognized, they add as much again as the
+// ratio. Nodes that do not know all members, since these join or parts of the
+// fleet do not see each other, divide the constant by a smaller number.
+constexpr double RetryRatioShare = 0.5;
+constexpr double RetryExtraShare = 0.3;
 // Each change of an entry ends the watch of every node, so nodes batch changes.
 // The planning node acts on entries and batches for a short time. The nodes
 // that would plan after it must notice soon that it is gone. The others learn
@@ -81,16 +82,15 @@
             .ColdOverage = this->Options.ColdOverage,
             .ColdSlack = this->Options.ColdSlack,
             .EvacuationTime = this->Options.EvacuationTime}),
-      Entry({.Node = this->Options.Node,
-             .Process = this->Options.Process,
-             .Budget = {.Ratio = this->Options.RetryRatio * RetryAllowanceShare,
-                        .FleetExtra =
-                            this->Options.RetryExtra * RetryAllowanceShare,
-                        .Window = this->Options.RetryWindow}},
-            this->Directory,
-            [this](std::string_view Service, std::int32_t Key) {
-              return this->Keys.ownerOf(Service, Key);
-            }) {
+      Entry(
+          {.Node = this->Options.Node,
+           .Process = this->Options.Process,
+           .Budget = {.Ratio = this->Options.RetryRatio * RetryRatioShare,
+                      .FleetExtra = this->Options.RetryExtra * RetryExtraShare,
+                      .Window = this->Options.RetryWindow}},
+          this->Directory, [this](std::string_view Service, std::int32_t Key) {
+            return this->Keys.ownerOf(Service, Key);
+          }) {
   this->Directory.setNode(
       this->Options.Node, this->Options.Place,
       static_cast<std::uint64_t>(this->Options.LinkBytesPerSecond));
