Fill in the sections and the memory limit of the settings in the review cases

The harness of review/ has no value for limits.memoryMb and does not know the optional sections that deploy/settings.yaml.tmpl has by now, so that its cases started no node, although docs/PROOFS.md rests on them.

--- a/review/harness/fleet.cc
+++ b/review/harness/fleet.cc
@@ -102,7 +102,8 @@
   return {std::istreambuf_iterator<char>(File), {}};
 }
 
-// Fills in the placeholders of a settings template.
+// Fills in the placeholders of a settings template. A section from {{#NAME}} to
+// {{/NAME}} is left out if NAME has no value; {{.}} stands for its value.
 std::string renderTemplate(const std::string &Text,
                            const std::map<std::string, std::string> &Values) {
   std::string Result;
@@ -113,6 +114,22 @@
       return Result + Text.substr(Position);
     std::size_t Close = Text.find("}}", Open);
     std::string Name = Text.substr(Open + 2, Close - Open - 2);
+    if (Name.starts_with('#')) {
+      Name.erase(0, 1);
+      std::string End = "{{/" + Name + "}}";
+      std::size_t Begin = Close + 2;
+      std::size_t SectionEnd = Text.find(End, Begin);
+      if (SectionEnd == std::string::npos)
+        throw std::runtime_error("no end of section {{#" + Name + "}}");
+      Result += Text.substr(Position, Open - Position);
+      if (auto Value = Values.find(Name); Value != Values.end()) {
+        std::map<std::string, std::string> Inner = Values;
+        Inner["."] = Value->second;
+        Result += renderTemplate(Text.substr(Begin, SectionEnd - Begin), Inner);
+      }
+      Position = SectionEnd + End.size();
+      continue;
+    }
     auto Found = Values.find(Name);
     if (Found == Values.end())
       throw std::runtime_error("no value for {{" + Name + "}}");
@@ -677,7 +694,8 @@
       {"bounds.retryBudgetRatio", "0.2"},
       {"bounds.budgetExtraAttempts", "62"},
       {"bounds.budgetWindowS", "10"},
-      {"limits.linkMbps", "1000.0"}};
+      {"limits.linkMbps", "1000.0"},
+      {"limits.memoryMb", "260"}};
   std::ofstream(this->SettingsFile)
       << renderTemplate(readWholeFile("deploy/settings.yaml.tmpl"), Values);
 }
