--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -137,6 +137,7 @@
                  Pending.TriedNodes.back());
     break;
   case Outcome::NotOwner:
+    // With this status the target itself refused the request, not its node.
     if (Result.Answer.Status == MisdirectedRequest) {
       this->noteReachedTarget(Pending, Now);
       if (!this->tryConsumeRetry(Pending, RetryReason::KeyMoved, Now))
--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -102,9 +102,8 @@
   // No complete answer was received; the request may have run.
   Lost,
   // Not sent to the target: it is a repeat, and its calls would exceed the
-  // retry
-  // budget of another service. Earlier releases never get this, as they do not
-  // state that a request is a repeat.
+  // retry budget of another service. Earlier releases never get this, as they
+  // do not state that a request is a repeat.
   CallsOverBudget,
 };
 
--- a/orioledoor/routing/retry_budget.h
+++ b/orioledoor/routing/retry_budget.h
@@ -25,10 +25,10 @@
   Duration Window = std::chrono::seconds(10);
 };
 
-// Counts over a sliding window. In any window a node takes at most Ratio times
-// the requests of this window, which begins at most one window earlier, plus
-// its part of FleetExtra; nothing is saved beyond it. The sum over all nodes
-// has the same form, whatever the size of the fleet and wherever requests
+// Counts over a sliding window: the repeats that a node takes in the window
+// before any moment are at most Ratio times the requests in that window, plus
+// its part of FleetExtra. Nothing is saved for later windows. The sum over all
+// nodes has the same form, whatever the size of the fleet and wherever requests
 // enter. Not thread-safe. All operations take constant time.
 class RetryBudget {
 public:
--- a/orioledoor/routing/retry_budget_test.cc
+++ b/orioledoor/routing/retry_budget_test.cc
@@ -1,7 +1,6 @@
 // Tests of the retry budget of a fleet: the sum of what its nodes repeat.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <memory>
 #include <string>
 
 #include "orioledoor/routing/testing/entry_fixture.h"
@@ -10,7 +9,6 @@
 namespace orioledoor::routing {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::NearNode;
 using testing::RetryFleet;
