Log and count why requests fail that a target may have run

REQUEST_FAILED had at="" for most requests.

Change: REQUEST_FAILED names the node, the cause and whether the process stops; oriole_entry_failed_total{cause} and oriole_entry_failed_while_stopping_total count them. PEER_CONNECTION_LOST states the unacknowledged messages and the silence before it; counters for both kinds of undelivered messages.

No decision changes.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -206,7 +206,8 @@
                             Effects &Out) {
   if (Pending.Deadline - Now < MinAttemptTime) {
     if (Pending.MayHaveRun)
-      this->fail(Pending, 504, "no time is left for another try", Now, Out);
+      this->fail(Pending, 504, FailureCause::Deadline,
+                 "no time is left for another try", Now, Out);
     else
       this->refuse(Pending, "no time is left", DefaultRetryAfter, Now, Out);
     return;
@@ -265,7 +266,8 @@
     if (Pending.LastAnswer)
       this->finish(Pending.Request.Caller, std::move(*Pending.LastAnswer), Out);
     else if (Pending.MayHaveRun)
-      this->fail(Pending, 502, "no other target is left", Now, Out);
+      this->fail(Pending, 502, FailureCause::NoRetry, "no other target is left",
+                 Now, Out);
     else if (Pending.Busy) {
       this->noteRefusedByTargets(Pending, Now);
       this->refuseForRoom(Pending, "no target has room", Pending.RetryAfter,
@@ -395,7 +397,8 @@
       Pending.MayHaveRun |= !Pending.BodyWithheld;
     }
     if (Pending.MayHaveRun)
-      this->fail(Pending, 504, "no answer in time", Now, Out);
+      this->fail(Pending, 504, FailureCause::Deadline, "no answer in time", Now,
+                 Out);
     else
       this->refuse(Pending, "no time is left", DefaultRetryAfter, Now, Out);
   }
@@ -438,7 +441,7 @@
                           Duration RetryAfter, Instant Now, Effects &Out) {
   // Status 503 would promise that no target has run the request.
   if (Pending.MayHaveRun) {
-    this->fail(Pending, 502, Reason, Now, Out);
+    this->fail(Pending, 502, FailureCause::NoRetry, Reason, Now, Out);
     return;
   }
   Out.push_back(
@@ -456,14 +459,21 @@
 }
 
 void EntryReducer::fail(PendingRequest &Pending, int Status,
-                        std::string_view Reason, Instant Now, Effects &Out) {
+                        FailureCause Cause, std::string_view Reason,
+                        Instant Now, Effects &Out) {
+  bool IsStopping = this->LatestDeadline.has_value();
+  ++this->Failures[static_cast<std::size_t>(Cause)];
+  this->FailuresWhileStopping += IsStopping ? 1 : 0;
   Out.push_back(
       LogRecord{&events::RequestFailed,
                 {{"request", Pending.Request.AttemptId},
                  {"service", Pending.Service},
                  {"status", std::to_string(Status)},
+                 {"cause", std::string(failureCauseName(Cause))},
                  {"why", std::string(Reason)},
-                 {"at", Pending.ForwardedTo},
+                 {"at", Pending.TriedNodes.empty() ? std::string()
+                                                   : Pending.TriedNodes.back()},
+                 {"stopping", IsStopping ? "yes" : "no"},
                  {"caller_service", Pending.Request.CallerService},
                  {"sends", std::to_string(Pending.TargetAttempts)},
                  {"took_ms", millis(Now - Pending.Request.FirstByteAt)}}});
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -12,6 +12,7 @@
 #ifndef ORIOLEDOOR_ROUTING_ENTRY_H
 #define ORIOLEDOOR_ROUTING_ENTRY_H
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -28,6 +29,7 @@
 #include "orioledoor/routing/adaptive_throttle.h"
 #include "orioledoor/routing/answer_sizes.h"
 #include "orioledoor/routing/effect.h"
+#include "orioledoor/routing/failure_cause.h"
 #include "orioledoor/routing/hot_key_limit.h"
 #include "orioledoor/routing/refused_requests.h"
 #include "orioledoor/routing/retry_budgets.h"
@@ -156,6 +158,14 @@
   // Number of requests that were refused because no target, or not the owner of
   // their key, is at a place that they may use.
   std::uint64_t placementRefusals() const { return this->PlacementRefusals; }
+  // Number of requests that failed here although a target may have run them.
+  std::uint64_t failures(FailureCause Cause) const {
+    return this->Failures[static_cast<std::size_t>(Cause)];
+  }
+  // Number of those that failed after limitDeadlines().
+  std::uint64_t failuresWhileStopping() const {
+    return this->FailuresWhileStopping;
+  }
 
 private:
   struct PendingRequest {
@@ -272,8 +282,8 @@
   double inheritedRepeatShare(const PendingRequest &Pending, Instant Now) const;
   void handleNotRun(PendingRequest &Pending, const ForwardResult &Result,
                     Instant Now, Effects &Out);
-  void handleLost(PendingRequest &Pending, std::string_view Detail, Instant Now,
-                  Effects &Out);
+  void handleLost(PendingRequest &Pending, FailureCause Cause,
+                  std::string_view Detail, Instant Now, Effects &Out);
   void handleAnswer(PendingRequest &Pending, ForwardResult Result, Instant Now,
                     Effects &Out);
   void finish(std::uint64_t Caller, HttpAnswer Answer, Effects &Out);
@@ -281,8 +291,8 @@
   void refuse(PendingRequest &Pending, std::string_view Reason,
               Duration RetryAfter, Instant Now, Effects &Out);
   // Answers 502 or 504: the request may have run.
-  void fail(PendingRequest &Pending, int Status, std::string_view Reason,
-            Instant Now, Effects &Out);
+  void fail(PendingRequest &Pending, int Status, FailureCause Cause,
+            std::string_view Reason, Instant Now, Effects &Out);
   // Returns null for requests with keys.
   ServiceRoom *roomOf(const PendingRequest &Pending);
   // Refuses a new request if its service is short of room and its turn is not
@@ -320,6 +330,9 @@
   RefusedRequests Refused;
   HotKeyLimit HotKeys;
   std::uint64_t ThrottledRequests = 0;
+  // By cause.
+  std::array<std::uint64_t, FailureCauseCount> Failures{};
+  std::uint64_t FailuresWhileStopping = 0;
   std::uint64_t EarlyRepeats = 0;
   ServiceShares Shares;
   // Seeded with the process id, so that nodes throttle different requests.
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -54,7 +54,7 @@
     this->handleAnswer(Pending, std::move(Result), Now, Out);
     return;
   case Outcome::Lost:
-    this->handleLost(Pending, Result.Detail, Now, Out);
+    this->handleLost(Pending, FailureCause::Stated, Result.Detail, Now, Out);
     return;
   default:
     this->handleNotRun(Pending, Result, Now, Out);
@@ -174,7 +174,8 @@
     return;
   }
   if (Pending.MayHaveRun && !Pending.MatchedRoute->Idempotent) {
-    this->fail(Pending, 502, "an earlier try may have run", Now, Out);
+    this->fail(Pending, 502, FailureCause::NoRetry,
+               "an earlier try may have run", Now, Out);
     return;
   }
   if (Pending.Busy) {
@@ -189,8 +190,9 @@
                Now, Out);
 }
 
-void EntryReducer::handleLost(PendingRequest &Pending, std::string_view Detail,
-                              Instant Now, Effects &Out) {
+void EntryReducer::handleLost(PendingRequest &Pending, FailureCause Cause,
+                              std::string_view Detail, Instant Now,
+                              Effects &Out) {
   this->noteReachedTarget(Pending, Now);
   Pending.MayHaveRun = true;
   if (Pending.MatchedRoute->Idempotent &&
@@ -204,7 +206,7 @@
     this->dispatch(Pending, Now, Out);
     return;
   }
-  this->fail(Pending, 502, Detail, Now, Out);
+  this->fail(Pending, 502, Cause, Detail, Now, Out);
 }
 
 void EntryReducer::handleFetchBody(const std::string &Node,
@@ -294,7 +296,8 @@
     // keeps waiting for its result while the node is a member.
     if (Pending.MatchedRoute->Idempotent || Pending.NodeRemoved) {
       this->closeForward(Pending);
-      this->handleLost(Pending, "the target's node is unreachable", Now, Out);
+      this->handleLost(Pending, FailureCause::Unreachable,
+                       "the target's node is unreachable", Now, Out);
     }
     return;
   }
@@ -355,8 +358,8 @@
     if (!Pending.MatchedRoute->Idempotent)
       continue;
     this->withdraw(Pending, Out);
-    this->handleLost(Pending, "the connection to the target's node broke", Now,
-                     Out);
+    this->handleLost(Pending, FailureCause::Unreachable,
+                     "the connection to the target's node broke", Now, Out);
   }
 }
 
--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -138,6 +138,17 @@
       .set(Reducer.entry().hotKeyRefusals());
   Metrics.counter("oriole_entry_placement_refused_total")
       .set(Reducer.entry().placementRefusals());
+  for (std::size_t Cause = 0; Cause < routing::FailureCauseCount; ++Cause)
+    Metrics
+        .counter("oriole_entry_failed_total",
+                 "cause=\"" +
+                     std::string(routing::failureCauseName(
+                         static_cast<routing::FailureCause>(Cause))) +
+                     "\"")
+        .set(Reducer.entry().failures(
+            static_cast<routing::FailureCause>(Cause)));
+  Metrics.counter("oriole_entry_failed_while_stopping_total")
+      .set(Reducer.entry().failuresWhileStopping());
   Metrics.gauge("oriole_evacuated_domains")
       .set(static_cast<double>(Reducer.evacuatedDomains().size()));
   Metrics.gauge("oriole_nodes")
@@ -156,6 +167,10 @@
       .set(Outbound.abandonedRequests());
   Metrics.counter("oriole_peer_connections_lost_total")
       .set(Peers.ConnectionsLost);
+  Metrics.counter("oriole_peer_unacknowledged_frames_total")
+      .set(Peers.FramesUnacknowledged);
+  Metrics.counter("oriole_peer_frames_not_sent_total")
+      .set(Peers.FramesNotSent);
   Metrics.counter("oriole_peer_header_bytes_total").set(Peers.HeaderBytesOut);
   Metrics.counter("oriole_peer_batches_total").set(Peers.BatchesOut);
   Metrics.counter("oriole_target_connections_total")
--- a/orioledoor/wire/internal/peer.h
+++ b/orioledoor/wire/internal/peer.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <numeric>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +29,7 @@
 struct SentBatch {
   std::uint32_t Sequence = 0;
   std::size_t Bytes = 0;
+  std::size_t Frames = 0;
 };
 
 // Lowest throughput expected of a live peer. The smallest VMs have links of 10
@@ -77,13 +80,21 @@
   std::uint32_t PreviousReceivedEpoch = 0;
   std::uint32_t ReceivedPipeId = 0;
 
-  // Records that the next batch was passed to nng.
-  void recordSentBatch(std::size_t Bytes) {
+  // Records that the next batch, with this many frames, was passed to nng.
+  void recordSentBatch(std::size_t Bytes, std::size_t Frames) {
     ++this->LastSentSequence;
-    this->InFlight.push_back({this->LastSentSequence, Bytes});
+    this->InFlight.push_back({this->LastSentSequence, Bytes, Frames});
     this->BytesInFlight += Bytes;
   }
 
+  // Returns the number of frames that the peer has not acknowledged. Linear in
+  // the number of unacknowledged batches.
+  std::size_t framesInFlight() const {
+    return std::transform_reduce(
+        this->InFlight.begin(), this->InFlight.end(), std::size_t{0},
+        std::plus<>(), [](const SentBatch &Batch) { return Batch.Frames; });
+  }
+
   // Records that the peer has received all batches up to AckSequence.
   void recordAcknowledgment(std::uint32_t AckSequence, Instant Now) {
     // A ping is delivered after the batches sent before it, so an
--- a/orioledoor/wire/peer_supervision_test.cc
+++ b/orioledoor/wire/peer_supervision_test.cc
@@ -70,7 +70,7 @@
     Peer Remote;
     Remote.resetForNewConnection(1, this->Now);
     for (int I = 0; I < Batches; ++I)
-      Remote.recordSentBatch(Bytes);
+      Remote.recordSentBatch(Bytes, 1);
     Remote.LastSequenceWithFrames = Remote.PingSequence =
         Remote.LastSentSequence;
     Remote.PingSentAt = Remote.UnackedSince = this->Now;
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -205,7 +205,7 @@
       Remote.Batch.clear();
       return;
     }
-    Remote.recordSentBatch(Remote.Batch.size());
+    Remote.recordSentBatch(Remote.Batch.size(), Remote.Frames.size());
     if (!Remote.Frames.empty()) {
       if (Remote.AckedSequence >= Remote.LastSequenceWithFrames)
         Remote.UnackedSince = Now;
@@ -278,12 +278,18 @@
   }
 
   void dropConnection(Peer &Remote, std::string_view Reason) {
+    std::size_t Unacknowledged = Remote.framesInFlight();
+    Duration Silence = readClock() - Remote.LastReceivedAt;
     this->closeSocket(Remote);
     this->rejectQueuedFrames(Remote);
     Remote.PendingAnswers = 0;
     ++this->Counters.ConnectionsLost;
+    this->Counters.FramesUnacknowledged += Unacknowledged;
     this->log(PeerConnectionLost,
-              {{"peer", Remote.Address}, {"reason", std::string(Reason)}});
+              {{"peer", Remote.Address},
+               {"reason", std::string(Reason)},
+               {"unacknowledged", std::to_string(Unacknowledged)},
+               {"silent_ms", std::to_string(Silence.count() / 1000)}});
     this->Callbacks.OnConnectionLost(Remote.Address);
   }
 
--- a/orioledoor/wire/peer_transport.h
+++ b/orioledoor/wire/peer_transport.h
@@ -62,6 +62,9 @@
   std::uint64_t HeaderBytesIn = 0;
   std::uint64_t Pings = 0;
   std::uint64_t ConnectionsLost = 0;
+  // Frames on lost connections that their recipients had not acknowledged.
+  // Those may have been delivered or not.
+  std::uint64_t FramesUnacknowledged = 0;
   std::uint64_t FramesNotSent = 0;
   // Received batches that were dropped.
   std::uint64_t UnknownVersions = 0;
