Soak connections between nodes that fall silent, break or stand still

Cause: the soak connects nodes directly, so a connection between two nodes only ever ended with a process.

A request that ran must not be cut off, and an answer that a target gave must reach the caller within 2 s.

--- a/orioledoor/catalogue/parse_sidecar_settings.cc
+++ b/orioledoor/catalogue/parse_sidecar_settings.cc
@@ -43,7 +43,7 @@
        "target",         "service",     "store",          "drain_ms",
        "stop_grace_s",   "max_hold_ms", "retry_ratio",    "retry_extra",
        "retry_window_s", "link_mbps",   "memory_mb",      "log_level",
-       "cold_overage",   "cold_slack",  "evacuation_ms"});
+       "cold_overage",   "cold_slack",  "evacuation_ms",  "peer_listen"});
   SidecarSettings Result;
   Result.NodeName = internal::readText(Fields.require("node_name"));
   Result.Region = internal::readText(Fields.require("region"));
@@ -55,16 +55,19 @@
        {"metrics", &Result.Metrics},
        {"peer", &Result.Peer}}};
   std::vector<std::string> UsedAddresses;
-  for (const auto &[Field, Destination] : Listeners) {
-    YamlValue Value = Fields.require(Field);
-    *Destination = internal::readEndpoint(Value);
-    std::string Address =
-        Destination->Host + ":" + std::to_string(Destination->Port);
+  auto ReadListener = [&UsedAddresses](const YamlValue &Value) {
+    Endpoint Read = internal::readEndpoint(Value);
+    std::string Address = Read.Host + ":" + std::to_string(Read.Port);
     if (std::ranges::find(UsedAddresses, Address) != UsedAddresses.end())
       Value.fail("address of another listener",
                  "a different port for each listener");
     UsedAddresses.push_back(Address);
-  }
+    return Read;
+  };
+  for (const auto &[Field, Destination] : Listeners)
+    *Destination = ReadListener(Fields.require(Field));
+  auto PeerListen = Fields.find("peer_listen");
+  Result.PeerListen = PeerListen ? ReadListener(*PeerListen) : Result.Peer;
   Result.Target = internal::readEndpoint(Fields.require("target"));
   Result.Service = internal::readText(Fields.require("service"));
   Result.Store = internal::readEndpoint(Fields.require("store"));
--- a/orioledoor/catalogue/parse_sidecar_settings_test.cc
+++ b/orioledoor/catalogue/parse_sidecar_settings_test.cc
@@ -35,6 +35,11 @@
     CPPUNIT_ASSERT(Parsed->StopGrace == std::chrono::seconds(6));
     CPPUNIT_ASSERT(Parsed->RetryExtra == 62);
     CPPUNIT_ASSERT(Parsed->MemoryMb == 260);
+    CPPUNIT_ASSERT(Parsed->PeerListen == Parsed->Peer);
+    auto Relayed = parseSidecarSettings(Text + "  peer_listen: 127.0.0.1:7\n",
+                                        "sidecar.yaml");
+    CPPUNIT_ASSERT(Relayed.ok() && Relayed->Peer == Parsed->Peer);
+    CPPUNIT_ASSERT(Relayed->PeerListen == (Endpoint{"127.0.0.1", 7}));
     CPPUNIT_ASSERT(
         !isSidecarDocument(readFile("examples/licence-desk/settings.yaml")));
   }
@@ -50,6 +55,7 @@
         {"retry_ratio: 0.2", "retry_ratio: -1"},
         {"memory_mb: 260", "memory_mb: 0"},
         {"  retry_extra", "  retry_extras"},
+        {"  retry_extra", "  peer_listen: \"10.1.0.8:7620\"\n  retry_extra"},
         {"region: \"cantabrico\"", "region: \"\""}};
     for (const auto &[From, To] : InvalidEdits) {
       std::string Text = Valid;
--- a/orioledoor/catalogue/settings.h
+++ b/orioledoor/catalogue/settings.h
@@ -13,6 +13,8 @@
 struct Endpoint {
   std::string Host;
   std::uint16_t Port = 0;
+
+  friend bool operator==(const Endpoint &, const Endpoint &) = default;
 };
 
 struct Settings {
--- a/orioledoor/catalogue/sidecar_settings.h
+++ b/orioledoor/catalogue/sidecar_settings.h
@@ -27,8 +27,10 @@
   Endpoint Ready;
   // Listener that serves the metrics under /metrics.
   Endpoint Metrics;
-  // Listener for other nodes (nng over TCP).
+  // Address under which other nodes reach this one (nng over TCP).
   Endpoint Peer;
+  // Listener for other nodes; Peer unless a relay stands in front of it.
+  Endpoint PeerListen;
   // The address of the target.
   Endpoint Target;
   // The name that the platform uses for the target's service.
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -377,7 +377,9 @@
 
   absl::Status listen() {
     auto Opened = wire::PeerTransport::open(
-        this->Base, {.Address = peerAddress(this->Settings.Peer)},
+        this->Base,
+        {.Address = peerAddress(this->Settings.Peer),
+         .ListenAddress = peerAddress(this->Settings.PeerListen)},
         {.OnFrame =
              [this](std::string_view From, wire::Channel,
                     std::string_view Payload) {
--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -37,8 +37,9 @@
 constexpr Duration StartTimeout = seconds(20);
 // Time after the last fault within which the fleet must recover.
 constexpr Duration RecoveryTimeout = seconds(15);
-// Duration of the load whose results are checked after the recovery.
-constexpr Duration CheckDuration = seconds(3);
+// Number of requests whose results are checked after the recovery; each key is
+// requested at least twice.
+constexpr int CheckedRequests = 450;
 // Share of the requests that must be served after the recovery.
 constexpr double MinServedShare = 0.95;
 // One fault can cause many violations of the same kind; the first ones show the
@@ -47,23 +48,43 @@
 
 struct SoakOptions {
   soak::SoakFleetOptions Fleet;
+  soak::SoakLoadOptions Load;
   double Seconds = 20;
   bool PlannedStops = false;
   bool ServiceChanges = false;
+  bool PeerLinks = false;
 
   soak::SoakFaultKinds kinds() const {
     return this->PlannedStops     ? soak::SoakFaultKinds::PlannedStops
            : this->ServiceChanges ? soak::SoakFaultKinds::ServiceChanges
+           : this->PeerLinks      ? soak::SoakFaultKinds::PeerLinks
                                   : soak::SoakFaultKinds::All;
   }
 };
 
+// Adapts the fleet and the load to the kinds of faults.
+void applyKinds(SoakOptions &Options) {
+  Options.Load.Seed = Options.Fleet.Seed;
+  Options.Load.ChecksLost = Options.PlannedStops || Options.PeerLinks;
+  // More requests are open at the moment of a stop.
+  if (Options.Load.ChecksLost)
+    Options.Fleet.RequestsPerLongRequest = 3;
+  if (!Options.PeerLinks)
+    return;
+  // A request is still open when the second of two connections is lost, and has
+  // time for its result to be sent again. 8 ms are the way to another region.
+  Options.Fleet.PeerDelay = milliseconds(8);
+  Options.Fleet.LongRunTime = milliseconds(1000);
+  Options.Fleet.RouteTimeout = seconds(6);
+  Options.Load.RequestTimeout = milliseconds(5000);
+  Options.Load.RequestsPerStep = 1;
+}
+
 class Soak {
 public:
   explicit Soak(const SoakOptions &Options)
       : Options(Options), Fleet(this->Events, this->Checker, Options.Fleet),
-        Load(this->Fleet, this->Checker, Options.Fleet.Seed,
-             Options.PlannedStops),
+        Load(this->Fleet, this->Checker, Options.Load),
         ConfigProbe(this->Fleet, this->Checker),
         Faults(this->Events, this->Fleet, Options.Fleet.Seed, Options.kinds()) {
   }
@@ -113,9 +134,12 @@
     this->Events.runUntil([] { return false; }, RecoveryTimeout);
     this->Fleet.clearFaults();
     this->Load.resetCounts();
-    this->Events.runUntil([] { return false; }, CheckDuration);
+    this->Events.runUntil(
+        [] { return false; },
+        StepInterval * (CheckedRequests / this->Options.Load.RequestsPerStep));
     this->Load.stop();
-    this->Events.runUntil([this] { return this->Load.idle(); }, seconds(4));
+    this->Events.runUntil([this] { return this->Load.idle(); },
+                          this->Options.Load.RequestTimeout + seconds(3));
     const soak::SoakCounts &RecoveryCounts = this->Load.counts();
     double ServedShare = static_cast<double>(RecoveryCounts.Served) /
                          static_cast<double>(std::max<std::uint64_t>(
@@ -184,14 +208,16 @@
       "service-changes", po::bool_switch(&Options.ServiceChanges),
       "only VMs that change their service, beside crashes of targets and "
       "faults "
-      "of the store")("port", po::value(&Options.Fleet.FirstPort),
-                      "first port; each node uses 8");
+      "of the store")("peer-links", po::bool_switch(&Options.PeerLinks),
+                      "stops of several nodes at once, while connections "
+                      "between nodes fall silent, break or stand still; no "
+                      "request may be cut off")(
+      "port", po::value(&Options.Fleet.FirstPort),
+      "first port; each node uses 9");
   if (auto Status =
           standins::parseCommandLine("fault_soak", Description, Argc, Argv))
     return *Status;
-  // More requests are open at the moment of a stop.
-  if (Options.PlannedStops)
-    Options.Fleet.RequestsPerLongRequest = 3;
+  applyKinds(Options);
   std::signal(SIGPIPE, SIG_IGN);
   std::filesystem::create_directories(Options.Fleet.Directory);
   return Soak(Options).run();
--- a/orioledoor/soak/soak_checker.cc
+++ b/orioledoor/soak/soak_checker.cc
@@ -23,6 +23,9 @@
 // The platform's bound on requests that reach a target after their callers have
 // left.
 constexpr Duration MaxArrivalAfterDeparture = std::chrono::milliseconds(500);
+// Time within which an answer reaches its caller after a loss on its way, as a
+// key must be served again.
+constexpr Duration DeliveryTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -85,6 +88,17 @@
     this->addViolation("LOST", Attempt + " was cut off while it ran", Now);
 }
 
+void SoakChecker::recordTimedOut(const std::string &Attempt, Instant Now) {
+  auto Found = this->AnsweredAt.find(Attempt);
+  if (Found != this->AnsweredAt.end() && Now - Found->second > DeliveryTime)
+    this->addViolation(
+        "LOST",
+        Attempt + " was answered by its target " +
+            std::to_string((Now - Found->second).count() / 1000) +
+            " ms before its caller's time was over",
+        Now);
+}
+
 void SoakChecker::recordLimit(const std::string &Target,
                               std::optional<double> Limit, Instant Now) {
   this->LimitedTargets.erase(Target);
--- a/orioledoor/soak/soak_checker.h
+++ b/orioledoor/soak/soak_checker.h
@@ -58,12 +58,19 @@
   // may run more than once, and none may run after a rejection.
   void recordStart(const std::string &Target, const std::string &Attempt,
                    bool MayRepeat, Instant Now);
+  // Records that a target has answered a request.
+  void recordEnd(const std::string &Attempt, Instant Now) {
+    this->AnsweredAt[Attempt] = Now;
+  }
   // Records that a caller was told that its request has not run and will not
   // run.
   void recordRejection(const std::string &Attempt, Instant Now);
   // Records that a caller got no answer of a target, although no fault explains
   // it. A request that had begun to run was cut off.
   void recordUnanswered(const std::string &Attempt, Instant Now);
+  // Records that the time of a caller was over before it got an answer of a
+  // target. An answer that the target gave well before that was lost.
+  void recordTimedOut(const std::string &Attempt, Instant Now);
   // Checks the answer of a node to a request for the route Path, which exists
   // or not in the configuration that the node must have applied. 503 is
   // consistent with both.
@@ -131,6 +138,8 @@
   std::map<std::uint32_t, Instant> SharedSince;
   // The number of runs of each request, by attempt ID.
   std::unordered_map<std::string, std::uint32_t> RunCounts;
+  // When the first run of each request was answered.
+  std::unordered_map<std::string, Instant> AnsweredAt;
   std::set<std::string> Rejected;
   std::map<std::string, LimitedTarget> LimitedTargets;
   // By attempt ID.
--- a/orioledoor/soak/soak_faults.cc
+++ b/orioledoor/soak/soak_faults.cc
@@ -182,6 +182,22 @@
                  [Link, Disable = Fault.Disable] { Link->setFaults(Disable); });
 }
 
+void SoakFaults::injectPeerLinkFault(SoakNode &Node, Instant Now) {
+  // A silent connection never recovers; a held one may outlast the ping of the
+  // transport or not.
+  const std::array<FaultSetting, 3> Faults{
+      {{"silence_open", {{"silence_open", true}}, json::object()},
+       {"cut", {{"cut", true}}, {{"cut", false}}},
+       {"hold to", {{"hold", "to"}}, {{"hold", "none"}}}}};
+  const FaultSetting &Fault = Faults.at(this->Random() % Faults.size());
+  Duration Time = this->randomDuration(50, 1200);
+  this->recordFault(&Node, std::string("peer link ") + Fault.Name, Time, Now);
+  standins::RelayLink *Link = Node.PeerLink.get();
+  Link->setFaults(Fault.Enable);
+  this->runAfter(Time,
+                 [Link, Disable = Fault.Disable] { Link->setFaults(Disable); });
+}
+
 void SoakFaults::injectTargetFault(SoakNode &Node, Instant Now) {
   SoakTarget &Target = *Node.Target;
   if (!Target.isUp() || Target.isLeaving())
@@ -234,6 +250,17 @@
       return this->stopSeveralNodes(Now);
     }
   }
+  if (this->Kinds == SoakFaultKinds::PeerLinks) {
+    std::size_t Index = this->Random() % this->Fleet.size();
+    switch (this->Random() % 4) {
+    case 0:
+      return this->stopSeveralNodes(Now);
+    case 1:
+      return this->Fleet.writeConfiguration();
+    default:
+      return this->injectPeerLinkFault(this->Fleet.node(Index), Now);
+    }
+  }
   if (this->Kinds == SoakFaultKinds::ServiceChanges) {
     std::size_t Index = this->Random() % this->Fleet.size();
     switch (this->Random() % 4) {
--- a/orioledoor/soak/soak_faults.h
+++ b/orioledoor/soak/soak_faults.h
@@ -34,6 +34,10 @@
   // VMs that change their service beside crashes of targets and faults of the
   // store. Requests must bear the service of the settings.
   ServiceChanges,
+  // Planned stops of several nodes at once and changes of the configuration,
+  // while connections between nodes fall silent, break or stand still. No
+  // request may be cut off.
+  PeerLinks,
 };
 
 // Not thread-safe.
@@ -64,6 +68,9 @@
   void disturbStore(Instant Now);
   void startStoreFault(const FaultSetting &Fault, Duration Time, Instant Now);
   void injectLinkFault(SoakNode &Node, Instant Now);
+  // Lets the open connections of other nodes to Node fall silent or break, or
+  // holds what they carry.
+  void injectPeerLinkFault(SoakNode &Node, Instant Now);
   void injectTargetFault(SoakNode &Node, Instant Now);
   void injectStoreFault(Instant Now);
   // Runs Undo, which reverts a fault, after Time.
--- a/orioledoor/soak/soak_fleet.cc
+++ b/orioledoor/soak/soak_fleet.cc
@@ -21,7 +21,7 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t PortsPerNode = 8;
+constexpr std::uint16_t PortsPerNode = 9;
 // Delay before a process that exited because of a fault is restarted.
 constexpr Duration RestartDelay = milliseconds(500);
 
@@ -33,11 +33,11 @@
 }
 
 routing::Route makeRoute(const char *Prefix, const char *Service,
-                         bool Idempotent) {
+                         bool Idempotent, Duration Timeout) {
   routing::Route Route{.Name = Prefix, .Host = Host, .Prefix = Prefix};
   Route.Services = {{Service, 1}};
   Route.Idempotent = Idempotent;
-  Route.Timeout = milliseconds(1500);
+  Route.Timeout = Timeout;
   Route.TargetLatency = milliseconds(300);
   Route.Attempts = 2;
   return Route;
@@ -71,6 +71,7 @@
           .Partitioned = Keyed,
           .Node = {"127.0.0.1", static_cast<std::uint16_t>(BasePort + 1)},
           .RequestsPerLongRequest = this->Options.RequestsPerLongRequest,
+          .LongRunTime = this->Options.LongRunTime,
           .Seed = this->Options.Seed * 1000 + Index});
   // Relays use fixed ports, since a relay whose link was cut listens on its
   // port again, and the system must not assign the port to a connection
@@ -83,6 +84,11 @@
   Node->StoreLink = MakeRelay(5, this->Store.port());
   Node->TargetLink = MakeRelay(6, Node->Target->port());
   Node->CallerLink = MakeRelay(7, BasePort);
+  if (this->Options.PeerDelay > Duration(0)) {
+    Node->PeerLink = MakeRelay(8, static_cast<std::uint16_t>(BasePort + 4));
+    Node->PeerLink->setFaults(
+        {{"delay_ms", this->Options.PeerDelay / milliseconds(1)}});
+  }
   // The node reaches the target through the relay, so that is its address.
   Node->Target->setReportedAddress("127.0.0.1:" +
                                    std::to_string(Node->TargetLink->port()));
@@ -110,7 +116,9 @@
        << "\n  failure_domain: " << FailureDomain
        << "\n  outbound: " << FormatAddress(0)
        << "  control: " << FormatAddress(1) << "  ready: " << FormatAddress(2)
-       << "  metrics: " << FormatAddress(3) << "  peer: " << FormatAddress(4)
+       << "  metrics: " << FormatAddress(3)
+       << "  peer: " << FormatAddress(Node.PeerLink ? 8 : 4)
+       << (Node.PeerLink ? "  peer_listen: " + FormatAddress(4) : "")
        << "  target: " << FormatRelayAddress(*Node.TargetLink) << "  service: "
        << (Node.Target->isPartitioned() ? KeyedService : PlainService)
        << "\n  store: " << FormatRelayAddress(*Node.StoreLink)
@@ -124,13 +132,14 @@
   Table.Version = this->Versions.size();
   Table.Services[KeyedService] = {KeyedService, "/health", 100, true};
   Table.Services[PlainService] = {PlainService, "/health", 100, false};
-  Table.add(makeRoute("/keyed/", KeyedService, true));
-  Table.add(makeRoute("/read/", PlainService, true));
-  Table.add(makeRoute("/write/", PlainService, false));
+  Duration Timeout = this->Options.RouteTimeout;
+  Table.add(makeRoute("/keyed/", KeyedService, true, Timeout));
+  Table.add(makeRoute("/read/", PlainService, true, Timeout));
+  Table.add(makeRoute("/write/", PlainService, false, Timeout));
   for (std::uint64_t Age = 0; Age < std::min(VersionsKept, Table.Version);
        ++Age)
     Table.add(makeRoute(versionPrefix(Table.Version - Age).c_str(),
-                        PlainService, true));
+                        PlainService, true, Timeout));
   Table.finish();
   standins::StoreModel &Model = this->Store.model();
   Model.begin();
@@ -228,6 +237,8 @@
          {Each->StoreLink.get(), Each->TargetLink.get(),
           Each->CallerLink.get()})
       Link->setFaults(NoFaults);
+    if (Each->PeerLink)
+      Each->PeerLink->setFaults({{"cut", false}, {"hold", "none"}});
     Each->Process->signal(SIGCONT);
     if (!Each->Target->isUp())
       Each->Target->start();
--- a/orioledoor/soak/soak_fleet.h
+++ b/orioledoor/soak/soak_fleet.h
@@ -38,8 +38,13 @@
   std::uint16_t FirstPort = 27000;
   std::size_t Nodes = 6;
   std::uint64_t Seed = 1;
-  // One in this many requests runs for 300 ms.
+  // One in this many requests runs for LongRunTime.
   std::size_t RequestsPerLongRequest = 50;
+  Duration LongRunTime = std::chrono::milliseconds(300);
+  Duration RouteTimeout = std::chrono::milliseconds(1500);
+  // Nodes reach each other through relays with this delay in each direction; 0
+  // means that they are connected directly.
+  Duration PeerDelay{0};
 };
 
 // A node of the fleet with its target, relays and state.
@@ -50,6 +55,8 @@
   std::unique_ptr<standins::RelayLink> StoreLink;
   std::unique_ptr<standins::RelayLink> TargetLink;
   std::unique_ptr<standins::RelayLink> CallerLink;
+  // Carries what other nodes send to this one. Null if they do so directly.
+  std::unique_ptr<standins::RelayLink> PeerLink;
   std::unique_ptr<NodeProcess> Process;
   // Whether the process was told to exit or was killed by a fault.
   bool Stopping = false;
--- a/orioledoor/soak/soak_load.cc
+++ b/orioledoor/soak/soak_load.cc
@@ -14,9 +14,6 @@
 
 using std::chrono::milliseconds;
 
-// One step is 20 ms, so this is 150 requests per second.
-constexpr int RequestsPerStep = 3;
-constexpr milliseconds RequestTimeout(1200);
 // Share of the callers that leave, and the longest time until they do.
 constexpr int LeavePercent = 25;
 constexpr int MaxMillisUntilLeave = 600;
@@ -31,14 +28,18 @@
 
 } // namespace
 
-SoakLoad::SoakLoad(SoakFleet &Fleet, SoakChecker &Checker, std::uint64_t Seed,
-                   bool ChecksLost)
-    : Fleet(Fleet), Checker(Checker), Random(Seed), DepartureRandom(Seed + 1),
-      ChecksLost(ChecksLost), AttemptPrefix(Seed) {}
+SoakLoad::SoakLoad(SoakFleet &Fleet, SoakChecker &Checker,
+                   SoakLoadOptions Options)
+    : Fleet(Fleet), Checker(Checker), Random(Options.Seed),
+      DepartureRandom(Options.Seed + 1), Options(Options) {}
 
 void SoakLoad::checkLost(const PendingRequest &Request, Instant Now) {
-  if (this->ChecksLost && Now - Request.At < RequestTimeout * 7 / 10)
+  if (!this->Options.ChecksLost)
+    return;
+  if (Now - Request.At < this->Options.RequestTimeout * 7 / 10)
     this->Checker.recordUnanswered(Request.Attempt, Now);
+  else
+    this->Checker.recordTimedOut(Request.Attempt, Now);
 }
 
 void SoakLoad::resetCounts() {
@@ -65,12 +66,12 @@
 void SoakLoad::step(Instant Now) {
   this->letCallersLeave(Now);
   this->LastStepAt = Now;
-  for (int I = 0; I < RequestsPerStep && !this->Stopped; ++I)
+  for (int I = 0; I < this->Options.RequestsPerStep && !this->Stopped; ++I)
     this->send(Now);
 }
 
 void SoakLoad::send(Instant Now) {
-  PendingRequest Request{.Attempt = std::to_string(this->AttemptPrefix) + "-" +
+  PendingRequest Request{.Attempt = std::to_string(this->Options.Seed) + "-" +
                                     std::to_string(++this->LastAttempt),
                          .Node = this->Random() % this->Fleet.size(),
                          .At = Now};
@@ -78,7 +79,7 @@
                       .Method = "GET",
                       .Target = "/read/x",
                       .Host = Host,
-                      .Timeout = RequestTimeout + AnswerMargin};
+                      .Timeout = this->Options.RequestTimeout + AnswerMargin};
   std::string Body;
   switch (this->Random() % 4) {
   case 0:
@@ -100,8 +101,9 @@
   }
   Call.Body = Body;
   Call.Headers.push_back({platform::names::AttemptId, Request.Attempt});
-  Call.Headers.push_back({platform::names::DeadlineRemaining,
-                          std::to_string(RequestTimeout.count())});
+  Call.Headers.push_back(
+      {platform::names::DeadlineRemaining,
+       std::to_string(this->Options.RequestTimeout.count())});
   // The router replaces what callers send.
   Call.Headers.push_back({platform::names::CallerService, "forged"});
   const SoakNode &Node = this->Fleet.node(Request.Node);
@@ -120,7 +122,8 @@
   std::uniform_int_distribution Percent(0, 99);
   std::uniform_int_distribution Millis(0, MaxMillisUntilLeave);
   // Counted requests of a planned stop must not be cut, so their callers stay.
-  if (!this->ChecksLost && Percent(this->DepartureRandom) < LeavePercent)
+  if (!this->Options.ChecksLost &&
+      Percent(this->DepartureRandom) < LeavePercent)
     this->Departures.emplace(Now + milliseconds(Millis(this->DepartureRandom)),
                              Departure{.Call = Id,
                                        .Attempt = Request.Attempt,
--- a/orioledoor/soak/soak_load.h
+++ b/orioledoor/soak/soak_load.h
@@ -40,12 +40,20 @@
   std::uint64_t Left = 0;
 };
 
+struct SoakLoadOptions {
+  std::uint64_t Seed = 1;
+  // No fault explains that a request which runs gets no answer.
+  bool ChecksLost = false;
+  // Time that callers state and wait.
+  std::chrono::milliseconds RequestTimeout{1200};
+  // A step is 20 ms long.
+  int RequestsPerStep = 3;
+};
+
 // Not thread-safe.
 class SoakLoad {
 public:
-  // ChecksLost: no fault explains that a request which runs gets no answer.
-  SoakLoad(SoakFleet &Fleet, SoakChecker &Checker, std::uint64_t Seed,
-           bool ChecksLost);
+  SoakLoad(SoakFleet &Fleet, SoakChecker &Checker, SoakLoadOptions Options);
 
   // Sends the requests of one step. Call every 20 ms.
   void step(Instant Now);
@@ -85,8 +93,7 @@
   std::mt19937_64 Random;
   // Separate, so that the requests of a seed stay the same.
   std::mt19937_64 DepartureRandom;
-  bool ChecksLost;
-  std::uint64_t AttemptPrefix;
+  SoakLoadOptions Options;
   std::uint64_t LastAttempt = 0;
   std::uint64_t NextKey = 0;
   // Attempt IDs of the requests in flight.
--- a/orioledoor/soak/soak_target.cc
+++ b/orioledoor/soak/soak_target.cc
@@ -243,7 +243,7 @@
   // Most requests are short; some run longer than a handover takes.
   Duration RunTime = milliseconds(10 + this->Random() % 30);
   if (this->Random() % this->Options.RequestsPerLongRequest == 0)
-    RunTime = milliseconds(300);
+    RunTime = this->Options.LongRunTime;
   this->Events.after(
       RunTime, [this, Request, Attempt, Incarnation = this->IncarnationNumber] {
         if (Incarnation != this->IncarnationNumber)
@@ -252,6 +252,7 @@
         standins::HeaderList Headers = this->answerHeaders();
         Headers.push_back({platform::names::AttemptId, Attempt});
         Headers.push_back({platform::names::ServerSignature, this->identity()});
+        this->Checker.recordEnd(Attempt, readClock());
         Request->reply(200, Attempt, Headers);
       });
 }
--- a/orioledoor/soak/soak_target.h
+++ b/orioledoor/soak/soak_target.h
@@ -35,8 +35,9 @@
   Endpoint Node{};
   // Maximum number of requests that run concurrently.
   std::uint32_t Slots = 6;
-  // One in this many requests runs for 300 ms.
+  // One in this many requests runs for LongRunTime.
   std::size_t RequestsPerLongRequest = 50;
+  Duration LongRunTime = std::chrono::milliseconds(300);
   std::uint64_t Seed = 1;
 };
 
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -435,9 +435,12 @@
   }
 
   absl::Status listen() {
-    auto ListenError = [this](int Code) {
+    const std::string &Address = this->Options.ListenAddress.empty()
+                                     ? this->Options.Address
+                                     : this->Options.ListenAddress;
+    auto ListenError = [&Address](int Code) {
       return makeError(absl::StatusCode::kUnavailable, "listen for peers",
-                       this->Options.Address, nng_strerror(Code));
+                       Address, nng_strerror(Code));
     };
     nng_socket Socket;
     if (int Code = nng_pull0_open(&Socket))
@@ -445,8 +448,7 @@
     this->Inbound = Socket;
     nng_socket_set_int(Socket, NNG_OPT_RECVBUF, ReceiveBufferBatches);
     nng_socket_set_size(Socket, NNG_OPT_RECVMAXSZ, MaxBatchBytes);
-    if (int Code =
-            nng_listen(Socket, this->Options.Address.c_str(), nullptr, 0))
+    if (int Code = nng_listen(Socket, Address.c_str(), nullptr, 0))
       return ListenError(Code);
     int Descriptor = -1;
     if (int Code = nng_socket_get_int(Socket, NNG_OPT_RECVFD, &Descriptor))
--- a/orioledoor/wire/peer_transport.h
+++ b/orioledoor/wire/peer_transport.h
@@ -72,9 +72,10 @@
 };
 
 struct PeerTransportOptions {
-  // "tcp://IP:PORT". The transport listens on it, and peers send their frames
-  // to it.
+  // "tcp://IP:PORT". Peers send their frames to it.
   std::string Address;
+  // Address to listen on, if it is not Address itself.
+  std::string ListenAddress{};
   // Time without an acknowledgment or an expected answer after which a peer is
   // pinged.
   Duration PingAfter = std::chrono::milliseconds(250);
@@ -108,7 +109,7 @@
 // loop.
 class PeerTransport {
 public:
-  // Listens on Options.Address.
+  // Listens on Options.ListenAddress, or on Options.Address if that is empty.
   //
   // Errors: kUnavailable with the reason that nng gives.
   static absl::StatusOr<std::unique_ptr<PeerTransport>>
