Ask for results again when their connection was replaced

Cause: each direction between two nodes has a connection of its own. When that from the target's node is lost, the results in it are gone, and only that node learns of it. The entry node's own connection is whole, so it did not ask.

Change: the transport reports the first batch of a new connection from a peer; the entry node then asks for the state of its open requests there. The gate stays silent about a body that it has not asked for. Epochs start at a random number: the clock in steps of 10 ms gave a process that restarts at once the epochs of its predecessor, which the new test showed.

--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -133,6 +133,9 @@
   // The connection to Node broke. Requests that were forwarded there may be
   // lost.
   void handleConnectionLost(const std::string &Node, Instant Now, Effects &Out);
+  // Node sends over a new connection. Results and questions that it sent over
+  // an earlier one may be lost.
+  void handleNewConnection(const std::string &Node, Instant Now, Effects &Out);
   // Node is no longer a member. Its process may still run requests, since an
   // entry also vanishes when the store loses the renewals of its lease. Ends
   // those requests that Node can't be asked about.
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -363,6 +363,12 @@
   }
 }
 
+void EntryReducer::handleNewConnection(const std::string &Node, Instant Now,
+                                       Effects &Out) {
+  for (std::uint64_t Caller : this->callersAt(Node))
+    this->resume(Node, this->PendingRequests.at(Caller), Now, Out);
+}
+
 void EntryReducer::handleNodeRemoved(const std::string &Node, Instant Now,
                                      Effects &Out) {
   for (std::uint64_t Caller : this->callersAt(Node)) {
--- a/orioledoor/routing/entry_recovery_test.cc
+++ b/orioledoor/routing/entry_recovery_test.cc
@@ -18,6 +18,7 @@
 class EntryRecoveryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EntryRecoveryTest);
   CPPUNIT_TEST(resumesAfterConnectionLoss);
+  CPPUNIT_TEST(asksForLostResultsOverANewConnection);
   CPPUNIT_TEST(removedNodeThatLivesAnswers);
   CPPUNIT_TEST(removedNodeThatIsGoneEndsItsRequests);
   CPPUNIT_TEST(resumesAtTheNewProcessOfANode);
@@ -60,6 +61,25 @@
     CPPUNIT_ASSERT_EQUAL(502, F.status());
   }
 
+  // Guards against a result that is lost with the connection from the target's
+  // node, while the connection to that node is whole: nobody would ask for it,
+  // and the caller would wait until its time is over.
+  void asksForLostResultsOverANewConnection() {
+    for (const char *Path : {"/read/x", "/write/x", "/keyed/x"}) {
+      Fixture F;
+      F.sendRequest(1, Path, 5);
+      std::uint64_t Id = F.sent()->Id;
+      F.Out.clear();
+      F.Entry.handleNewConnection(FarNode, F.Now, F.Out);
+      CPPUNIT_ASSERT(F.Out.empty());
+      F.Entry.handleNewConnection(NearNode, F.Now, F.Out);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, F.Out.size());
+      const auto *Query = std::get_if<SendMessage>(&F.Out.at(0));
+      CPPUNIT_ASSERT(Query && Query->To == NearNode);
+      CPPUNIT_ASSERT_EQUAL(Id, std::get<ResumeForward>(Query->Body).Id);
+    }
+  }
+
   // Guards against a request that runs twice, and against an answer that goes
   // to the wrong caller: a VM that takes over the address of another one gets
   // the results of its requests, whose ids it uses again.
--- a/orioledoor/routing/target_gate_calls.cc
+++ b/orioledoor/routing/target_gate_calls.cc
@@ -468,9 +468,11 @@
   ForwardKey Key(Resumed.Process, Resumed.Id);
   if (auto Found = this->CallIdByForward.find(Key);
       Found != this->CallIdByForward.end()) {
-    // What the call waits for may have been lost with the connection.
-    if (this->Calls.at(Found->second).Fetching ||
-        this->Confirmations.contains(Found->second))
+    const ForwardedCall &Call = this->Calls.at(Found->second);
+    // What the call waits for may have been lost with the connection. A body
+    // that was not asked for yet cannot have been.
+    bool AwaitsBody = Call.Fetching && Call.FetchedAt != Instant();
+    if (AwaitsBody || this->Confirmations.contains(Found->second))
       this->finishCall(Found->second, {.Code = Outcome::NoTarget}, Now, Out);
     return;
   }
--- a/orioledoor/sidecar/event.h
+++ b/orioledoor/sidecar/event.h
@@ -43,6 +43,11 @@
 struct PeerConnectionLost {
   std::string Peer{};
 };
+// The peer sends over a new connection. Messages that it sent over an earlier
+// one may be lost.
+struct PeerReconnected {
+  std::string Peer{};
+};
 struct TargetAnswered {
   std::uint64_t Call = 0;
   routing::HttpAnswer Answer{};
@@ -99,10 +104,10 @@
 
 using Event = std::variant<
     Started, CallerRequestReceived, CallerDisconnected, PeerMessageReceived,
-    ForwardNotSent, CancelNotSent, PeerConnectionLost, TargetAnswered,
-    TargetFailed, TargetReportReceived, TargetDeregistered, ConfigReadReplied,
-    ConfigWatchUpdated, ConfigDecoded, StoreReplyReceived, StoreWatchUpdated,
-    SettingsChanged, StopRequested, TimerTicked>;
+    ForwardNotSent, CancelNotSent, PeerConnectionLost, PeerReconnected,
+    TargetAnswered, TargetFailed, TargetReportReceived, TargetDeregistered,
+    ConfigReadReplied, ConfigWatchUpdated, ConfigDecoded, StoreReplyReceived,
+    StoreWatchUpdated, SettingsChanged, StopRequested, TimerTicked>;
 
 } // namespace orioledoor::sidecar
 
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -316,6 +316,10 @@
   this->Entry.handleConnectionLost(Lost.Peer, Now, this->RoutingEffects);
 }
 
+void SidecarReducer::on(const PeerReconnected &Reconnected, Instant Now) {
+  this->Entry.handleNewConnection(Reconnected.Peer, Now, this->RoutingEffects);
+}
+
 void SidecarReducer::on(TargetAnswered Answered, Instant Now) {
   if (Answered.Signals)
     this->Gate.handleSignals(Answered.Call, *Answered.Signals, Now,
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -104,6 +104,7 @@
   void on(const ForwardNotSent &NotSent, Instant Now);
   void on(const CancelNotSent &NotSent, Instant Now);
   void on(PeerConnectionLost Lost, Instant Now);
+  void on(const PeerReconnected &Reconnected, Instant Now);
   void on(TargetAnswered Answered, Instant Now);
   void on(const TargetFailed &Failed, Instant Now);
   void on(TargetReportReceived Received, Instant Now);
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -396,6 +396,10 @@
              [this](std::string_view Peer) {
                this->dispatch(PeerConnectionLost{std::string(Peer)});
              },
+         .OnNewConnection =
+             [this](std::string_view Peer) {
+               this->dispatch(PeerReconnected{std::string(Peer)});
+             },
          .OnLog = [this](const LogRecord &Record) { this->write(Record); }});
     if (!Opened.ok())
       return Opened.status();
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <limits>
 #include <optional>
+#include <random>
 #include <ranges>
 #include <unordered_map>
 #include <utility>
@@ -65,11 +66,9 @@
   }
 };
 
-std::uint32_t initialEpoch() {
-  auto Ticks = std::chrono::system_clock::now().time_since_epoch() /
-               std::chrono::milliseconds(10);
-  return static_cast<std::uint32_t>(Ticks) | 1U;
-}
+// Returns a random epoch, so that a restarted process does not use those of its
+// predecessor, however soon it starts. Not 0, and far from the largest value.
+std::uint32_t initialEpoch() { return (std::random_device()() >> 1) | 1U; }
 
 } // namespace
 
@@ -317,9 +316,11 @@
     Remote->LastReceivedAt = readClock();
     Remote->LastUsedAt = Remote->LastReceivedAt;
     const BatchHeader &Header = Batch.Header;
+    bool IsNewConnection = Header.Epoch != Remote->ReceivedEpoch &&
+                           Header.Epoch != Remote->PreviousReceivedEpoch;
     if (Header.Epoch == Remote->ReceivedEpoch) {
       Remote->ReceivedSequence = Header.Sequence;
-    } else if (Header.Epoch != Remote->PreviousReceivedEpoch) {
+    } else if (IsNewConnection) {
       // The sender dialed a new connection. On this side its previous
       // connection may stay half-open forever.
       if (Remote->ReceivedPipeId != 0 && Remote->ReceivedPipeId != Pipe)
@@ -340,6 +341,8 @@
     }
     for (const FrameView &Frame : Batch.Frames)
       this->Callbacks.OnFrame(Batch.Sender, Frame.FrameChannel, Frame.Payload);
+    if (IsNewConnection && this->Callbacks.OnNewConnection)
+      this->Callbacks.OnNewConnection(Batch.Sender);
   }
 
   void countReceivedBatch(const BatchView &Batch, std::size_t Bytes) {
--- a/orioledoor/wire/peer_transport.h
+++ b/orioledoor/wire/peer_transport.h
@@ -102,6 +102,10 @@
   // Invoked when the connection to a peer is lost; frames passed to it may be
   // lost.
   std::function<void(std::string_view PeerAddress)> OnConnectionLost;
+  // Invoked after the frames of the first batch that arrives over a new
+  // connection from a peer. What the peer sent over an earlier one may be lost,
+  // of which only the peer is told by OnConnectionLost. Optional.
+  std::function<void(std::string_view PeerAddress)> OnNewConnection{};
   std::function<void(const LogRecord &Record)> OnLog;
 };
 
--- a/orioledoor/wire/peer_transport_test.cc
+++ b/orioledoor/wire/peer_transport_test.cc
@@ -23,6 +23,7 @@
   std::vector<std::string> Received;
   std::vector<std::uint64_t> NotSent;
   std::vector<std::string> Lost;
+  std::vector<std::string> NewConnections;
 
   void open(testing::Loop &Events, const char *Address) {
     auto Opened = PeerTransport::open(
@@ -36,6 +37,10 @@
                              FrameTag Tag) { this->NotSent.push_back(Tag.Id); },
          .OnConnectionLost =
              [this](std::string_view Peer) { this->Lost.emplace_back(Peer); },
+         .OnNewConnection =
+             [this](std::string_view Peer) {
+               this->NewConnections.emplace_back(Peer);
+             },
          .OnLog = {}});
     CPPUNIT_ASSERT(Opened.ok());
     this->Transport = *std::move(Opened);
@@ -48,6 +53,7 @@
   CPPUNIT_TEST(framesToUnreachablePeersAreNotSent);
   CPPUNIT_TEST(oversizedPayloadIsNotSent);
   CPPUNIT_TEST(restartedPeerIsReportedLostAndRedialed);
+  CPPUNIT_TEST(newConnectionFromAPeerIsReported);
   CPPUNIT_TEST(unresponsiveConnectionIsReportedLost);
   CPPUNIT_TEST(idlePeersAreNotPinged);
   CPPUNIT_TEST_SUITE_END();
@@ -119,6 +125,33 @@
         this->runUntil([this] { return this->B.Received.size() == 1; }));
   }
 
+  // Guards against frames that are lost without a sign to their recipient,
+  // whose own connection to the sender is not affected.
+  void newConnectionFromAPeerIsReported() {
+    // Both directions are connected after it, since the shutdown of nng may
+    // wait for a connection that is being established.
+    auto Exchange = [this] {
+      this->A.Transport->send(SecondAddress, Channel::Control, "request");
+      CPPUNIT_ASSERT(
+          this->runUntil([this] { return this->B.Received.size() == 1; }));
+      std::size_t Before = this->A.Received.size();
+      for (std::size_t Count : {Before + 1, Before + 2}) {
+        this->B.Transport->send(FirstAddress, Channel::Control, "result");
+        CPPUNIT_ASSERT(this->runUntil(
+            [this, Count] { return this->A.Received.size() == Count; }));
+      }
+    };
+    this->B.open(this->Events, SecondAddress);
+    Exchange();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->A.NewConnections.size());
+    this->B = {};
+    CPPUNIT_ASSERT(this->runUntil([this] { return this->A.Lost.size() == 1; }));
+    this->B.open(this->Events, SecondAddress);
+    Exchange();
+    CPPUNIT_ASSERT((this->A.NewConnections ==
+                    std::vector<std::string>{SecondAddress, SecondAddress}));
+  }
+
   // Guards against a connection that accepts data and never delivers it, which
   // looks healthy to TCP for many minutes. The listener completes the handshake
   // of nng and then reads nothing.
