Go on waiting for a run whose node can't be reached

"the connection to the target's node broke" and "the target did not run it" in the users' record are this.

Cause: when a connection was lost for the second time, or could not be opened within 300 ms, the entry node took a safe request for lost. It cancelled the run and tried another target, or answered 502 if the retry budget was used up, the other target had no room, or, with a key, there is no other target. A lost connection says nothing about the run. Requests that are not safe were kept, but nobody asked for their results again once the node could be reached.

Change: a try ends when a node states its outcome, when its time is over, or when its node is no longer a member and can't be reached. An entry node that can't ask tries again after 200 ms. A safe request without a key may start a second try, by the same budget; the first one stays open, and the first answer counts. The other try is cancelled then.

--- a/orioledoor/routing/entry.cc
+++ b/orioledoor/routing/entry.cc
@@ -263,7 +263,7 @@
   TargetChoice Choice = this->Directory.choose(Input, Now);
   this->logSpill(Pending, Choice, Out);
   if (!Choice.Node) {
-    if (Pending.LastAnswer)
+    if (Pending.LastAnswer && Pending.Unresolved.empty())
       this->finish(Pending.Request.Caller, std::move(*Pending.LastAnswer), Out);
     else if (Pending.MayHaveRun)
       this->fail(Pending, 502, FailureCause::NoRetry, "no other target is left",
@@ -300,23 +300,22 @@
 void EntryReducer::send(PendingRequest &Pending, const std::string &To,
                         bool LastChoice, Instant Now, Effects &Out,
                         Duration MaxUsefulWait) {
-  Pending.ForwardedTo = To;
-  Pending.ForwardId = this->NextForwardId++;
-  Pending.ResumeSent = false;
-  Pending.NodeRemoved = false;
-  Pending.SentAt = Now;
   const TargetView *View = this->Directory.find(To);
-  Pending.ReceiverProcess = View ? View->Status.Process : 0;
   std::size_t BodyBytes = Pending.Request.Content->Body.size();
-  Pending.BodyWithheld =
-      View && To != this->Options.Node && BodyBytes >= MinWithheldBytes &&
-      View->transferTime(BodyBytes) >= MinWithheldTransferTime;
+  bool Withheld = View && To != this->Options.Node &&
+                  BodyBytes >= MinWithheldBytes &&
+                  View->transferTime(BodyBytes) >= MinWithheldTransferTime;
+  Pending.Current = {.Node = To,
+                     .Id = this->NextForwardId++,
+                     .ReceiverProcess = View ? View->Status.Process : 0,
+                     .SentAt = Now,
+                     .BodyWithheld = Withheld};
   Pending.TriedNodes.push_back(To);
-  this->CallerByForward[Pending.ForwardId] = Pending.Request.Caller;
+  this->CallerByForward[Pending.Current.Id] = Pending.Request.Caller;
   this->Directory.noteSent(
       To, this->Sizes.meanOf(Pending.RequestClass, ExpectedAnswerBytes));
   Out.push_back(SendMessage{
-      To, Forward{.Id = Pending.ForwardId,
+      To, Forward{.Id = Pending.Current.Id,
                   .Process = this->Options.Process,
                   .Service = Pending.Service,
                   .AttemptId = Pending.Request.AttemptId,
@@ -331,7 +330,7 @@
                   .LastChoice = LastChoice,
                   .MaxUsefulWait = MaxUsefulWait,
                   .RequestClass = Pending.RequestClass,
-                  .WithheldBytes = Pending.BodyWithheld ? BodyBytes : 0,
+                  .WithheldBytes = Withheld ? BodyBytes : 0,
                   .RepeatPercent = Pending.TargetAttempts > 0
                                        ? SurelyRepeated
                                        : Pending.InheritedRepeatPercent,
@@ -339,12 +338,13 @@
                                    ? this->HotKeys.takeDemand(
                                          Pending.Service, Pending.Request.Key)
                                    : 1,
-                  .Content = Pending.BodyWithheld
-                                 ? withoutBody(*Pending.Request.Content)
-                                 : Pending.Request.Content}});
+                  .Content = Withheld ? withoutBody(*Pending.Request.Content)
+                                      : Pending.Request.Content}});
 }
 
 void EntryReducer::park(PendingRequest &Pending, Instant Now, Effects &Out) {
+  if (!Pending.Unresolved.empty())
+    return;
   Pending.NextOwnerLookup = Now + OwnerLookupInterval;
   if (Pending.ParkUntil == Instant()) {
     Pending.ParkUntil =
@@ -358,18 +358,18 @@
     this->refuse(Pending, "the key changes hands", NoOwnerRetryAfter, Now, Out);
 }
 
-void EntryReducer::closeForward(PendingRequest &Pending) {
-  if (Pending.ForwardedTo.empty())
+void EntryReducer::close(OpenForward &Sent) {
+  if (!Sent.isOpen())
     return;
-  this->Directory.noteEnded(Pending.ForwardedTo);
-  this->CallerByForward.erase(Pending.ForwardId);
-  Pending.ForwardedTo.clear();
+  this->Directory.noteEnded(Sent.Node);
+  this->CallerByForward.erase(Sent.Id);
+  Sent = {};
 }
 
 void EntryReducer::handleOwnersChanged(Instant Now, Effects &Out) {
   std::vector<std::uint64_t> Parked;
   for (const auto &[Caller, Pending] : this->PendingRequests)
-    if (Pending.ForwardedTo.empty())
+    if (isParked(Pending))
       Parked.push_back(Caller);
   std::ranges::sort(Parked);
   for (std::uint64_t Caller : Parked)
@@ -379,10 +379,12 @@
 void EntryReducer::tick(Instant Now, Effects &Out) {
   std::vector<std::uint64_t> Overdue;
   std::vector<std::uint64_t> Parked;
-  for (const auto &[Caller, Pending] : this->PendingRequests)
+  for (auto &[Caller, Pending] : this->PendingRequests)
     if (Now >= Pending.Deadline)
       Overdue.push_back(Caller);
-    else if (Pending.ForwardedTo.empty() && Now >= Pending.NextOwnerLookup)
+    else if (!isParked(Pending))
+      this->askAgain(Pending, Now, Out);
+    else if (Now >= Pending.NextOwnerLookup)
       Parked.push_back(Caller);
   std::ranges::sort(Overdue);
   std::ranges::sort(Parked);
@@ -390,12 +392,9 @@
   this->Budgets.logUse(Now, Out);
   for (std::uint64_t Caller : Overdue) {
     PendingRequest &Pending = this->PendingRequests.at(Caller);
-    if (!Pending.ForwardedTo.empty()) {
-      Out.push_back(
-          SendMessage{Pending.ForwardedTo,
-                      CancelForward{Pending.ForwardId, this->Options.Process}});
-      Pending.MayHaveRun |= !Pending.BodyWithheld;
-    }
+    Pending.MayHaveRun |=
+        Pending.Current.isOpen() && !Pending.Current.BodyWithheld;
+    this->withdraw(Pending, Out);
     if (Pending.MayHaveRun)
       this->fail(Pending, 504, FailureCause::Deadline, "no answer in time", Now,
                  Out);
@@ -421,7 +420,7 @@
   Out.push_back(
       LogRecord{&events::CallerLeft,
                 {{"request", Pending.Request.AttemptId},
-                 {"at", Pending.ForwardedTo},
+                 {"at", Pending.Current.Node},
                  {"after_ms", millis(Now - Pending.Request.FirstByteAt)}}});
   this->withdraw(Pending, Out);
   this->PendingRequests.erase(Found);
@@ -431,7 +430,7 @@
                           Effects &Out) {
   if (auto Found = this->PendingRequests.find(Caller);
       Found != this->PendingRequests.end()) {
-    this->closeForward(Found->second);
+    this->withdraw(Found->second, Out);
     this->PendingRequests.erase(Found);
   }
   Out.push_back(ReplyToCaller{Caller, std::move(Answer)});
@@ -458,9 +457,13 @@
                Out);
 }
 
-void EntryReducer::fail(PendingRequest &Pending, int Status,
-                        FailureCause Cause, std::string_view Reason,
-                        Instant Now, Effects &Out) {
+void EntryReducer::fail(PendingRequest &Pending, int Status, FailureCause Cause,
+                        std::string_view Reason, Instant Now, Effects &Out) {
+  // A target may still be at work for an earlier try.
+  if (!Pending.Unresolved.empty() && Now < Pending.Deadline) {
+    this->close(Pending.Current);
+    return;
+  }
   bool IsStopping = this->LatestDeadline.has_value();
   ++this->Failures[static_cast<std::size_t>(Cause)];
   this->FailuresWhileStopping += IsStopping ? 1 : 0;
--- a/orioledoor/routing/entry.h
+++ b/orioledoor/routing/entry.h
@@ -31,6 +31,7 @@
 #include "orioledoor/routing/effect.h"
 #include "orioledoor/routing/failure_cause.h"
 #include "orioledoor/routing/hot_key_limit.h"
+#include "orioledoor/routing/open_forward.h"
 #include "orioledoor/routing/refused_requests.h"
 #include "orioledoor/routing/retry_budgets.h"
 #include "orioledoor/routing/route_table.h"
@@ -190,18 +191,11 @@
     Instant Deadline;
     // An answer by this time meets the latency target of the route.
     Instant LatencyDeadline;
-    // Node that the open Forward was sent to; empty while parked.
-    std::string ForwardedTo;
-    std::uint64_t ForwardId = 0;
-    // Process id of the node that the Forward was sent to; 0 if unknown.
-    std::uint64_t ReceiverProcess = 0;
-    Instant SentAt;
-    // The body has not been sent to the node, so the request cannot have run.
-    bool BodyWithheld = false;
-    // A ResumeForward was sent to the node.
-    bool ResumeSent = false;
-    // The node has ceased to be a member since the Forward was sent.
-    bool NodeRemoved = false;
+    // The latest try; not open while parked.
+    OpenForward Current;
+    // Earlier tries whose nodes could not be reached. Their targets may still
+    // be at work, so they are given up only when a node states the outcome.
+    std::vector<OpenForward> Unresolved;
     std::vector<std::string> TriedNodes;
     // Number of targets that may have received the request.
     int TargetAttempts = 0;
@@ -259,22 +253,46 @@
             Instant Now, Effects &Out, Duration MaxUsefulWait = Duration(0));
   // Holds back a keyed request until its key has an owner again.
   void park(PendingRequest &Pending, Instant Now, Effects &Out);
-  // Asks Node for the state of a request.
-  void resume(const std::string &Node, PendingRequest &Pending, Instant Now,
-              Effects &Out);
+  // Returns the open try with this id, or null.
+  static OpenForward *findForward(PendingRequest &Pending, std::uint64_t Id);
+  // The open tries of a request at Node.
+  static std::vector<OpenForward *> forwardsAt(PendingRequest &Pending,
+                                               std::string_view Node);
+  // Returns whether the request has no open try.
+  static bool isParked(const PendingRequest &Pending) {
+    return !Pending.Current.isOpen() && Pending.Unresolved.empty();
+  }
+  // Asks the node for the state of a request.
+  void ask(OpenForward &Sent, Instant Now, Effects &Out) const;
+  // Asks again at nodes that could not be asked before.
+  void askAgain(PendingRequest &Pending, Instant Now, Effects &Out) const;
+  // The node of the current try can't be reached. Tries another target if the
+  // request may run more than once, and goes on waiting for the first one too.
+  void tryElsewhere(PendingRequest &Pending, std::string_view Why, Instant Now,
+                    Effects &Out);
+  // A node stated the outcome of an earlier try.
+  void handleEarlierResult(PendingRequest &Pending, ForwardResult Result,
+                           Instant Now, Effects &Out);
+  // An earlier try has certainly ended without an answer. Fails the request if
+  // it has no other try.
+  void dropUnresolved(PendingRequest &Pending, std::uint64_t Id,
+                      FailureCause Cause, std::string_view Why, Instant Now,
+                      Effects &Out);
   // Takes a request back whose body was not sent, so that it can go elsewhere.
   // Returns false if it was sent.
   bool withdrawWithheld(const std::string &Node, PendingRequest &Pending,
                         Instant Now, Effects &Out);
-  // Callers of the requests that are open at Node, in ascending order.
-  std::vector<std::uint64_t> callersAt(const std::string &Node) const;
-  // Cancels the open Forward of a request at its node, and closes it locally.
+  // Callers of the requests with an open try at Node, in ascending order.
+  std::vector<std::uint64_t> callersAt(const std::string &Node);
+  // Cancels the open tries of a request at their nodes, and closes them
+  // locally.
   void withdraw(PendingRequest &Pending, Effects &Out);
+  void withdraw(OpenForward &Sent, Instant Until, Effects &Out);
   void sendCancel(std::uint64_t ForwardId, Withdrawal &Cancelled, Effects &Out);
   // Sends the cancellations again that are due.
   void retryCancels(Instant Now, Effects &Out);
-  // Closes the open Forward of a request locally, without a result.
-  void closeForward(PendingRequest &Pending);
+  // Closes a try locally, without a result.
+  void close(OpenForward &Sent);
   // Returns whether another attempt is allowed, and takes it out of the budget.
   bool tryConsumeRetry(const PendingRequest &Pending, RetryReason Reason,
                        Instant Now);
@@ -289,11 +307,15 @@
                   std::string_view Detail, Instant Now, Effects &Out);
   void handleAnswer(PendingRequest &Pending, ForwardResult Result, Instant Now,
                     Effects &Out);
+  // Passes the answer of a target to the caller.
+  void answer(PendingRequest &Pending, ForwardResult Result, Instant Now,
+              Effects &Out);
   void finish(std::uint64_t Caller, HttpAnswer Answer, Effects &Out);
   // Answers 503: the request has not run.
   void refuse(PendingRequest &Pending, std::string_view Reason,
               Duration RetryAfter, Instant Now, Effects &Out);
-  // Answers 502 or 504: the request may have run.
+  // Answers 502 or 504: the request may have run. Goes on waiting instead while
+  // an earlier try is unresolved.
   void fail(PendingRequest &Pending, int Status, FailureCause Cause,
             std::string_view Reason, Instant Now, Effects &Out);
   // Returns null for requests with keys.
@@ -319,8 +341,7 @@
   std::uint64_t PlacementRefusals = 0;
   std::uint64_t NextForwardId = 1;
   std::unordered_map<std::uint64_t, PendingRequest> PendingRequests;
-  // Callers of all pending requests with an open Forward, by the id of the
-  // Forward.
+  // Callers of all pending requests with open tries, by the id of the Forward.
   std::unordered_map<std::uint64_t, std::uint64_t> CallerByForward;
   // By the id of the Forward, in the order in which they were sent.
   std::map<std::uint64_t, Withdrawal> Withdrawals;
--- a/orioledoor/routing/entry_outcomes.cc
+++ b/orioledoor/routing/entry_outcomes.cc
@@ -21,6 +21,10 @@
 // send buffer at once.
 constexpr Duration CancelRetryInterval = std::chrono::milliseconds(100);
 
+// Time until a node that could not be reached is asked again. An attempt to
+// connect takes up to 300 ms.
+constexpr Duration AskAgainInterval = std::chrono::milliseconds(200);
+
 // Time for which a class counts as calls of targets after a result that said
 // so. Nodes that have just started do not know the class yet.
 constexpr Duration CallClassLifetime = std::chrono::seconds(10);
@@ -41,14 +45,19 @@
   if (Found == this->CallerByForward.end() || IsOfEarlierProcess)
     return;
   PendingRequest &Pending = this->PendingRequests.at(Found->second);
-  if (Pending.ForwardedTo != From)
+  OpenForward *Sent = findForward(Pending, Result.Id);
+  if (!Sent || Sent->Node != From)
     return;
-  this->closeForward(Pending);
   if (Result.OfRunningWork)
     this->CallClasses[Pending.RequestClass] = {Pending.Service, Now};
   if (Pending.Partitioned)
     this->HotKeys.setShare(Pending.Service, Pending.Request.Key,
                            Result.KeyShare, Now);
+  if (Sent != &Pending.Current) {
+    this->handleEarlierResult(Pending, std::move(Result), Now, Out);
+    return;
+  }
+  this->close(Pending.Current);
   switch (Result.Code) {
   case Outcome::Answered:
     this->handleAnswer(Pending, std::move(Result), Now, Out);
@@ -104,6 +113,15 @@
     this->dispatch(Pending, Now, Out);
     return;
   }
+  if (isTargetFailure(Result.Answer.Status) && !Pending.Unresolved.empty()) {
+    Pending.LastAnswer = std::move(Result.Answer);
+    return;
+  }
+  this->answer(Pending, std::move(Result), Now, Out);
+}
+
+void EntryReducer::answer(PendingRequest &Pending, ForwardResult Result,
+                          Instant Now, Effects &Out) {
   Out.push_back(
       LogRecord{&events::RequestAnswered,
                 {{"request", Pending.Request.AttemptId},
@@ -169,7 +187,7 @@
     this->dispatch(Pending, Now, Out);
     return;
   }
-  if (Pending.LastAnswer) {
+  if (Pending.LastAnswer && Pending.Unresolved.empty()) {
     this->finish(Pending.Request.Caller, std::move(*Pending.LastAnswer), Out);
     return;
   }
@@ -217,7 +235,8 @@
       Fetch.Process != this->Options.Process)
     return;
   PendingRequest &Pending = this->PendingRequests.at(Found->second);
-  if (Pending.ForwardedTo != Node || !Pending.BodyWithheld)
+  OpenForward &Sent = Pending.Current;
+  if (Sent.Id != Fetch.Id || Sent.Node != Node || !Sent.BodyWithheld)
     return;
   // The configuration or the evacuations may have changed since the Forward.
   std::span<const std::string> Regions = this->allowedRegions(Pending);
@@ -228,8 +247,8 @@
     this->withdrawWithheld(Node, Pending, Now, Out);
     return;
   }
-  Pending.BodyWithheld = false;
-  Pending.SentAt = Now;
+  Sent.BodyWithheld = false;
+  Sent.SentAt = Now;
   Out.push_back(
       SendMessage{Node, ForwardBody{.Id = Fetch.Id,
                                     .Process = Fetch.Process,
@@ -237,13 +256,19 @@
 }
 
 void EntryReducer::withdraw(PendingRequest &Pending, Effects &Out) {
-  if (Pending.ForwardedTo.empty())
+  for (OpenForward &Sent : Pending.Unresolved)
+    this->withdraw(Sent, Pending.Deadline, Out);
+  Pending.Unresolved.clear();
+  this->withdraw(Pending.Current, Pending.Deadline, Out);
+}
+
+void EntryReducer::withdraw(OpenForward &Sent, Instant Until, Effects &Out) {
+  if (!Sent.isOpen())
     return;
-  Withdrawal &Added = this->Withdrawals[Pending.ForwardId];
-  Added = {
-      .Node = Pending.ForwardedTo, .Until = Pending.Deadline, .RetryAt = {}};
-  this->sendCancel(Pending.ForwardId, Added, Out);
-  this->closeForward(Pending);
+  Withdrawal &Added = this->Withdrawals[Sent.Id];
+  Added = {.Node = Sent.Node, .Until = Until, .RetryAt = {}};
+  this->sendCancel(Sent.Id, Added, Out);
+  this->close(Sent);
 }
 
 void EntryReducer::sendCancel(std::uint64_t ForwardId, Withdrawal &Cancelled,
@@ -291,50 +316,143 @@
   if (Found == this->CallerByForward.end())
     return;
   PendingRequest &Pending = this->PendingRequests.at(Found->second);
-  if (Pending.ResumeSent) {
-    // Whether the request runs is unknown. A request that is not idempotent
-    // keeps waiting for its result while the node is a member.
-    if (Pending.MatchedRoute->Idempotent || Pending.NodeRemoved) {
-      this->closeForward(Pending);
-      this->handleLost(Pending, FailureCause::Unreachable,
-                       "the target's node is unreachable", Now, Out);
-    }
+  OpenForward &Sent = *findForward(Pending, Id);
+  if (!Sent.Asked) {
+    this->close(Pending.Current);
+    Out.push_back(
+        LogRecord{&events::ForwardNotSent,
+                  {{"request", Pending.Request.AttemptId}, {"peer", Node}}});
+    this->handleNotRun(Pending, {.Code = Outcome::NoTarget}, Now, Out);
     return;
   }
-  this->closeForward(Pending);
-  Out.push_back(
-      LogRecord{&events::ForwardNotSent,
-                {{"request", Pending.Request.AttemptId}, {"peer", Node}}});
-  this->handleNotRun(Pending, {.Code = Outcome::NoTarget}, Now, Out);
+  // Whether the request runs is unknown.
+  constexpr std::string_view Why = "the target's node is unreachable";
+  if (!Sent.NodeRemoved) {
+    Sent.AskAgainAt = Now + AskAgainInterval;
+    if (&Sent == &Pending.Current)
+      this->tryElsewhere(Pending, Why, Now, Out);
+  } else if (&Sent == &Pending.Current) {
+    this->close(Sent);
+    this->handleLost(Pending, FailureCause::Unreachable, Why, Now, Out);
+  } else {
+    this->dropUnresolved(Pending, Id, FailureCause::Unreachable, Why, Now, Out);
+  }
 }
 
-void EntryReducer::resume(const std::string &Node, PendingRequest &Pending,
-                          Instant Now, Effects &Out) {
-  Pending.ResumeSent = true;
+OpenForward *EntryReducer::findForward(PendingRequest &Pending,
+                                       std::uint64_t Id) {
+  if (Pending.Current.isOpen() && Pending.Current.Id == Id)
+    return &Pending.Current;
+  auto Found = std::ranges::find(Pending.Unresolved, Id, &OpenForward::Id);
+  return Found == Pending.Unresolved.end() ? nullptr : &*Found;
+}
+
+std::vector<OpenForward *> EntryReducer::forwardsAt(PendingRequest &Pending,
+                                                    std::string_view Node) {
+  std::vector<OpenForward *> Found;
+  for (OpenForward &Sent : Pending.Unresolved)
+    if (Sent.Node == Node)
+      Found.push_back(&Sent);
+  if (Pending.Current.Node == Node)
+    Found.push_back(&Pending.Current);
+  return Found;
+}
+
+void EntryReducer::ask(OpenForward &Sent, Instant Now, Effects &Out) const {
+  Sent.Asked = true;
+  Sent.AskAgainAt.reset();
   Out.push_back(SendMessage{
-      Node, ResumeForward{.Id = Pending.ForwardId,
-                          .Process = this->Options.Process,
-                          .ReceiverProcess = Pending.ReceiverProcess,
-                          .SentAgo = Now - Pending.SentAt}});
+      Sent.Node, ResumeForward{.Id = Sent.Id,
+                               .Process = this->Options.Process,
+                               .ReceiverProcess = Sent.ReceiverProcess,
+                               .SentAgo = Now - Sent.SentAt}});
+}
+
+void EntryReducer::askAgain(PendingRequest &Pending, Instant Now,
+                            Effects &Out) const {
+  auto AskIfDue = [&](OpenForward &Sent) {
+    if (Sent.AskAgainAt && Now >= *Sent.AskAgainAt)
+      this->ask(Sent, Now, Out);
+  };
+  std::ranges::for_each(Pending.Unresolved, AskIfDue);
+  AskIfDue(Pending.Current);
+}
+
+void EntryReducer::tryElsewhere(PendingRequest &Pending, std::string_view Why,
+                                Instant Now, Effects &Out) {
+  // Only the owner of a key can serve it.
+  bool HasChoice =
+      !Pending.Partitioned ||
+      this->LookUpOwner(Pending.Service, Pending.Request.Key).Node !=
+          Pending.Current.Node;
+  // The current try counts as the first attempt from now on.
+  bool HasAttempts =
+      Pending.TargetAttempts + 1 < Pending.MatchedRoute->Attempts;
+  if (!Pending.MatchedRoute->Idempotent || !HasChoice || !HasAttempts ||
+      Pending.Deadline - Now < MinAttemptTime ||
+      !this->Budgets.take(Pending.Service, RetryReason::Lost, Now))
+    return;
+  this->noteReachedTarget(Pending, Now);
+  Pending.MayHaveRun = true;
+  Pending.Unresolved.push_back(std::exchange(Pending.Current, {}));
+  Out.push_back(LogRecord{&events::RequestRetried,
+                          {{"request", Pending.Request.AttemptId},
+                           {"service", Pending.Service},
+                           {"why", std::string(Why)},
+                           {"sends", std::to_string(Pending.TargetAttempts)},
+                           {"left_ms", millis(Pending.Deadline - Now)}}});
+  this->dispatch(Pending, Now, Out);
+}
+
+void EntryReducer::handleEarlierResult(PendingRequest &Pending,
+                                       ForwardResult Result, Instant Now,
+                                       Effects &Out) {
+  bool IsAnswer = Result.Code == Outcome::Answered;
+  if (IsAnswer && !isTargetFailure(Result.Answer.Status)) {
+    this->close(*findForward(Pending, Result.Id));
+    std::erase_if(Pending.Unresolved,
+                  [](const OpenForward &Sent) { return !Sent.isOpen(); });
+    this->withdraw(Pending, Out);
+    this->answer(Pending, std::move(Result), Now, Out);
+    return;
+  }
+  if (IsAnswer)
+    Pending.LastAnswer = std::move(Result.Answer);
+  this->dropUnresolved(Pending, Result.Id, FailureCause::Stated, Result.Detail,
+                       Now, Out);
+}
+
+void EntryReducer::dropUnresolved(PendingRequest &Pending, std::uint64_t Id,
+                                  FailureCause Cause, std::string_view Why,
+                                  Instant Now, Effects &Out) {
+  this->close(*findForward(Pending, Id));
+  std::erase_if(Pending.Unresolved,
+                [](const OpenForward &Sent) { return !Sent.isOpen(); });
+  if (!isParked(Pending))
+    return;
+  if (Pending.LastAnswer)
+    this->finish(Pending.Request.Caller, std::move(*Pending.LastAnswer), Out);
+  else
+    this->fail(Pending, 502, Cause, Why, Now, Out);
 }
 
 bool EntryReducer::withdrawWithheld(const std::string &Node,
                                     PendingRequest &Pending, Instant Now,
                                     Effects &Out) {
-  if (!Pending.BodyWithheld)
+  OpenForward &Sent = Pending.Current;
+  if (Sent.Node != Node || !Sent.BodyWithheld)
     return false;
-  Out.push_back(SendMessage{
-      Node, CancelForward{Pending.ForwardId, this->Options.Process}});
-  this->closeForward(Pending);
+  Out.push_back(
+      SendMessage{Node, CancelForward{Sent.Id, this->Options.Process}});
+  this->close(Sent);
   this->handleNotRun(Pending, {.Code = Outcome::NoTarget}, Now, Out);
   return true;
 }
 
-std::vector<std::uint64_t>
-EntryReducer::callersAt(const std::string &Node) const {
+std::vector<std::uint64_t> EntryReducer::callersAt(const std::string &Node) {
   std::vector<std::uint64_t> Callers;
-  for (const auto &[Caller, Pending] : this->PendingRequests)
-    if (Pending.ForwardedTo == Node)
+  for (auto &[Caller, Pending] : this->PendingRequests)
+    if (!forwardsAt(Pending, Node).empty())
       Callers.push_back(Caller);
   std::ranges::sort(Callers);
   return Callers;
@@ -349,24 +467,20 @@
     PendingRequest &Pending = this->PendingRequests.at(Caller);
     if (this->withdrawWithheld(Node, Pending, Now, Out))
       continue;
-    if (!Pending.ResumeSent || Pending.NodeRemoved) {
-      this->resume(Node, Pending, Now, Out);
-      continue;
-    }
-    // The result of a request that is not idempotent may still arrive over a
-    // new connection.
-    if (!Pending.MatchedRoute->Idempotent)
-      continue;
-    this->withdraw(Pending, Out);
-    this->handleLost(Pending, FailureCause::Unreachable,
-                     "the connection to the target's node broke", Now, Out);
+    bool LostBefore = Pending.Current.Node == Node && Pending.Current.Asked;
+    for (OpenForward *Sent : forwardsAt(Pending, Node))
+      this->ask(*Sent, Now, Out);
+    if (LostBefore)
+      this->tryElsewhere(Pending, "the connection to the target's node broke",
+                         Now, Out);
   }
 }
 
 void EntryReducer::handleNewConnection(const std::string &Node, Instant Now,
                                        Effects &Out) {
   for (std::uint64_t Caller : this->callersAt(Node))
-    this->resume(Node, this->PendingRequests.at(Caller), Now, Out);
+    for (OpenForward *Sent : forwardsAt(this->PendingRequests.at(Caller), Node))
+      this->ask(*Sent, Now, Out);
 }
 
 void EntryReducer::handleNodeRemoved(const std::string &Node, Instant Now,
@@ -375,18 +489,20 @@
     PendingRequest &Pending = this->PendingRequests.at(Caller);
     if (this->withdrawWithheld(Node, Pending, Now, Out))
       continue;
-    Pending.NodeRemoved = true;
-    this->resume(Node, Pending, Now, Out);
+    for (OpenForward *Sent : forwardsAt(Pending, Node)) {
+      Sent->NodeRemoved = true;
+      this->ask(*Sent, Now, Out);
+    }
   }
 }
 
 void EntryReducer::handleNodeReplaced(const std::string &Node, Instant Now,
                                       Effects &Out) {
-  // A ResumeForward to the earlier process may have been lost; send it again to
-  // the new one.
-  for (auto &[Caller, Pending] : this->PendingRequests)
-    if (Pending.ForwardedTo == Node)
-      Pending.ResumeSent = false;
+  // A question to the earlier process may have been lost, and its connections
+  // do not count as lost for the new one.
+  for (std::uint64_t Caller : this->callersAt(Node))
+    for (OpenForward *Sent : forwardsAt(this->PendingRequests.at(Caller), Node))
+      Sent->Asked = false;
   this->handleConnectionLost(Node, Now, Out);
 }
 
--- a/orioledoor/routing/entry_recovery_test.cc
+++ b/orioledoor/routing/entry_recovery_test.cc
@@ -19,6 +19,9 @@
   CPPUNIT_TEST_SUITE(EntryRecoveryTest);
   CPPUNIT_TEST(resumesAfterConnectionLoss);
   CPPUNIT_TEST(asksForLostResultsOverANewConnection);
+  CPPUNIT_TEST(neverGivesUpARunThatMayGoOn);
+  CPPUNIT_TEST(takesTheAnswerOfEitherTry);
+  CPPUNIT_TEST(asksAgainUntilTheNodeIsReached);
   CPPUNIT_TEST(removedNodeThatLivesAnswers);
   CPPUNIT_TEST(removedNodeThatIsGoneEndsItsRequests);
   CPPUNIT_TEST(resumesAtTheNewProcessOfANode);
@@ -80,6 +83,93 @@
     }
   }
 
+  // Guards against a run that is cut off, and a caller that gets 502, although
+  // the target is at work: its node is alive and could not be reached for a
+  // moment. There is no other target for the key, or no retry is left.
+  void neverGivesUpARunThatMayGoOn() {
+    for (const char *Path : {"/keyed/x", "/read/x"}) {
+      Fixture F;
+      for (std::uint64_t Caller = 10; Caller < 13; ++Caller) {
+        F.sendRequest(Caller, "/read/x");
+        F.receiveResult(NearNode, Outcome::Lost);
+      }
+      F.sendRequest(1, Path, 5);
+      std::uint64_t Id = F.sent()->Id;
+      F.Out.clear();
+      F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
+      F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
+      F.Entry.handleSendFailure(NearNode, Id, F.Now, F.Out);
+      CPPUNIT_ASSERT(!F.reply() && !F.sent());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
+      F.Out.clear();
+      F.Entry.handleResult(NearNode, {.Id = Id, .Answer = {200, {}, "whole"}},
+                           F.Now, F.Out);
+      CPPUNIT_ASSERT_EQUAL(200, F.status());
+    }
+  }
+
+  // Guards against a first try that is cut off when a second one starts, so
+  // that the request fails if the second target has no room; and against a
+  // first target that works on although the second one has answered.
+  void takesTheAnswerOfEitherTry() {
+    for (bool FirstAnswers : {true, false}) {
+      Fixture F;
+      F.sendRequest(1, "/read/x");
+      std::uint64_t First = F.sent()->Id;
+      F.Out.clear();
+      F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
+      F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
+      std::string To;
+      CPPUNIT_ASSERT(F.sent(&To));
+      CPPUNIT_ASSERT_EQUAL(std::string(FarNode), To);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, F.cancelled());
+      F.receiveResult(FarNode, FirstAnswers ? Outcome::Busy : Outcome::Answered,
+                      200);
+      if (FirstAnswers) {
+        CPPUNIT_ASSERT(!F.reply());
+        F.Entry.handleResult(NearNode,
+                             {.Id = First, .Answer = {200, {}, "whole"}}, F.Now,
+                             F.Out);
+      } else {
+        CPPUNIT_ASSERT_EQUAL(First, F.cancelled());
+      }
+      CPPUNIT_ASSERT_EQUAL(200, F.status());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, F.Entry.openRequests());
+    }
+    // Neither try has an answer.
+    Fixture F;
+    F.sendRequest(1, "/read/x");
+    std::uint64_t First = F.sent()->Id;
+    F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
+    F.Out.clear();
+    F.Entry.handleSendFailure(NearNode, First, F.Now, F.Out);
+    F.receiveResult(FarNode, Outcome::Lost);
+    CPPUNIT_ASSERT(!F.reply());
+    F.Entry.handleResult(NearNode, {.Id = First, .Code = Outcome::Lost}, F.Now,
+                         F.Out);
+    CPPUNIT_ASSERT_EQUAL(502, F.status());
+  }
+
+  // Guards against a result that nobody asks for, since the node could not be
+  // reached when the connection was lost.
+  void asksAgainUntilTheNodeIsReached() {
+    for (const char *Path : {"/write/x", "/keyed/x"}) {
+      Fixture F;
+      F.sendRequest(1, Path, 5);
+      std::uint64_t Id = F.sent()->Id;
+      F.Entry.handleConnectionLost(NearNode, F.Now, F.Out);
+      for (int Failure = 0; Failure < 3; ++Failure) {
+        F.Entry.handleSendFailure(NearNode, Id, F.Now, F.Out);
+        F.advance(milliseconds(180));
+        CPPUNIT_ASSERT(F.Out.empty());
+        F.advance(milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, F.Out.size());
+        CPPUNIT_ASSERT(std::holds_alternative<ResumeForward>(
+            std::get<SendMessage>(F.Out.at(0)).Body));
+      }
+    }
+  }
+
   // Guards against a request that runs twice, and against an answer that goes
   // to the wrong caller: a VM that takes over the address of another one gets
   // the results of its requests, whose ids it uses again.
