Notice a silent connection while the peer goes on sending

Cause: each batch repeats the last acknowledgment. The sender took each repetition for a sign that its own connection is alive. A connection that was silent in one direction was therefore not pinged as long as the peer sent something every 250 ms.

Change: only progress counts. Answers that are due are still expected after a connection was lost, so that silence on the next one is noticed too.

--- a/orioledoor/wire/internal/peer.h
+++ b/orioledoor/wire/internal/peer.h
@@ -107,7 +107,10 @@
       this->InFlight.pop_front();
     }
     this->AckedSequence = AckSequence;
-    this->UnackedSince = Now;
+    // The peer repeats its last acknowledgment in each batch that it sends,
+    // also if it receives nothing.
+    if (MadeProgress)
+      this->UnackedSince = Now;
     if (!this->PingSentAt)
       return;
     if (AckSequence >= this->PingSequence)
--- a/orioledoor/wire/peer_supervision_test.cc
+++ b/orioledoor/wire/peer_supervision_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(unansweredPingTimesOut);
   CPPUNIT_TEST(bytesInFlightExtendThePingTimeout);
   CPPUNIT_TEST(acknowledgmentRestartsThePingTimeout);
+  CPPUNIT_TEST(repeatedAcknowledgmentsDoNotDelayThePing);
   CPPUNIT_TEST(newConnectionHasNothingInFlight);
   CPPUNIT_TEST_SUITE_END();
 
@@ -55,6 +56,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Remote.BytesInFlight);
   }
 
+  // Guards against a connection that is silent in one direction and is not
+  // noticed while the peer goes on sending in the other one.
+  void repeatedAcknowledgmentsDoNotDelayThePing() {
+    Peer Remote = this->makePingedPeer(100, 2);
+    Remote.PingSentAt.reset();
+    Remote.recordAcknowledgment(1, this->Now);
+    for (int Millis = 50; Millis < 250; Millis += 50)
+      Remote.recordAcknowledgment(1, this->Now + milliseconds(Millis));
+    CPPUNIT_ASSERT(
+        !Remote.isOverdue(this->Now + milliseconds(240), milliseconds(250)));
+    CPPUNIT_ASSERT(
+        Remote.isOverdue(this->Now + milliseconds(250), milliseconds(250)));
+  }
+
   void newConnectionHasNothingInFlight() {
     Peer Remote = this->makePingedPeer(60'000);
     Remote.PingSentAt.reset();
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -281,7 +281,6 @@
     Duration Silence = readClock() - Remote.LastReceivedAt;
     this->closeSocket(Remote);
     this->rejectQueuedFrames(Remote);
-    Remote.PendingAnswers = 0;
     ++this->Counters.ConnectionsLost;
     this->Counters.FramesUnacknowledged += Unacknowledged;
     this->log(PeerConnectionLost,
