Exit only when other nodes have the last results

Cause: a stopping node exited 0.4 s after its last result was handed to the transport. A result that is lost with a connection is noticed after 0.55 s and asked for then, when nobody has it any more.

Change: the transport counts the frames that are not acknowledged. A stopping node exits when there are none for 0.4 s, 0.5 s before its grace ends at the latest. SIDECAR_STOPPED states their number.

--- a/orioledoor/sidecar/event.h
+++ b/orioledoor/sidecar/event.h
@@ -100,6 +100,8 @@
   // Number of callers to whom parts of answers are still to be sent; only
   // stated while the process stops.
   std::size_t UnsentAnswers = 0;
+  // Number of messages that other nodes have not acknowledged; as above.
+  std::size_t UndeliveredMessages = 0;
 };
 
 using Event = std::variant<
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -26,8 +26,8 @@
 // Another node of the failure domain accepts the caller immediately.
 constexpr Duration StoppedRetryAfter = milliseconds(100);
 // A stopping process keeps running for this long after its last answer, so that
-// answers leave its buffers and requests that were sent before the caller
-// learned of the stop are answered.
+// requests that were sent before the caller learned of the stop are answered,
+// and other nodes ask for results that were lost with a connection.
 constexpr Duration ShutdownQuietTime = milliseconds(400);
 // The process ends at the latest this long before the stop grace period is
 // over.
@@ -421,7 +421,7 @@
                  {"gate_open", std::to_string(this->Gate.openRequests())}}});
 }
 
-void SidecarReducer::advanceShutdown(std::size_t UnsentAnswers, Instant Now) {
+void SidecarReducer::advanceShutdown(const TimerTicked &Ticked, Instant Now) {
   if (this->StopRequestedAt == Instant() || this->ExitRequested)
     return;
   Duration SinceStop = Now - this->StopRequestedAt;
@@ -433,19 +433,21 @@
   }
   if (SinceStop >= this->Options.StopGrace - StopMargin - FinalAnswerTime)
     this->Gate.flushAnswers(Now, this->RoutingEffects);
-  bool Idle =
-      this->Entry.openRequests() == 0 && this->Gate.openRequests() == 0 &&
-      this->Gate.answerLink().committedBytes(Now) == 0 && UnsentAnswers == 0;
+  bool Idle = this->Entry.openRequests() == 0 &&
+              this->Gate.openRequests() == 0 &&
+              this->Gate.answerLink().committedBytes(Now) == 0 &&
+              Ticked.UnsentAnswers == 0 && Ticked.UndeliveredMessages == 0;
   if (!Idle || !this->AcceptStopped)
     this->LastBusyAt = Now;
   if (Now - this->LastBusyAt >= ShutdownQuietTime ||
       SinceStop >= this->Options.StopGrace - StopMargin) {
     this->ExitRequested = true;
-    this->Out.push_back(
-        LogRecord{&events::SidecarStopped,
-                  {{"entry_open", std::to_string(this->Entry.openRequests())},
-                   {"gate_open", std::to_string(this->Gate.openRequests())},
-                   {"unsent", std::to_string(UnsentAnswers)}}});
+    this->Out.push_back(LogRecord{
+        &events::SidecarStopped,
+        {{"entry_open", std::to_string(this->Entry.openRequests())},
+         {"gate_open", std::to_string(this->Gate.openRequests())},
+         {"unsent", std::to_string(Ticked.UnsentAnswers)},
+         {"undelivered", std::to_string(Ticked.UndeliveredMessages)}}});
     this->Out.push_back(Exit{});
   }
 }
@@ -486,7 +488,7 @@
   this->reportUnknownPlaces(Now);
   this->publishStatus(Now);
   this->Keys.tick(this->Entry.table(), Now, this->Out);
-  this->advanceShutdown(Ticked.UnsentAnswers, Now);
+  this->advanceShutdown(Ticked, Now);
 }
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -171,8 +171,7 @@
   void updateEndedTarget(Instant Now);
   // Answers the deferred report if there is no reason to wait any longer.
   void answerDeferredReport(Instant Now);
-  // UnsentAnswers: see TimerTicked.
-  void advanceShutdown(std::size_t UnsentAnswers, Instant Now);
+  void advanceShutdown(const TimerTicked &Ticked, Instant Now);
   void updateWatches();
   // Handles the era of an answer of the store before the answer itself. Returns
   // whether the answer counts.
--- a/orioledoor/sidecar/reducer_stop_test.cc
+++ b/orioledoor/sidecar/reducer_stop_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST_SUITE(ReducerStopTest);
   CPPUNIT_TEST(answersOpenRequestsBeforeItExits);
   CPPUNIT_TEST(sendsWholeAnswersBeforeItExits);
+  CPPUNIT_TEST(waitsUntilItsResultsAreDelivered);
   CPPUNIT_TEST(sendsAnswersThatWaitForTheLink);
   CPPUNIT_TEST(answersLastingRequestsBeforeTheGraceEnds);
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
@@ -48,18 +49,8 @@
     ReducerFixture Sidecar;
     Sidecar.joinFleet();
     Sidecar.dispatch(StopRequested{});
-    auto ExitsWithin = [&Sidecar](Duration Time, std::size_t UnsentAnswers) {
-      Instant End = Sidecar.Now + Time;
-      bool Exits = false;
-      while (Sidecar.Now < End) {
-        Sidecar.Now = Sidecar.Now + milliseconds(20);
-        Sidecar.dispatch(TimerTicked{UnsentAnswers});
-        Exits |= Sidecar.find<Exit>() != nullptr;
-      }
-      return Exits;
-    };
-    CPPUNIT_ASSERT(!ExitsWithin(milliseconds(5000), 1));
-    CPPUNIT_ASSERT(ExitsWithin(milliseconds(460), 0));
+    CPPUNIT_ASSERT(!exitsWithin(Sidecar, milliseconds(5000), {1, 0}));
+    CPPUNIT_ASSERT(exitsWithin(Sidecar, milliseconds(460), {0, 0}));
     // The platform ends the process after 6 s.
     ReducerFixture Slow;
     Slow.joinFleet();
@@ -71,6 +62,21 @@
     CPPUNIT_ASSERT(Slow.find<Exit>());
   }
 
+  // Guards against a process that exits while its results are on the way to the
+  // nodes of their callers, or were lost there: nobody else has them.
+  void waitsUntilItsResultsAreDelivered() {
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet();
+    Sidecar.dispatch(StopRequested{});
+    CPPUNIT_ASSERT(!exitsWithin(Sidecar, milliseconds(4000), {0, 1}));
+    CPPUNIT_ASSERT(!exitsWithin(Sidecar, milliseconds(360), {0, 0}));
+    CPPUNIT_ASSERT(exitsWithin(Sidecar, milliseconds(100), {0, 0}));
+    ReducerFixture Unreachable;
+    Unreachable.joinFleet();
+    Unreachable.dispatch(StopRequested{});
+    CPPUNIT_ASSERT(exitsWithin(Unreachable, milliseconds(5520), {0, 1}));
+  }
+
   // Guards against a process that exits while large answers wait for the link
   // or are in the transport.
   void sendsAnswersThatWaitForTheLink() {
@@ -182,6 +188,20 @@
     CPPUNIT_ASSERT_EQUAL(404, StatusAfter(milliseconds(2900)));
     CPPUNIT_ASSERT_EQUAL(503, StatusAfter(milliseconds(100)));
   }
+
+private:
+  // Returns whether the process exits within Time if each tick is as stated.
+  static bool exitsWithin(ReducerFixture &Sidecar, Duration Time,
+                          const TimerTicked &Ticked) {
+    Instant End = Sidecar.Now + Time;
+    bool Exits = false;
+    while (Sidecar.Now < End) {
+      Sidecar.Now = Sidecar.Now + milliseconds(20);
+      Sidecar.dispatch(Ticked);
+      Exits |= Sidecar.find<Exit>() != nullptr;
+    }
+    return Exits;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReducerStopTest);
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -363,9 +363,12 @@
   void tick() {
     Instant Now = readClock();
     this->recordTick(Now);
-    this->dispatch(TimerTicked{this->Reducer.isStopping()
-                                   ? this->OutboundServer->unsentConnections()
-                                   : 0});
+    TimerTicked Ticked;
+    if (this->Reducer.isStopping()) {
+      Ticked.UnsentAnswers = this->OutboundServer->unsentConnections();
+      Ticked.UndeliveredMessages = this->Peers->undeliveredFrames();
+    }
+    this->dispatch(Ticked);
     this->Peers->tick(Now);
     if (Now - this->DropsReportedAt < DropReportInterval)
       return;
--- a/orioledoor/wire/peer_transport.cc
+++ b/orioledoor/wire/peer_transport.cc
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <bit>
 #include <chrono>
+#include <functional>
 #include <limits>
+#include <numeric>
 #include <optional>
 #include <random>
 #include <ranges>
@@ -518,6 +520,17 @@
 
 void PeerTransport::flush() { this->Pimpl->flush(); }
 
+std::size_t PeerTransport::undeliveredFrames() const {
+  const auto &Peers = this->Pimpl->Peers;
+  return std::transform_reduce(
+      Peers.begin(), Peers.end(), std::size_t{0}, std::plus<>(),
+      [](const auto &Entry) {
+        const Peer &Remote = *Entry.second;
+        return Remote.Frames.size() +
+               (Remote.Connected ? Remote.framesInFlight() : 0);
+      });
+}
+
 const TransportCounters &PeerTransport::counters() const {
   return this->Pimpl->Counters;
 }
--- a/orioledoor/wire/peer_transport.h
+++ b/orioledoor/wire/peer_transport.h
@@ -139,6 +139,11 @@
   // event loop.
   void flush();
 
+  // Returns the number of frames that are queued, or that their recipients have
+  // not acknowledged on connections that are not lost. Linear in the number of
+  // peers and of unacknowledged batches.
+  std::size_t undeliveredFrames() const;
+
   const TransportCounters &counters() const;
 
 private:
--- a/orioledoor/wire/peer_transport_test.cc
+++ b/orioledoor/wire/peer_transport_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST_SUITE(PeerTransportTest);
   CPPUNIT_TEST(framesOfOneLoopIterationShareAMessage);
   CPPUNIT_TEST(framesToUnreachablePeersAreNotSent);
+  CPPUNIT_TEST(framesAreUndeliveredUntilTheyAreAcknowledged);
   CPPUNIT_TEST(oversizedPayloadIsNotSent);
   CPPUNIT_TEST(restartedPeerIsReportedLostAndRedialed);
   CPPUNIT_TEST(newConnectionFromAPeerIsReported);
@@ -99,6 +100,22 @@
         this->runUntil([this] { return this->A.NotSent.size() == 2; }));
     CPPUNIT_ASSERT((this->A.NotSent == std::vector<std::uint64_t>{8, 7}));
     CPPUNIT_ASSERT(this->A.Lost.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         this->A.Transport->undeliveredFrames());
+  }
+
+  // Guards against a process that exits before its last frames have arrived.
+  void framesAreUndeliveredUntilTheyAreAcknowledged() {
+    this->B.open(this->Events, SecondAddress);
+    this->A.Transport->send(SecondAddress, Channel::Control, "result");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         this->A.Transport->undeliveredFrames());
+    CPPUNIT_ASSERT(
+        this->runUntil([this] { return !this->B.Received.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         this->A.Transport->undeliveredFrames());
+    CPPUNIT_ASSERT(this->runUntil(
+        [this] { return this->A.Transport->undeliveredFrames() == 0; }));
   }
 
   void oversizedPayloadIsNotSent() {
