Count the stop from the earliest time of its signal

Cause: the 3 s were counted from when the signal was handled. A process that stands still handles it late, while its callers and the platform count from its sending.

Change: if the process stood still for 200 ms or more, the 3 s begin at the tick before the standstill. The end of the grace is still counted from the handling; the margin of 0.5 s covers standstills up to that.

Evidence: the new test fails if the standstill is not taken into account.

--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -284,8 +284,7 @@
                        this->RoutingEffects);
     return;
   }
-  if (this->StopRequestedAt != Instant() &&
-      Now - this->StopRequestedAt >= AcceptTimeAfterStop) {
+  if (this->StopRequestedAt != Instant() && Now >= this->RefuseFrom) {
     this->Entry.reject(Received.Request, 503, "take request", "the node stops",
                        StoppedRetryAfter, this->RoutingEffects);
     return;
@@ -413,6 +412,13 @@
   if (this->StopRequestedAt != Instant())
     return;
   this->StopRequestedAt = Now;
+  // A signal is handled in the iteration of the event loop after it was sent,
+  // which may come late and contain a tick. The platform counts from its
+  // sending.
+  bool WasHeldUp = this->PreviousTickAt != Instant() &&
+                   Now - this->PreviousTickAt >= MinStandstill;
+  this->RefuseFrom =
+      (WasHeldUp ? this->PreviousTickAt : Now) + AcceptTimeAfterStop;
   this->Entry.limitDeadlines(Now + this->Options.StopGrace - StopMargin -
                              FinalAnswerTime);
   this->Out.push_back(
@@ -470,7 +476,7 @@
 }
 
 void SidecarReducer::on(const TimerTicked &Ticked, Instant Now) {
-  this->LastTickAt = Now;
+  this->PreviousTickAt = std::exchange(this->LastTickAt, Now);
   this->StandstillHandled = false;
   this->Gate.tick(Now, this->RoutingEffects);
   this->Entry.tick(Now, this->RoutingEffects);
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -209,6 +209,8 @@
   Instant StartedAt;
   Instant ReportedAt;
   Instant LastTickAt;
+  // The tick before that.
+  Instant PreviousTickAt;
   // Time at which the process went on after its last standstill.
   Instant StandstillEndedAt;
   // Failure domains and regions that were logged as unknown, and the version of
@@ -221,6 +223,8 @@
   bool StandstillHandled = false;
   std::optional<DeferredReport> Deferred;
   Instant StopRequestedAt;
+  // Requests that arrive from then on are refused.
+  Instant RefuseFrom;
   // While stopping: the last time at which a request was open.
   Instant LastBusyAt;
   // The pause and the schedule that were last passed to the shell.
--- a/orioledoor/sidecar/reducer_stop_test.cc
+++ b/orioledoor/sidecar/reducer_stop_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(sendsAnswersThatWaitForTheLink);
   CPPUNIT_TEST(answersLastingRequestsBeforeTheGraceEnds);
   CPPUNIT_TEST(rejectsRequestsLateInTheStop);
+  CPPUNIT_TEST(countsFromTheEarliestTimeOfTheSignal);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +190,26 @@
     CPPUNIT_ASSERT_EQUAL(503, StatusAfter(milliseconds(100)));
   }
 
+  // Guards against requests that are taken later than the platform allows and
+  // cut off at the end of the grace: a process that stood still handles the
+  // signal late.
+  void countsFromTheEarliestTimeOfTheSignal() {
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet();
+    Sidecar.addReadRoute();
+    Sidecar.advance(milliseconds(100));
+    Sidecar.Now = Sidecar.Now + milliseconds(500);
+    Sidecar.dispatch(TimerTicked{});
+    Sidecar.dispatch(StopRequested{});
+    Sidecar.advance(milliseconds(2440));
+    Sidecar.sendRead(1, milliseconds(4000));
+    CPPUNIT_ASSERT(Sidecar.findMessage<routing::Forward>());
+    Sidecar.advance(milliseconds(60));
+    Sidecar.sendRead(2, milliseconds(4000));
+    CPPUNIT_ASSERT(!Sidecar.findMessage<routing::Forward>());
+    CPPUNIT_ASSERT_EQUAL(503, Sidecar.find<ReplyToCaller>()->Answer.Status);
+  }
+
 private:
   // Returns whether the process exits within Time if each tick is as stated.
   static bool exitsWithin(ReducerFixture &Sidecar, Duration Time,
