Simulate connections between nodes that fall silent

Change: a schedule in which connections fall silent in one direction beside planned stops; their sender notices after 550 ms, their recipient with the next connection. An answer that a target has given must reach its caller within 1.2 s, in all schedules but that of delayed messages.

--- a/orioledoor/sidecar/request_path_test.cc
+++ b/orioledoor/sidecar/request_path_test.cc
@@ -25,6 +25,7 @@
 class RequestPathTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RequestPathTest);
   CPPUNIT_TEST(stopsCutNoRequestThatRuns);
+  CPPUNIT_TEST(silentConnectionsLoseNoResult);
   CPPUNIT_TEST(requestsEndWithTheirCallers);
   CPPUNIT_TEST(delayedRequestsDoNotOutliveTheirCallers);
   CPPUNIT_TEST(evacuatedTargetsGetNoRequests);
@@ -37,6 +38,12 @@
     this->play(testing::ModelSchedule::PlannedStops);
   }
 
+  // Guards against runs that are cut off, and answers of targets that are lost,
+  // since a connection between two nodes broke while both live or stop.
+  void silentConnectionsLoseNoResult() {
+    this->play(testing::ModelSchedule::StopsAndSilence);
+  }
+
   // Guards against requests that are sent on after their callers have left,
   // while the nodes that they were sent to are lost or stop.
   void requestsEndWithTheirCallers() {
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -26,8 +26,11 @@
 constexpr int RequestPercent = 5;
 // Share of the callers that leave, if any do.
 constexpr int LeavePercent = 40;
-// Time after which the loss of a VM shows, since it does not answer a ping.
+// Time after which the loss of a VM or of a connection shows, since a ping is
+// not answered.
 constexpr Duration LostPingTime = milliseconds(550);
+// Time for connecting again and the first message, across regions.
+constexpr Duration ReconnectTime = milliseconds(32);
 constexpr Duration EvacuationTime = milliseconds(5000);
 // A node that has reached the store for this long knows what it says: a read
 // that failed is repeated after 1.3 s.
@@ -56,6 +59,8 @@
       Table(this->isKeyed() ? newTable() : trafficTable(1)) {
   if (Schedule == ModelSchedule::KeyFaultsAndRollbacks)
     this->Store.setEra(1);
+  if (Schedule == ModelSchedule::Delays)
+    this->Traffic.allowLateAnswers();
   for (int Index = 0; Index < Nodes; ++Index) {
     auto Added = std::make_unique<Vm>();
     Added->Index = Index;
@@ -160,6 +165,11 @@
     // Until the connection counts as lost, frames disappear without a sign.
     if (this->Now < To->SilentUntil)
       continue;
+    if (auto Silent = this->SilentConnections.find({From.Index, To->Index});
+        Silent != this->SilentConnections.end()) {
+      ++Silent->second.LostMessages;
+      continue;
+    }
     const auto *Request = std::get_if<routing::Forward>(&Message.Body);
     if (Request && !To->Reducer)
       this->ScheduledEvents.emplace(
@@ -175,15 +185,55 @@
   }
 }
 
+void ModelFleet::silenceConnection() {
+  int From = static_cast<int>(this->Random() % this->Vms.size());
+  int To = static_cast<int>(this->Random() % this->Vms.size());
+  if (From == To)
+    return;
+  this->recordHistory("connection from vm " + std::to_string(From) + " to vm " +
+                      std::to_string(To) + " falls silent");
+  this->SilentConnections.try_emplace({From, To}, this->Now + LostPingTime);
+}
+
+void ModelFleet::replaceConnections() {
+  for (const auto &[Ends, Silent] : this->SilentConnections) {
+    if (this->Now < Silent.Until)
+      continue;
+    const Vm &From = *this->Vms[static_cast<std::size_t>(Ends.first)];
+    const Vm &To = *this->Vms[static_cast<std::size_t>(Ends.second)];
+    this->ScheduledEvents.emplace(
+        this->Now,
+        ScheduledEvent{From.Index, From.Process, PeerConnectionLost{To.Node}});
+    this->ScheduledEvents.emplace(
+        this->Now + ReconnectTime,
+        ScheduledEvent{To.Index, To.Process, PeerReconnected{From.Node}});
+  }
+  std::erase_if(this->SilentConnections, [this](const auto &Entry) {
+    return this->Now >= Entry.second.Until;
+  });
+}
+
+std::size_t ModelFleet::undeliveredMessages(const Vm &Machine) const {
+  return std::accumulate(this->SilentConnections.begin(),
+                         this->SilentConnections.end(), std::size_t{0},
+                         [&Machine](std::size_t Sum, const auto &Entry) {
+                           return Sum + (Entry.first.first == Machine.Index
+                                             ? Entry.second.LostMessages
+                                             : 0);
+                         });
+}
+
 void ModelFleet::startRun(const Vm &Machine, const StartCall &Call) {
   this->Traffic.recordStart(Call.AttemptId, Machine.Index, this->Now);
+  Duration RunTime = milliseconds(20) + this->randomDuration(900);
+  this->Traffic.recordRunEnd(Call.AttemptId, this->Now + RunTime);
   if (this->isEvacuated(Machine) && Machine.KnowsEvacuation &&
       this->Failure.empty())
     this->Failure = "request " + Call.AttemptId + " ran at evacuated vm " +
                     std::to_string(Machine.Index) + " at " +
                     std::to_string(this->Now.micros() / 1000) + " ms";
   this->ScheduledEvents.emplace(
-      this->Now + milliseconds(20) + this->randomDuration(900),
+      this->Now + RunTime,
       ScheduledEvent{Machine.Index, Machine.Process,
                      TargetAnswered{.Call = Call.CallId,
                                     .Answer = {200, {}, ""},
@@ -198,6 +248,7 @@
       CallerRequestReceived Added = this->Traffic.addRequest(
           Machine->Process, this->randomChance(50), this->Now);
       if (this->Schedule != ModelSchedule::PlannedStops &&
+          this->Schedule != ModelSchedule::StopsAndSilence &&
           this->randomChance(LeavePercent))
         this->Departures.emplace(
             this->Now + this->randomDuration(1500),
@@ -429,6 +480,11 @@
 }
 
 void ModelFleet::injectFaultBesideStops() {
+  if (this->Schedule == ModelSchedule::StopsAndSilence &&
+      this->randomChance(50)) {
+    this->silenceConnection();
+    return;
+  }
   Vm &Machine = *this->Vms[this->Random() % this->Vms.size()];
   Duration FaultTime = milliseconds(300) + this->randomDuration(6000);
   std::string TimeText =
@@ -686,6 +742,7 @@
                     static_cast<std::uint64_t>(Step / milliseconds(1)))
     this->injectFault();
   this->serveStore();
+  this->replaceConnections();
   this->updateEvacuationKnowledge();
   while (!this->ScheduledEvents.empty() &&
          this->ScheduledEvents.begin()->first <= this->Now) {
@@ -715,7 +772,9 @@
     if (Machine.Reducer && this->Now >= Machine.NextTick &&
         this->Now >= Machine.FrozenUntil) {
       Machine.NextTick = this->Now + TickInterval;
-      this->deliver(Machine, TimerTicked{});
+      this->deliver(Machine,
+                    TimerTicked{.UndeliveredMessages =
+                                    this->undeliveredMessages(Machine)});
     }
     if (Machine.ExitDue && Machine.Reducer)
       this->endProcess(Machine);
--- a/orioledoor/sidecar/testing/model_fleet.h
+++ b/orioledoor/sidecar/testing/model_fleet.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "orioledoor/sidecar/reducer.h"
@@ -42,6 +43,9 @@
   PlannedStops,
   // The same, while VMs are lost with their targets and callers leave.
   StopsAndLosses,
+  // PlannedStops, while connections between nodes fall silent in one direction
+  // and are replaced once their sender notices.
+  StopsAndSilence,
   // Callers leave while nodes stand still for up to two seconds, or messages to
   // them are held up for as long. No process is stopped or lost.
   Delays,
@@ -152,6 +156,11 @@
     std::uint64_t Process = 0;
     Event Payload;
   };
+  // A connection that has fallen silent and is replaced at Until.
+  struct SilentConnection {
+    Instant Until;
+    std::size_t LostMessages = 0;
+  };
   // A caller that will leave.
   struct Departure {
     int VmIndex = 0;
@@ -193,6 +202,12 @@
   void injectFault();
   void injectFaultBesideStops();
   void injectDelay();
+  // Lets a connection between two nodes fall silent.
+  void silenceConnection();
+  // Replaces the silent connections that their senders have noticed.
+  void replaceConnections();
+  // Number of messages of the VM that are lost on silent connections.
+  std::size_t undeliveredMessages(const Vm &Machine) const;
   void loseVm(Vm &Machine, Duration Time);
   // Tells the others, after Delay, that their connections to the VM are lost.
   void loseConnections(const Vm &Machine, Duration Delay);
@@ -229,6 +244,8 @@
   std::multimap<Instant, ScheduledEvent> ScheduledEvents;
   std::multimap<Instant, StoreCall> StoreCalls;
   std::multimap<Instant, Departure> Departures;
+  // By the indices of sender and recipient.
+  std::map<std::pair<int, int>, SilentConnection> SilentConnections;
   Instant StoreDownUntil;
   // -1 if no failure domain is evacuated.
   int EvacuatedDomain = -1;
--- a/orioledoor/sidecar/testing/model_traffic.cc
+++ b/orioledoor/sidecar/testing/model_traffic.cc
@@ -18,6 +18,9 @@
 // target's answer may end a request: its deadline is near.
 constexpr Duration TimeLeft = milliseconds(2000);
 constexpr Duration DeadlineMargin = milliseconds(200);
+// Time for an answer to reach the caller after a silent connection was noticed
+// twice.
+constexpr Duration MaxDeliveryTime = milliseconds(1200);
 // The platform's bound on requests that reach a target after their caller left.
 constexpr Duration MaxRunAfterLeave = milliseconds(500);
 
@@ -84,6 +87,15 @@
                     ", at " + std::to_string(Now.micros() / 1000) + " ms";
 }
 
+void ModelTraffic::recordRunEnd(std::string_view AttemptId, Instant EndsAt) {
+  std::uint64_t Caller = 0;
+  std::from_chars(AttemptId.data(), AttemptId.data() + AttemptId.size(),
+                  Caller);
+  auto Found = this->Requests.find(Caller);
+  if (Found != this->Requests.end() && !Found->second.RunEndsAt)
+    Found->second.RunEndsAt = EndsAt;
+}
+
 void ModelTraffic::recordLoss(int Vm, std::uint64_t Process) {
   for (auto &[Caller, Request] : this->Requests)
     if (Request.Process == Process ||
@@ -101,8 +113,14 @@
 
 void ModelTraffic::checkLost(std::uint64_t Caller, const Request &Ended,
                              const std::string &How, Instant Now) {
-  if (!Ended.RunAt.empty() && !Ended.VmLost && !Ended.LeftAt &&
-      Now - Ended.SentAt < TimeLeft - DeadlineMargin)
+  if (Ended.VmLost || Ended.LeftAt)
+    return;
+  if (Ended.RunEndsAt && !this->LateAnswersAllowed &&
+      Now - *Ended.RunEndsAt > MaxDeliveryTime)
+    this->Failure = "request " + std::to_string(Caller) + " ended with " + How +
+                    " although its target had answered, at " +
+                    std::to_string(Now.micros() / 1000) + " ms";
+  if (!Ended.RunAt.empty() && Now - Ended.SentAt < TimeLeft - DeadlineMargin)
     this->Failure = "request " + std::to_string(Caller) + " ended with " + How +
                     " while a target ran it, at " +
                     std::to_string(Now.micros() / 1000) + " ms";
--- a/orioledoor/sidecar/testing/model_traffic.h
+++ b/orioledoor/sidecar/testing/model_traffic.h
@@ -2,6 +2,7 @@
 // them. Checks the guarantees of the request path:
 //   - a request that a target runs is answered with that target's answer, while
 //     its time lasts and the target lives;
+//   - an answer that a target has given is not lost on its way;
 //   - a request that is not idempotent runs at most once;
 //   - no request begins to run long after its caller has left.
 //
@@ -39,6 +40,10 @@
                                    Instant Now);
   // The target on this VM has begun to run the request.
   void recordStart(std::string_view AttemptId, int Vm, Instant Now);
+  // Messages are held up for seconds, so answers may be late as well.
+  void allowLateAnswers() { this->LateAnswersAllowed = true; }
+  // A target answers the request at this time.
+  void recordRunEnd(std::string_view AttemptId, Instant EndsAt);
   // The VM is lost with its entry process; requests that its target ran may end
   // in any way.
   void recordLoss(int Vm, std::uint64_t Process);
@@ -61,6 +66,8 @@
     Instant SentAt;
     // VMs whose targets have begun to run the request.
     std::vector<int> RunAt;
+    // When the first of them answers it.
+    std::optional<Instant> RunEndsAt;
     // A target that ran it, or the entry process, was lost.
     bool VmLost = false;
     std::optional<Instant> LeftAt;
@@ -73,6 +80,7 @@
   std::map<std::uint64_t, Request> Requests;
   std::uint64_t NextCaller = 1;
   std::size_t Answered = 0;
+  bool LateAnswersAllowed = false;
   std::string Failure;
 };
 
