--- a/orioledoor/sidecar/node_metrics.cc
+++ b/orioledoor/sidecar/node_metrics.cc
@@ -169,8 +169,7 @@
       .set(Peers.ConnectionsLost);
   Metrics.counter("oriole_peer_unacknowledged_frames_total")
       .set(Peers.FramesUnacknowledged);
-  Metrics.counter("oriole_peer_frames_not_sent_total")
-      .set(Peers.FramesNotSent);
+  Metrics.counter("oriole_peer_frames_not_sent_total").set(Peers.FramesNotSent);
   Metrics.counter("oriole_peer_header_bytes_total").set(Peers.HeaderBytesOut);
   Metrics.counter("oriole_peer_batches_total").set(Peers.BatchesOut);
   Metrics.counter("oriole_target_connections_total")
