--- a/review/harness-2/drain.cc
+++ b/review/harness-2/drain.cc
@@ -13,6 +13,7 @@
 constexpr std::int64_t ContactMs = 3000;
 // Work of a request; the sheets give means of 96 to 140 ms and up to 860 ms.
 constexpr std::int64_t WorkMs = 300;
+constexpr int ReturningCallers = 12;
 
 struct Fleet {
   Store Platform;
@@ -67,10 +68,13 @@
     return true;
   }
 
-  // A caller on machine I: 20 requests a second, each on a new connection.
+  // Callers on machine I: 20 requests a second, each on a new connection. After
+  // a quiet time, ReturningCallers come back at once.
   void callAt(int I) {
+    int Returning = 0;
     for (int Number = 0; !this->Stop; ++Number) {
       if (this->Quiet) {
+        Returning = ReturningCallers;
         sleepMs(10);
         continue;
       }
@@ -90,7 +94,10 @@
         std::lock_guard Lock(this->Mutex);
         this->Answered[Id] = Status;
       }).detach();
-      sleepMs(50);
+      if (Returning > 0)
+        --Returning;
+      else
+        sleepMs(50);
     }
   }
 
@@ -220,7 +227,7 @@
   // longer, deregisters and exits.
   sleepUntil(Backend.LeaveAckedAt + DrainMs + 300);
   F.Quiet = false;
-  sleepMs(400);
+  sleepMs(200);
   Backend.deregister();
   Backend.crash();
   sleepMs(2000);
