review: show a node that answers nobody (case 8); put the cases in order

Cause: connections of callers have no bound below the descriptors of the process, and those that don't move are kept for the idle time. When 4,100 callers stop short of the end of their bodies, the node accepts nobody, and says that it is ready (rule RECOVER).

Change: review/8 with a script and its claim. The case on memory becomes case 7. The cases are listed in KNOWN-RED.txt; claims name what was known before.

--- a/review/harness-2/lab.h
+++ b/review/harness-2/lab.h
@@ -218,6 +218,8 @@
   double LinkMbps = 1000;
   std::int64_t DrainMs = 2000;
   std::int64_t GraceS = 6;
+  // Descriptors of the machine.
+  std::size_t Descriptors = 4100;
 };
 
 // The project's node as a process, started with the command of the deploy file.
@@ -277,7 +279,7 @@
 int runSlowReaders(const std::string &Directory);
 int runForgottenDeregistration(const std::string &Directory);
 int runClockStep(const std::string &Directory);
-int runForeignHeartbeat(const std::string &Directory);
+int runStalledCallers(const std::string &Directory);
 int runLateHeartbeat(const std::string &Directory);
 
 } // namespace lab
--- a/review/harness-2/main.cc
+++ b/review/harness-2/main.cc
@@ -14,7 +14,7 @@
       {"slow-readers", lab::runSlowReaders},
       {"forgotten-deregistration", lab::runForgottenDeregistration},
       {"clock-step", lab::runClockStep},
-      {"foreign-heartbeat", lab::runForeignHeartbeat},
+      {"stalled-callers", lab::runStalledCallers},
       {"late-heartbeat", lab::runLateHeartbeat},
   };
   if (Count != 3 || !Cases.contains(Arguments[1])) {
