Log deregistrations, and the report that made a target known

Whether a report was old, or a target had no keys, could not be told apart; nor whether a deregistration had reached the process.

Change: TARGET_READY states the sequence and the number of held ranges of the report; TARGET_DEREGISTERED (2231) whether the target had reported to this process.

Result: no change of behaviour.

--- a/orioledoor/routing/events.h
+++ b/orioledoor/routing/events.h
@@ -69,6 +69,9 @@
     2230, Severity::Info, "SUSPICION_CLEARED",
     "another target answered a request that was suspected of a crash"};
 
+inline constexpr EventDefinition TargetDeregistered{
+    2231, Severity::Info, "TARGET_DEREGISTERED",
+    "a target deregistered before its end"};
 inline constexpr EventDefinition AnswerDropped{
     2255, Severity::Warn, "ANSWER_DROPPED",
     "an answer waited for the link until the time of its caller was over"};
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -95,11 +95,14 @@
   this->noteColdTime(Now, Out);
   // Calls to the previous incarnation end when their connections break.
   this->Queue.setSlots(Report.Slots);
-  Out.push_back(LogRecord{&events::TargetReady,
-                          {field("instance", Report.Instance),
-                           field("born", std::to_string(Report.StartTimeMs)),
-                           field("service", Report.Service),
-                           field("slots", std::to_string(Report.Slots))}});
+  Out.push_back(
+      LogRecord{&events::TargetReady,
+                {field("instance", Report.Instance),
+                 field("born", std::to_string(Report.StartTimeMs)),
+                 field("service", Report.Service),
+                 field("slots", std::to_string(Report.Slots)),
+                 field("sequence", std::to_string(Report.Sequence)),
+                 field("held_ranges", std::to_string(Report.Holds.size()))}});
   if (Report.Draining)
     this->startDraining("report", Now, Out);
   this->startQueuedCalls(Now, Out);
@@ -108,7 +111,11 @@
 
 void TargetGate::handleShutdown(std::string_view Instance, Instant Now,
                                 Effects &Out) {
-  if (this->Target && this->Target.Instance == Instance)
+  bool IsKnown = this->Target && this->Target.Instance == Instance;
+  Out.push_back(LogRecord{&events::TargetDeregistered,
+                          {field("instance", std::string(Instance)),
+                           field("has_reported", IsKnown ? "yes" : "no")}});
+  if (IsKnown)
     this->startDraining("deregistration", Now, Out);
 }
 
