Keep moving keys until the holds from before a restart have ended

Cause: a node passes a key on once a report of its target does not list it. Late reports are told by their sequence number, which a process that has just started does not know. So the first report counted as the present state, even if the target had sent it before the earlier process granted it the keys. The grants of this process, which cover reports that cross an answer, were empty.

Evidence: in the node's log KEYS_TRANSFERRED follows SIDECAR_STARTED and the late report; no plan and no earlier process was involved.

Change: holds that an earlier process granted end 5.13 s after the start at the latest. Until then no key passes on; the row stays with its owner, which serves it, or gives it up at once if it is draining. The same bound now covers the two statements that a silent target has ended: one without it could come 0.1 s early after a restart while the store is down.

Why it works: after the wait each hold is one that this process granted and knows. Cost: keys of a planned move beside a restart pass on up to 5 s later.

--- a/orioledoor/keyspace/key_grantor.cc
+++ b/orioledoor/keyspace/key_grantor.cc
@@ -64,6 +64,10 @@
 
 } // namespace
 
+void KeyGrantor::noteStart(Instant Now) {
+  this->EarlierHoldsEnd = Now + this->longestHold();
+}
+
 GrantDecision KeyGrantor::answerReport(const routing::TargetReport &Report,
                                        const TargetRef &Self, const KeyMap *Map,
                                        Instant AuthorityEnd, Instant Now) {
@@ -82,10 +86,15 @@
   for (const KeyRow &Row : Map->Rows) {
     if (Row.Owner != Self)
       continue;
-    if (!Row.Next) {
+    bool Retained = Row.Next && Now < this->EarlierHoldsEnd;
+    if (Retained)
+      Decision.RetainedKeys += Row.Keys.To - Row.Keys.From + 1;
+    // Retained keys are served meanwhile, unless the target is about to stop:
+    // it gives them up now, and they pass on as soon as that is safe.
+    if (!Row.Next || (Retained && !Report.Draining))
       this->Granted.push_back({Row.Keys, Row.Fence, Row.Handover});
+    if (!Row.Next || Retained)
       continue;
-    }
     auto Overlaps = [&Row](const auto &Range) {
       return Range.Keys.overlaps(Row.Keys);
     };
@@ -145,8 +154,7 @@
 void KeyGrantor::reset() {
   this->Granted.clear();
   this->Handovers.clear();
-  this->GrantedUntil = Instant();
-  this->HoldsEnd = Instant();
+  this->GrantedUntil = this->HoldsEnd = Instant();
 }
 
 Duration KeyGrantor::longestHold() const {
--- a/orioledoor/keyspace/key_grantor.h
+++ b/orioledoor/keyspace/key_grantor.h
@@ -6,9 +6,15 @@
 //   for (const KeyTransfer &Transfer : Decision.Transfers)
 //     ... // record it in the store
 //   if (Grantor.holds(Key, Now)) ...
+//
+// A report may be older than the grants of an earlier process of this node, and
+// this process can't tell: it has not seen a sequence number yet. A key that no
+// report lists may therefore be held until all holds of that process have
+// ended.
 #ifndef ORIOLEDOOR_KEYSPACE_KEY_GRANTOR_H
 #define ORIOLEDOOR_KEYSPACE_KEY_GRANTOR_H
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -30,6 +36,9 @@
   routing::ReportAnswer Answer{};
   // Keys of rows with a next owner that the target no longer holds.
   std::vector<KeyTransfer> Transfers{};
+  // Number of keys with a next owner that are not passed on because holds of an
+  // earlier process of this node may not have ended.
+  std::uint64_t RetainedKeys = 0;
 };
 
 struct KeyGrantorOptions {
@@ -48,13 +57,16 @@
 public:
   explicit KeyGrantor(KeyGrantorOptions Options) : Options(Options) {}
 
+  // Records that this process has started. To be called before any report is
+  // answered.
+  void noteStart(Instant Now);
   // Answers an up-to-date report of the target Self. Map is null if no key map
   // is recorded yet. No hold lasts beyond AuthorityEnd.
   GrantDecision answerReport(const routing::TargetReport &Report,
                              const TargetRef &Self, const KeyMap *Map,
                              Instant AuthorityEnd, Instant Now);
-  // Forgets all grants. To be called after the target restarted, since a new
-  // process of the target holds no keys.
+  // Forgets all grants of this process. To be called after the target
+  // restarted, since a new process of the target holds no keys.
   void reset();
 
   // Returns whether the target holds Key according to the last answer that was
@@ -63,14 +75,19 @@
   // Returns the key ranges that the target holds according to the last answer
   // that was sent.
   std::vector<KeyRange> heldRanges(Instant Now) const;
+  // Returns the time at which every hold has ended that this process or an
+  // earlier one of this node has granted, even if the target's clock runs up to
+  // 2% slow.
+  Instant holdsEnd() const {
+    return std::max(this->HoldsEnd, this->EarlierHoldsEnd);
+  }
+  // The same for the holds that an earlier process has granted.
+  Instant earlierHoldsEnd() const { return this->EarlierHoldsEnd; }
+
+private:
   // Returns how long a hold can last by this node's clock, even if the target's
   // clock runs up to 2% slow.
   Duration longestHold() const;
-  // Returns the time at which every granted hold has ended, even if the
-  // target's clock runs up to 2% slow.
-  Instant holdsEnd() const { return this->HoldsEnd; }
-
-private:
   // Leaves out grants that exceed Options.MaxRowBytes.
   void limitGrants(std::span<const routing::GrantedRange> PreviousGrants);
 
@@ -78,7 +95,9 @@
   // Grants of the last answer.
   std::vector<routing::GrantedRange> Granted;
   Instant GrantedUntil;
+  // Ends of the holds of this process and of earlier ones.
   Instant HoldsEnd;
+  Instant EarlierHoldsEnd;
   // Handover tokens that the target reported for released keys whose transfer
   // is not recorded yet.
   std::vector<routing::ReleasedRange> Handovers;
--- a/orioledoor/keyspace/keyspace_test.cc
+++ b/orioledoor/keyspace/keyspace_test.cc
@@ -52,6 +52,8 @@
   CPPUNIT_TEST(changesOfOtherMapsAreRefused);
   CPPUNIT_TEST(holdEndsBeforeAuthority);
   CPPUNIT_TEST(transfersOnlyReleasedKeys);
+  CPPUNIT_TEST(keepsMovingKeysUntilEarlierHoldsHaveEnded);
+  CPPUNIT_TEST(drainingTargetsGiveKeysUpBeforeTheyPassOn);
   CPPUNIT_TEST(grantsNothingToLostTarget);
   CPPUNIT_TEST(authorityRequiresReadKeyMaps);
   CPPUNIT_TEST(plansInitialOwnersOnceTargetsAreStable);
@@ -186,6 +188,57 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), Decision.Transfers[1].Handover);
   }
 
+  // Guards against keys that pass on after a restart of the node by the word of
+  // a report that its target made before it got them: two targets held them.
+  void keepsMovingKeysUntilEarlierHoldsHaveEnded() {
+    KeyGrantor Grantor({});
+    Instant Now{std::int64_t{10'000'000}};
+    Instant End = Now + seconds(60);
+    KeyMap Map = makeTwoOwnerMap();
+    Map.Rows[0].Next = target(2);
+    Grantor.noteStart(Now);
+    // The first report of a target always looks like that of a new process.
+    Grantor.reset();
+    // A hold of 5 s on a clock that runs 2% slow.
+    Instant HoldsEnd = Now + milliseconds(5130);
+    for (; Now < HoldsEnd; Now = Now + milliseconds(90)) {
+      GrantDecision Decision =
+          Grantor.answerReport({}, target(1), &Map, End, Now);
+      CPPUNIT_ASSERT(Decision.Transfers.empty());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{32768}, Decision.RetainedKeys);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Decision.Answer.Grants.size());
+    }
+    // The next answer takes the keys away, and the report after it shows that
+    // the target has given them up.
+    routing::TargetReport Report;
+    Report.Holds = {{{0, 32767}, 1}};
+    GrantDecision Decision =
+        Grantor.answerReport(Report, target(1), &Map, End, Now);
+    CPPUNIT_ASSERT(Decision.Transfers.empty());
+    CPPUNIT_ASSERT(Decision.Answer.Grants.empty());
+    Decision = Grantor.answerReport({}, target(1), &Map, End, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Decision.Transfers.size());
+  }
+
+  // Guards against a departure that takes a report longer than the wait.
+  void drainingTargetsGiveKeysUpBeforeTheyPassOn() {
+    KeyGrantor Grantor({});
+    Instant Now{std::int64_t{10'000'000}};
+    Instant End = Now + seconds(60);
+    KeyMap Map = makeTwoOwnerMap();
+    Map.Rows[0].Next = target(2);
+    Grantor.noteStart(Now);
+    routing::TargetReport Report;
+    Report.Draining = true;
+    GrantDecision Decision =
+        Grantor.answerReport(Report, target(1), &Map, End, Now);
+    CPPUNIT_ASSERT(Decision.Transfers.empty());
+    CPPUNIT_ASSERT(Decision.Answer.Grants.empty());
+    Now = Now + milliseconds(5130);
+    Decision = Grantor.answerReport(Report, target(1), &Map, End, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Decision.Transfers.size());
+  }
+
   void grantsNothingToLostTarget() {
     KeyGrantor Grantor({});
     Instant Now{std::int64_t{10'000'000}};
--- a/orioledoor/sidecar/events.h
+++ b/orioledoor/sidecar/events.h
@@ -66,6 +66,10 @@
 inline constexpr EventDefinition KeysGranted{
     4134, Severity::Info, "KEYS_GRANTED",
     "the keys granted to the target changed"};
+inline constexpr EventDefinition KeysRetained{
+    4135, Severity::Info, "KEYS_RETAINED",
+    "keys with a next owner are not passed on, since an earlier process of "
+    "this node may have granted them"};
 inline constexpr EventDefinition PeerLost{
     4141, Severity::Warn, "PEER_LOST",
     "the connection to another node was lost"};
--- a/orioledoor/sidecar/key_ownership_manager.cc
+++ b/orioledoor/sidecar/key_ownership_manager.cc
@@ -116,6 +116,16 @@
   this->TransferFrom = Target;
   this->PendingTransfers = std::move(Decision.Transfers);
   this->recordTransfers(Now, Out);
+  bool RetainedBefore =
+      std::exchange(this->RetainsKeys, Decision.RetainedKeys > 0);
+  if (this->RetainsKeys && !RetainedBefore)
+    Out.push_back(LogRecord{
+        &events::KeysRetained,
+        {{"service", Report.Service},
+         {"instance", Target.Instance},
+         {"keys", std::to_string(Decision.RetainedKeys)},
+         {"for_ms", std::to_string((this->Grantor.earlierHoldsEnd() - Now) /
+                                   milliseconds(1))}}});
   if (Decision.Answer.Grants != this->LastGrants) {
     this->LastGrants = Decision.Answer.Grants;
     std::uint64_t Keys = 0;
@@ -153,9 +163,9 @@
     bool IsNew = Settled && Row.Fence > Stored.Map.EraFence;
     // Keys that a node has not passed on, as far as it remembers, can be passed
     // on now.
-    bool IsOffered =
-        Row.Next && (this->Members.knewEarlierRows() ||
-                     !this->Members.mayMissHolds(UnrecordedHoldTime, Now));
+    bool IsOffered = Row.Next && Now >= this->Grantor.earlierHoldsEnd() &&
+                     (this->Members.knewEarlierRows() ||
+                      !this->Members.mayMissHolds(UnrecordedHoldTime, Now));
     return Row.Owner != Target || (!IsHeld && !IsNew && !IsOffered);
   });
   // Splitting must not make more rows than an answer can list.
--- a/orioledoor/sidecar/key_ownership_manager.h
+++ b/orioledoor/sidecar/key_ownership_manager.h
@@ -45,12 +45,15 @@
   // that delaying the answer to its report briefly is worthwhile.
   bool expectsKeys(std::string_view Service,
                    const routing::TargetRef &Target) const;
+  // Records the start of this process. To be called before any other event.
+  void noteStart(Instant Now) { this->Grantor.noteStart(Now); }
   // Forgets the grants to the target, whose new process sent its first report.
   void resetGrants() { this->Grantor.reset(); }
   bool holds(std::uint32_t Key, Instant Now) const {
     return this->Grantor.holds(Key, Now);
   }
-  Duration longestHold() const { return this->Grantor.longestHold(); }
+  // Returns the time at which every hold has ended that a process of this node
+  // has granted.
   Instant holdsEnd() const { return this->Grantor.holdsEnd(); }
   // Returns the owner of a key as far as this node knows.
   routing::KeyOwner ownerOf(std::string_view Service, std::int32_t Key) const;
@@ -187,6 +190,8 @@
   std::vector<keyspace::KeyTransfer> PendingTransfers;
   std::vector<keyspace::KeyRange> UnheldRows;
   std::vector<routing::GrantedRange> LastGrants;
+  // Whether the last answer left keys with the target that are to move.
+  bool RetainsKeys = false;
 };
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/key_ownership_test.cc
+++ b/orioledoor/sidecar/key_ownership_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ownershipIsExclusiveUnderFaults);
   CPPUNIT_TEST(evacuationMovesAllKeys);
   CPPUNIT_TEST(ownershipIsExclusiveUnderEvacuations);
+  CPPUNIT_TEST(lateReportsGiveNoKeyTwoHolders);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,12 @@
     this->play(testing::ModelSchedule::KeyEvacuations, DefaultSeeds / 3);
   }
 
+  // Guards against a restarted node that takes a late report for the present
+  // holds of its target, and passes keys on that the target still holds.
+  void lateReportsGiveNoKeyTwoHolders() {
+    this->play(testing::ModelSchedule::LateReports, DefaultSeeds);
+  }
+
 private:
   void play(testing::ModelSchedule Schedule, std::uint64_t Seeds) {
     auto [First, Count] = testing::readSeedRange(Seeds);
--- a/orioledoor/sidecar/reducer.cc
+++ b/orioledoor/sidecar/reducer.cc
@@ -267,6 +267,7 @@
 
 void SidecarReducer::on(Started, Instant Now) {
   this->StartedAt = Now;
+  this->Keys.noteStart(Now);
   // The watch of the configuration opens before the members are known. Until
   // then a lone node's schedule is in force, whose requests are short.
   this->updateWatches();
--- a/orioledoor/sidecar/reducer_reports.cc
+++ b/orioledoor/sidecar/reducer_reports.cc
@@ -96,19 +96,17 @@
 }
 
 void SidecarReducer::updateEndedTarget(Instant Now) {
+  if (Now <= this->Keys.holdsEnd() + EndedMargin)
+    return;
   const TargetRef &Target = this->Gate.target();
-  if (Target) {
-    if (this->isPartitioned(this->Gate.service()) &&
-        Now > this->Keys.holdsEnd() + EndedMargin &&
-        Now - this->ReportedAt > this->Options.Keys.Grants.HoldTime)
-      this->EndedTarget = Target;
+  if (!Target) {
+    if (std::exchange(this->OwnersChanged, false))
+      this->EndedTarget = this->Keys.ownerBeside(this->Options.Node);
     return;
   }
-  // Holds that an earlier process of this node granted have ended by then.
-  bool HoldsEnded =
-      Now - this->StartedAt > this->Keys.longestHold() + EndedMargin;
-  if (HoldsEnded && std::exchange(this->OwnersChanged, false))
-    this->EndedTarget = this->Keys.ownerBeside(this->Options.Node);
+  if (this->isPartitioned(this->Gate.service()) &&
+      Now - this->ReportedAt > this->Options.Keys.Grants.HoldTime)
+    this->EndedTarget = Target;
 }
 
 } // namespace orioledoor::sidecar
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(becomesReadyWithRoutesAndMembers);
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
   CPPUNIT_TEST(statesThatASilentTargetOfAnEarlierProcessHasEnded);
+  CPPUNIT_TEST(targetsThatFallSilentAfterARestartHaveNotEndedAtOnce);
   CPPUNIT_TEST(remindsRestartedNodesOfLeavingTargets);
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
   CPPUNIT_TEST(reportsTheColdPaceAsCapacity);
@@ -152,6 +153,21 @@
     CPPUNIT_ASSERT(!Sidecar.Reducer.membership().selfEntry().Ended);
   }
 
+  // Guards against a node that restarts while the store is down, hears from its
+  // target once and states that it has ended before its last hold has.
+  void targetsThatFallSilentAfterARestartHaveNotEndedAtOnce() {
+    ReducerFixture Sidecar;
+    auto Table = std::make_shared<routing::RouteTable>();
+    Table->Services["keyed"] = {"keyed", "/health", 0, true};
+    Table->finish();
+    Sidecar.dispatch(ConfigDecoded{Table});
+    Sidecar.report(1);
+    Sidecar.advance(milliseconds(5100));
+    CPPUNIT_ASSERT(!Sidecar.Reducer.membership().selfEntry().Ended);
+    Sidecar.advance(milliseconds(800));
+    CPPUNIT_ASSERT(Sidecar.Reducer.membership().selfEntry().Ended);
+  }
+
   // Guards against a target that deregistered, serves on and still reports:
   // after a restart its node took it for ready and sent it requests of its
   // callers.
--- a/orioledoor/sidecar/testing/model_fleet.cc
+++ b/orioledoor/sidecar/testing/model_fleet.cc
@@ -35,6 +35,9 @@
 // A node that has reached the store for this long knows what it says: a read
 // that failed is repeated after 1.3 s.
 constexpr Duration LearnTime = milliseconds(1500);
+// Share of the reports that are late, and by how much.
+constexpr int LateReportPercent = 15;
+constexpr int MaxLatenessMillis = 6000;
 constexpr char OperatorPrefix[] = "op/";
 constexpr char EvacuationPrefix[] = "op/evacuate/";
 
@@ -57,7 +60,7 @@
 ModelFleet::ModelFleet(std::uint64_t Seed, int Nodes, ModelSchedule Schedule)
     : Random(Seed), Schedule(Schedule),
       Table(this->isKeyed() ? newTable() : trafficTable(1)) {
-  if (Schedule == ModelSchedule::KeyFaultsAndRollbacks)
+  if (this->rollsBack())
     this->Store.setEra(1);
   if (Schedule == ModelSchedule::Delays)
     this->Traffic.allowLateAnswers();
@@ -447,8 +450,23 @@
   }
 }
 
-void ModelFleet::report(Vm &Machine) {
+void ModelFleet::report(Vm &Machine, bool Faults) {
   Machine.NextReport = this->Now + ReportInterval;
+  if (Faults && this->hasLateReports() &&
+      (this->Now < Machine.ReportsLateUntil ||
+       this->randomChance(LateReportPercent))) {
+    Duration Lateness = CallTimeout + this->randomDuration(MaxLatenessMillis);
+    this->recordHistory("report of vm " + std::to_string(Machine.Index) +
+                        " late by " +
+                        std::to_string(Lateness / milliseconds(1)) + " ms");
+    this->LateReports.emplace(
+        this->Now + Lateness,
+        LateReport{Machine.Index, Machine.Target->report(this->Now)});
+    // The target gives up on it.
+    ++Machine.ReportId;
+    Machine.NextReport = this->Now + CallTimeout;
+    return;
+  }
   if (!Machine.Reducer || this->Now < Machine.ReportsCutUntil)
     return;
   routing::TargetReport Report = Machine.Target->report(this->Now);
@@ -456,6 +474,47 @@
                 TargetReportReceived{++Machine.ReportId, std::move(Report)});
 }
 
+void ModelFleet::restartBesideMove(Vm &Machine) {
+  this->recordHistory("node of vm " + std::to_string(Machine.Index) +
+                      " is to restart beside moving keys");
+  if (Machine.Target && this->randomChance(50))
+    Machine.Target->Draining = true;
+  else
+    this->reportHotKeys(Machine.Index);
+  Machine.KillAt = this->Now + milliseconds(200) + this->randomDuration(1500);
+}
+
+void ModelFleet::killWhenDue(Vm &Machine) {
+  if (!Machine.KillAt || this->Now < *Machine.KillAt)
+    return;
+  Machine.KillAt.reset();
+  this->recordHistory("node process killed on vm " +
+                      std::to_string(Machine.Index));
+  Machine.Reducer.reset();
+  Machine.NodeUpAt = this->Now + milliseconds(100) + this->randomDuration(400);
+  Machine.ReportsLateUntil = this->Now + this->randomDuration(3000);
+  // What is under way reaches the next process first.
+  std::multimap<Instant, LateReport> Retimed;
+  for (auto &[DueAt, Late] : this->LateReports)
+    Retimed.emplace(Late.To == Machine.Index
+                        ? Machine.NodeUpAt + this->randomDuration(600)
+                        : DueAt,
+                    std::move(Late));
+  this->LateReports = std::move(Retimed);
+}
+
+void ModelFleet::deliverLateReports() {
+  // Targets wait for no answer with this id.
+  constexpr std::uint64_t UnawaitedId = 0;
+  while (!this->LateReports.empty() &&
+         this->LateReports.begin()->first <= this->Now) {
+    LateReport Next = std::move(this->LateReports.begin()->second);
+    this->LateReports.erase(this->LateReports.begin());
+    this->deliver(*this->Vms[static_cast<std::size_t>(Next.To)],
+                  TargetReportReceived{UnawaitedId, std::move(Next.Report)});
+  }
+}
+
 void ModelFleet::answerReport(Vm &Machine, const ReplyToReport &Answer) {
   // The target no longer waits for answers to earlier reports.
   if (!Machine.Target || Answer.Id != Machine.ReportId)
@@ -577,13 +636,16 @@
     return;
   }
   Vm &Machine = *this->Vms[this->Random() % this->Vms.size()];
+  if (this->hasLateReports() && this->randomChance(50)) {
+    this->restartBesideMove(Machine);
+    return;
+  }
   std::string Name = "vm " + std::to_string(Machine.Index);
   Duration FaultTime = milliseconds(300) + this->randomDuration(9000);
   std::string TimeText =
       " for " + std::to_string(FaultTime.count() / 1000) + " ms";
   // The last four are rollbacks, which only one schedule has.
-  bool RollsBack = this->Schedule == ModelSchedule::KeyFaultsAndRollbacks;
-  switch (this->Random() % (RollsBack ? 17 : 13)) {
+  switch (this->Random() % (this->rollsBack() ? 17 : 13)) {
   case 13:
   case 14:
   case 15:
@@ -724,8 +786,8 @@
 
 void ModelFleet::step(bool Faults) {
   this->Now = this->Now + Step;
-  if (this->Schedule == ModelSchedule::KeyFaultsAndRollbacks && Faults &&
-      this->Now >= this->NextCopyAt && !this->RollBackDue) {
+  if (this->rollsBack() && Faults && this->Now >= this->NextCopyAt &&
+      !this->RollBackDue) {
     this->NextCopyAt = this->Now + seconds(3);
     this->Store.takeCopy();
   }
@@ -744,6 +806,7 @@
   this->serveStore();
   this->replaceConnections();
   this->updateEvacuationKnowledge();
+  this->deliverLateReports();
   while (!this->ScheduledEvents.empty() &&
          this->ScheduledEvents.begin()->first <= this->Now) {
     ScheduledEvent Next = std::move(this->ScheduledEvents.begin()->second);
@@ -754,6 +817,7 @@
   }
   for (auto &MachinePtr : this->Vms) {
     Vm &Machine = *MachinePtr;
+    this->killWhenDue(Machine);
     if (!Machine.Reducer && this->Now >= Machine.NodeUpAt)
       this->startNode(Machine);
     if (!Machine.Target && this->Now >= Machine.TargetUpAt)
@@ -768,7 +832,7 @@
       Machine.TargetUpAt = this->Now + this->randomDuration(4000);
     }
     if (Machine.Target && this->Now >= Machine.NextReport)
-      this->report(Machine);
+      this->report(Machine, Faults);
     if (Machine.Reducer && this->Now >= Machine.NextTick &&
         this->Now >= Machine.FrozenUntil) {
       Machine.NextTick = this->Now + TickInterval;
--- a/orioledoor/sidecar/testing/model_fleet.h
+++ b/orioledoor/sidecar/testing/model_fleet.h
@@ -54,6 +54,12 @@
   Evacuations,
   // KeyFaults, with such evacuations.
   KeyEvacuations,
+  // KeyFaults, while one report in seven arrives seconds late, and nodes
+  // restart
+  // beside targets whose keys are about to move.
+  LateReports,
+  // KeyFaultsAndRollbacks with such reports.
+  LateReportsAndRollbacks,
 };
 
 // Not thread-safe. Deterministic: the same seed gives the same run.
@@ -136,6 +142,10 @@
     Instant MessagesHeldUntil;
     Instant ReportsCutUntil;
     Instant NextReport;
+    // All reports of the target are late until this time.
+    Instant ReportsLateUntil;
+    // The node's process is killed at this time.
+    std::optional<Instant> KillAt;
     std::uint64_t ReportId = 0;
     // Events that are delivered when the frozen process continues.
     std::vector<Event> DelayedEvents;
@@ -161,6 +171,11 @@
     Instant Until;
     std::size_t LostMessages = 0;
   };
+  // A report that arrives after its target has given up on it.
+  struct LateReport {
+    int To = 0;
+    routing::TargetReport Report;
+  };
   // A caller that will leave.
   struct Departure {
     int VmIndex = 0;
@@ -197,7 +212,13 @@
            this->Schedule == ModelSchedule::KeyEvacuations;
   }
   void serveStore();
-  void report(Vm &Machine);
+  void report(Vm &Machine, bool Faults);
+  // Lets keys of the VM's target move, and its node restart meanwhile.
+  void restartBesideMove(Vm &Machine);
+  // Kills the node's process at its KillAt.
+  void killWhenDue(Vm &Machine);
+  // Delivers the late reports that are due, to whatever process runs by now.
+  void deliverLateReports();
   void answerReport(Vm &Machine, const ReplyToReport &Answer);
   void injectFault();
   void injectFaultBesideStops();
@@ -227,8 +248,17 @@
   // Returns whether the schedule is one of keys without requests.
   bool isKeyed() const {
     return this->Schedule == ModelSchedule::KeyFaults ||
-           this->Schedule == ModelSchedule::KeyFaultsAndRollbacks ||
-           this->Schedule == ModelSchedule::KeyEvacuations;
+           this->Schedule == ModelSchedule::KeyEvacuations ||
+           this->rollsBack() || this->hasLateReports();
+  }
+  // Returns whether the store comes back from older copies.
+  bool rollsBack() const {
+    return this->Schedule == ModelSchedule::KeyFaultsAndRollbacks ||
+           this->Schedule == ModelSchedule::LateReportsAndRollbacks;
+  }
+  bool hasLateReports() const {
+    return this->Schedule == ModelSchedule::LateReports ||
+           this->Schedule == ModelSchedule::LateReportsAndRollbacks;
   }
   bool randomChance(int Percent) {
     return this->Random() % 100 < static_cast<std::uint64_t>(Percent);
@@ -244,6 +274,7 @@
   std::multimap<Instant, ScheduledEvent> ScheduledEvents;
   std::multimap<Instant, StoreCall> StoreCalls;
   std::multimap<Instant, Departure> Departures;
+  std::multimap<Instant, LateReport> LateReports;
   // By the indices of sender and recipient.
   std::map<std::pair<int, int>, SilentConnection> SilentConnections;
   Instant StoreDownUntil;
