Remember deregistrations of targets that have not reported yet

Cause: a deregistration counted only for the target that the process knew. A node that had just started knew none: it dropped the call and acknowledged it. A report that the target had made before, and that came seconds late, was then the first of a new incarnation, so that the node announced it as ready. No other node could object, since none had heard of the deregistration.

Evidence: in the node's log SIDECAR_STARTED is followed by TARGET_READY at the time of the late report, and TARGET_LEAVING only by an answer of the target; the deregistration left no trace.

Change: the gate remembers the last 16 departures, by instance and the time of day, since the call does not state a start time. An incarnation under that id that had started by then is leaving since the acknowledgement from its first report on; a later one is served. The drain time ends at once if it is over, and not with the next tick. It counts as well if the process knew an earlier target under the same id.

--- a/orioledoor/base/wall_clock.h
+++ b/orioledoor/base/wall_clock.h
@@ -1,6 +1,7 @@
 // The wall clock, for timestamps in records that people read. Not suitable for
 // timeouts or for ordering events: it may jump, and the clocks of two VMs
-// differ.
+// differ. The start times that targets state are an exception: they come from
+// the clock of their VM and are compared with nothing else.
 //
 //   Record.TimeMicros = readWallMicros();
 #ifndef ORIOLEDOOR_BASE_WALL_CLOCK_H
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -65,7 +65,7 @@
     if (this->State == TargetState::Absent && !this->Drained)
       this->State = TargetState::Ready;
     if (Report.Draining)
-      this->startDraining("report", Now, Out);
+      this->startDraining("report", Now, Now, Out);
     this->startQueuedCalls(Now, Out);
     return ReportVerdict::Current;
   }
@@ -104,43 +104,62 @@
                  field("sequence", std::to_string(Report.Sequence)),
                  field("held_ranges", std::to_string(Report.Holds.size()))}});
   if (Report.Draining)
-    this->startDraining("report", Now, Out);
+    this->startDraining("report", Now, Now, Out);
+  if (auto Since = this->Departures.leavingSince(this->Target))
+    this->startDraining("earlier notice", *Since, Now, Out);
   this->startQueuedCalls(Now, Out);
   return ReportVerdict::NewIncarnation;
 }
 
-void TargetGate::handleShutdown(std::string_view Instance, Instant Now,
+void TargetGate::handleShutdown(std::string_view Instance,
+                                std::int64_t WallTimeMs, Instant Now,
                                 Effects &Out) {
   bool IsKnown = this->Target && this->Target.Instance == Instance;
   Out.push_back(LogRecord{&events::TargetDeregistered,
                           {field("instance", std::string(Instance)),
                            field("has_reported", IsKnown ? "yes" : "no")}});
+  // The known incarnation may be an earlier one with the same id.
+  this->Departures.note(Instance, WallTimeMs, Now);
   if (IsKnown)
-    this->startDraining("deregistration", Now, Out);
+    this->startDraining("deregistration", Now, Now, Out);
 }
 
-void TargetGate::startDraining(std::string_view AnnouncedBy, Instant Now,
-                               Effects &Out) {
-  if (this->State == TargetState::Leaving || this->Drained)
+void TargetGate::startDraining(std::string_view AnnouncedBy, Instant Since,
+                               Instant Now, Effects &Out) {
+  if (this->Drained)
     return;
-  this->State = TargetState::Leaving;
-  this->DrainDeadline = Now + this->Options.DrainTime - DrainMargin;
+  Instant Deadline = Since + this->Options.DrainTime - DrainMargin;
+  if (this->State == TargetState::Leaving) {
+    this->DrainDeadline = std::min(this->DrainDeadline, Deadline);
+  } else {
+    this->State = TargetState::Leaving;
+    this->DrainDeadline = Deadline;
+    Out.push_back(
+        LogRecord{&events::TargetLeaving,
+                  {field("instance", this->Target.Instance),
+                   field("announced_by", std::string(AnnouncedBy)),
+                   field("waiting", std::to_string(this->Queue.waiting())),
+                   field("running", std::to_string(this->Queue.running()))}});
+  }
+  this->endDrainTime(Now, Out);
+}
+
+void TargetGate::endDrainTime(Instant Now, Effects &Out) {
+  if (this->State != TargetState::Leaving || Now < this->DrainDeadline)
+    return;
+  this->State = TargetState::Absent;
+  this->Drained = true;
   Out.push_back(
-      LogRecord{&events::TargetLeaving,
+      LogRecord{&events::TargetDrained,
                 {field("instance", this->Target.Instance),
-                 field("announced_by", std::string(AnnouncedBy)),
-                 field("waiting", std::to_string(this->Queue.waiting())),
                  field("running", std::to_string(this->Queue.running()))}});
+  this->refuseUnstartedCalls(Now, Out);
 }
 
 void TargetGate::handleLeavingNotice(const TargetLeavingNotice &Notice,
                                      Instant Now, Effects &Out) {
-  if (!this->Target || Notice.Target != this->Target)
-    return;
-  this->startDraining("another node", Now, Out);
-  this->DrainDeadline =
-      std::min(this->DrainDeadline,
-               Now - Notice.KnownFor + this->Options.DrainTime - DrainMargin);
+  if (this->Target && Notice.Target == this->Target)
+    this->startDraining("another node", Now - Notice.KnownFor, Now, Out);
 }
 
 void TargetGate::refuseUnstartedCalls(Instant Now, Effects &Out) {
@@ -187,15 +206,7 @@
   std::erase_if(this->DroppedOnArrival, [Now](const auto &Entry) {
     return Now - Entry.second > DroppedRetention;
   });
-  if (this->State == TargetState::Leaving && Now >= this->DrainDeadline) {
-    this->State = TargetState::Absent;
-    this->Drained = true;
-    Out.push_back(
-        LogRecord{&events::TargetDrained,
-                  {field("instance", this->Target.Instance),
-                   field("running", std::to_string(this->Queue.running()))}});
-    this->refuseUnstartedCalls(Now, Out);
-  }
+  this->endDrainTime(Now, Out);
   // Reports may be lost while requests still reach the target, so silence alone
   // is not enough.
   if (this->State == TargetState::Ready && this->ConnectionRefused &&
--- a/orioledoor/routing/target_gate.h
+++ b/orioledoor/routing/target_gate.h
@@ -36,6 +36,7 @@
 #include "orioledoor/routing/placement_policy.h"
 #include "orioledoor/routing/recent_results.h"
 #include "orioledoor/routing/start_pacer.h"
+#include "orioledoor/routing/target_departures.h"
 #include "orioledoor/routing/target_evacuation.h"
 #include "orioledoor/routing/target_signals.h"
 #include "orioledoor/routing/target_slowdown.h"
@@ -98,8 +99,11 @@
   // Processes a heartbeat report of the target.
   ReportVerdict handleReport(const TargetReport &Report, Instant Now,
                              Effects &Out);
-  // The target announced its shutdown without a report.
-  void handleShutdown(std::string_view Instance, Instant Now, Effects &Out);
+  // A target announced its shutdown without a report, at this time by the clock
+  // of its VM, in Unix milliseconds. The incarnation that had started by then
+  // is leaving from now on, even if it has not reported to this process yet.
+  void handleShutdown(std::string_view Instance, std::int64_t WallTimeMs,
+                      Instant Now, Effects &Out);
 
   // From is the peer address of the sender. Delay: how much later than normal
   // the message arrived, which is an estimate.
@@ -136,8 +140,8 @@
                          Instant Now, Effects &Out);
   // A target of another node has answered a request that was suspected.
   void handleCrashCleared(const CrashCleared &Cleared, Effects &Out);
-  // Another node states that the target announced its end, to an earlier
-  // process of this node.
+  // Another node states that a target of this node announced its end, to an
+  // earlier process of this node. It may not have reported to this one yet.
   void handleLeavingNotice(const TargetLeavingNotice &Notice, Instant Now,
                            Effects &Out);
   // The routes of Table are in force. Requests of classes whose routes do not
@@ -314,8 +318,12 @@
   void refuse(const std::string &From, const Forward &Request, Outcome Reason,
               Duration RetryAfter, Instant Now, Effects &Out,
               std::string_view Detail = {});
+  // Gives the target no new requests once the drain time since Since is over.
   // AnnouncedBy: how the target said that it is leaving, for the log.
-  void startDraining(std::string_view AnnouncedBy, Instant Now, Effects &Out);
+  void startDraining(std::string_view AnnouncedBy, Instant Since, Instant Now,
+                     Effects &Out);
+  // Ends all calls that have not started if the drain time is over.
+  void endDrainTime(Instant Now, Effects &Out);
   void setRateLimit(std::optional<double> RequestsPerSecond, Effects &Out);
   // Time until a request may start that has Ahead others before it, slots
   // aside: by the stated limit or the pace of a cold target, if that is longer.
@@ -354,6 +362,7 @@
   // Leaving.
   Instant DrainDeadline;
   bool Drained = false;
+  TargetDepartures Departures;
   Instant LastReportAt;
   // The most recent call could not be sent.
   bool ConnectionRefused = false;
--- a/orioledoor/routing/target_gate_signals.cc
+++ b/orioledoor/routing/target_gate_signals.cc
@@ -34,7 +34,7 @@
     return;
   this->SignalsKnown = true;
   if (Signals.Leaving)
-    this->startDraining("answer", Now, Out);
+    this->startDraining("answer", Now, Now, Out);
   if (Signals.LoadUnreadable)
     Out.push_back(LogRecord{&events::TargetLoadUnreadable,
                             {field("request", Found->second.Request.AttemptId),
--- a/orioledoor/routing/target_leaving_test.cc
+++ b/orioledoor/routing/target_leaving_test.cc
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include "orioledoor/routing/target_departures.h"
+#include "orioledoor/routing/target_gate.h"
 #include "orioledoor/routing/testing/entry_fixture.h"
 #include "orioledoor/routing/testing/target_load.h"
 
@@ -26,11 +28,34 @@
           .ServiceTime = milliseconds(50)};
 }
 
+constexpr char OwnNode[] = "tcp://10.0.0.1:7100";
+
+// A gate that has not heard from its target yet.
+struct RestartedGate {
+  void report(std::int64_t StartTimeMs, Duration After = Duration(0)) {
+    this->Now = this->Now + After;
+    TargetReport Report;
+    Report.Instance = "i-1";
+    Report.Service = "plain";
+    Report.StartTimeMs = StartTimeMs;
+    Report.Sequence = ++this->Sequence;
+    this->Gate.handleReport(Report, this->Now, this->Out);
+  }
+
+  Instant Now{std::int64_t{1'000'000}};
+  TargetGate Gate{{.Node = OwnNode, .Process = 1}};
+  Effects Out;
+  std::int64_t Sequence = 0;
+};
+
 class TargetLeavingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TargetLeavingTest);
   CPPUNIT_TEST(avoidsLeavingTargetsWhoseNodeRestarts);
   CPPUNIT_TEST(avoidsLeavingTargetsWhoseEntryLapsed);
   CPPUNIT_TEST(drainsTargetsThatLeaveByAnAnswer);
+  CPPUNIT_TEST(deregistrationsBeforeTheFirstReportCount);
+  CPPUNIT_TEST(nextIncarnationUnderTheSameIdIsServed);
+  CPPUNIT_TEST(keepsTheLatestDepartures);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +108,64 @@
                          Load.startsFrom(LeavesAt + seconds(2)));
     CPPUNIT_ASSERT(Load.Refused >= 2 * 50 * 9 / 10);
   }
+  // Guards against a deregistration that a restarted node acknowledges and
+  // forgets, since its target has not reported to the new process: a late
+  // report made the target ready again.
+  void deregistrationsBeforeTheFirstReportCount() {
+    RestartedGate G;
+    G.Gate.handleShutdown("i-1", 2000, G.Now, G.Out);
+    // The drain time counts from the acknowledgement.
+    G.report(1000, milliseconds(500));
+    CPPUNIT_ASSERT(G.Gate.state() == TargetState::Leaving);
+    G.Now = G.Now + milliseconds(1300);
+    G.Gate.tick(G.Now, G.Out);
+    CPPUNIT_ASSERT(G.Gate.state() == TargetState::Absent);
+    // The drain time was over before the report came.
+    RestartedGate Late;
+    Late.Gate.handleShutdown("i-1", 2000, Late.Now, Late.Out);
+    Late.report(1000, seconds(3));
+    CPPUNIT_ASSERT(Late.Gate.state() == TargetState::Absent);
+    Late.report(1000);
+    CPPUNIT_ASSERT(Late.Gate.state() == TargetState::Absent);
+  }
+
+  // Guards against a departure that is held against the next target, which has
+  // started under the same id, and against one that counts for an earlier
+  // target with that id instead of the one that left.
+  void nextIncarnationUnderTheSameIdIsServed() {
+    RestartedGate G;
+    G.report(1000);
+    CPPUNIT_ASSERT(G.Gate.state() == TargetState::Ready);
+    G.Gate.handleShutdown("i-1", 3000, G.Now, G.Out);
+    CPPUNIT_ASSERT(G.Gate.state() == TargetState::Leaving);
+    G.report(2000);
+    CPPUNIT_ASSERT(G.Gate.state() == TargetState::Leaving);
+    G.report(3001);
+    CPPUNIT_ASSERT(G.Gate.state() == TargetState::Ready);
+  }
+
+  // Guards against memory that grows with each departure, and against repeated
+  // reminders that displace other targets.
+  void keepsTheLatestDepartures() {
+    TargetDepartures Departures;
+    Instant Now{std::int64_t{10'000'000}};
+    auto IsKnown = [&Departures](int Index) {
+      return Departures.leavingSince({"i-" + std::to_string(Index), 1, "n"})
+          .has_value();
+    };
+    for (int Index = 0; Index <= 16; ++Index)
+      Departures.note("i-" + std::to_string(Index), 1, Now);
+    for (int Repeat = 0; Repeat < 100; ++Repeat)
+      Departures.note("i-16", 1, Now);
+    CPPUNIT_ASSERT(!IsKnown(0));
+    CPPUNIT_ASSERT(IsKnown(1));
+    CPPUNIT_ASSERT(IsKnown(16));
+    // The first acknowledgement of a target counts.
+    Departures.note("i-16", 2, Now + seconds(1));
+    CPPUNIT_ASSERT(Departures.leavingSince({"i-16", 1, "n"}) == Now);
+    CPPUNIT_ASSERT(Departures.leavingSince({"i-16", 2, "n"}) ==
+                   Now + seconds(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetLeavingTest);
--- a/orioledoor/sidecar/event.h
+++ b/orioledoor/sidecar/event.h
@@ -70,6 +70,9 @@
 // The target deregistered before it ends.
 struct TargetDeregistered {
   std::string Instance{};
+  // Time of day on this VM, in Unix milliseconds. The call does not state the
+  // start time of the target.
+  std::int64_t WallTimeMs = 0;
 };
 // The reply to ReadConfig.
 struct ConfigReadReplied {
--- a/orioledoor/sidecar/reducer_reports.cc
+++ b/orioledoor/sidecar/reducer_reports.cc
@@ -91,7 +91,8 @@
 }
 
 void SidecarReducer::on(const TargetDeregistered &Deregistered, Instant Now) {
-  this->Gate.handleShutdown(Deregistered.Instance, Now, this->RoutingEffects);
+  this->Gate.handleShutdown(Deregistered.Instance, Deregistered.WallTimeMs, Now,
+                            this->RoutingEffects);
   this->publishStatus(Now);
 }
 
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(defersReportAnswerUntilKeysArrive);
   CPPUNIT_TEST(statesThatASilentTargetOfAnEarlierProcessHasEnded);
   CPPUNIT_TEST(targetsThatFallSilentAfterARestartHaveNotEndedAtOnce);
+  CPPUNIT_TEST(deregisteredTargetsStayGoneAfterALateReport);
   CPPUNIT_TEST(remindsRestartedNodesOfLeavingTargets);
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
   CPPUNIT_TEST(reportsTheColdPaceAsCapacity);
@@ -168,6 +169,25 @@
     CPPUNIT_ASSERT(Sidecar.Reducer.membership().selfEntry().Ended);
   }
 
+  // Guards against a node that has just started, acknowledges a deregistration
+  // and announces the target as ready when a late report arrives: requests
+  // reached it after the drain time and ended with it.
+  void deregisteredTargetsStayGoneAfterALateReport() {
+    ReducerFixture Sidecar;
+    Sidecar.joinFleet();
+    Sidecar.dispatch(TargetDeregistered{"i-1", /*WallTimeMs=*/1000});
+    Sidecar.advance(seconds(3));
+    Sidecar.report(1);
+    CPPUNIT_ASSERT(Sidecar.Reducer.gate().state() ==
+                   routing::TargetState::Absent);
+    CPPUNIT_ASSERT(Sidecar.Reducer.membership().selfEntry().State ==
+                   routing::TargetState::Absent);
+    // The next incarnation is announced.
+    Sidecar.report(1, /*StartTimeMs=*/1001);
+    CPPUNIT_ASSERT(Sidecar.Reducer.membership().selfEntry().State ==
+                   routing::TargetState::Ready);
+  }
+
   // Guards against a target that deregistered, serves on and still reports:
   // after a restart its node took it for ready and sent it requests of its
   // callers.
--- a/orioledoor/sidecar/sidecar_node.cc
+++ b/orioledoor/sidecar/sidecar_node.cc
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 
 #include "orioledoor/base/error.h"
+#include "orioledoor/base/wall_clock.h"
 #include "orioledoor/catalogue/parse_endpoint.h"
 #include "orioledoor/platform/config_codec.h"
 #include "orioledoor/platform/names.h"
@@ -90,6 +91,7 @@
 // those that are kept in case a connection breaks; the same as for the bodies
 // of requests.
 constexpr double AnswerMemoryShare = 0.125;
+constexpr std::int64_t MicrosPerMilli = 1000;
 // Bytes per second in one Mbit/s.
 constexpr double BytesPerMbit = 1e6 / 8;
 
@@ -285,7 +287,8 @@
 
   void onTargetReport(std::uint64_t Id, const wire::IncomingRequest &Request) {
     if (auto Instance = platform::decodeDeregisterPath(Request.Target)) {
-      this->dispatch(TargetDeregistered{*Instance});
+      this->dispatch(
+          TargetDeregistered{*Instance, readWallMicros() / MicrosPerMilli});
       this->ControlServer->reply(Id, {200, {}, ""});
       return;
     }
