Remind joining nodes of departures before their targets report

If the process that acknowledged a departure ends, its successor takes a late report for a ready target until the other nodes contradict it, for a round trip.

Change: a node that joins is told of every target at its address that is leaving, unless its entry names a later incarnation or shows that it knows. The gate remembers the notices like deregistrations.

Result: remindsJoiningNodesBeforeTheirTargetsReport and remindersBeforeTheFirstReportCount fail without the change.

--- a/orioledoor/routing/target_directory.cc
+++ b/orioledoor/routing/target_directory.cc
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <optional>
+#include <ranges>
 #include <tuple>
 
 #include "orioledoor/routing/internal/drain_margin.h"
@@ -185,6 +187,15 @@
                                            : std::optional(Now - Found->second);
 }
 
+std::vector<TargetRef>
+TargetDirectory::leavingBeside(std::string_view Node) const {
+  std::vector<TargetRef> Leaving;
+  std::ranges::copy_if(
+      this->LeavingSince | std::views::keys, std::back_inserter(Leaving),
+      [Node](const TargetRef &Target) { return Target.Node == Node; });
+  return Leaving;
+}
+
 bool TargetDirectory::hasDrained(const TargetRef &Target, Instant Now) const {
   auto Found = this->LeavingSince.find(Target);
   return Found != this->LeavingSince.end() &&
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -181,6 +181,10 @@
   // not known to.
   std::optional<Duration> leavingFor(const TargetRef &Target,
                                      Instant Now) const;
+  // Returns the targets beside Node that are known to leave, also those that
+  // its present process has not heard of. Linear in the number of leaving
+  // targets of the fleet.
+  std::vector<TargetRef> leavingBeside(std::string_view Node) const;
 
   const TargetView *find(const std::string &Node) const;
   // Distance of a place from this node.
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -158,8 +158,13 @@
 
 void TargetGate::handleLeavingNotice(const TargetLeavingNotice &Notice,
                                      Instant Now, Effects &Out) {
+  if (Notice.Target.Node != this->Options.Node)
+    return;
+  Instant Since = Now - Notice.KnownFor;
+  this->Departures.note(Notice.Target.Instance, Notice.Target.StartTimeMs,
+                        Since);
   if (this->Target && Notice.Target == this->Target)
-    this->startDraining("another node", Now - Notice.KnownFor, Now, Out);
+    this->startDraining("another node", Since, Now, Out);
 }
 
 void TargetGate::refuseUnstartedCalls(Instant Now, Effects &Out) {
--- a/orioledoor/routing/target_leaving_test.cc
+++ b/orioledoor/routing/target_leaving_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(avoidsLeavingTargetsWhoseEntryLapsed);
   CPPUNIT_TEST(drainsTargetsThatLeaveByAnAnswer);
   CPPUNIT_TEST(deregistrationsBeforeTheFirstReportCount);
+  CPPUNIT_TEST(remindersBeforeTheFirstReportCount);
   CPPUNIT_TEST(nextIncarnationUnderTheSameIdIsServed);
   CPPUNIT_TEST(keepsTheLatestDepartures);
   CPPUNIT_TEST_SUITE_END();
@@ -129,6 +130,20 @@
     CPPUNIT_ASSERT(Late.Gate.state() == TargetState::Absent);
   }
 
+  // Guards against a reminder that comes before the late report and is dropped.
+  void remindersBeforeTheFirstReportCount() {
+    RestartedGate G;
+    G.Gate.handleLeavingNotice({{"i-1", 1000, OwnNode}, seconds(3)}, G.Now,
+                               G.Out);
+    // Other nodes' targets are none of this gate's.
+    G.Gate.handleLeavingNotice({{"i-1", 5000, FarNode}, seconds(3)}, G.Now,
+                               G.Out);
+    G.report(1000);
+    CPPUNIT_ASSERT(G.Gate.state() == TargetState::Absent);
+    G.report(1001);
+    CPPUNIT_ASSERT(G.Gate.state() == TargetState::Ready);
+  }
+
   // Guards against a departure that is held against the next target, which has
   // started under the same id, and against one that counts for an earlier
   // target with that id instead of the one that left.
--- a/orioledoor/sidecar/reducer.h
+++ b/orioledoor/sidecar/reducer.h
@@ -144,6 +144,9 @@
   void remindOfLeaving(const std::string &From,
                        const routing::TargetRef &Target,
                        routing::TargetState Claimed, Instant Now);
+  // Reminds a node that has joined of the leaving targets beside it, before a
+  // late report of one of them can make it ready.
+  void remindOfDepartures(const NodeEntry &Joined, Instant Now);
   // Handles the information that node From has this version of the
   // configuration in force.
   void onPeerConfigVersion(const std::string &From, std::uint64_t Version,
--- a/orioledoor/sidecar/reducer_messages.cc
+++ b/orioledoor/sidecar/reducer_messages.cc
@@ -54,6 +54,18 @@
         SendMessage{From, routing::TargetLeavingNotice{Target, *KnownFor}});
 }
 
+void SidecarReducer::remindOfDepartures(const NodeEntry &Joined, Instant Now) {
+  for (const TargetRef &Target : this->Directory.leavingBeside(Joined.Node)) {
+    // Late reports of earlier incarnations than the known one are ignored.
+    bool IsPast =
+        Joined.Target && Target.StartTimeMs < Joined.Target.StartTimeMs;
+    if (!IsPast)
+      this->remindOfLeaving(
+          Joined.Node, Target,
+          Target == Joined.Target ? Joined.State : TargetState::Ready, Now);
+  }
+}
+
 void SidecarReducer::receiveMessage(const std::string &From, Message Body,
                                     Instant Now) {
   if (auto *Request = std::get_if<routing::Forward>(&Body)) {
@@ -123,8 +135,7 @@
     if (auto Known = this->Members.nodes().find(
             keyspace::KeyPlanner::nodeEntryKey(From));
         Known != this->Members.nodes().end())
-      this->remindOfLeaving(From, Known->second.Entry.Target,
-                            Known->second.Entry.State, Now);
+      this->remindOfDepartures(Known->second.Entry, Now);
   } else if (auto *ConfigRequest = std::get_if<routing::FetchConfig>(&Body)) {
     this->sendConfig(From, *ConfigRequest, Now);
   } else if (auto *NewConfig = std::get_if<routing::ConfigNotice>(&Body)) {
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(targetsThatFallSilentAfterARestartHaveNotEndedAtOnce);
   CPPUNIT_TEST(deregisteredTargetsStayGoneAfterALateReport);
   CPPUNIT_TEST(remindsRestartedNodesOfLeavingTargets);
+  CPPUNIT_TEST(remindsJoiningNodesBeforeTheirTargetsReport);
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
   CPPUNIT_TEST(reportsTheColdPaceAsCapacity);
   CPPUNIT_TEST(appliesKeyMapChangesInOrder);
@@ -188,6 +189,45 @@
                    routing::TargetState::Ready);
   }
 
+  // Guards against requests that reach a target after its drain time: its node
+  // restarted, a late report made it ready there, and the first reminder came
+  // only in answer to that.
+  void remindsJoiningNodesBeforeTheirTargetsReport() {
+    routing::TargetRef Left{"i-1", 5, OtherAddress};
+    ReducerFixture Knowing;
+    Knowing.joinFleet();
+    Knowing.addReadRoute();
+    Knowing.dispatch(PeerMessageReceived{
+        OtherAddress,
+        routing::StatusNotice{{.Process = 2,
+                               .Sequence = 5,
+                               .Target = Left,
+                               .Service = "keyed",
+                               .State = routing::TargetState::Leaving}}});
+    Knowing.advance(seconds(3));
+    NodeEntry Joined;
+    Joined.Node = OtherAddress;
+    Joined.Process = 3;
+    Joined.Place = {"d1", "r1"};
+    Joined.Service = "keyed";
+    auto Announce = [&](std::int64_t Revision) {
+      Knowing.dispatch(PeerMessageReceived{
+          OtherAddress,
+          routing::NodeNotice{Revision, encodeNodeEntry(Joined)}});
+      return Knowing.findMessage<routing::TargetLeavingNotice>();
+    };
+    const auto *Notice = Announce(20);
+    CPPUNIT_ASSERT(Notice && Notice->Target == Left &&
+                   Notice->KnownFor == seconds(3));
+    // Nodes that know it, or whose target is a later one, are not reminded.
+    Joined.Target = Left;
+    Joined.State = routing::TargetState::Leaving;
+    CPPUNIT_ASSERT(!Announce(21));
+    Joined.Target.StartTimeMs = 6;
+    Joined.State = routing::TargetState::Ready;
+    CPPUNIT_ASSERT(!Announce(22));
+  }
+
   // Guards against a target that deregistered, serves on and still reports:
   // after a restart its node took it for ready and sent it requests of its
   // callers.
