Tell the other nodes of a deregistration at once

Cause: a node acknowledged the deregistration of a target that had not reported to this process, and kept it to itself, since a target without a report has no status. If the process then ended, the next one and all other nodes knew nothing, and a late report made the target ready again. The notes of the first process were complete; the loss was in the second restart.

Change: the node sends TargetLeavingNotice to all other nodes unless the target was known to leave. They record it in their directories and remind the next process when it joins, as they do for targets whose status they saw.

--- a/orioledoor/routing/message.h
+++ b/orioledoor/routing/message.h
@@ -250,8 +250,11 @@
   std::string Document{};
 };
 
-// Reminds a restarted node that its target is leaving, which it does not know.
+// Tells the other nodes that a target has deregistered, or reminds a restarted
+// node that its target is leaving, which it does not know.
 struct TargetLeavingNotice {
+  // If the target has not reported to the node beside it, StartTimeMs is the
+  // latest time at which it can have started.
   TargetRef Target{};
   // How long ago the sender learned of it.
   Duration KnownFor{0};
--- a/orioledoor/routing/target_directory.h
+++ b/orioledoor/routing/target_directory.h
@@ -174,6 +174,8 @@
                               std::span<const std::string> AllowedRegions,
                               Instant Now) const;
 
+  // Records that the target is leaving, unless that is known already.
+  void noteLeaving(const TargetRef &Target, Instant Now);
   // Returns whether the target has been leaving for the drain time. This holds
   // whatever its node says later, since a restarted node may not know it.
   bool hasDrained(const TargetRef &Target, Instant Now) const;
@@ -278,7 +280,6 @@
   // Typical time at fast targets; 0 if no target has a measurement.
   double baselineOf(RequestClassId RequestClass) const;
   void updateBaselines(const TargetStatus &Status);
-  void noteLeaving(const TargetRef &Target, Instant Now);
 
   Location OwnLocation;
   std::string OwnNode;
--- a/orioledoor/routing/target_gate.cc
+++ b/orioledoor/routing/target_gate.cc
@@ -120,6 +120,14 @@
                            field("has_reported", IsKnown ? "yes" : "no")}});
   // The known incarnation may be an earlier one with the same id.
   this->Departures.note(Instance, WallTimeMs, Now);
+  // The status of a target that was known to leave has told the other nodes.
+  // They have to remember this one for the next process of this node.
+  bool WasLeaving =
+      IsKnown && (this->State == TargetState::Leaving || this->Drained);
+  if (!WasLeaving)
+    Out.push_back(
+        SendMessage{"", TargetLeavingNotice{{std::string(Instance), WallTimeMs,
+                                             this->Options.Node}}});
   if (IsKnown)
     this->startDraining("deregistration", Now, Now, Out);
 }
--- a/orioledoor/sidecar/reducer_messages.cc
+++ b/orioledoor/sidecar/reducer_messages.cc
@@ -117,8 +117,12 @@
   } else if (auto *Cleared = std::get_if<routing::CrashCleared>(&Body)) {
     this->Gate.handleCrashCleared(*Cleared, this->RoutingEffects);
   } else if (auto *Leaving = std::get_if<routing::TargetLeavingNotice>(&Body)) {
-    this->Gate.handleLeavingNotice(*Leaving, Now, this->RoutingEffects);
-    this->publishStatus(Now);
+    if (Leaving->Target.Node == From) {
+      this->Directory.noteLeaving(Leaving->Target, Now);
+    } else {
+      this->Gate.handleLeavingNotice(*Leaving, Now, this->RoutingEffects);
+      this->publishStatus(Now);
+    }
   } else if (auto *KeyLoad = std::get_if<routing::KeyLoadNotice>(&Body)) {
     this->Keys.recordLoad(*KeyLoad, Now);
   } else if (auto *NewKeyMap = std::get_if<routing::KeyMapNotice>(&Body)) {
--- a/orioledoor/sidecar/reducer_test.cc
+++ b/orioledoor/sidecar/reducer_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(deregisteredTargetsStayGoneAfterALateReport);
   CPPUNIT_TEST(remindsRestartedNodesOfLeavingTargets);
   CPPUNIT_TEST(remindsJoiningNodesBeforeTheirTargetsReport);
+  CPPUNIT_TEST(deregistrationsOutliveTwoRestarts);
   CPPUNIT_TEST(reportsTheStatedLimitAsCapacity);
   CPPUNIT_TEST(reportsTheColdPaceAsCapacity);
   CPPUNIT_TEST(appliesKeyMapChangesInOrder);
@@ -228,6 +229,51 @@
     CPPUNIT_ASSERT(!Announce(22));
   }
 
+  // Guards against a deregistration that ends with the process that has
+  // acknowledged it: the target had not reported to that process, so no other
+  // node knew of it, and a late report made it ready in the next process.
+  void deregistrationsOutliveTwoRestarts() {
+    ReducerFixture First;
+    First.joinFleet();
+    First.addReadRoute();
+    First.dispatch(TargetDeregistered{"i-1", /*WallTimeMs=*/1000});
+    const auto *Departure = First.findMessage<routing::TargetLeavingNotice>();
+    CPPUNIT_ASSERT(Departure);
+    ReducerFixture Other;
+    Other.joinFleet();
+    Other.addReadRoute();
+    routing::TargetLeavingNotice Told = *Departure;
+    Told.Target.Node = OtherAddress;
+    Other.dispatch(PeerMessageReceived{OtherAddress, Told});
+    Other.advance(seconds(3));
+    NodeEntry Joined;
+    Joined.Node = OtherAddress;
+    Joined.Process = 3;
+    Joined.Place = {"d1", "r1"};
+    Joined.Service = "keyed";
+    Other.dispatch(PeerMessageReceived{
+        OtherAddress, routing::NodeNotice{20, encodeNodeEntry(Joined)}});
+    const auto *Reminder = Other.findMessage<routing::TargetLeavingNotice>();
+    CPPUNIT_ASSERT(Reminder && Reminder->KnownFor == seconds(3));
+    routing::TargetLeavingNotice Reminded = *Reminder;
+    Reminded.Target.Node = OwnAddress;
+    ReducerFixture Second;
+    Second.joinFleet();
+    Second.dispatch(PeerMessageReceived{OtherAddress, Reminded});
+    Second.report(1);
+    CPPUNIT_ASSERT(Second.Reducer.gate().state() ==
+                   routing::TargetState::Absent);
+    // A target that was known to leave is not announced once more.
+    ReducerFixture Known;
+    Known.joinFleet();
+    Known.addReadRoute();
+    Known.report(1);
+    Known.dispatch(TargetDeregistered{"i-1", 1000});
+    CPPUNIT_ASSERT(Known.findMessage<routing::TargetLeavingNotice>());
+    Known.dispatch(TargetDeregistered{"i-1", 1001});
+    CPPUNIT_ASSERT(!Known.findMessage<routing::TargetLeavingNotice>());
+  }
+
   // Guards against a target that deregistered, serves on and still reports:
   // after a restart its node took it for ready and sent it requests of its
   // callers.
