Soak nodes that restart beside departures and late reports

No mode of the soak delayed reports, and no check compared the requests at a target with the departure that its node had acknowledged.

The checker reports a request that was sent over the drain time after the acknowledgement, unless the node that acknowledged or the one that sent was down in the 3 s before.

--- a/orioledoor/soak/fault_soak.cc
+++ b/orioledoor/soak/fault_soak.cc
@@ -53,11 +53,13 @@
   bool PlannedStops = false;
   bool ServiceChanges = false;
   bool PeerLinks = false;
+  bool LateReports = false;
 
   soak::SoakFaultKinds kinds() const {
     return this->PlannedStops     ? soak::SoakFaultKinds::PlannedStops
            : this->ServiceChanges ? soak::SoakFaultKinds::ServiceChanges
            : this->PeerLinks      ? soak::SoakFaultKinds::PeerLinks
+           : this->LateReports    ? soak::SoakFaultKinds::LateReports
                                   : soak::SoakFaultKinds::All;
   }
 };
@@ -69,6 +71,8 @@
   // More requests are open at the moment of a stop.
   if (Options.Load.ChecksLost)
     Options.Fleet.RequestsPerLongRequest = 3;
+  if (Options.LateReports)
+    Options.Fleet.ReportsPerLateReport = 4;
   if (!Options.PeerLinks)
     return;
   // A request is still open when the second of two connections is lost, and has
@@ -212,6 +216,9 @@
                       "stops of several nodes at once, while connections "
                       "between nodes fall silent, break or stand still; no "
                       "request may be cut off")(
+      "late-reports", po::bool_switch(&Options.LateReports),
+      "only nodes that are killed beside targets that leave, while reports are "
+      "seconds late; keys have one holder, and departures count")(
       "port", po::value(&Options.Fleet.FirstPort),
       "first port; each node uses 9");
   if (auto Status =
--- a/orioledoor/soak/soak_checker.cc
+++ b/orioledoor/soak/soak_checker.cc
@@ -17,6 +17,8 @@
 // The platform's drain time. Callers see an answer after the node passed it on,
 // so the check is not stricter than the rule.
 constexpr Duration DrainTime = std::chrono::seconds(2);
+// The platform's contactMs: a node counts as in touch after this time.
+constexpr Duration ContactTime = std::chrono::seconds(3);
 // Time within which a node notices changed settings without a signal, and
 // within which a request that was sent before may be read.
 constexpr Duration ServiceChangeTime = std::chrono::milliseconds(500);
@@ -172,11 +174,31 @@
   });
 }
 
+void SoakChecker::checkLeaving(const std::string &Target,
+                               const std::string &Attempt,
+                               const SentRequest &Sent, Instant Now) {
+  auto Found = this->LeavingAcknowledged.find(Target);
+  if (Found == this->LeavingAcknowledged.end())
+    return;
+  const auto &[Node, Since] = Found->second;
+  auto IsInTouch = [&](const std::string &Name) {
+    auto Down = this->NodesDownAt.find(Name);
+    return Down == this->NodesDownAt.end() ||
+           Sent.At - Down->second > ContactTime;
+  };
+  if (Sent.At - Since > DrainTime && IsInTouch(Node) && IsInTouch(Sent.Node))
+    this->addViolation("DRAIN",
+                       Attempt + " of " + Sent.Node + " reached " + Target +
+                           " after the drain time",
+                       Now);
+}
+
 void SoakChecker::recordArrival(const std::string &Target,
                                 const std::string &Attempt, Instant Now) {
   if (auto Sent = this->SentRequests.find(Attempt);
       Sent != this->SentRequests.end()) {
     this->checkDeparture(Target, Attempt, Sent->second, Now);
+    this->checkLeaving(Target, Attempt, Sent->second, Now);
     auto Seen = this->LeavingSeen.find({Sent->second.Node, Target});
     if (Seen != this->LeavingSeen.end() &&
         Sent->second.At - Seen->second > DrainTime)
--- a/orioledoor/soak/soak_checker.h
+++ b/orioledoor/soak/soak_checker.h
@@ -99,6 +99,17 @@
   // Records that Node passed on an answer which states that Target is leaving.
   void recordLeavingAnswer(const std::string &Node, const std::string &Target,
                            Instant Now);
+  // Records that Node acknowledged to its target that it is leaving. Requests
+  // that are sent after the drain time, while both nodes are in touch, must not
+  // reach it.
+  void recordLeavingAcknowledged(const std::string &Node,
+                                 const std::string &Target, Instant Now) {
+    this->LeavingAcknowledged.try_emplace(Target, Node, Now);
+  }
+  // Node does not run, or has just started, so it is not in touch.
+  void recordNodeDown(const std::string &Node, Instant Now) {
+    this->NodesDownAt[Node] = Now;
+  }
   // Records that a caller closed its connection before its answer. Its request
   // must not reach a target long after that.
   void recordDeparture(const std::string &Attempt, Instant Now);
@@ -128,6 +139,9 @@
     std::optional<Instant> LeftAt;
   };
 
+  // Checks that the target may still get this request.
+  void checkLeaving(const std::string &Target, const std::string &Attempt,
+                    const SentRequest &Sent, Instant Now);
   // Checks that the caller has not left long ago.
   void checkDeparture(const std::string &Target, const std::string &Attempt,
                       const SentRequest &Sent, Instant Now);
@@ -152,6 +166,10 @@
   // When each node first passed on that a target is leaving, by node and
   // target.
   std::map<std::pair<std::string, std::string>, Instant> LeavingSeen;
+  // The node that acknowledged it, and when, by target.
+  std::map<std::string, std::pair<std::string, Instant>> LeavingAcknowledged;
+  // When each node was last down.
+  std::map<std::string, Instant> NodesDownAt;
   std::vector<Violation> Violations;
 };
 
--- a/orioledoor/soak/soak_checker_test.cc
+++ b/orioledoor/soak/soak_checker_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(detectsRequestsThatAreCutOff);
   CPPUNIT_TEST(detectsExceededLimits);
   CPPUNIT_TEST(detectsRequestsToLeavingTargets);
+  CPPUNIT_TEST(detectsRequestsAfterAcknowledgedDepartures);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -93,6 +94,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Checker.violations().size());
   }
 
+  void detectsRequestsAfterAcknowledgedDepartures() {
+    this->Checker.recordLeavingAcknowledged("node-1", "a", this->Now);
+    // The drain time begins with the first acknowledgement.
+    this->Now = this->Now + milliseconds(1900);
+    this->Checker.recordLeavingAcknowledged("node-1", "a", this->Now);
+    this->Checker.recordSent("node-2", "early", {}, this->Now);
+    this->Now = this->Now + milliseconds(200);
+    this->Checker.recordSent("node-2", "late", {}, this->Now);
+    this->Checker.recordArrival("a", "early", this->Now);
+    this->Checker.recordArrival("b", "late", this->Now);
+    CPPUNIT_ASSERT(this->Checker.violations().empty());
+    this->Checker.recordArrival("a", "late", this->Now);
+    this->expectViolation("DRAIN");
+    // A node that was down lately need not know yet, be it the one that
+    // acknowledged or the one that sends.
+    this->Checker.recordNodeDown("node-1", this->Now);
+    this->Now = this->Now + milliseconds(2900);
+    this->Checker.recordSent("node-2", "unknown", {}, this->Now);
+    this->Checker.recordArrival("a", "unknown", this->Now);
+    this->Checker.recordNodeDown("node-3", this->Now);
+    this->Now = this->Now + milliseconds(200);
+    this->Checker.recordSent("node-3", "joining", {}, this->Now);
+    this->Checker.recordArrival("a", "joining", this->Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Checker.violations().size());
+    this->Checker.recordSent("node-2", "known", {}, this->Now);
+    this->Checker.recordArrival("a", "known", this->Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->Checker.violations().size());
+  }
+
   void detectsRequestsThatOutliveTheirCallers() {
     for (const char *Attempt : {"kept", "early", "late", "excused"})
       this->Checker.recordSent("node-1", Attempt, {}, this->Now);
--- a/orioledoor/soak/soak_faults.cc
+++ b/orioledoor/soak/soak_faults.cc
@@ -87,10 +87,7 @@
   Duration Time = this->randomDuration(300, 5000);
   switch (this->Random() % 4) {
   case 0:
-    this->recordFault(&Node, "SIGKILL", Time, Now);
-    Node.Stopping = true;
-    Node.StartAt = Now + Time;
-    Node.Process->signal(SIGKILL);
+    this->killNode(Node, Time, Now);
     break;
   case 1:
     this->stopNode(Node, Now);
@@ -110,6 +107,52 @@
   }
 }
 
+void SoakFaults::killNode(SoakNode &Node, Duration Time, Instant Now) {
+  this->recordFault(&Node, "SIGKILL", Time, Now);
+  Node.Stopping = true;
+  Node.StartAt = Now + Time;
+  Node.Process->signal(SIGKILL);
+}
+
+void SoakFaults::restartBesideDeparture(SoakNode &Node) {
+  SoakTarget &Target = *Node.Target;
+  if (!Target.isUp() || Target.isLeaving() || !Node.Process->running() ||
+      Node.Stopping)
+    return;
+  auto Kill = [this, &Node](Duration Away) {
+    if (Node.Process->running() && !Node.Stopping)
+      this->killNode(Node, Away, readClock());
+  };
+  auto Leave = [this, &Node, &Target](bool Deregisters) {
+    if (!Target.isUp() || Target.isLeaving())
+      return;
+    this->recordFault(&Node,
+                      Deregisters ? "target deregisters" : "target leaves",
+                      Duration(0), readClock());
+    Deregisters ? Target.leaveByDeregistration() : Target.leave();
+  };
+  Duration Away = this->randomDuration(100, 500);
+  Duration Gap = this->randomDuration(100, 600);
+  Duration LeaveAfter = Away + Gap;
+  if (this->Random() % 2 == 0) {
+    // The node's new process may not know the target yet when that deregisters.
+    Kill(Away);
+    this->runAfter(LeaveAfter, [Leave] { Leave(/*Deregisters=*/true); });
+  } else {
+    // Reports of the time before a new target had keys may still be under way
+    // when it leaves and its node restarts.
+    Target.crash();
+    Target.start();
+    LeaveAfter = this->randomDuration(1500, 3500);
+    this->runAfter(LeaveAfter, [Leave] { Leave(/*Deregisters=*/false); });
+    this->runAfter(LeaveAfter + Gap, [Kill, Away] { Kill(Away); });
+  }
+  this->runAfter(LeaveAfter + milliseconds(9000), [&Target] {
+    if (!Target.isUp())
+      Target.start();
+  });
+}
+
 void SoakFaults::stopNode(SoakNode &Node, Instant Now) {
   this->recordFault(&Node, "SIGTERM", StopGracePeriod, Now);
   Node.Stopping = true;
@@ -261,6 +304,9 @@
       return this->injectPeerLinkFault(this->Fleet.node(Index), Now);
     }
   }
+  if (this->Kinds == SoakFaultKinds::LateReports)
+    return this->restartBesideDeparture(
+        this->Fleet.node(this->Random() % this->Fleet.size()));
   if (this->Kinds == SoakFaultKinds::ServiceChanges) {
     std::size_t Index = this->Random() % this->Fleet.size();
     switch (this->Random() % 4) {
--- a/orioledoor/soak/soak_faults.h
+++ b/orioledoor/soak/soak_faults.h
@@ -38,6 +38,9 @@
   // while connections between nodes fall silent, break or stand still. No
   // request may be cut off.
   PeerLinks,
+  // Nodes that are killed and start again at once, beside targets that leave
+  // and reports that are seconds late.
+  LateReports,
 };
 
 // Not thread-safe.
@@ -73,6 +76,9 @@
   void injectPeerLinkFault(SoakNode &Node, Instant Now);
   void injectTargetFault(SoakNode &Node, Instant Now);
   void injectStoreFault(Instant Now);
+  // Lets a target leave shortly before or after its node restarts.
+  void restartBesideDeparture(SoakNode &Node);
+  void killNode(SoakNode &Node, Duration Time, Instant Now);
   // Runs Undo, which reverts a fault, after Time.
   void runAfter(Duration Time, Callback Undo);
   // Adds the fault to the history and marks the nodes as disturbed for Time
--- a/orioledoor/soak/soak_fleet.cc
+++ b/orioledoor/soak/soak_fleet.cc
@@ -72,6 +72,7 @@
           .Node = {"127.0.0.1", static_cast<std::uint16_t>(BasePort + 1)},
           .RequestsPerLongRequest = this->Options.RequestsPerLongRequest,
           .LongRunTime = this->Options.LongRunTime,
+          .ReportsPerLateReport = this->Options.ReportsPerLateReport,
           .Seed = this->Options.Seed * 1000 + Index});
   // Relays use fixed ports, since a relay whose link was cut listens on its
   // port again, and the system must not assign the port to a connection
@@ -92,6 +93,8 @@
   // The node reaches the target through the relay, so that is its address.
   Node->Target->setReportedAddress("127.0.0.1:" +
                                    std::to_string(Node->TargetLink->port()));
+  if (this->Options.ReportsPerLateReport != 0)
+    Node->Target->setNodeName(Node->Name);
   Node->Outbound = {"127.0.0.1", Node->CallerLink->port()};
   this->writeSettings(*Node, Index);
   std::string Base = this->Options.Directory + "/" + Node->Name;
@@ -212,6 +215,8 @@
     }
     if (Now <= Node.PausedUntil)
       this->Checker.excuseNode(Node.Name, Now);
+    if (!Node.Process->running() || Now <= Node.PausedUntil)
+      this->Checker.recordNodeDown(Node.Name, Now);
     if (Node.KillAt != Instant() && Now >= Node.KillAt) {
       this->Checker.addViolation(
           "STOP", Node.Name + " did not exit within the grace period", Now);
--- a/orioledoor/soak/soak_fleet.h
+++ b/orioledoor/soak/soak_fleet.h
@@ -45,6 +45,9 @@
   // Nodes reach each other through relays with this delay in each direction; 0
   // means that they are connected directly.
   Duration PeerDelay{0};
+  // One in this many reports of a target is seconds late, and requests must
+  // keep to acknowledged departures; 0 if none is.
+  std::size_t ReportsPerLateReport = 0;
 };
 
 // A node of the fleet with its target, relays and state.
--- a/orioledoor/soak/soak_target.cc
+++ b/orioledoor/soak/soak_target.cc
@@ -26,6 +26,10 @@
 constexpr Duration LeaveDelay = milliseconds(2600);
 // Additional serving time of a leaving target whose node may restart meanwhile.
 constexpr int MaxExtraLeaveMillis = 3000;
+// Serving time of a target that deregisters first, and the lateness of reports.
+constexpr Duration DeregisteredServingTime = milliseconds(7000);
+constexpr int MinLatenessMillis = 1000;
+constexpr int MaxLatenessMillis = 6000;
 // Duration of a limit and of the time between two, and the limit itself, in
 // requests per second. A target gets some 25 requests/s without a limit.
 constexpr int MinLimitMillis = 6000;
@@ -58,7 +62,7 @@
     this->changeLimit(readClock());
     if (readClock() >= this->NextForeignReportAt)
       this->sendForeignReport();
-    if (this->isUp() && !this->ReportPending &&
+    if (this->isUp() && !this->ReportPending && !this->Deregistered &&
         readClock() >= this->NextReportAt)
       this->sendReport();
   });
@@ -76,7 +80,7 @@
       this->Options.Name + "-" + std::to_string(this->InstanceNumber),
       this->LastStartMillis, 1.0);
   this->RunningRequests = 0;
-  this->ReportPending = false;
+  this->ReportPending = this->Deregistered = this->ReportedLeaving = false;
   this->NextReportAt = readClock();
   this->Limit.reset();
 }
@@ -128,21 +132,53 @@
   this->NextReportAt = readClock();
   Duration Extra = milliseconds(
       std::uniform_int_distribution(0, MaxExtraLeaveMillis)(this->LimitRandom));
-  this->Events.after(
-      LeaveDelay + Extra, [this, Incarnation = this->IncarnationNumber] {
-        if (Incarnation != this->IncarnationNumber)
-          return;
-        std::string Path =
-            platform::testing::deregisterPath(this->Model->instance());
-        this->Client.call({.Server = this->Options.Node,
-                           .Method = "POST",
-                           .Target = Path,
-                           .Timeout = ReportTimeout},
-                          [](const wire::HttpResult &) {});
-        this->crash();
+  this->Events.after(LeaveDelay + Extra,
+                     [this, Incarnation = this->IncarnationNumber] {
+                       if (Incarnation != this->IncarnationNumber)
+                         return;
+                       this->deregister([](bool) {});
+                       this->crash();
+                     });
+}
+
+void SoakTarget::leaveByDeregistration() {
+  this->Model->Draining = this->Deregistered = true;
+  this->deregister(
+      [this, Incarnation = this->IncarnationNumber](bool Acknowledged) {
+        if (Acknowledged && Incarnation == this->IncarnationNumber)
+          this->recordLeavingAcknowledged();
+      });
+  this->Events.after(DeregisteredServingTime,
+                     [this, Incarnation = this->IncarnationNumber] {
+                       if (Incarnation == this->IncarnationNumber)
+                         this->crash();
+                     });
+}
+
+void SoakTarget::deregister(std::function<void(bool)> OnDone) {
+  this->Client.call(
+      {.Server = this->Options.Node,
+       .Method = "POST",
+       .Target = platform::testing::deregisterPath(this->Model->instance()),
+       .Timeout = ReportTimeout},
+      [OnDone = std::move(OnDone)](const wire::HttpResult &Result) {
+        OnDone(!Result.Failure && Result.Answer.Status == 200);
       });
 }
 
+void SoakTarget::recordLeavingAcknowledged() {
+  if (!this->NodeName.empty())
+    this->Checker.recordLeavingAcknowledged(this->NodeName, this->identity(),
+                                            readClock());
+}
+
+void SoakTarget::sendLate(const routing::TargetReport &Report) {
+  std::uniform_int_distribution Millis(MinLatenessMillis, MaxLatenessMillis);
+  this->Events.after(milliseconds(Millis(this->LimitRandom)), [this, Report] {
+    this->send(Report, [](const wire::HttpResult &) {});
+  });
+}
+
 void SoakTarget::sendReport() {
   this->ReportPending = true;
   routing::TargetReport Report = this->Model->report(readClock());
@@ -150,6 +186,13 @@
   Report.FailureDomain = "north-a";
   Report.Slots = this->Options.Slots;
   Report.Address = this->ReportedAddress;
+  if (this->Options.ReportsPerLateReport != 0 &&
+      this->LimitRandom() % this->Options.ReportsPerLateReport == 0) {
+    this->ReportPending = false;
+    this->NextReportAt = readClock() + ReportTimeout;
+    return this->sendLate(Report);
+  }
+  this->ReportedLeaving = Report.Draining;
   this->send(Report, [this, Incarnation = this->IncarnationNumber](
                          const wire::HttpResult &Result) {
     if (Incarnation == this->IncarnationNumber)
@@ -189,6 +232,8 @@
   if (Result.Failure || Result.Answer.Status != 200 ||
       Result.Answer.Body.size() > MaxReportAnswerBytes)
     return;
+  if (this->ReportedLeaving)
+    this->recordLeavingAcknowledged();
   absl::StatusOr<routing::ReportAnswer> Answer =
       platform::testing::decodeReportAnswer(Result.Answer.Body);
   if (!Answer.ok()) {
--- a/orioledoor/soak/soak_target.h
+++ b/orioledoor/soak/soak_target.h
@@ -8,6 +8,7 @@
 #define ORIOLEDOOR_SOAK_SOAK_TARGET_H
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -38,6 +39,8 @@
   // One in this many requests runs for LongRunTime.
   std::size_t RequestsPerLongRequest = 50;
   Duration LongRunTime = std::chrono::milliseconds(300);
+  // One in this many reports is seconds late; 0 if none is.
+  std::size_t ReportsPerLateReport = 0;
   std::uint64_t Seed = 1;
 };
 
@@ -71,10 +74,15 @@
   // Announces that it is leaving, continues to serve for a while, then
   // deregisters and ends the incarnation.
   void leave();
+  // Deregisters without announcing it, continues to serve for a while without
+  // any report, and ends the incarnation.
+  void leaveByDeregistration();
 
   std::uint16_t port() const { return this->Http.port(); }
   bool isUp() const { return this->Model != nullptr; }
   bool isLeaving() const { return this->isUp() && this->Model->Draining; }
+  // Name of the node beside this target, for the checker.
+  void setNodeName(std::string Name) { this->NodeName = std::move(Name); }
   const std::string &name() const { return this->Options.Name; }
   bool isPartitioned() const { return this->Options.Partitioned; }
   bool holds(std::uint32_t Key, Instant Now) const {
@@ -90,6 +98,12 @@
   // Headers of each answer, except for the attempt ID.
   standins::HeaderList answerHeaders() const;
   void sendReport();
+  // Sends a report some seconds late; the target does not wait for the answer.
+  void sendLate(const routing::TargetReport &Report);
+  // Deregisters and calls OnDone with whether that was acknowledged.
+  void deregister(std::function<void(bool)> OnDone);
+  // Records that the node acknowledged that this incarnation is leaving.
+  void recordLeavingAcknowledged();
   // Sends what another writer may report at the address of the node: another
   // service or another address, from a later start than this target's.
   void sendForeignReport();
@@ -120,6 +134,11 @@
   std::int64_t LastStartMillis = 0;
   std::uint32_t RunningRequests = 0;
   std::string ReportedAddress;
+  std::string NodeName;
+  // The incarnation has deregistered and reports no more.
+  bool Deregistered = false;
+  // Whether its last report stated that it is leaving.
+  bool ReportedLeaving = false;
   Instant NextForeignReportAt;
   std::uint64_t ForeignReports = 0;
   // Whether a report is in flight; if not, the next one is due at NextReportAt.
