--- a/orioledoor/sidecar/key_ownership_test.cc
+++ b/orioledoor/sidecar/key_ownership_test.cc
@@ -6,9 +6,9 @@
 // ORIOLEDOOR_SEEDS and ORIOLEDOOR_FIRST_SEED select other schedules.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <iostream>
 #include <string>
 
+#include "orioledoor/sidecar/testing/key_schedules.h"
 #include "orioledoor/sidecar/testing/model_fleet.h"
 #include "orioledoor/sidecar/testing/seed_range.h"
 
@@ -78,30 +78,12 @@
 
 private:
   void play(testing::ModelSchedule Schedule, std::uint64_t Seeds) {
-    auto [First, Count] = testing::readSeedRange(Seeds);
-    int Failed = 0;
-    int Moves = 0;
-    for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
-      testing::ModelFleet Fleet(Seed, 3 + static_cast<int>(Seed % 5), Schedule);
-      Fleet.run(seconds(45), true);
-      if (Fleet.failure().empty())
-        Fleet.run(RecoveryTime, false);
-      Moves += Fleet.moves();
-      std::string Failure = Fleet.failure();
-      if (Failure.empty() && Fleet.unheldKeys() > 0)
-        Failure = std::to_string(Fleet.unheldKeys()) +
-                  " sampled keys are not held after the faults";
-      if (Failure.empty())
-        continue;
-      ++Failed;
-      std::cerr << "seed " << Seed << ": " << Failure << "\n";
-      if (Count == 1)
-        for (const std::string &Line : Fleet.history())
-          std::cerr << "  " << Line << "\n";
-    }
+    testing::SeedRange Range = testing::readSeedRange(Seeds);
+    auto [Failed, Moves] =
+        testing::playKeySchedules(Schedule, Range, RecoveryTime);
     CPPUNIT_ASSERT_EQUAL(0, Failed);
     // Checks that the schedules cause key moves at all.
-    CPPUNIT_ASSERT(Count < 10 || Moves > 100);
+    CPPUNIT_ASSERT(Range.Count < 10 || Moves > 100);
   }
 };
 
--- a/orioledoor/sidecar/store_rollback_test.cc
+++ b/orioledoor/sidecar/store_rollback_test.cc
@@ -5,7 +5,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <iostream>
 #include <map>
 #include <string>
 #include <string_view>
@@ -14,6 +13,7 @@
 #include "orioledoor/keyspace/key_map.h"
 #include "orioledoor/keyspace/key_map_change.h"
 #include "orioledoor/sidecar/store_era.h"
+#include "orioledoor/sidecar/testing/key_schedules.h"
 #include "orioledoor/sidecar/testing/model_fleet.h"
 #include "orioledoor/sidecar/testing/seed_range.h"
 
@@ -267,26 +267,10 @@
 
 private:
   void play(testing::ModelSchedule Schedule) {
-    auto [First, Count] = testing::readSeedRange(DefaultSeeds);
-    int Failed = 0;
-    for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
-      testing::ModelFleet Fleet(Seed, 3 + static_cast<int>(Seed % 5), Schedule);
-      Fleet.run(seconds(45), true);
-      if (Fleet.failure().empty())
-        Fleet.run(seconds(30), false);
-      std::string Failure = Fleet.failure();
-      if (Failure.empty() && Fleet.unheldKeys() > 0)
-        Failure = std::to_string(Fleet.unheldKeys()) +
-                  " sampled keys are not held after the faults";
-      if (Failure.empty())
-        continue;
-      ++Failed;
-      std::cerr << "seed " << Seed << ": " << Failure << "\n";
-      if (Count == 1)
-        for (const std::string &Line : Fleet.history())
-          std::cerr << "  " << Line << "\n";
-    }
-    CPPUNIT_ASSERT_EQUAL(0, Failed);
+    CPPUNIT_ASSERT_EQUAL(
+        0, testing::playKeySchedules(
+               Schedule, testing::readSeedRange(DefaultSeeds), seconds(30))
+               .Failed);
   }
 
   // A fleet that has shared out all keys. Each run checks the guarantees.
